Add the design page, the build workspace and the core package

Cause: the project needs a shared statement of modules, state, messages and failure effects before its parts can be built side by side.

The workspace builds one library per top folder; core holds ids, time on CLOCK_BOOTTIME, results, hashing, numbered events, metrics and the exchange structs that keep HTTP edges and peer links apart.

Ruled out: C++20 (websocketpp 0.8.2 headers do not compile), the unversioned Boost 1.74 packages (no Boost.JSON, older Beast).

--- /dev/null
+++ b/core/events.h
@@ -0,0 +1,76 @@
+#pragma once
+
+#include <initializer_list>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace snipestream {
+
+/// Severity of an event, as glog writes it.
+enum class Severity {
+    Info,
+    Warning,
+    Error,
+};
+
+/// Numbered log events. Numbers are stable: a retired event leaves a gap. Each subsystem has its own thousand:
+/// 1 node, 2 configuration, 3 lease, 4 quota, 5 idempotency, 6 admission and retries, 7 routing, 8 peer links, 9 HTTP.
+enum class EventId : int {
+    NodeStarted = 1001,
+    NodeStopping = 1002,
+    NodeStopped = 1003,
+    SettingsInvalid = 1004,
+    RequestCutAtStop = 1005,
+    ConfigChangeApplied = 2001,
+    ConfigChangeRejected = 2002,
+    ConfigRecordUnreadable = 2003,
+    ConfigSnapshotTaken = 2004,
+    LogUnavailable = 2005,
+    LogAvailable = 2006,
+    LeaseAcquired = 3001,
+    LeaseLost = 3002,
+    LeaseClaimed = 3003,
+    LoanRefused = 4001,
+    UnloggedModeEntered = 5001,
+    UnloggedModeLeft = 5002,
+    RangeQuarantined = 5003,
+    TargetEjected = 7001,
+    TargetReturned = 7002,
+    TargetAnnounced = 7003,
+    TargetDraining = 7004,
+    TargetExpired = 7005,
+    PeerConnected = 8001,
+    PeerLost = 8002,
+    PeerRefused = 8003,
+    PeerFrameInvalid = 8004,
+    HttpRequestInvalid = 9001,
+    HttpListening = 9002,
+};
+
+/// One row of the catalogue in docs/EVENTS.md.
+struct EventRow
+{
+    EventId id;
+    Severity severity;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+/// Returns all events in the order of their numbers.
+auto eventCatalogue() -> const std::vector<EventRow> &;
+
+/// A field of an event: a name and a value.
+using EventField = std::pair<std::string_view, std::string>;
+
+/// Returns the line of the event as it is logged: "SNS1001 node-started node=a domain=b".
+auto formatEvent(EventId id, std::initializer_list<EventField> fields) -> std::string;
+
+/// Writes the event to the log with the severity of its catalogue row.
+void logEvent(EventId id, std::initializer_list<EventField> fields);
+
+/// Returns the catalogue as the Markdown table that stands in docs/EVENTS.md.
+auto eventCatalogueMarkdown() -> std::string;
+
+} // namespace snipestream
--- /dev/null
+++ b/core/metrics.h
@@ -0,0 +1,80 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace snipestream {
+
+/// Labels of a metric in a fixed order, such as {{"team", "studio"}}.
+using MetricLabels = std::vector<std::pair<std::string, std::string>>;
+
+/// A count that only grows.
+class Counter
+{
+public:
+    void add(uint64_t amount = 1);
+    [[nodiscard]] auto value() const -> uint64_t;
+
+private:
+    uint64_t value_ = 0;
+};
+
+/// A value that rises and falls.
+class Gauge
+{
+public:
+    void set(double value);
+    [[nodiscard]] auto value() const -> double;
+
+private:
+    double value_ = 0;
+};
+
+/// A stream of observations, of which count, sum and quantiles are kept (Boost.Accumulators).
+class Summary
+{
+public:
+    Summary();
+    ~Summary();
+    Summary(Summary &&) noexcept;
+    Summary(const Summary &) = delete;
+    auto operator=(const Summary &) -> Summary & = delete;
+    auto operator=(Summary &&) noexcept -> Summary &;
+
+    void observe(double value);
+    [[nodiscard]] auto count() const -> uint64_t;
+    [[nodiscard]] auto sum() const -> double;
+    /// Returns the estimated quantile; `probability` is one of 0.5, 0.9 and 0.99. Zero before the first observation.
+    [[nodiscard]] auto quantile(double probability) const -> double;
+
+private:
+    struct Accumulators;
+    std::unique_ptr<Accumulators> accumulators_;
+};
+
+/// All metrics of a process. References stay valid for the registry's lifetime, so hot paths look a metric up once.
+class MetricsRegistry
+{
+public:
+    MetricsRegistry();
+    ~MetricsRegistry();
+    MetricsRegistry(const MetricsRegistry &) = delete;
+    auto operator=(const MetricsRegistry &) -> MetricsRegistry & = delete;
+
+    auto counter(const std::string &name, const std::string &help, const MetricLabels &labels = {}) -> Counter &;
+    auto gauge(const std::string &name, const std::string &help, const MetricLabels &labels = {}) -> Gauge &;
+    auto summary(const std::string &name, const std::string &help, const MetricLabels &labels = {}) -> Summary &;
+
+    /// Returns all metrics in the Prometheus text exposition format.
+    [[nodiscard]] auto renderPrometheus() const -> std::string;
+
+private:
+    struct Families;
+    std::unique_ptr<Families> families_;
+};
+
+} // namespace snipestream
