Add the HTTP server and the pooled HTTP client

Cause: callers, targets and operators reach a node over HTTP, and bodies of tens of MB have to pass through without being held in memory.

Bodies move in pieces of at most 64 KiB. A body that is cut gives the reader an error and aborts the connection, so it never looks whole. An idle connection waits without a fiber and gives its buffer back. The client watches idle connections, because using one that the server closed would turn a harmless close into a request of unknown state.

Ruled out: a fiber per connection (128 KiB of stack for each of 1,500 idle connections); writing head and first body piece apart (one more system call on every answer).

--- /dev/null
+++ b/http/http_client.cpp
@@ -0,0 +1,451 @@
+#include "http/http_client.h"
+
+#include "http/http_fields.h"
+#include "http/http_server.h"
+#include "net/await.h"
+
+#include <algorithm>
+#include <deque>
+#include <list>
+#include <optional>
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace snipestream {
+
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr size_t kMaxFetchedBytes = 16 * 1024 * 1024;
+
+struct Connection
+{
+    explicit Connection(asio::io_context &context)
+        : socket(context)
+        , idleTimer(context)
+    {
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+        socket.close(ignored);
+        idleTimer.cancel();
+    }
+
+    asio::ip::tcp::socket socket;
+    asio::steady_timer idleTimer;
+    boost::beast::flat_buffer buffer;
+    bool idle = false;
+};
+
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+/// A fiber that waits until a connection is free.
+struct Waiter
+{
+    FiberEvent event;
+    bool served = false;
+};
+
+} // namespace
+
+struct HttpClient::State : std::enable_shared_from_this<HttpClient::State>
+{
+    State(FiberRuntime &runtimeUsed, HttpClientOptions chosen)
+        : runtime(runtimeUsed)
+        , options(std::move(chosen))
+    {
+    }
+
+    auto acquire(Duration timeout) -> Result<ConnectionPtr>;
+    auto connect(Duration timeout) -> Result<ConnectionPtr>;
+    void release(const ConnectionPtr &connection, bool reusable);
+    void watchIdle(const ConnectionPtr &connection);
+    void dropIdle(const ConnectionPtr &connection);
+    void wakeNext();
+
+    FiberRuntime &runtime;
+    HttpClientOptions options;
+    std::list<ConnectionPtr> idle;
+    std::deque<Waiter *> waiters;
+    size_t open = 0;
+    bool closed = false;
+};
+
+namespace {
+
+/// One call on one connection. It gives the connection back when the answer was read whole, and closes it otherwise.
+template<typename State>
+struct ClientCall
+{
+    ClientCall(std::shared_ptr<State> stateUsed, ConnectionPtr connectionUsed, Duration timeLeft)
+        : state(std::move(stateUsed))
+        , connection(std::move(connectionUsed))
+        , deadline(state->runtime.context(), timeLeft)
+    {
+    }
+
+    ~ClientCall()
+    {
+        end(false);
+    }
+    ClientCall(const ClientCall &) = delete;
+    auto operator=(const ClientCall &) -> ClientCall & = delete;
+
+    void end(bool reusable)
+    {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        deadline.cancel();
+        state->release(connection, reusable);
+    }
+
+    auto failed(const boost::system::error_code &error, const char *what) -> Error
+    {
+        const bool late = timedOut;
+        end(false);
+        return late ? Error { ErrorCode::Timeout, std::string(what) + ": the deadline passed" } : ioError(error, what);
+    }
+
+    auto write(const std::string &bytes, bool last) -> Result<void>
+    {
+        if (requestDone) {
+            return success();
+        }
+        if (ended) {
+            return failure(ErrorCode::Closed, "the call has ended");
+        }
+        if (bytes.empty() && !last) {
+            return success();
+        }
+        requestBytes += bytes.size();
+        if (requestLength && (requestBytes > *requestLength || (last && requestBytes < *requestLength))) {
+            end(false);
+            return failure(ErrorCode::ProtocolViolation, "the request body does not have its announced length");
+        }
+        const bool complete = last || (requestLength && requestBytes == *requestLength);
+        auto &body = request.body();
+        body.data = bytes.empty() ? nullptr : const_cast<char *>(bytes.data());
+        body.size = bytes.size();
+        body.more = !complete;
+        maySent = true;
+        const IoResult result = awaitIo([&](auto handler) {
+            http::async_write(connection->socket, *serializer, handler);
+        });
+        if (result.error && result.error != http::error::need_buffer) {
+            writeFailed = true;
+            return failure(ErrorCode::Closed, "send the request: " + result.error.message());
+        }
+        requestDone = complete;
+        return success();
+    }
+
+    auto awaitHead() -> Result<ResponseHead>
+    {
+        if (ended) {
+            return failure(ErrorCode::Closed, "the call has ended");
+        }
+        do {
+            parser.emplace();
+            parser->body_limit(boost::none);
+            parser->skip(method == "HEAD");
+            const IoResult result = awaitIo([&](auto handler) {
+                http::async_read_header(connection->socket, connection->buffer, *parser, handler);
+            });
+            if (result.error) {
+                return failed(result.error, "read the head of the answer");
+            }
+        } while (parser->get().result_int() / 100 == 1);
+        ResponseHead head;
+        head.status = static_cast<int>(parser->get().result_int());
+        head.headers = copyEndToEndFields(parser->get());
+        if (parser->is_done()) {
+            head.bodyLength = parser->content_length() ? std::optional<uint64_t>(*parser->content_length()) : 0;
+        } else if (parser->content_length()) {
+            head.bodyLength = *parser->content_length();
+        }
+        finishIfDone();
+        return head;
+    }
+
+    auto readBody() -> Result<BodyChunk>
+    {
+        if (parser && parser->is_done()) {
+            return BodyChunk { {}, true };
+        }
+        if (ended || !parser) {
+            return failure(ErrorCode::Closed, "the call has ended");
+        }
+        size_t wanted = kMaxChunkBytes;
+        if (const auto remaining = parser->content_length_remaining()) {
+            wanted = static_cast<size_t>(std::min<uint64_t>(wanted, std::max<uint64_t>(*remaining, 1)));
+        }
+        std::string bytes(wanted, '\0');
+        auto &body = parser->get().body();
+        body.data = bytes.data();
+        body.size = bytes.size();
+        while (body.size == bytes.size() && !parser->is_done()) {
+            const IoResult result = awaitIo([&](auto handler) {
+                http::async_read_some(connection->socket, connection->buffer, *parser, handler);
+            });
+            if (result.error && result.error != http::error::need_buffer) {
+                return failed(result.error, "read the body of the answer");
+            }
+        }
+        bytes.resize(bytes.size() - body.size);
+        finishIfDone();
+        return BodyChunk { std::move(bytes), parser->is_done() };
+    }
+
+    void finishIfDone()
+    {
+        if (parser->is_done()) {
+            end(requestDone && !writeFailed && parser->get().keep_alive());
+        }
+    }
+
+    std::shared_ptr<State> state;
+    ConnectionPtr connection;
+    asio::steady_timer deadline;
+    std::string method;
+    http::request<http::buffer_body> request;
+    std::optional<http::request_serializer<http::buffer_body>> serializer;
+    std::optional<uint64_t> requestLength;
+    uint64_t requestBytes = 0;
+    std::optional<http::response_parser<http::buffer_body>> parser;
+    bool maySent = false;
+    bool requestDone = false;
+    bool writeFailed = false;
+    bool timedOut = false;
+    bool ended = false;
+};
+
+template<typename Call>
+void prepareRequest(Call &call, const RequestHead &head, const Endpoint &server)
+{
+    call.method = head.method;
+    call.request.version(11);
+    call.request.method_string(head.method);
+    call.request.target(head.path);
+    appendEndToEndFields(head.headers, call.request);
+    if (call.request[http::field::host].empty()) {
+        call.request.set(http::field::host, toString(server));
+    }
+    call.requestLength = head.bodyLength;
+    const bool bodyless = head.bodyLength && *head.bodyLength == 0 && (head.method == "GET" || head.method == "HEAD");
+    if (head.bodyLength && !bodyless) {
+        call.request.content_length(*head.bodyLength);
+    } else if (!head.bodyLength) {
+        call.request.chunked(true);
+    }
+    call.request.body().data = nullptr;
+    call.request.body().more = true;
+    call.serializer.emplace(call.request);
+}
+
+} // namespace
+
+auto HttpClient::State::acquire(Duration timeout) -> Result<ConnectionPtr>
+{
+    const TimePoint end = BootClock::now() + timeout;
+    while (true) {
+        if (!idle.empty()) {
+            ConnectionPtr connection = idle.back();
+            idle.pop_back();
+            connection->idle = false;
+            connection->idleTimer.cancel();
+            boost::system::error_code ignored;
+            connection->socket.cancel(ignored);
+            return connection;
+        }
+        if (open < options.maxConnections) {
+            return connect(std::min(options.connectTimeout, end - BootClock::now()));
+        }
+        Waiter waiter;
+        waiters.push_back(&waiter);
+        if (!waitFor(runtime.context(), waiter.event, end - BootClock::now(), waiter.served)) {
+            waiters.erase(std::find(waiters.begin(), waiters.end(), &waiter));
+            return failure(ErrorCode::Timeout, "no connection to " + toString(options.server) + " became free");
+        }
+    }
+}
+
+auto HttpClient::State::connect(Duration timeout) -> Result<ConnectionPtr>
+{
+    boost::system::error_code invalid;
+    const auto address = asio::ip::make_address(options.server.address, invalid);
+    if (invalid) {
+        return failure(ErrorCode::InvalidInput, "'" + options.server.address + "' is not an IP address");
+    }
+    ++open;
+    auto connection = std::make_shared<Connection>(runtime.context());
+    const IoResult result = awaitIoFor(
+        runtime.context(), timeout,
+        [&](auto handler) {
+            connection->socket.async_connect({ address, options.server.port }, handler);
+        },
+        [connection] {
+            boost::system::error_code ignored;
+            connection->socket.close(ignored);
+        });
+    if (result.error) {
+        --open;
+        wakeNext();
+        return failure(ErrorCode::Unavailable,
+                       "connect to " + toString(options.server) + ": " + result.error.message());
+    }
+    boost::system::error_code ignored;
+    connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    return connection;
+}
+
+void HttpClient::State::release(const ConnectionPtr &connection, bool reusable)
+{
+    if (!reusable || closed || connection->buffer.size() > 0 || !connection->socket.is_open()) {
+        connection->close();
+        --open;
+        wakeNext();
+        return;
+    }
+    connection->buffer = boost::beast::flat_buffer();
+    connection->idle = true;
+    idle.push_back(connection);
+    watchIdle(connection);
+    wakeNext();
+}
+
+void HttpClient::State::watchIdle(const ConnectionPtr &connection)
+{
+    // A server that closes an idle connection makes it readable; using it then would lose a request.
+    const std::weak_ptr<State> weak = weak_from_this();
+    const auto drop = [weak, connection] {
+        if (const auto state = weak.lock()) {
+            state->dropIdle(connection);
+        }
+    };
+    connection->socket.async_wait(asio::ip::tcp::socket::wait_read, [drop](const boost::system::error_code &error) {
+        if (!error) {
+            drop();
+        }
+    });
+    connection->idleTimer.expires_after(options.idleTimeout);
+    connection->idleTimer.async_wait([drop](const boost::system::error_code &error) {
+        if (!error) {
+            drop();
+        }
+    });
+}
+
+void HttpClient::State::dropIdle(const ConnectionPtr &connection)
+{
+    if (!connection->idle) {
+        return;
+    }
+    connection->idle = false;
+    idle.remove(connection);
+    connection->close();
+    --open;
+    wakeNext();
+}
+
+void HttpClient::State::wakeNext()
+{
+    if (waiters.empty()) {
+        return;
+    }
+    Waiter *const waiter = waiters.front();
+    waiters.pop_front();
+    waiter->served = true;
+    waiter->event.notify();
+}
+
+HttpClient::HttpClient(FiberRuntime &runtime, HttpClientOptions options)
+    : state_(std::make_shared<State>(runtime, std::move(options)))
+{
+}
+
+HttpClient::~HttpClient()
+{
+    state_->closed = true;
+    const auto idle = state_->idle;
+    for (const auto &connection : idle) {
+        state_->dropIdle(connection);
+    }
+}
+
+auto HttpClient::open(const RequestHead &head) -> Result<OutboundCall>
+{
+    if (head.timeLeft <= Duration::zero()) {
+        return failure(ErrorCode::Timeout, "the deadline passed before the call");
+    }
+    const TimePoint start = BootClock::now();
+    BOOST_OUTCOME_TRY(const ConnectionPtr connection, state_->acquire(head.timeLeft));
+    const Duration left = head.timeLeft - (BootClock::now() - start);
+    using Call = ClientCall<State>;
+    const auto call = std::make_shared<Call>(state_, connection, left);
+    prepareRequest(*call, head, state_->options.server);
+    call->deadline.async_wait([weak = std::weak_ptr<Call>(call)](const boost::system::error_code &error) {
+        const auto late = weak.lock();
+        if (error || !late || late->ended) {
+            return;
+        }
+        late->timedOut = true;
+        late->connection->close();
+    });
+
+    OutboundCall outbound;
+    outbound.requestBody.write = [call](const std::string &bytes) {
+        return call->write(bytes, false);
+    };
+    outbound.requestBody.finish = [call] {
+        return call->write({}, true);
+    };
+    outbound.requestBody.abort = [call] {
+        call->connection->close();
+    };
+    outbound.awaitHead = [call] {
+        return call->awaitHead();
+    };
+    outbound.responseBody.read = [call] {
+        return call->readBody();
+    };
+    outbound.cancel = [call] {
+        if (!call->ended) {
+            call->connection->close();
+        }
+    };
+    outbound.mayHaveBeenSent = [call] {
+        return call->maySent;
+    };
+    return outbound;
+}
+
+auto HttpClient::connectionCount() const -> size_t
+{
+    return state_->open;
+}
+
+auto fetch(HttpClient &client, const RequestHead &head, const std::string &body) -> Result<HttpAnswer>
+{
+    RequestHead sized = head;
+    sized.bodyLength = body.size();
+    BOOST_OUTCOME_TRY(OutboundCall call, client.open(sized));
+    if (!body.empty()) {
+        BOOST_OUTCOME_TRY(call.requestBody.write(body));
+    }
+    BOOST_OUTCOME_TRY(call.requestBody.finish());
+    BOOST_OUTCOME_TRY(const ResponseHead answer, call.awaitHead());
+    BOOST_OUTCOME_TRY(std::string whole, readWholeBody(call.responseBody, kMaxFetchedBytes));
+    return HttpAnswer { answer.status, std::move(whole) };
+}
+
+} // namespace snipestream
--- /dev/null
+++ b/http/http_client.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include "core/exchange.h"
+#include "core/result.h"
+#include "core/time.h"
+#include "net/fiber_runtime.h"
+
+#include <memory>
+#include <string>
+
+namespace snipestream {
+
+/// Limits of the connections to one HTTP server.
+struct HttpClientOptions
+{
+    Endpoint server;
+    /// Connections in use and idle together; further calls wait for one.
+    size_t maxConnections = 64;
+    Duration connectTimeout = milliseconds(500);
+    /// How long an idle connection is kept.
+    Duration idleTimeout = seconds(30);
+};
+
+/// Pooled HTTP/1.1 connections to one server, such as a target.
+class HttpClient
+{
+public:
+    HttpClient(FiberRuntime &runtime, HttpClientOptions options);
+    /// Closes all idle connections; calls that run keep what they need.
+    ~HttpClient();
+    HttpClient(const HttpClient &) = delete;
+    auto operator=(const HttpClient &) -> HttpClient & = delete;
+
+    /// Begins a call on an idle or new connection, with `head.timeLeft` as its limit in time. Nothing is sent before
+    /// the first write to the request body or its end. Returns ErrorCode::Unavailable if no connection can be made and
+    /// ErrorCode::Timeout if none is free in time; in both cases nothing was sent.
+    auto open(const RequestHead &head) -> Result<OutboundCall>;
+
+    /// Returns connections in use and idle together.
+    [[nodiscard]] auto connectionCount() const -> size_t;
+
+private:
+    struct State;
+    std::shared_ptr<State> state_;
+};
+
+/// A whole answer in memory.
+struct HttpAnswer
+{
+    int status = 0;
+    std::string body;
+};
+
+/// Sends a request with a body in memory and reads the whole answer, which may have at most 16 MiB.
+auto fetch(HttpClient &client, const RequestHead &head, const std::string &body) -> Result<HttpAnswer>;
+
+} // namespace snipestream
--- /dev/null
+++ b/http/http_server.cpp
@@ -0,0 +1,200 @@
+#include "http/http_server.h"
+
+#include "core/events.h"
+#include "http/http_connection.h"
+
+#include <utility>
+
+#include <boost/asio/ip/tcp.hpp>
+
+namespace snipestream {
+
+namespace asio = boost::asio;
+
+struct HttpServer::State : HttpServerShared
+{
+    State(FiberRuntime &runtimeUsed, HttpServerOptions chosen, MetricsRegistry &metrics, HttpHandler handlerUsed)
+        : HttpServerShared {
+            runtimeUsed,
+            std::move(chosen),
+            std::move(handlerUsed),
+            metrics.counter("snipestream_http_requests_total", "Requests over HTTP", {{"server", chosen.name}}),
+            metrics.counter("snipestream_http_invalid_requests_total", "Malformed requests", {{"server", chosen.name}}),
+            metrics.counter("snipestream_http_refused_connections_total", "Connections over the limit",
+                            {{"server", chosen.name}}),
+            {},
+            0,
+            false,
+        }
+        , acceptor(runtimeUsed.context())
+    {
+    }
+
+    asio::ip::tcp::acceptor acceptor;
+};
+
+namespace {
+
+/// How long the server waits before it accepts again after an error such as too many open files.
+constexpr Duration kAcceptBackoff = milliseconds(50);
+
+} // namespace
+
+HttpServer::HttpServer(FiberRuntime &runtime, HttpServerOptions options, MetricsRegistry &metrics, HttpHandler handler)
+    : state_(std::make_shared<State>(runtime, std::move(options), metrics, std::move(handler)))
+{
+}
+
+HttpServer::~HttpServer()
+{
+    stopAccepting();
+    closeAll();
+}
+
+namespace {
+
+template<typename State>
+void acceptNext(const std::shared_ptr<State> &state)
+{
+    state->acceptor.async_accept([state](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
+        if (state->stopping || error == asio::error::operation_aborted) {
+            return;
+        }
+        if (error) {
+            auto timer = std::make_shared<asio::steady_timer>(state->runtime.context(), kAcceptBackoff);
+            timer->async_wait([state, timer](const boost::system::error_code &) {
+                acceptNext(state);
+            });
+            return;
+        }
+        if (state->connections.size() >= state->options.maxConnections) {
+            state->refusedConnections.add();
+            acceptNext(state);
+            return;
+        }
+        boost::system::error_code ignored;
+        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+        const auto remote = socket.remote_endpoint(ignored);
+        const Endpoint from { remote.address().to_string(), remote.port() };
+        const auto connection = std::make_shared<HttpConnection>(std::move(socket), from, state);
+        state->connections.insert(connection);
+        connection->awaitRequest();
+        acceptNext(state);
+    });
+}
+
+} // namespace
+
+auto HttpServer::listen() -> Result<uint16_t>
+{
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(state_->options.listen.address, error);
+    if (error) {
+        return failure(ErrorCode::InvalidInput, "'" + state_->options.listen.address + "' is not an IP address");
+    }
+    const asio::ip::tcp::endpoint endpoint(address, state_->options.listen.port);
+    auto &acceptor = state_->acceptor;
+    acceptor.open(endpoint.protocol(), error);
+    if (!error) {
+        acceptor.set_option(asio::socket_base::reuse_address(true), error);
+    }
+    if (!error) {
+        acceptor.bind(endpoint, error);
+    }
+    if (!error) {
+        acceptor.listen(asio::socket_base::max_listen_connections, error);
+    }
+    if (error) {
+        return failure(ErrorCode::Unavailable,
+                       "cannot listen on " + toString(state_->options.listen) + ": " + error.message());
+    }
+    acceptNext(state_);
+    const uint16_t port = acceptor.local_endpoint().port();
+    logEvent(EventId::HttpListening,
+             { { "server", state_->options.name }, { "address", toString({ state_->options.listen.address, port }) } });
+    return port;
+}
+
+void HttpServer::stopAccepting()
+{
+    if (state_->stopping) {
+        return;
+    }
+    state_->stopping = true;
+    boost::system::error_code ignored;
+    state_->acceptor.close(ignored);
+    const auto connections = state_->connections;
+    for (const auto &connection : connections) {
+        connection->closeIfIdle();
+    }
+}
+
+void HttpServer::closeAll()
+{
+    const auto connections = state_->connections;
+    for (const auto &connection : connections) {
+        connection->close();
+    }
+}
+
+auto HttpServer::connectionCount() const -> size_t
+{
+    return state_->connections.size();
+}
+
+auto HttpServer::activeRequestCount() const -> size_t
+{
+    return state_->activeRequests;
+}
+
+auto readWholeBody(const BodyReader &reader, size_t maxBytes) -> Result<std::string>
+{
+    std::string whole;
+    while (true) {
+        BOOST_OUTCOME_TRY(const BodyChunk chunk, reader.read());
+        if (whole.size() + chunk.bytes.size() > maxBytes) {
+            return failure(ErrorCode::TooLarge, "the body has more than " + std::to_string(maxBytes) + " bytes");
+        }
+        whole.append(chunk.bytes);
+        if (chunk.last) {
+            return whole;
+        }
+    }
+}
+
+auto respondWith(Exchange &exchange, int status, const std::string &contentType, std::string body) -> Result<void>
+{
+    ResponseHead head;
+    head.status = status;
+    head.headers = { { "Content-Type", contentType } };
+    head.bodyLength = body.size();
+    BOOST_OUTCOME_TRY(exchange.respond(head));
+    if (!body.empty()) {
+        BOOST_OUTCOME_TRY(exchange.responseBody.write(std::move(body)));
+    }
+    return exchange.responseBody.finish();
+}
+
+auto respondWithRefusal(Exchange &exchange, const Refusal &refusal) -> Result<void>
+{
+    const std::string id = toHex(exchange.head.id);
+    std::string body = toProblemDocument(refusal, id);
+    ResponseHead head;
+    head.status = refusalStatus(refusal.reason);
+    head.headers = {
+        { "Content-Type", "application/problem+json" },
+        { "Snipestream-Run", std::string(runStateName(refusal.run)) },
+        { "Snipestream-Request-Id", id },
+    };
+    if (refusal.retryAfter > Duration::zero()) {
+        const int64_t wait = std::chrono::ceil<seconds>(refusal.retryAfter).count();
+        head.headers.emplace_back("Retry-After", std::to_string(wait));
+    }
+    head.bodyLength = body.size();
+    head.refusal = refusal;
+    BOOST_OUTCOME_TRY(exchange.respond(head));
+    BOOST_OUTCOME_TRY(exchange.responseBody.write(std::move(body)));
+    return exchange.responseBody.finish();
+}
+
+} // namespace snipestream
--- /dev/null
+++ b/tests/support/loopback.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include "core/exchange.h"
+#include "net/await.h"
+#include "net/fiber_runtime.h"
+
+#include <string>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
+
+namespace snipestream::testing {
+
+/// A plain TCP client, for requests that an HTTP library would not send.
+class RawClient
+{
+public:
+    RawClient(FiberRuntime &runtime, uint16_t port)
+        : socket_(runtime.context())
+    {
+        const auto address = boost::asio::ip::make_address("127.0.0.1");
+        awaitIo([&](auto handler) {
+            socket_.async_connect({ address, port }, handler);
+        });
+    }
+
+    void send(const std::string &text)
+    {
+        awaitIo([&](auto handler) {
+            boost::asio::async_write(socket_, boost::asio::buffer(text), handler);
+        });
+    }
+
+    /// Reads until the server closes the connection.
+    auto readAll() -> std::string
+    {
+        std::string text;
+        awaitIo([&](auto handler) {
+            boost::asio::async_read(socket_, boost::asio::dynamic_buffer(text), handler);
+        });
+        return text;
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        socket_.close(ignored);
+    }
+
+private:
+    boost::asio::ip::tcp::socket socket_;
+};
+
+/// Returns the head of a request with a generous deadline.
+inline auto makeRequest(const std::string &method, const std::string &path) -> RequestHead
+{
+    RequestHead head;
+    head.method = method;
+    head.path = path;
+    head.bodyLength = 0;
+    head.timeLeft = seconds(10);
+    return head;
+}
+
+} // namespace snipestream::testing
