--- /dev/null
+++ b/node/share_table.cpp
@@ -0,0 +1,30 @@
+#include "node/share_table.h"
+
+#include <nlohmann/json.hpp>
+
+namespace snipestream {
+
+void recordRefusal(ShareTable &table, const TeamName &team, RefusalReason reason)
+{
+    ++table.teams[team].refused[static_cast<size_t>(reason)];
+}
+
+auto shareToJson(const ShareTable &table) -> nlohmann::json
+{
+    nlohmann::json teams = nlohmann::json::object();
+    for (const auto &[team, share] : table.teams) {
+        nlohmann::json refused = nlohmann::json::object();
+        for (size_t i = 0; i < share.refused.size(); ++i) {
+            if (share.refused[i] > 0) {
+                refused[std::string(refusalReasonName(static_cast<RefusalReason>(i)))] = share.refused[i];
+            }
+        }
+        teams[team.value] = { { "admitted", share.admitted },
+                              { "completed", share.completed },
+                              { "wasted", share.wasted },
+                              { "refused", refused } };
+    }
+    return { { "teams", teams } };
+}
+
+} // namespace snipestream
--- /dev/null
+++ b/tests/standins/target_standin_main.cpp
@@ -0,0 +1,188 @@
+#include "core/events.h"
+#include "core/hash.h"
+#include "http/http_client.h"
+#include "http/http_server.h"
+#include "net/fiber_event.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+#include <map>
+#include <string>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <boost/asio/signal_set.hpp>
+#include <glog/logging.h>
+#include <nlohmann/json.hpp>
+
+ABSL_FLAG(std::string, name, "target-1", "Name of the target");
+ABSL_FLAG(std::string, service, "catalogue", "Service that the target belongs to");
+ABSL_FLAG(int, port, 0, "Port to listen on; 0 takes a free one");
+ABSL_FLAG(int, node_port, 0, "Port of the target side of the node on this VM");
+ABSL_FLAG(int, slots, 150, "Requests that are worked on at once; further ones wait");
+ABSL_FLAG(int, connections, 1000, "Connection limit that is announced");
+ABSL_FLAG(int, service_ms, 5, "Time that one request takes, in milliseconds");
+ABSL_FLAG(std::string, downstream, "", "Path that is called through the node for each request, such as /diary/today");
+
+namespace snipestream {
+namespace {
+
+/// A stand-in for a target: works for a fixed time, calls one further service, counts what ran and echoes what it saw.
+struct Target
+{
+    FiberRuntime runtime;
+    MetricsRegistry metrics;
+    std::unique_ptr<HttpClient> node;
+    int serviceMs = 0;
+    int freeSlots = 0;
+    bool draining = false;
+    bool lateHealth = false;
+    std::map<std::string, int> runs;
+    uint64_t total = 0;
+};
+
+auto callNode(Target &target, const std::string &method, const std::string &path, const HeaderList &headers,
+              const std::string &body) -> Result<HttpAnswer>
+{
+    RequestHead head;
+    head.method = method;
+    head.path = path;
+    head.headers = headers;
+    head.timeLeft = seconds(5);
+    return fetch(*target.node, head, body);
+}
+
+void work(Target &target)
+{
+    while (target.freeSlots == 0) {
+        target.runtime.sleepFor(milliseconds(1));
+    }
+    --target.freeSlots;
+    if (target.serviceMs > 0) {
+        target.runtime.sleepFor(milliseconds(target.serviceMs));
+    }
+    ++target.freeSlots;
+}
+
+void serve(Target &target, Exchange &exchange)
+{
+    if (exchange.head.path == "/standin/runs") {
+        static_cast<void>(respondWith(exchange, 200, "application/json",
+                                      nlohmann::json { { "runs", target.runs }, { "total", target.total } }.dump()));
+        return;
+    }
+    if (exchange.head.path.rfind("/standin/service-ms/", 0) == 0) {
+        target.serviceMs = std::atoi(exchange.head.path.substr(20).c_str());
+        static_cast<void>(respondWith(exchange, 200, "text/plain", "ok\n"));
+        return;
+    }
+    uint64_t bytes = 0;
+    uint64_t hash = 0;
+    while (true) {
+        const auto chunk = exchange.requestBody.read();
+        if (!chunk) {
+            return;
+        }
+        bytes += chunk.value().bytes.size();
+        hash = stableHash(chunk.value().bytes, hash);
+        if (chunk.value().last) {
+            break;
+        }
+    }
+    ++target.total;
+    const auto key = findHeader(exchange.head.headers, "Idempotency-Key");
+    if (key) {
+        ++target.runs[std::string(*key)];
+    }
+    work(target);
+    nlohmann::json answer
+        = { { "target", absl::GetFlag(FLAGS_name) }, { "path", exchange.head.path }, { "bytes", bytes } };
+    for (const auto &[name, value] : exchange.head.headers) {
+        answer["headers"][name] = value;
+    }
+    const auto context = findHeader(exchange.head.headers, "Snipestream-Context");
+    if (!absl::GetFlag(FLAGS_downstream).empty() && context) {
+        const auto inner = callNode(target, "GET", absl::GetFlag(FLAGS_downstream),
+                                    { { "Snipestream-Context", std::string(*context) } }, "");
+        answer["downstream"] = inner ? std::to_string(inner.value().status) : inner.error().message;
+        if (!inner || inner.value().status >= 500) {
+            static_cast<void>(respondWith(exchange, 502, "application/json", answer.dump()));
+            return;
+        }
+    }
+    static_cast<void>(respondWith(exchange, 200, "application/json", answer.dump() + "\n"));
+}
+
+void announceForever(Target &target, uint16_t port)
+{
+    const nlohmann::json announcement = {
+        { "name", absl::GetFlag(FLAGS_name) },
+        { "service", absl::GetFlag(FLAGS_service) },
+        { "address", "127.0.0.1:" + std::to_string(port) },
+        { "slots", absl::GetFlag(FLAGS_slots) },
+        { "connections", absl::GetFlag(FLAGS_connections) },
+    };
+    while (!target.draining) {
+        const auto answer = callNode(target, "POST", "/snipestream/v1/targets",
+                                     { { "Content-Type", "application/json" } }, announcement.dump());
+        if (!answer || answer.value().status >= 300) {
+            LOG(WARNING) << "announcement failed: " << (answer ? answer.value().body : answer.error().message);
+        }
+        target.runtime.sleepFor(answer ? seconds(1) : milliseconds(200));
+    }
+}
+
+} // namespace
+} // namespace snipestream
+
+auto main(int argc, char **argv) -> int
+{
+    using namespace snipestream;
+    absl::ParseCommandLine(argc, argv);
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    Target target;
+    target.serviceMs = absl::GetFlag(FLAGS_service_ms);
+    target.freeSlots = absl::GetFlag(FLAGS_slots);
+    target.node = std::make_unique<HttpClient>(
+        target.runtime,
+        HttpClientOptions { { "127.0.0.1", static_cast<uint16_t>(absl::GetFlag(FLAGS_node_port)) }, 1024 });
+    HttpServerOptions options;
+    options.name = "target";
+    options.listen = { "127.0.0.1", static_cast<uint16_t>(absl::GetFlag(FLAGS_port)) };
+    HttpServer server(target.runtime, options, target.metrics, [&target](Exchange &exchange) {
+        serve(target, exchange);
+    });
+    const auto port = server.listen();
+    if (!port) {
+        std::cerr << port.error().message << "\n";
+        return 1;
+    }
+    if (absl::GetFlag(FLAGS_node_port) != 0) {
+        target.runtime.spawn([&] {
+            announceForever(target, port.value());
+        });
+    }
+    boost::asio::signal_set signals(target.runtime.context(), SIGTERM, SIGINT);
+    signals.async_wait([&](const boost::system::error_code &, int) {
+        target.runtime.spawn([&] {
+            target.draining = true;
+            const std::string path = "/snipestream/v1/targets/" + absl::GetFlag(FLAGS_name);
+            if (absl::GetFlag(FLAGS_node_port) != 0) {
+                static_cast<void>(callNode(target, "POST", path + "/drain", {}, ""));
+                // Nodes elsewhere learn of the drain within this time; requests under way still arrive.
+                target.runtime.sleepFor(seconds(2));
+                static_cast<void>(callNode(target, "DELETE", path, {}, ""));
+            }
+            server.stopAccepting();
+            while (server.activeRequestCount() > 0) {
+                target.runtime.sleepFor(milliseconds(5));
+            }
+            server.closeAll();
+            target.runtime.stop();
+        });
+    });
+    target.runtime.run();
+    return 0;
+}
