--- /dev/null
+++ b/admission/limit.cpp
@@ -0,0 +1,151 @@
+#include "admission/limit.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace snipestream {
+
+namespace {
+
+constexpr uint32_t kMaxRoutes = 256;
+/// Weight of a new answer in the mean of a route.
+constexpr double kMeanGain = 1.0 / 16;
+/// Weight with which the baseline follows a lower mean. It is below that of the mean so that one run of short service
+/// times does not set the baseline far too low.
+constexpr double kBaselineFall = 0.05;
+/// A decrease helped if latency fell by at least this part of the decrease. In a target that queues, latency falls as
+/// much as the limit; in a target that waits for something else it does not fall at all.
+constexpr double kHelpfulPart = 0.5;
+
+auto toSeconds(Duration duration) -> double
+{
+    return std::chrono::duration<double>(duration).count();
+}
+
+} // namespace
+
+auto makeLimit(int slots, bool cold, TimePoint now) -> LimitState
+{
+    LimitState state;
+    state.slots = std::max(1, slots);
+    state.limit = state.slots;
+    state.cold = cold;
+    state.coldSince = now;
+    state.windowStart = now;
+    return state;
+}
+
+auto currentLimit(const LimitState &state, const LimitSettings &settings, TimePoint now) -> int
+{
+    double limit = std::min(state.limit, static_cast<double>(state.slots));
+    if (state.cold) {
+        const double age = toSeconds(now - state.coldSince);
+        limit = std::min(limit, std::ceil(state.slots * settings.coldFraction) * std::exp2(age));
+    }
+    return std::max(1, static_cast<int>(limit));
+}
+
+auto routeRow(LimitState &state, const RouteName &route) -> uint32_t
+{
+    const auto found = state.routeIndex.find(route);
+    if (found != state.routeIndex.end()) {
+        return found->second;
+    }
+    if (state.routes.size() < kMaxRoutes) {
+        state.routes.emplace_back();
+        state.routeIndex.emplace(route, static_cast<uint32_t>(state.routes.size() - 1));
+    }
+    return static_cast<uint32_t>(state.routes.size() - 1);
+}
+
+auto meanServiceTime(const LimitState &state) -> double
+{
+    double sum = 0;
+    double answers = 0;
+    for (const auto &route : state.routes) {
+        sum += route.mean * static_cast<double>(route.answers);
+        answers += static_cast<double>(route.answers);
+    }
+    return answers > 0 ? sum / answers : 0;
+}
+
+void observeLatency(LimitState &state, const LimitSettings &settings, uint32_t route, Duration latency, bool timedOut,
+                    TimePoint now)
+{
+    auto &row = state.routes[route];
+    double observed = std::max(toSeconds(latency), 1e-6);
+    if (timedOut) {
+        observed = std::max(observed, row.mean);
+    }
+    if (row.answers == 0) {
+        row.mean = observed;
+        row.baseline = observed;
+    }
+    // The first answers weigh as in an ordinary mean, so that the first one does not dominate. Rare answers weigh more,
+    // so that a mean that keeps requests away is corrected within about a second.
+    const double rare = row.answers == 0 ? 1 : std::min(0.5, toSeconds(now - row.observedAt) / 0.5);
+    const double gain = std::max({ kMeanGain, rare, 1.0 / static_cast<double>(row.answers + 1) });
+    row.mean += (observed - row.mean) * gain;
+    if (row.answers < 16) {
+        row.baseline = row.mean;
+    } else if (row.mean < row.baseline) {
+        row.baseline += (row.mean - row.baseline) * kBaselineFall;
+    } else {
+        const double passed = std::min(1.0, toSeconds(now - row.observedAt) / toSeconds(settings.baselineRise));
+        row.baseline += (row.mean - row.baseline) * passed;
+    }
+    row.observedAt = now;
+    // Halving keeps the weights of routes recent when the mix of routes changes.
+    if (++row.answers > 4096) {
+        for (auto &each : state.routes) {
+            each.answers = each.answers > 32 ? each.answers / 2 : each.answers;
+        }
+    }
+    ++state.answers;
+    state.ratioSum += observed / row.baseline;
+}
+
+auto tickLimit(LimitState &state, const LimitSettings &settings, TimePoint now) -> bool
+{
+    const Duration age = now - state.windowStart;
+    if (state.cold
+        && std::ceil(state.slots * settings.coldFraction) * std::exp2(toSeconds(now - state.coldSince))
+            >= state.slots) {
+        state.cold = false;
+    }
+    // A window holds at least one full turnover of the running requests, so that it reflects the current limit.
+    const int needed = std::max(settings.windowAnswers, static_cast<int>(state.limit));
+    if (age < settings.window || (state.answers < needed && age < settings.longestWindow)) {
+        return false;
+    }
+    const double ratio = state.answers > 0 ? state.ratioSum / state.answers : 0;
+    const bool wasUsed = state.peakInFlight >= static_cast<int>(state.limit * 0.9);
+    state.slowdown = 1 + (state.slowdown - 1) * std::exp(-toSeconds(age) / toSeconds(settings.slowdownDecay));
+    const bool congested = state.answers > 0 && ratio > settings.congestedRatio * state.slowdown;
+    if (state.examining && state.answers > 0) {
+        state.examining = false;
+        const double drop = 1 - state.limit / state.limitBefore;
+        if (congested && ratio > state.ratioBefore * (1 - kHelpfulPart * drop)) {
+            state.slowdown = std::max(1.0, ratio);
+            state.limit = state.limitBefore;
+        }
+    }
+    if (congested && ratio > settings.congestedRatio * state.slowdown) {
+        state.examining = true;
+        state.limitBefore = state.limit;
+        state.ratioBefore = ratio;
+        // Starting from what really ran makes the decrease take effect at once.
+        const double used = std::min(state.limit, std::max(1.0, static_cast<double>(state.peakInFlight)));
+        state.limit = std::max(1.0, used * settings.decreaseFactor);
+    } else if (wasUsed) {
+        state.limit += std::max(1.0, state.slots * settings.increaseFraction);
+    }
+    state.limit = std::min(state.limit, static_cast<double>(state.slots));
+    state.windowStart = now;
+    state.answers = 0;
+    state.ratioSum = 0;
+    state.peakInFlight = 0;
+    return true;
+}
+
+} // namespace snipestream
--- /dev/null
+++ b/admission/shedding.cpp
@@ -0,0 +1,125 @@
+#include "admission/shedding.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+#include <string_view>
+
+namespace snipestream {
+
+namespace {
+
+/// Weight of one answer in the level of a service; averages over the targets that answer.
+constexpr double kUpstreamGain = 1.0 / 8;
+/// Time after the last answer in which the known level falls to zero. Without it a service that was shed completely
+/// would never be tried again.
+constexpr Duration kUpstreamLifetime = seconds(2);
+/// Ranks next to the threshold that upstream nodes still send. The target needs these arrivals to find its level.
+constexpr int kUpstreamMargin = 16;
+/// Decay of the arrival counts per window of 100 ms: a mean age of about one second.
+constexpr float kArrivalDecay = 0.9F;
+
+auto admittedArrivals(const SheddingState &state) -> double
+{
+    double sum = 0;
+    for (int rank = 0; rank < kRankCount - state.level; ++rank) {
+        sum += state.arrivals[static_cast<size_t>(rank)];
+    }
+    return sum;
+}
+
+/// Returns the lowest level that admits at most `wanted` arrivals.
+auto levelForArrivals(const SheddingState &state, double wanted) -> int
+{
+    double sum = 0;
+    int rank = 0;
+    while (rank < kRankCount) {
+        sum += state.arrivals[static_cast<size_t>(rank)];
+        if (sum > wanted) {
+            break;
+        }
+        ++rank;
+    }
+    return std::min(kMaxSheddingLevel, kRankCount - rank);
+}
+
+} // namespace
+
+auto cohortOf(const RequestId &id) -> int
+{
+    const std::array<uint64_t, 2> words = { id.high, id.low };
+    const std::string_view bytes(reinterpret_cast<const char *>(words.data()), sizeof(words));
+    return static_cast<int>(stableHash(bytes, 0x636f686f7274ULL) % kCohortCount);
+}
+
+auto rankOf(Priority priority, const RequestId &id) -> int
+{
+    return static_cast<int>(priority) * kCohortCount + cohortOf(id);
+}
+
+auto isShed(int level, int rank) -> bool
+{
+    return rank >= kRankCount - level;
+}
+
+void observeArrival(SheddingState &state, int rank)
+{
+    state.arrivals[static_cast<size_t>(rank)] += 1;
+}
+
+auto tickShedding(SheddingState &state, const SheddingSettings &settings, TimePoint now) -> bool
+{
+    if (now - state.windowStart < settings.window) {
+        return false;
+    }
+    // Without any start in the window the shortest wait is unknown and counts as long.
+    const bool standing = !state.queueWasEmpty && state.shortestWait >= settings.standingWait;
+    const double admitted = admittedArrivals(state);
+    if (standing || state.overflowed) {
+        const int level = levelForArrivals(state, admitted * (1 - settings.shedStep));
+        state.level = std::max(state.level, std::max(level, 1));
+    } else if (state.level > 0) {
+        const int level = levelForArrivals(state, admitted * (1 + settings.admitStep));
+        const int lowest = std::max(0, state.level - settings.mostAdmitRanks);
+        state.level = std::clamp(level, lowest, std::max(lowest, state.level - settings.leastAdmitRanks));
+    }
+    for (auto &count : state.arrivals) {
+        count *= kArrivalDecay;
+    }
+    state.windowStart = now;
+    state.queueWasEmpty = false;
+    state.shortestWait = Duration::max();
+    state.overflowed = false;
+    return true;
+}
+
+void observeUpstream(UpstreamTable &table, const ServiceName &service, int level, TimePoint now)
+{
+    auto &row = table.services[service];
+    const double known = upstreamLevel(table, service, now);
+    row.level = known + (std::clamp(level, 0, kMaxSheddingLevel) - known) * kUpstreamGain;
+    row.observedAt = now;
+}
+
+auto shouldShedUpstream(const UpstreamTable &table, const ServiceName &service, Priority priority, const RequestId &id,
+                        TimePoint now) -> bool
+{
+    const int level = upstreamLevel(table, service, now) - kUpstreamMargin;
+    return level > 0 && isShed(level, rankOf(priority, id));
+}
+
+auto upstreamLevel(const UpstreamTable &table, const ServiceName &service, TimePoint now) -> int
+{
+    const auto row = table.services.find(service);
+    if (row == table.services.end()) {
+        return 0;
+    }
+    const Duration age = now - row->second.observedAt;
+    if (age >= kUpstreamLifetime) {
+        return 0;
+    }
+    const double left = 1 - std::chrono::duration<double>(age) / std::chrono::duration<double>(kUpstreamLifetime);
+    return static_cast<int>(row->second.level * left);
+}
+
+} // namespace snipestream
