Add routing: announcements, directory, endpoint tables, selection, ejection

Cause: callers need endpoint tables that follow announcements without a central registry, and must never return to an older state.

Records are ordered by (incarnation, version, suspect), so merging is the same in any order of messages; update versions only decide what a directory sends again. A subscription repeated every second makes good lost updates. Acknowledged pushes were ruled out: they need state per message and still leave the case of a restarted directory.

A drain is final within an instance of a target, so that a renewal which arrives after the drain does not bring the target back.

--- /dev/null
+++ b/routing/local_targets.cpp
@@ -0,0 +1,156 @@
+#include "routing/local_targets.h"
+
+#include "routing/json_fields.h"
+
+#include <algorithm>
+
+namespace snipestream {
+
+namespace {
+
+auto makeRow(const TargetAnnouncement &announcement, uint64_t incarnation, TimePoint now) -> LocalTarget
+{
+    LocalTarget row;
+    row.announcement = announcement;
+    row.incarnation = incarnation;
+    row.version = 1;
+    row.leaseUntil = now + kTargetLease;
+    return row;
+}
+
+} // namespace
+
+auto toJson(const TargetAnnouncement &announcement) -> nlohmann::json
+{
+    return { { "target", announcement.target.value },
+             { "service", announcement.service.value },
+             { "address", announcement.endpoint.address },
+             { "port", announcement.endpoint.port },
+             { "slots", announcement.slots },
+             { "connections", announcement.connections },
+             { "cold", announcement.cold },
+             { "state", endpointStateName(announcement.state) },
+             { "instance", announcement.instance } };
+}
+
+auto targetAnnouncementFromJson(const nlohmann::json &json) -> Result<TargetAnnouncement>
+{
+    JsonFields fields(json);
+    TargetAnnouncement announcement;
+    announcement.target = TargetName(fields.text("target"));
+    announcement.service = ServiceName(fields.text("service"));
+    announcement.endpoint.address = fields.text("address");
+    announcement.endpoint.port = static_cast<uint16_t>(fields.integer("port", 1, 65535));
+    announcement.slots = static_cast<int>(fields.integer("slots", 1, 1'000'000));
+    announcement.connections = static_cast<int>(fields.integer("connections", 1, 1'000'000));
+    if (json.is_object() && json.contains("cold")) {
+        announcement.cold = fields.boolean("cold");
+    }
+    if (json.is_object() && json.contains("instance")) {
+        announcement.instance = fields.unsignedInteger("instance");
+    }
+    if (json.is_object() && json.contains("state")) {
+        const std::string state = fields.text("state");
+        if (state == "draining") {
+            announcement.state = EndpointState::Draining;
+        } else if (state == "left") {
+            announcement.state = EndpointState::Left;
+        } else if (state != "active") {
+            fields.reject("state \"" + state + "\" is not active, draining or left");
+        }
+    }
+    if (!fields.ok()) {
+        return fields.error();
+    }
+    return announcement;
+}
+
+auto announceTarget(LocalTargetTable &table, const TargetAnnouncement &announcement, uint64_t wallMs, TimePoint now)
+    -> AnnounceEffect
+{
+    const auto found = table.targets.find(announcement.target);
+    const bool isActive = announcement.state == EndpointState::Active;
+    if (found == table.targets.end()) {
+        if (!isActive) {
+            return AnnounceEffect::Ignored;
+        }
+        table.targets[announcement.target] = makeRow(announcement, wallMs, now);
+        return AnnounceEffect::Started;
+    }
+    auto &row = found->second;
+    const auto &known = row.announcement;
+    if (announcement.instance < known.instance) {
+        return AnnounceEffect::Ignored;
+    }
+    const bool moved = known.endpoint != announcement.endpoint || known.service != announcement.service
+        || known.instance != announcement.instance;
+    const bool isActiveNow = known.state == EndpointState::Active;
+    if (isActive && (moved || !isActiveNow)) {
+        // A renewal of the same process may overtake its drain or end, so it does not bring the target back.
+        const bool mayReturn
+            = known.state == EndpointState::Left && (!row.leftByItself || now - row.leftAt >= kTargetLease);
+        if (!moved && !mayReturn) {
+            return AnnounceEffect::Ignored;
+        }
+        row = makeRow(announcement, std::max(wallMs, row.incarnation + 1), now);
+        return AnnounceEffect::Started;
+    }
+    if (moved || known.state == EndpointState::Left) {
+        return AnnounceEffect::Ignored;
+    }
+    const bool changed = known.slots != announcement.slots || known.connections != announcement.connections;
+    const bool stateChanged = known.state != announcement.state;
+    row.announcement = announcement;
+    ++row.version;
+    row.leaseUntil = now + kTargetLease;
+    if (announcement.state == EndpointState::Left) {
+        row.leftAt = now;
+        row.leftByItself = true;
+        return AnnounceEffect::Left;
+    }
+    if (stateChanged) {
+        return AnnounceEffect::Draining;
+    }
+    return changed ? AnnounceEffect::Changed : AnnounceEffect::Renewed;
+}
+
+auto localRecord(const LocalTargetTable &table, const TargetName &target) -> std::optional<EndpointRecord>
+{
+    const auto found = table.targets.find(target);
+    if (found == table.targets.end()) {
+        return std::nullopt;
+    }
+    const auto &row = found->second;
+    return EndpointRecord { EndpointId { table.node, target },
+                            row.announcement.service,
+                            table.domain,
+                            row.announcement.slots,
+                            row.announcement.state,
+                            false,
+                            row.incarnation,
+                            row.version };
+}
+
+auto tickLocalTargets(LocalTargetTable &table, TimePoint now, std::vector<TargetName> &expired)
+    -> std::vector<EndpointRecord>
+{
+    std::vector<EndpointRecord> records;
+    for (auto row = table.targets.begin(); row != table.targets.end();) {
+        auto &target = row->second;
+        if (target.announcement.state != EndpointState::Left && now >= target.leaseUntil) {
+            target.announcement.state = EndpointState::Left;
+            target.leftAt = now;
+            ++target.version;
+            expired.push_back(row->first);
+        }
+        if (target.announcement.state == EndpointState::Left && now - target.leftAt >= kTombstoneLifetime) {
+            row = table.targets.erase(row);
+            continue;
+        }
+        records.push_back(*localRecord(table, row->first));
+        ++row;
+    }
+    return records;
+}
+
+} // namespace snipestream
--- /dev/null
+++ b/routing/selection.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/random.h"
+#include "routing/endpoint_table.h"
+
+#include <optional>
+#include <vector>
+
+namespace snipestream {
+
+/// How far selection had to go.
+enum class SelectionTier {
+    OwnDomain,
+    OtherDomain,
+    /// Every endpoint is at this node's limit for it.
+    AtLimit,
+    /// Only ejected endpoints are left.
+    Ejected,
+    /// Only endpoints whose renewals stopped are left.
+    Suspect,
+};
+
+/// A chosen endpoint.
+struct Selection
+{
+    EndpointId endpoint;
+    DomainName domain;
+    SelectionTier tier = SelectionTier::OwnDomain;
+};
+
+/// Chooses an endpoint that was not tried yet: of two random ones of the best tier, the one with the lower ratio of
+/// calls in flight to limit. Empty if no endpoint is left.
+auto chooseEndpoint(const EndpointTable &table, const ServiceName &service, const std::vector<EndpointId> &tried,
+                    Random &random, TimePoint now) -> std::optional<Selection>;
+
+} // namespace snipestream
