Add the interfaces of the idempotency package

Cause: the node program needs the owner, entry and home side interfaces of at-most-once execution before the owner's behaviour is complete.

Ruled out: wall-clock times on the log, because clocks of different VMs cannot be compared; an entry carries its age instead, so a reader keeps it longer than needed and never shorter.

--- /dev/null
+++ b/idempotency/range_fold.cpp
@@ -0,0 +1,90 @@
+#include "idempotency/range_fold.h"
+
+#include <algorithm>
+
+namespace snipestream {
+
+namespace {
+
+/// A fence counts if it is newer than everything its own domain wrote and belongs to no older domain list.
+auto acceptFence(RangeFold &fold, const ClaimsRecord &record, Duration retention) -> FoldVerdict
+{
+    auto &highest = fold.highestEpochs[record.domain];
+    if (record.epoch == fold.epoch && record.domain == fold.domain) {
+        ++fold.duplicates;
+        return FoldVerdict::Duplicate;
+    }
+    if (record.epoch <= highest || record.homeRevision < fold.homeRevision) {
+        ++fold.fenced;
+        return FoldVerdict::Fenced;
+    }
+    highest = record.epoch;
+    // Leases of different domains do not exclude each other, so the former home may still grant claims that this fence
+    // makes void, unless it has handed the range over.
+    const bool movedWithoutHandover = !fold.domain.empty() && fold.domain != record.domain && !fold.handedOver;
+    const bool isFirst = fold.domain.empty();
+    fold.domain = record.domain;
+    fold.epoch = record.epoch;
+    fold.homeRevision = record.homeRevision;
+    fold.handedOver = false;
+    fold.quarantineLeft = std::max(fold.quarantineLeft, record.quarantineLeft);
+    if (movedWithoutHandover) {
+        fold.quarantineLeft = retention;
+    }
+    if (isFirst) {
+        fold.firstSequence = record.sequence;
+        fold.liveFrom = record.liveFrom;
+    }
+    fold.lastSequence = std::max(fold.lastSequence, record.sequence);
+    return FoldVerdict::Applied;
+}
+
+} // namespace
+
+auto applyClaimsRecord(RangeFold &fold, const ClaimsRecord &record, Duration retention) -> FoldVerdict
+{
+    if (record.range != fold.range) {
+        return FoldVerdict::OtherRange;
+    }
+    if (record.kind == RecordKind::Fence) {
+        return acceptFence(fold, record, retention);
+    }
+    if (fold.domain.empty()) {
+        // The fence of this owner has expired from the log.
+        fold.domain = record.domain;
+        fold.epoch = record.epoch;
+        fold.homeRevision = record.homeRevision;
+        fold.highestEpochs[record.domain] = record.epoch;
+        fold.firstSequence = record.sequence;
+        fold.lastSequence = record.sequence - 1;
+    }
+    if (record.domain != fold.domain || record.epoch != fold.epoch) {
+        ++fold.fenced;
+        return FoldVerdict::Fenced;
+    }
+    if (record.sequence <= fold.lastSequence) {
+        ++fold.duplicates;
+        return FoldVerdict::Duplicate;
+    }
+    if (record.sequence != fold.lastSequence + 1) {
+        fold.firstSequence = record.sequence;
+    }
+    fold.lastSequence = record.sequence;
+    fold.liveFrom = record.liveFrom;
+    fold.quarantineLeft = record.quarantineLeft;
+    fold.handedOver = record.kind == RecordKind::Handover;
+    for (const auto &entry : record.claims) {
+        fold.claims[entry.key] = { entry, record.sequence };
+    }
+    return FoldVerdict::Applied;
+}
+
+auto mayMissClaims(const RangeFold &fold, bool logDroppedRecords) -> bool
+{
+    if (!logDroppedRecords) {
+        return false;
+    }
+    return fold.domain.empty() || fold.firstSequence > fold.liveFrom;
+}
+
+} // namespace snipestream
