Add the claim owner, the attempt rules and the fold of a range

Cause: a non-idempotent request must run at most once, also when its owner changes, the log fails or messages are lost.

The owner grants a claim only after its append was acknowledged under a valid lease, or from memory while a majority of witnesses holds the unlogged bit. A new owner starts with a fence record, which voids later records of older epochs. An attempt number keeps a delayed earlier attempt from running after a later one was refused with not-run.

Ruled out: grants keyed by the sequence number alone, because the answer to an append of an earlier epoch could then acknowledge another record.

--- a/idempotency/claim.h
+++ b/idempotency/claim.h
@@ -99,6 +99,9 @@
     uint64_t fingerprint = 0;
     /// Drawn by the entry node for this attempt and for no other.
     RequestId attempt;
+    /// From the caller's Snipestream-Attempt header, 1 if it is absent. An attempt with a lower number than one already
+    /// seen is refused, so that a delayed earlier attempt cannot run after a later one was refused with not-run.
+    uint32_t attemptNumber = 1;
     NodeName entryNode;
     /// Time left to the deadline of the request when it was sent.
     Duration timeLeft {};
--- /dev/null
+++ b/idempotency/claim_internal.cpp
@@ -0,0 +1,215 @@
+#include "idempotency/claim_internal.h"
+
+#include <algorithm>
+
+namespace snipestream::claims {
+
+auto isServing(const ClaimTable &table, const OwnerView &view) -> bool
+{
+    return view.valid && view.epoch == table.epoch && table.phase == OwnerPhase::Serving;
+}
+
+auto needsRenewal(const ClaimSettings &settings) -> bool
+{
+    return settings.logRetention < settings.retention;
+}
+
+auto refuse(RefusalReason reason, RunState run, Duration retryAfter, std::string detail) -> Refused
+{
+    return Refused { Refusal { reason, run, retryAfter, std::move(detail) } };
+}
+
+void markDirty(ClaimTable &table, const ClaimKey &key, Claim &claim, bool isUrgent)
+{
+    if (claim.dirty && !isUrgent) {
+        return;
+    }
+    claim.dirty = true;
+    (isUrgent ? table.urgent : table.lazy).push_back(key);
+}
+
+void enterState(ClaimTable &table, const ClaimKey &key, Claim &claim, ClaimState state, TimePoint now)
+{
+    claim.state = state;
+    claim.since = now;
+    if (state == ClaimState::Released && !claim.maybeOnLog) {
+        claim.dirty = false;
+        clearUnlogged(table, claim);
+    } else {
+        markDirty(table, key, claim, false);
+    }
+    schedule(table, key, claim);
+}
+
+void grantUnlogged(ClaimTable &table, Claim &claim)
+{
+    claim.granted = true;
+    if (!claim.grantedUnlogged) {
+        claim.grantedUnlogged = true;
+        ++table.unloggedGrants;
+    }
+}
+
+void clearUnlogged(ClaimTable &table, Claim &claim)
+{
+    if (claim.grantedUnlogged) {
+        claim.grantedUnlogged = false;
+        --table.unloggedGrants;
+    }
+}
+
+void moveToSequence(ClaimTable &table, Claim &claim, uint64_t sequence)
+{
+    if (claim.sequence != 0) {
+        const auto old = table.liveBySequence.find(claim.sequence);
+        if (old != table.liveBySequence.end() && --old->second == 0) {
+            table.liveBySequence.erase(old);
+        }
+    }
+    claim.sequence = sequence;
+    if (sequence != 0) {
+        ++table.liveBySequence[sequence];
+    }
+}
+
+void schedule(ClaimTable &table, const ClaimKey &key, Claim &claim)
+{
+    const auto &settings = table.settings;
+    TimePoint due = claim.since + (claim.state == ClaimState::Released ? settings.releasedKept : settings.retention);
+    if (claim.state == ClaimState::Claimed) {
+        due = claim.deadline;
+    }
+    if (needsRenewal(settings) && claim.sequence != 0) {
+        due = std::min(due, claim.loggedAt + settings.logRetention / 2);
+    }
+    if (due != claim.timerAt) {
+        claim.timerAt = due;
+        table.timers.emplace(due, key);
+    }
+}
+
+void eraseClaim(ClaimTable &table, const ClaimKey &key)
+{
+    const auto found = table.claims.find(key);
+    if (found == table.claims.end()) {
+        return;
+    }
+    clearUnlogged(table, found->second);
+    moveToSequence(table, found->second, 0);
+    table.claims.erase(found);
+}
+
+namespace {
+
+/// Handles what is due for one claim. Returns false if the claim is to be dropped.
+auto settleClaim(ClaimTable &table, const ClaimKey &key, Claim &claim, TimePoint now,
+                 std::vector<LateVerdict> &verdicts) -> bool
+{
+    const auto &settings = table.settings;
+    if (claim.state == ClaimState::Claimed && now >= claim.deadline) {
+        if (claim.granted) {
+            // The entry node may have died while the request ran.
+            enterState(table, key, claim, ClaimState::Unknown, now);
+        } else {
+            verdicts.push_back({ claim.attempt, key,
+                                 refuse(RefusalReason::DeadlinePassed, RunState::NotRun, {},
+                                        "the claim was not on the log before the deadline") });
+            enterState(table, key, claim, ClaimState::Released, now);
+        }
+    }
+    if (claim.state == ClaimState::Released && now >= claim.since + settings.releasedKept && !claim.dirty) {
+        return false;
+    }
+    if (claim.state != ClaimState::Claimed && now >= claim.since + settings.retention) {
+        return false;
+    }
+    if (needsRenewal(settings) && claim.sequence != 0 && now >= claim.loggedAt + settings.logRetention / 2) {
+        claim.loggedAt = now;
+        markDirty(table, key, claim, false);
+    }
+    schedule(table, key, claim);
+    if (claim.timerAt <= now) {
+        // A released claim whose release is not on the log yet.
+        claim.timerAt = now + seconds(1);
+        table.timers.emplace(claim.timerAt, key);
+    }
+    return true;
+}
+
+/// Moves queued claims into the record until it is full. `limit` is the number of bytes that this queue may use.
+void fillFrom(ClaimTable &table, std::deque<ClaimKey> &queue, ClaimsRecord &record, size_t &bytes, size_t limit,
+              TimePoint now)
+{
+    while (!queue.empty() && record.claims.size() < table.settings.maxBatchClaims) {
+        const auto found = table.claims.find(queue.front());
+        if (found == table.claims.end() || !found->second.dirty) {
+            queue.pop_front();
+            continue;
+        }
+        auto &claim = found->second;
+        ClaimEntry entry { found->first, claim.fingerprint, claim.attempt, claim.attemptNumber,
+                           claim.state,  now - claim.since, claim.response };
+        const size_t size = entryBytes(entry);
+        if (!record.claims.empty() && bytes + size > limit) {
+            return;
+        }
+        bytes += size;
+        claim.dirty = false;
+        claim.maybeOnLog = true;
+        claim.loggedAt = now;
+        moveToSequence(table, claim, record.sequence);
+        schedule(table, found->first, claim);
+        record.claims.push_back(std::move(entry));
+        queue.pop_front();
+    }
+}
+
+} // namespace
+
+void runTimers(ClaimTable &table, TimePoint now, std::vector<LateVerdict> &verdicts)
+{
+    while (!table.timers.empty() && table.timers.begin()->first <= now) {
+        const auto node = table.timers.extract(table.timers.begin());
+        const auto found = table.claims.find(node.mapped());
+        if (found == table.claims.end() || found->second.timerAt != node.key()) {
+            continue;
+        }
+        if (!settleClaim(table, found->first, found->second, now, verdicts)) {
+            eraseClaim(table, node.mapped());
+        }
+    }
+}
+
+auto makeRecord(const ClaimTable &table, RecordKind kind, TimePoint now) -> ClaimsRecord
+{
+    ClaimsRecord record;
+    record.kind = kind;
+    record.domain = table.domain;
+    record.range = table.range;
+    record.epoch = table.epoch;
+    record.sequence = table.lastSequence + 1;
+    record.homeRevision = table.homeRevision;
+    record.liveFrom = table.liveBySequence.empty() ? record.sequence : table.liveBySequence.begin()->first;
+    if (table.quarantinedUntil && *table.quarantinedUntil > now) {
+        record.quarantineLeft = *table.quarantinedUntil - now;
+    }
+    return record;
+}
+
+auto buildBatch(ClaimTable &table, TimePoint now) -> std::optional<ClaimsRecord>
+{
+    ClaimsRecord record = makeRecord(table, RecordKind::Claims, now);
+    size_t bytes = 0;
+    // A backlog of outcomes must make progress while new claims keep coming, so they leave it a quarter of each batch.
+    const size_t limit = table.settings.maxBatchBytes;
+    fillFrom(table, table.urgent, record, bytes, table.lazy.empty() ? limit : limit / 4 * 3, now);
+    fillFrom(table, table.lazy, record, bytes, limit, now);
+    const bool isProbe = table.mode == LogMode::Unlogged;
+    if (record.claims.empty() && !isProbe && now < table.checkpointAt) {
+        return std::nullopt;
+    }
+    record.liveFrom = table.liveBySequence.empty() ? record.sequence : table.liveBySequence.begin()->first;
+    return record;
+}
+
+} // namespace snipestream::claims
--- a/idempotency/claim_record.cpp
+++ b/idempotency/claim_record.cpp
@@ -86,6 +86,9 @@
                  { "print", hex64(entry.fingerprint) },
                  { "try", toHex(entry.attempt) },
                  { "state", claimStateName(entry.state) } };
+    if (entry.attemptNumber != 1) {
+        row["number"] = entry.attemptNumber;
+    }
     if (entry.age > Duration::zero()) {
         row["ageMs"] = duration_cast<milliseconds>(entry.age).count();
     }
@@ -199,6 +202,9 @@
         reader.fail("state");
     }
     entry.age = reader.duration("ageMs");
+    if (row.contains("number")) {
+        entry.attemptNumber = static_cast<uint32_t>(reader.number("number", UINT32_MAX));
+    }
     if (row.contains("status")) {
         entry.response.emplace();
         entry.response->status = static_cast<int>(reader.number("status", 999));
@@ -242,7 +248,7 @@
         return (bytes + 2) / 3 * 4;
     };
     // Field names, punctuation, fingerprint, attempt id and age together.
-    size_t bytes = 150 + encoded(entry.key.team.value.size()) + encoded(entry.key.idempotencyKey.size());
+    size_t bytes = 170 + encoded(entry.key.team.value.size()) + encoded(entry.key.idempotencyKey.size());
     if (entry.response) {
         bytes += 40 + encoded(entry.response->body.size());
         for (const auto &[name, value] : entry.response->headers) {
--- a/idempotency/claim_record.h
+++ b/idempotency/claim_record.h
@@ -15,6 +15,7 @@
     ClaimKey key;
     uint64_t fingerprint = 0;
     RequestId attempt;
+    uint32_t attemptNumber = 1;
     ClaimState state = ClaimState::Claimed;
     /// Age of the state when the record was made, rounded down. Moments of different VMs cannot be compared, so a
     /// reader keeps the claim for the rest of the retention from the time it reads: longer than needed, never shorter.
@@ -23,8 +24,8 @@
 
     friend auto operator==(const ClaimEntry &a, const ClaimEntry &b) -> bool
     {
-        return a.key == b.key && a.fingerprint == b.fingerprint && a.attempt == b.attempt && a.state == b.state
-            && a.age == b.age && a.response == b.response;
+        return a.key == b.key && a.fingerprint == b.fingerprint && a.attempt == b.attempt
+            && a.attemptNumber == b.attemptNumber && a.state == b.state && a.age == b.age && a.response == b.response;
     }
 };
 
--- a/idempotency/claim_table.h
+++ b/idempotency/claim_table.h
@@ -18,6 +18,8 @@
 {
     uint64_t fingerprint = 0;
     RequestId attempt;
+    /// Attempts with a lower number are refused.
+    uint32_t attemptNumber = 1;
     ClaimState state = ClaimState::Claimed;
     /// True once the attempt may have been told to run.
     bool granted = false;
@@ -25,6 +27,8 @@
     bool dirty = false;
     /// True if any state of the key may be on the log.
     bool maybeOnLog = false;
+    /// True if the attempt was granted in unlogged mode and no entry of it is known to be on the log.
+    bool grantedUnlogged = false;
     /// When the state was entered; the retention counts from here.
     TimePoint since {};
     /// When a claimed key without outcome becomes unknown.
@@ -32,7 +36,7 @@
     /// When the newest entry was appended.
     TimePoint loggedAt {};
     TimePoint timerAt {};
-    /// Sequence number of the newest entry on the log; zero if there is none.
+    /// Sequence number of the record with the newest entry; zero if there is none.
     uint64_t sequence = 0;
     std::optional<RecordedResponse> response;
 };
@@ -85,7 +89,10 @@
     uint64_t homeRevision = 0;
     RangeFold fold;
     bool logDroppedRecords = false;
+    bool predecessorUnlogged = false;
     TimePoint readingSince {};
+    /// Identifies one pass over the range's records; records of an earlier pass are ignored.
+    uint64_t readId = 0;
 
     std::unordered_map<ClaimKey, Claim, ClaimKeyHash> claims;
     /// Claims that wait for the log, and other states to be appended. A key may stand in a queue more than once.
@@ -99,7 +106,11 @@
     double budget = 0;
     TimePoint budgetAt {};
     uint64_t lastSequence = 0;
-    TimePoint lastAppendAt {};
+    /// How many claims have their newest entry in each record.
+    std::map<uint64_t, uint32_t> liveBySequence;
+    /// When to append a record even if no claim has changed.
+    TimePoint checkpointAt {};
+    bool lastAppendSlow = false;
 
     /// Granted claims that are not on the log yet.
     size_t unloggedGrants = 0;
@@ -134,16 +145,16 @@
 /// What the caller of a function has to do next.
 struct OwnerOutputs
 {
-    /// Append this record and report the result with onAppendResult(), with its sequence number.
+    /// Append this record and report the result with onAppendResult().
     std::optional<ClaimsRecord> append;
     std::vector<LateVerdict> verdicts;
     /// The bit that the witnesses must hold for this epoch. Witnesses ignore a request with a lower number.
     bool wantUnloggedBit = false;
     uint64_t bitRequest = 0;
-    /// True while the node must feed the range's records with onLogRecords(), from the earliest retained offset when
-    /// `restartRead` is set.
+    /// True while the node must feed the range's records with onLogRecords(). A `readId` not seen before means to start
+    /// again at the earliest retained offset.
     bool wantRead = false;
-    bool restartRead = false;
+    uint64_t readId = 0;
     std::vector<OwnerEvent> events;
 };
 
@@ -165,26 +176,29 @@
 /// Claims a key for one attempt. A repeated call with the same attempt id returns the state of that claim.
 auto beginClaim(ClaimTable &table, const BeginRequest &request, const OwnerView &view, TimePoint now) -> Verdict;
 
-/// Records how an attempt ended. Returns true if the owner holds the claim of this attempt and took the outcome; false
-/// means that the entry node may report it again to the range's next owner.
+/// Records how an attempt ended. Returns false if this node is not the valid owner: the entry node reports again, to
+/// the range's next owner. An outcome of an attempt that does not hold the claim is counted and dropped.
 auto endClaim(ClaimTable &table, const ClaimKey &key, const RequestId &attempt, const Outcome &outcome,
               const OwnerView &view, TimePoint now) -> bool;
 
-/// Returns NotRun only if this node is the valid owner, knows all claims of the range and none of the key's attempts
-/// may have run or may still run.
-auto peekClaim(const ClaimTable &table, const ClaimKey &key, const OwnerView &view, TimePoint now) -> RunState;
+/// Returns NotRun only if this node is the valid owner, knows all claims of the range, and no attempt of the key with a
+/// number up to `attemptNumber` has run or can still run.
+auto peekClaim(const ClaimTable &table, const ClaimKey &key, uint32_t attemptNumber, const OwnerView &view,
+               TimePoint now) -> RunState;
 
-/// Reports the end of the append with this sequence number. A result for another number is ignored.
-auto onAppendResult(ClaimTable &table, uint64_t sequence, AppendResult result, const OwnerView &view, TimePoint now)
-    -> OwnerOutputs;
+/// Reports the end of the append of the record with this epoch and sequence number. A result for another record is
+/// ignored. Every append must be reported within a few seconds, as Lost if there was no answer.
+auto onAppendResult(ClaimTable &table, uint64_t epoch, uint64_t sequence, AppendResult result, const OwnerView &view,
+                    TimePoint now) -> OwnerOutputs;
 
 /// Feeds records of the range in log order. `reachedEnd` is true if no further record was on the log;
-/// `logDroppedRecords` is true if the earliest retained offset is above the first one.
-auto onLogRecords(ClaimTable &table, const std::vector<ClaimsRecord> &records, bool reachedEnd, bool logDroppedRecords,
-                  const OwnerView &view, TimePoint now) -> OwnerOutputs;
-
-/// Asks the table to give the range up because the domain list names another home domain. It grants nothing more,
-/// flushes its claims and appends a handover record; OwnerPhase::HandedOver follows.
-void handOverRange(ClaimTable &table);
+/// `logDroppedRecords` is true if the earliest retained offset is above the first one; `readId` is that of the outputs
+/// that asked for the records.
+auto onLogRecords(ClaimTable &table, uint64_t readId, const std::vector<ClaimsRecord> &records, bool reachedEnd,
+                  bool logDroppedRecords, const OwnerView &view, TimePoint now) -> OwnerOutputs;
+
+/// Tells the table whether the domain list still names its domain as the home of the range. If it does not, the table
+/// takes no new claims, flushes the others and appends a handover record; OwnerPhase::HandedOver follows.
+void setHome(ClaimTable &table, bool isHome);
 
 } // namespace snipestream
--- a/idempotency/range_fold.cpp
+++ b/idempotency/range_fold.cpp
@@ -10,11 +10,13 @@
 auto acceptFence(RangeFold &fold, const ClaimsRecord &record, Duration retention) -> FoldVerdict
 {
     auto &highest = fold.highestEpochs[record.domain];
-    if (record.epoch == fold.epoch && record.domain == fold.domain) {
+    if (record.epoch == fold.epoch && record.domain == fold.domain && record.homeRevision == fold.homeRevision) {
         ++fold.duplicates;
         return FoldVerdict::Duplicate;
     }
-    if (record.epoch <= highest || record.homeRevision < fold.homeRevision) {
+    // An owner may fence again in the same epoch when the range comes back to its domain.
+    const bool isOldEpoch = record.homeRevision > fold.homeRevision ? record.epoch < highest : record.epoch <= highest;
+    if (isOldEpoch || record.homeRevision < fold.homeRevision) {
         ++fold.fenced;
         return FoldVerdict::Fenced;
     }
@@ -31,7 +33,7 @@
     if (movedWithoutHandover) {
         fold.quarantineLeft = retention;
     }
-    if (isFirst) {
+    if (isFirst || record.sequence > fold.lastSequence + 1) {
         fold.firstSequence = record.sequence;
         fold.liveFrom = record.liveFrom;
     }
