--- /dev/null
+++ b/tests/idempotency/claims_fuzz_test.cpp
@@ -0,0 +1,127 @@
+#include "tests/idempotency/world.h"
+#include "tests/support/section.h"
+
+#include <iostream>
+#include <set>
+#include <sstream>
+
+#include <rapidcheck.h>
+
+namespace snipestream {
+
+using testing::Defect;
+using testing::Fault;
+using testing::section;
+using testing::World;
+
+namespace {
+
+/// One step of a run: a request, a refusal after a peek, a wait or a fault.
+struct Command
+{
+    int kind;
+    int value;
+};
+
+auto operator<<(std::ostream &out, const Command &command) -> std::ostream &
+{
+    switch (command.kind) {
+    case 0:
+    case 1:
+        return out << "request key" << command.value % 3 << " at entry " << command.value % 2;
+    case 2:
+        return out << "wait " << (command.value % 8 + 1) * (command.value % 3 == 0 ? 1000 : 50) << " ms";
+    case 3:
+        return out << "peek key" << command.value % 3;
+    default:
+        return out << testing::faultName(static_cast<Fault>(command.value % testing::kFaultCount));
+    }
+}
+
+void run(World &world, const Command &command)
+{
+    switch (command.kind) {
+    case 0:
+    case 1:
+        world.request("key" + std::to_string(command.value % 3), static_cast<size_t>(command.value) % 2);
+        world.advance(milliseconds(command.value % 5 * 40));
+        break;
+    case 2:
+        world.advance(milliseconds((command.value % 8 + 1) * (command.value % 3 == 0 ? 1000 : 50)));
+        break;
+    case 3:
+        world.refuseAfterPeek("key" + std::to_string(command.value % 3));
+        break;
+    default:
+        if (world.activeFaults() < 2) {
+            world.strike(static_cast<Fault>(command.value % testing::kFaultCount));
+        }
+        break;
+    }
+}
+
+/// Runs the commands, ends all faults and lets a caller ask for every key twice more.
+void runAll(World &world, const std::vector<Command> &commands)
+{
+    for (const auto &command : commands) {
+        run(world, command);
+    }
+    world.heal();
+    for (int i = 0; i < 6; ++i) {
+        world.request("key" + std::to_string(i % 3), static_cast<size_t>(i) % 2);
+        world.advance(seconds(3));
+    }
+}
+
+} // namespace
+
+/// Guards against runs that happen twice, false not-run refusals and foreign answers under any mix of faults.
+class ClaimsFuzzTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(ClaimsFuzzTest);
+    CPPUNIT_TEST(testInvariantsHoldUnderFaults);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testInvariantsHoldUnderFaults()
+    {
+        size_t runs = 0;
+        size_t answers = 0;
+        size_t notRun = 0;
+        size_t quarantines = 0;
+        size_t unlogged = 0;
+        size_t takeovers = 0;
+        // inRange() narrows its range with the size, so the commands are drawn at the full size.
+        const auto command = rc::gen::resize(
+            rc::kNominalSize, rc::gen::construct<Command>(rc::gen::inRange(0, 6), rc::gen::inRange(0, 15 * 24)));
+        const auto commands = rc::gen::container<std::vector<Command>>(command);
+        const bool holds = rc::check("claims", [&] {
+            const auto sequence = *rc::gen::resize(60, commands);
+            World world(Defect::None);
+            runAll(world, sequence);
+            runs += world.oracle.runs.size();
+            answers += world.oracle.answers.size();
+            for (const auto &refusal : world.oracle.refusals) {
+                notRun += refusal.notRun ? 1 : 0;
+            }
+            quarantines += world.quarantines;
+            unlogged += world.unloggedModes;
+            takeovers += world.takeovers;
+            const auto violations = world.oracle.violations();
+            if (!violations.empty()) {
+                RC_FAIL(violations.front());
+            }
+        });
+        CPPUNIT_ASSERT(holds);
+        std::cout << "runs " << runs << ", answers " << answers << ", not-run refusals " << notRun << ", takeovers "
+                  << takeovers << ", quarantines " << quarantines << ", unlogged modes " << unlogged << "\n";
+        section("the runs reached the states that matter", [&] {
+            CPPUNIT_ASSERT(runs > 50 && answers > runs && notRun > 10);
+            CPPUNIT_ASSERT(takeovers > 20 && quarantines > 5 && unlogged > 5);
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ClaimsFuzzTest);
+
+} // namespace snipestream
