--- /dev/null
+++ b/core/json_fields.cpp
@@ -0,0 +1,101 @@
+#include "core/json_fields.h"
+
+#include <limits>
+
+namespace snipestream {
+
+JsonFields::JsonFields(const nlohmann::json &json)
+    : json_(json)
+{
+    if (!json_.is_object()) {
+        reject("the message is not an object");
+    }
+}
+
+auto JsonFields::text(const char *name) -> std::string
+{
+    const auto *found = field(name);
+    if (found == nullptr) {
+        return {};
+    }
+    if (!found->is_string()) {
+        reject("field '" + std::string(name) + "' is not a string");
+        return {};
+    }
+    return found->get<std::string>();
+}
+
+auto JsonFields::count(const char *name) -> int64_t
+{
+    const auto *found = field(name);
+    if (found == nullptr) {
+        return 0;
+    }
+    constexpr auto kLargest = static_cast<uint64_t>(std::numeric_limits<int64_t>::max());
+    const bool fits = found->is_number_unsigned() ? found->get<uint64_t>() <= kLargest
+                                                  : found->is_number_integer() && found->get<int64_t>() >= 0;
+    if (!fits) {
+        reject("field '" + std::string(name) + "' is not an integer from 0 to 2^63 - 1");
+        return 0;
+    }
+    return found->get<int64_t>();
+}
+
+auto JsonFields::flag(const char *name) -> bool
+{
+    const auto *found = field(name);
+    if (found == nullptr) {
+        return false;
+    }
+    if (!found->is_boolean()) {
+        reject("field '" + std::string(name) + "' is not true or false");
+        return false;
+    }
+    return found->get<bool>();
+}
+
+auto JsonFields::array(const char *name) -> const nlohmann::json &
+{
+    static const nlohmann::json empty = nlohmann::json::array();
+    const auto *found = field(name);
+    if (found == nullptr) {
+        return empty;
+    }
+    if (!found->is_array()) {
+        reject("field '" + std::string(name) + "' is not an array");
+        return empty;
+    }
+    return *found;
+}
+
+void JsonFields::reject(std::string message)
+{
+    if (problem_.empty()) {
+        problem_ = std::move(message);
+    }
+}
+
+auto JsonFields::failed() const -> bool
+{
+    return !problem_.empty();
+}
+
+auto JsonFields::error() const -> Error
+{
+    return Error { ErrorCode::InvalidInput, problem_ };
+}
+
+auto JsonFields::field(const char *name) -> const nlohmann::json *
+{
+    if (!json_.is_object()) {
+        return nullptr;
+    }
+    const auto found = json_.find(name);
+    if (found == json_.end()) {
+        reject("field '" + std::string(name) + "' is missing");
+        return nullptr;
+    }
+    return &*found;
+}
+
+} // namespace snipestream
