--- a/admission/admission.cpp
+++ b/admission/admission.cpp
@@ -172,7 +172,7 @@
 
 auto refused(Refusal why) -> Offer
 {
-    return Offer { Verdict::Refused, 0, std::move(why), {} };
+    return Offer { AdmissionVerdict::Refused, 0, std::move(why), {} };
 }
 
 } // namespace
@@ -261,7 +261,7 @@
     if (startsNow) {
         const Ticket ticket = makeTicket(table, *row);
         start(*row, ticket, request, route, now);
-        return Offer { Verdict::Run, ticket, {}, {} };
+        return Offer { AdmissionVerdict::Run, ticket, {}, {} };
     }
     const double wait = expectedWait(*row, request, limit, now);
     if (request.deadline - now < toDuration(wait + row->limit.routes[route].mean)) {
@@ -269,7 +269,7 @@
         return refused(
             refusal(RefusalReason::Overloaded, retryAfter(table, wait), "the expected wait exceeds the time left"));
     }
-    Offer result { Verdict::Queued, makeTicket(table, *row), {}, {} };
+    Offer result { AdmissionVerdict::Queued, makeTicket(table, *row), {}, {} };
     const auto bound = static_cast<size_t>(
         std::max<double>(table.settings.leastQueue, row->limit.slots * table.settings.queuePerSlot));
     if (row->queue.rows.size() >= bound) {
@@ -289,9 +289,9 @@
         if (decision.ticket != result.ticket) {
             result.decisions.push_back(std::move(decision));
         } else if (decision.start) {
-            result.verdict = Verdict::Run;
+            result.verdict = AdmissionVerdict::Run;
         } else {
-            result.verdict = Verdict::Refused;
+            result.verdict = AdmissionVerdict::Refused;
             result.refusal = std::move(decision.refusal);
         }
     }
--- a/admission/admission.h
+++ b/admission/admission.h
@@ -17,7 +17,7 @@
 /// Constants of admission at one node.
 struct AdmissionSettings
 {
-    LimitSettings limit;
+    ConcurrencyLimitSettings limit;
     SheddingSettings shedding;
     /// Waiting requests per slot of the target. Twice the slots cover a burst; more would only wait past deadlines.
     double queuePerSlot = 2.0;
@@ -70,7 +70,7 @@
 };
 
 /// Answer to an offer.
-enum class Verdict {
+enum class AdmissionVerdict {
     /// The request occupies a slot now. The caller runs it and calls `complete`.
     Run,
     /// The request waits. A later list of decisions says whether it starts.
@@ -82,7 +82,7 @@
 /// Result of an offer.
 struct Offer
 {
-    Verdict verdict = Verdict::Refused;
+    AdmissionVerdict verdict = AdmissionVerdict::Refused;
     /// Set unless refused.
     Ticket ticket = 0;
     /// Set if refused.
--- a/admission/limit.cpp
+++ b/admission/limit.cpp
@@ -58,7 +58,7 @@
     return state;
 }
 
-auto currentLimit(const LimitState &state, const LimitSettings &settings, TimePoint now) -> int
+auto currentLimit(const LimitState &state, const ConcurrencyLimitSettings &settings, TimePoint now) -> int
 {
     double limit = std::min(state.limit, static_cast<double>(state.slots));
     if (state.cold) {
@@ -92,8 +92,8 @@
     return answers > 0 ? sum / answers : 0;
 }
 
-void observeLatency(LimitState &state, const LimitSettings &settings, uint32_t route, Duration latency, bool timedOut,
-                    TimePoint now)
+void observeLatency(LimitState &state, const ConcurrencyLimitSettings &settings, uint32_t route, Duration latency,
+                    bool timedOut, TimePoint now)
 {
     auto &row = state.routes[route];
     double observed = std::max(toSeconds(latency), 1e-6);
@@ -137,7 +137,7 @@
     state.ratioSum += observed / row.baseline;
 }
 
-auto tickLimit(LimitState &state, const LimitSettings &settings, TimePoint now) -> bool
+auto tickLimit(LimitState &state, const ConcurrencyLimitSettings &settings, TimePoint now) -> bool
 {
     const Duration age = now - state.windowStart;
     if (state.cold
--- a/admission/limit.h
+++ b/admission/limit.h
@@ -11,7 +11,7 @@
 namespace snipestream {
 
 /// Constants of the concurrency limit.
-struct LimitSettings
+struct ConcurrencyLimitSettings
 {
     /// Shortest time over which latency is judged.
     Duration window = milliseconds(100);
@@ -82,7 +82,7 @@
 auto makeLimit(int slots, bool cold, TimePoint now) -> LimitState;
 
 /// Returns the number of requests that may run at once, from 1 to the slots.
-auto currentLimit(const LimitState &state, const LimitSettings &settings, TimePoint now) -> int;
+auto currentLimit(const LimitState &state, const ConcurrencyLimitSettings &settings, TimePoint now) -> int;
 
 /// Returns the index of the route's latency row. Routes beyond 256 share the last row.
 auto routeRow(LimitState &state, const RouteName &route) -> uint32_t;
@@ -91,10 +91,10 @@
 auto meanServiceTime(const LimitState &state) -> double;
 
 /// Takes the latency of an answer into account. A latency of a run that timed out is a lower bound.
-void observeLatency(LimitState &state, const LimitSettings &settings, uint32_t route, Duration latency, bool timedOut,
-                    TimePoint now);
+void observeLatency(LimitState &state, const ConcurrencyLimitSettings &settings, uint32_t route, Duration latency,
+                    bool timedOut, TimePoint now);
 
 /// Judges the window if it is over and moves the limit. Returns true if a window was judged.
-auto tickLimit(LimitState &state, const LimitSettings &settings, TimePoint now) -> bool;
+auto tickLimit(LimitState &state, const ConcurrencyLimitSettings &settings, TimePoint now) -> bool;
 
 } // namespace snipestream
--- a/http/http_connection.cpp
+++ b/http/http_connection.cpp
@@ -206,7 +206,7 @@
     call->cancelHandlers.clear();
     // The functions of the exchange hold the call; releasing them breaks the cycle.
     const bool keepAlive = call->finished && !call->aborted && !call->cancelled && call->parser.is_done()
-        && request.keep_alive() && !shared_->stopping;
+        && request.keep_alive() && call->response.keep_alive() && !shared_->stopping;
     call->exchange = Exchange {};
     boost::system::error_code ignored;
     socket_.cancel(ignored);
@@ -280,7 +280,7 @@
         call.response.chunked(true);
     }
     const bool bodyComplete = call.parser.is_done();
-    call.response.keep_alive(request.keep_alive() && !shared_->stopping && bodyComplete);
+    call.response.keep_alive(request.keep_alive() && !shared_->stopping && !shared_->closeAnnounced && bodyComplete);
     call.response.body().data = nullptr;
     call.response.body().more = true;
     call.serializer.emplace(call.response);
--- a/http/http_connection.h
+++ b/http/http_connection.h
@@ -25,6 +25,8 @@
     std::set<std::shared_ptr<HttpConnection>> connections;
     size_t activeRequests = 0;
     bool stopping = false;
+    /// Set before `stopping`: answers ask callers to close their connections.
+    bool closeAnnounced = false;
 };
 
 /// One connection of an HttpServer. A fiber runs only from the first byte of a request to the end of its answer.
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -25,6 +25,7 @@
             {},
             0,
             false,
+            false,
         }
         , acceptor(runtimeUsed.context())
     {
@@ -115,6 +116,11 @@
     return port;
 }
 
+void HttpServer::announceClose()
+{
+    state_->closeAnnounced = true;
+}
+
 void HttpServer::stopAccepting()
 {
     if (state_->stopping) {
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -49,6 +49,10 @@
     /// address cannot be bound.
     auto listen() -> Result<uint16_t>;
 
+    /// Answers every further request with "Connection: close", so that callers move to another node by themselves. A
+    /// connection that is closed while idle could meet a request that is already on its way.
+    void announceClose();
+
     /// Begins a graceful shutdown: accepts no further connection, closes idle ones, and closes each other one after the
     /// answer that it is waiting for.
     void stopAccepting();
--- a/idempotency/attempt_trace.cpp
+++ b/idempotency/attempt_trace.cpp
@@ -52,7 +52,7 @@
     trace.step = AttemptStep::ClaimAsked;
 }
 
-auto onVerdict(AttemptTrace &trace, const Verdict &verdict) -> EntryAction
+auto onVerdict(AttemptTrace &trace, const ClaimVerdict &verdict) -> EntryAction
 {
     const bool isGrant = std::holds_alternative<Granted>(verdict);
     if (trace.closed && isGrant && trace.step < AttemptStep::Claimed) {
--- a/idempotency/attempt_trace.h
+++ b/idempotency/attempt_trace.h
@@ -91,7 +91,7 @@
 void onClaimAsked(AttemptTrace &trace);
 
 /// Handles the owner's verdict. A grant that arrives after the attempt was closed is returned to the owner as not-run.
-auto onVerdict(AttemptTrace &trace, const Verdict &verdict) -> EntryAction;
+auto onVerdict(AttemptTrace &trace, const ClaimVerdict &verdict) -> EntryAction;
 
 /// Handles a claim call without an answer (timeout or closed link): the claim may have been granted, so the attempt is
 /// closed with `unknown` and reported to the owner as not-run.
--- a/idempotency/claim.h
+++ b/idempotency/claim.h
@@ -130,7 +130,7 @@
 };
 
 /// The answer to `claim.begin`.
-using Verdict = std::variant<Granted, Wait, Replay, Refused>;
+using ClaimVerdict = std::variant<Granted, Wait, Replay, Refused>;
 
 /// What the lease package says about this node's ownership of a (home domain, range), computed at the moment of the
 /// call that it is passed to.
--- a/idempotency/claim_table.cpp
+++ b/idempotency/claim_table.cpp
@@ -19,7 +19,7 @@
     return table.quarantinedUntil && now < *table.quarantinedUntil;
 }
 
-auto alreadyRun(const Claim &claim) -> Verdict
+auto alreadyRun(const Claim &claim) -> ClaimVerdict
 {
     if (claim.response) {
         return Replay { *claim.response };
@@ -44,18 +44,18 @@
     return isProvenFree(claim, attemptNumber) ? RunState::NotRun : RunState::Unknown;
 }
 
-auto movingRefusal() -> Verdict
+auto movingRefusal() -> ClaimVerdict
 {
     return refuse(RefusalReason::ClaimUnavailable, RunState::Unknown, kOwnerRetry,
                   "the range is moving to another failure domain");
 }
 
 /// Answers a repeated begin of the attempt that holds the claim.
-auto repeatedBegin(const Claim &claim) -> Verdict
+auto repeatedBegin(const Claim &claim) -> ClaimVerdict
 {
     switch (claim.state) {
     case ClaimState::Claimed:
-        return claim.granted ? Verdict(Granted {}) : Verdict(Wait {});
+        return claim.granted ? ClaimVerdict(Granted {}) : ClaimVerdict(Wait {});
     case ClaimState::Released:
         return refuse(RefusalReason::ClaimUnavailable, RunState::NotRun, kOwnerRetry,
                       "this attempt was given up before it ran");
@@ -66,14 +66,14 @@
     return alreadyRun(claim);
 }
 
-auto quarantineRefusal() -> Verdict
+auto quarantineRefusal() -> ClaimVerdict
 {
     return refuse(RefusalReason::ClaimUnavailable, RunState::Unknown, {},
                   "the previous owner of the range may have run requests that are not on the log");
 }
 
 /// Makes a new claim, or takes a released one again.
-auto takeClaim(ClaimTable &table, const BeginRequest &request, const OwnerView &view, TimePoint now) -> Verdict
+auto takeClaim(ClaimTable &table, const BeginRequest &request, const OwnerView &view, TimePoint now) -> ClaimVerdict
 {
     auto &claim = table.claims[request.key];
     claim.fingerprint = request.fingerprint;
@@ -106,7 +106,7 @@
     return table;
 }
 
-auto beginClaim(ClaimTable &table, const BeginRequest &request, const OwnerView &view, TimePoint now) -> Verdict
+auto beginClaim(ClaimTable &table, const BeginRequest &request, const OwnerView &view, TimePoint now) -> ClaimVerdict
 {
     if (request.key.idempotencyKey.empty() || request.key.idempotencyKey.size() > kMaxIdempotencyKeyBytes) {
         return refuse(RefusalReason::BadRequest, RunState::NotRun, {},
--- a/idempotency/claim_table.h
+++ b/idempotency/claim_table.h
@@ -130,7 +130,7 @@
 {
     RequestId attempt;
     ClaimKey key;
-    Verdict verdict;
+    ClaimVerdict verdict;
 };
 
 /// Changes that the node reports as log events.
@@ -174,7 +174,7 @@
 auto tickClaims(ClaimTable &table, const OwnerView &view, uint64_t homeRevision, TimePoint now) -> OwnerOutputs;
 
 /// Claims a key for one attempt. A repeated call with the same attempt id returns the state of that claim.
-auto beginClaim(ClaimTable &table, const BeginRequest &request, const OwnerView &view, TimePoint now) -> Verdict;
+auto beginClaim(ClaimTable &table, const BeginRequest &request, const OwnerView &view, TimePoint now) -> ClaimVerdict;
 
 /// Records how an attempt ended. Returns false if this node is not the valid owner: the entry node reports again, to
 /// the range's next owner. An outcome of an attempt that does not hold the claim is counted and dropped.
--- a/tests/admission/admission_oracle.cpp
+++ b/tests/admission/admission_oracle.cpp
@@ -68,13 +68,13 @@
         request.route = RouteName("route-" + std::to_string(command.c % 2));
         request.deadline = now_ + milliseconds(command.c) - milliseconds(20);
         Offer result = api_.offer(table_, request, now_);
-        if (result.verdict != Verdict::Refused && seen_.count(result.ticket) != 0) {
+        if (result.verdict != AdmissionVerdict::Refused && seen_.count(result.ticket) != 0) {
             violate("a ticket was given twice");
         }
-        if (result.verdict != Verdict::Refused && draining_) {
+        if (result.verdict != AdmissionVerdict::Refused && draining_) {
             violate("a draining target took a new request");
         }
-        if (result.verdict == Verdict::Refused) {
+        if (result.verdict == AdmissionVerdict::Refused) {
             if (result.refusal.run != RunState::NotRun) {
                 violate("a refused offer does not say not-run");
             }
@@ -83,7 +83,7 @@
         }
         seen_[result.ticket] = Seen { request.priority, request.deadline };
         waiting_.insert(result.ticket);
-        if (result.verdict == Verdict::Run) {
+        if (result.verdict == AdmissionVerdict::Run) {
             // The order of starts within one call is not reported; all happen at the same moment.
             result.decisions.push_back({ result.ticket, true, {} });
             std::stable_sort(result.decisions.begin(), result.decisions.end(), [this](const auto &a, const auto &b) {
@@ -91,7 +91,7 @@
             });
         }
         apply(result.decisions);
-        if (result.verdict == Verdict::Queued && static_cast<int>(waiting_.size()) > std::max(16, 2 * slots_)
+        if (result.verdict == AdmissionVerdict::Queued && static_cast<int>(waiting_.size()) > std::max(16, 2 * slots_)
             && static_cast<int>(waiting_.size()) > mostWaiting_) {
             violate("the queue exceeds its bound");
         }
--- a/tests/admission/overload_test.cpp
+++ b/tests/admission/overload_test.cpp
@@ -87,10 +87,10 @@
         const AdmissionRequest request { drawRequestId(random), TeamName("a"), priority, RouteName("r"),
                                          now + timeout };
         const Offer result = offer(table, kTarget, request, now);
-        if (result.verdict != Verdict::Refused) {
+        if (result.verdict != AdmissionVerdict::Refused) {
             open[result.ticket] = std::make_pair(priority, request.deadline);
         }
-        if (result.verdict == Verdict::Run) {
+        if (result.verdict == AdmissionVerdict::Run) {
             left[result.ticket] = draw();
         }
         apply(result.decisions);
--- a/tests/idempotency/world.cpp
+++ b/tests/idempotency/world.cpp
@@ -274,7 +274,7 @@
     send([=] {
         atOwner(owner, incarnation, [=] {
             auto &node = owners_[owner];
-            const Verdict verdict = beginClaim(node.table, begin, view(owner), now_);
+            const ClaimVerdict verdict = beginClaim(node.table, begin, view(owner), now_);
             onStep(Step::BeginArrived);
             if (!std::holds_alternative<Wait>(verdict)) {
                 reply(entry, begin.attempt, verdict);
@@ -303,7 +303,7 @@
     oracle.refusals.push_back({ key, number, "peek", action.refusal->run == RunState::NotRun });
 }
 
-void World::reply(size_t entry, const RequestId &attempt, const Verdict &verdict)
+void World::reply(size_t entry, const RequestId &attempt, const ClaimVerdict &verdict)
 {
     if (std::holds_alternative<Granted>(verdict)) {
         onStep(Step::GrantSent);
--- a/tests/idempotency/world.h
+++ b/tests/idempotency/world.h
@@ -146,7 +146,7 @@
     void handle(size_t index, const OwnerOutputs &outputs);
     void append(size_t index, const ClaimsRecord &record);
     void feed(size_t index);
-    void reply(size_t entry, const RequestId &attempt, const Verdict &verdict);
+    void reply(size_t entry, const RequestId &attempt, const ClaimVerdict &verdict);
     void act(size_t entry, const RequestId &id, const EntryAction &action);
     void dispatch(size_t entry, const RequestId &id);
     void atHome(size_t home, size_t entry, const RequestId &id, const ClaimKey &key, unsigned number);
