Add the links between nodes: handshake, calls, notices and streams

The frame codec and the stream state are pure functions, so that they can be fuzzed without a socket.

Body pieces carry their offset and credit is an absolute limit, so a repeated or reordered frame is either harmless or closes the link; it never changes a body.

--- /dev/null
+++ b/peer/frame.h
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "core/exchange.h"
+#include "core/result.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <variant>
+
+#include <nlohmann/json.hpp>
+
+namespace snipestream {
+
+/// Version of the protocol between nodes; a node accepts only its own.
+inline constexpr int kPeerProtocolVersion = 1;
+
+/// Kinds of frames; the numbers travel and are stable.
+enum class FrameType : uint8_t {
+    Hello = 1,
+    Proof = 2,
+    Refuse = 3,
+    Goodbye = 4,
+    Call = 10,
+    Reply = 11,
+    CallError = 12,
+    Notice = 13,
+    Open = 20,
+    Head = 21,
+    Chunk = 22,
+    Credit = 23,
+    End = 24,
+    Abort = 25,
+};
+
+/// First frame of each side. The acceptor's hello carries its proof; the dialler's proof follows in a frame of its own.
+struct HelloFrame
+{
+    int version = kPeerProtocolVersion;
+    std::string node;
+    uint64_t incarnation = 0;
+    std::string domain;
+    /// Bytes of one body that this side accepts before it gives credit.
+    uint64_t window = 0;
+    std::string nonce;
+    std::string proof;
+};
+
+/// The dialler's answer to the acceptor's challenge.
+struct ProofFrame
+{
+    std::string proof;
+};
+
+/// The acceptor's reason for closing a link during the handshake.
+struct RefuseFrame
+{
+    std::string reason;
+};
+
+/// The acceptor takes no new calls and streams on this link; running ones continue.
+struct GoodbyeFrame
+{
+};
+
+struct CallFrame
+{
+    uint64_t id = 0;
+    std::string method;
+    nlohmann::json payload;
+};
+
+struct ReplyFrame
+{
+    uint64_t id = 0;
+    nlohmann::json payload;
+};
+
+struct CallErrorFrame
+{
+    uint64_t id = 0;
+    Error error;
+};
+
+struct NoticeFrame
+{
+    std::string method;
+    nlohmann::json payload;
+};
+
+struct OpenFrame
+{
+    uint64_t id = 0;
+    RequestHead head;
+};
+
+struct HeadFrame
+{
+    uint64_t id = 0;
+    ResponseHead head;
+};
+
+/// A piece of a body. The offset is the number of body bytes before it, so that a repeated or reordered piece is seen.
+struct ChunkFrame
+{
+    uint64_t id = 0;
+    uint64_t offset = 0;
+    std::string bytes;
+};
+
+/// The receiver's permission to send body bytes up to this total, which makes a repeated frame harmless.
+struct CreditFrame
+{
+    uint64_t id = 0;
+    uint64_t limit = 0;
+};
+
+/// Regular end of a body of `length` bytes.
+struct EndFrame
+{
+    uint64_t id = 0;
+    uint64_t length = 0;
+};
+
+/// Gives a stream up. `notStarted` is set if the receiver never handed the request to its handler.
+struct AbortFrame
+{
+    uint64_t id = 0;
+    Error error;
+    bool notStarted = false;
+};
+
+using Frame = std::variant<HelloFrame, ProofFrame, RefuseFrame, GoodbyeFrame, CallFrame, ReplyFrame, CallErrorFrame,
+                           NoticeFrame, OpenFrame, HeadFrame, ChunkFrame, CreditFrame, EndFrame, AbortFrame>;
+
+/// Appends the frame as the CBOR array [type, id, payload].
+void encodeFrame(const Frame &frame, std::string &out);
+
+/// Decodes the first frame of the bytes and removes it from them. A message is a sequence of frames. ProtocolViolation
+/// if the bytes are not CBOR, the frame is of unknown type or a field has the wrong type or value.
+auto decodeFrame(std::string_view &bytes) -> Result<Frame>;
+
+} // namespace snipestream
--- /dev/null
+++ b/peer/link.cpp
@@ -0,0 +1,626 @@
+#include "peer/link.h"
+
+#include "core/events.h"
+#include "core/random.h"
+#include "net/await.h"
+#include "peer/handshake.h"
+#include "peer/link_stream.h"
+
+#include <utility>
+
+namespace snipestream {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr size_t kNonceBytes = 16;
+
+/// A link that sent a large message keeps at most this much of its buffer.
+constexpr size_t kKeptBufferBytes = 4096;
+
+auto closedError(const std::string &why) -> Error
+{
+    return { ErrorCode::Closed, why };
+}
+
+/// Counts a running handler for its lifetime.
+class RunningHandler
+{
+public:
+    explicit RunningHandler(PeerShared &shared, size_t &linkCount)
+        : shared_(shared)
+        , linkCount_(linkCount)
+    {
+        ++shared_.inboundRunning;
+        ++linkCount_;
+    }
+    ~RunningHandler()
+    {
+        --shared_.inboundRunning;
+        --linkCount_;
+        shared_.changed.notify();
+    }
+    RunningHandler(const RunningHandler &) = delete;
+    auto operator=(const RunningHandler &) -> RunningHandler & = delete;
+
+private:
+    PeerShared &shared_;
+    size_t &linkCount_;
+};
+
+} // namespace
+
+PeerShared::PeerShared(FiberRuntime &runtimeToUse, PeerOptions optionsToUse, MetricsRegistry &metrics)
+    : runtime(runtimeToUse)
+    , options(std::move(optionsToUse))
+    , framesDropped(metrics.counter("snipestream_peer_frames_dropped_total",
+                                    "Frames from peers for calls and streams that are over."))
+    , violations(metrics.counter("snipestream_peer_violations_total", "Links closed because of an invalid frame."))
+    , linksRefused(metrics.counter("snipestream_peer_links_refused_total", "Links that failed the handshake."))
+    , noticesDropped(metrics.counter("snipestream_peer_notices_dropped_total", "Notices that were not sent."))
+    , callsStarted(metrics.counter("snipestream_peer_calls_total", "Calls sent to peers."))
+    , streamsOpened(metrics.counter("snipestream_peer_streams_total", "Streams opened to peers."))
+    , linksOpen(metrics.gauge("snipestream_peer_links", "Links that passed the handshake."))
+{
+}
+
+PeerLink::PeerLink(std::shared_ptr<PeerShared> shared, std::shared_ptr<PeerSocket> socket, LinkRole role)
+    : shared_(std::move(shared))
+    , socket_(std::move(socket))
+{
+    table_.role = role;
+    table_.window = shared_->options.streamWindowBytes;
+}
+
+void PeerLink::start(LinkObserver observer)
+{
+    observer_ = std::move(observer);
+    const auto &self = shared_->options.self;
+    ownHello_
+        = { shared_->options.version, self.node.value, self.incarnation, self.domain.value, table_.window, {}, {} };
+    ownHello_.nonce = secureRandomHex(kNonceBytes);
+    handshakeTimer_
+        = std::make_unique<boost::asio::steady_timer>(shared_->runtime.context(), shared_->options.connectTimeout);
+    handshakeTimer_->async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
+        const auto link = weak.lock();
+        if (link && !error && link->phase_ != Phase::Ready) {
+            link->close({ ErrorCode::Timeout, "the handshake timed out" });
+        }
+    });
+    // The socket drops its handlers when it ends, which breaks the cycle.
+    const auto link = shared_from_this();
+    socket_->start({ [link] {
+                        link->onOpened();
+                    },
+                     [link](std::string_view message) {
+                         link->onMessage(message);
+                     },
+                     [link] {
+                         link->onDrained();
+                     },
+                     [link](SocketEnd end, const std::string &reason) {
+                         link->onSocketClosed(end, reason);
+                     } });
+}
+
+void PeerLink::onOpened()
+{
+    if (phase_ != Phase::Connecting) {
+        return;
+    }
+    if (table_.role == LinkRole::Dialler) {
+        static_cast<void>(queue(ownHello_));
+    }
+    phase_ = Phase::AwaitHello;
+}
+
+void PeerLink::onMessage(std::string_view message)
+{
+    while (!message.empty() && phase_ != Phase::Closed) {
+        auto frame = decodeFrame(message);
+        if (!frame) {
+            failFrame(frame.error());
+            return;
+        }
+        const auto applied = onFrame(std::move(frame.value()));
+        if (!applied) {
+            failFrame(applied.error());
+            return;
+        }
+    }
+}
+
+void PeerLink::failFrame(const Error &error)
+{
+    if (phase_ != Phase::Ready) {
+        // Nothing is said about what was wrong with the frame of a stranger.
+        refuse("invalid frame in the handshake");
+        return;
+    }
+    shared_->violations.add();
+    logEvent(EventId::PeerFrameInvalid,
+             { { "node", peer_.node.value }, { "remote", toString(remote()) }, { "reason", error.message } });
+    close(error);
+}
+
+void PeerLink::refuse(const std::string &reason)
+{
+    if (phase_ == Phase::Closed) {
+        return;
+    }
+    shared_->linksRefused.add();
+    logEvent(EventId::PeerRefused, { { "remote", toString(remote()) }, { "reason", reason } });
+    if (table_.role == LinkRole::Acceptor) {
+        static_cast<void>(queue(RefuseFrame { reason }));
+    }
+    close({ ErrorCode::Unavailable, "link to " + toString(remote()) + " refused: " + reason });
+}
+
+auto PeerLink::onFrame(Frame &&frame) -> Result<void>
+{
+    if (phase_ != Phase::Ready) {
+        return onHandshakeFrame(frame);
+    }
+    if (table_.role == LinkRole::Acceptor) {
+        if (auto *call = std::get_if<CallFrame>(&frame)) {
+            return onCall(std::move(*call));
+        }
+        if (auto *open = std::get_if<OpenFrame>(&frame)) {
+            return onOpen(std::move(*open));
+        }
+        if (auto *notice = std::get_if<NoticeFrame>(&frame)) {
+            return onNotice(*notice);
+        }
+    } else {
+        if (auto *reply = std::get_if<ReplyFrame>(&frame)) {
+            return onReply(reply->id, std::move(reply->payload));
+        }
+        if (auto *error = std::get_if<CallErrorFrame>(&frame)) {
+            return onReply(error->id, std::move(error->error));
+        }
+        if (std::holds_alternative<GoodbyeFrame>(frame)) {
+            draining_ = true;
+            return success();
+        }
+    }
+    if (auto *chunk = std::get_if<ChunkFrame>(&frame)) {
+        return onStreamEvent(receiveChunk(table_, std::move(*chunk)));
+    }
+    if (auto *head = std::get_if<HeadFrame>(&frame)) {
+        return onStreamEvent(receiveHead(table_, std::move(*head)));
+    }
+    if (const auto *credit = std::get_if<CreditFrame>(&frame)) {
+        return onStreamEvent(receiveCredit(table_, *credit));
+    }
+    if (const auto *end = std::get_if<EndFrame>(&frame)) {
+        return onStreamEvent(receiveEnd(table_, *end));
+    }
+    if (const auto *abort = std::get_if<AbortFrame>(&frame)) {
+        return onStreamEvent(receiveAbort(table_, *abort));
+    }
+    return failure(ErrorCode::ProtocolViolation,
+                   "frame of kind " + std::to_string(frame.index()) + " is not for this end of the link");
+}
+
+auto PeerLink::onHandshakeFrame(const Frame &frame) -> Result<void>
+{
+    if (const auto *hello = std::get_if<HelloFrame>(&frame); hello != nullptr && phase_ == Phase::AwaitHello) {
+        return table_.role == LinkRole::Dialler ? onAcceptorHello(*hello) : onDiallerHello(*hello);
+    }
+    if (const auto *proof = std::get_if<ProofFrame>(&frame); proof != nullptr && phase_ == Phase::AwaitProof) {
+        if (const auto checked
+            = checkProof(shared_->options.fleetSecret, LinkRole::Dialler, peerHello_, ownHello_, proof->proof);
+            !checked) {
+            refuse(checked.error().message);
+            return success();
+        }
+        becomeReady(peerHello_);
+        return success();
+    }
+    if (const auto *refused = std::get_if<RefuseFrame>(&frame);
+        refused != nullptr && table_.role == LinkRole::Dialler) {
+        refuse("the peer says: " + refused->reason);
+        return success();
+    }
+    return failure(ErrorCode::ProtocolViolation, "unexpected frame in the handshake");
+}
+
+auto PeerLink::onDiallerHello(const HelloFrame &hello) -> Result<void>
+{
+    if (const auto checked = checkHello(hello, shared_->options.version); !checked) {
+        refuse(checked.error().message);
+        return success();
+    }
+    peerHello_ = hello;
+    peerHello_.proof.clear();
+    HelloFrame answer = ownHello_;
+    answer.proof = peerProof(shared_->options.fleetSecret, LinkRole::Acceptor, peerHello_, ownHello_);
+    phase_ = Phase::AwaitProof;
+    return queue(answer);
+}
+
+auto PeerLink::onAcceptorHello(const HelloFrame &hello) -> Result<void>
+{
+    auto checked = checkHello(hello, shared_->options.version);
+    if (checked) {
+        checked = checkProof(shared_->options.fleetSecret, LinkRole::Acceptor, ownHello_, hello, hello.proof);
+    }
+    if (!checked) {
+        refuse(checked.error().message);
+        return success();
+    }
+    BOOST_OUTCOME_TRY(
+        queue(ProofFrame { peerProof(shared_->options.fleetSecret, LinkRole::Dialler, ownHello_, hello) }));
+    becomeReady(hello);
+    return success();
+}
+
+void PeerLink::becomeReady(const HelloFrame &peer)
+{
+    phase_ = Phase::Ready;
+    handshakeTimer_.reset();
+    table_.peerWindow = peer.window;
+    peer_ = { NodeName(peer.node), peer.incarnation, DomainName(peer.domain) };
+    ownHello_ = {};
+    peerHello_ = {};
+    ++shared_->openLinks;
+    shared_->linksOpen.set(static_cast<double>(shared_->openLinks));
+    lastUsed_ = BootClock::now();
+    logEvent(EventId::PeerConnected,
+             { { "node", peer_.node.value },
+               { "domain", peer_.domain.value },
+               { "remote", toString(remote()) },
+               { "role", table_.role == LinkRole::Dialler ? "dialler" : "acceptor" } });
+    observer_.ready();
+}
+
+auto PeerLink::inboundRefusal() const -> std::optional<Error>
+{
+    if (shared_->refusesInbound) {
+        return Error { ErrorCode::Unavailable, "the node is shutting down" };
+    }
+    if (inboundCalls_ >= shared_->options.maxInboundPerLink) {
+        return Error { ErrorCode::Unavailable, "too many calls run on this link" };
+    }
+    return std::nullopt;
+}
+
+auto PeerLink::onCall(CallFrame &&frame) -> Result<void>
+{
+    if (!admitInboundId(table_, frame.id)) {
+        return failure(ErrorCode::ProtocolViolation, "call id " + std::to_string(frame.id) + " does not grow");
+    }
+    lastUsed_ = BootClock::now();
+    if (auto refusal = inboundRefusal()) {
+        return queue(CallErrorFrame { frame.id, std::move(*refusal) });
+    }
+    const auto handler = shared_->callHandlers.find(frame.method);
+    if (handler == shared_->callHandlers.end()) {
+        return queue(CallErrorFrame { frame.id, { ErrorCode::NotFound, "no method '" + frame.method + "'" } });
+    }
+    auto running = std::make_shared<RunningHandler>(*shared_, inboundCalls_);
+    shared_->runtime.spawn([self = shared_from_this(), running = std::move(running), id = frame.id,
+                            &function = handler->second, payload = std::move(frame.payload)] {
+        auto reply = function(self->peer_, payload);
+        if (self->phase_ != Phase::Ready) {
+            return;
+        }
+        const auto queued = reply ? self->queue(ReplyFrame { id, std::move(reply.value()) })
+                                  : self->queue(CallErrorFrame { id, reply.error() });
+        if (!queued) {
+            static_cast<void>(self->queue(CallErrorFrame { id, { ErrorCode::TooLarge, "the reply is too large" } }));
+        }
+    });
+    return success();
+}
+
+auto PeerLink::onOpen(OpenFrame &&frame) -> Result<void>
+{
+    if (!admitInboundId(table_, frame.id)) {
+        return failure(ErrorCode::ProtocolViolation, "stream id " + std::to_string(frame.id) + " does not grow");
+    }
+    lastUsed_ = BootClock::now();
+    auto refusal = inboundRefusal();
+    if (!refusal && !shared_->streamHandler) {
+        refusal = Error { ErrorCode::NotFound, "the node serves no streams" };
+    }
+    if (refusal) {
+        return queue(AbortFrame { frame.id, std::move(*refusal), true });
+    }
+    auto stream = std::make_shared<LinkStream>(shared_from_this(), startStream(table_, frame.id));
+    streams_.emplace(frame.id, stream);
+    auto running = std::make_shared<RunningHandler>(*shared_, inboundCalls_);
+    shared_->runtime.spawn([self = shared_from_this(), running = std::move(running), stream = std::move(stream),
+                            head = std::move(frame.head)]() mutable {
+        Exchange exchange = stream->makeExchange(std::move(head));
+        self->shared_->streamHandler(exchange);
+        stream->endHandler();
+    });
+    return success();
+}
+
+auto PeerLink::onNotice(const NoticeFrame &frame) -> Result<void>
+{
+    lastUsed_ = BootClock::now();
+    const auto handler = shared_->noticeHandlers.find(frame.method);
+    if (handler == shared_->noticeHandlers.end()) {
+        shared_->framesDropped.add();
+        return success();
+    }
+    handler->second(peer_, frame.payload);
+    return success();
+}
+
+auto PeerLink::onReply(uint64_t id, Result<json> reply) -> Result<void>
+{
+    const auto found = calls_.find(id);
+    if (found == calls_.end()) {
+        shared_->framesDropped.add();
+        return success();
+    }
+    PendingCall &call = *found->second;
+    calls_.erase(found);
+    call.done = true;
+    if (reply) {
+        call.reply = std::move(reply.value());
+    } else {
+        call.error = std::move(reply.error());
+    }
+    call.event.notify();
+    return success();
+}
+
+auto PeerLink::onStreamEvent(const StreamEvent &event) -> Result<void>
+{
+    if (event.verdict == FrameVerdict::Violation) {
+        return failure(ErrorCode::ProtocolViolation, event.reason);
+    }
+    if (event.verdict == FrameVerdict::Dropped) {
+        shared_->framesDropped.add();
+        return success();
+    }
+    const auto found = streams_.find(event.stream->id);
+    if (found != streams_.end()) {
+        const auto stream = found->second;
+        stream->wake();
+        settle(*event.stream);
+    }
+    return success();
+}
+
+auto PeerLink::call(const std::string &method, json payload, Duration timeout) -> Result<json>
+{
+    if (!isReady() || isQueueFull()) {
+        return failure(ErrorCode::Unavailable, "the link to " + toString(remote()) + " takes no calls");
+    }
+    const auto self = shared_from_this();
+    PendingCall call;
+    const uint64_t id = nextOutboundId(table_);
+    lastUsed_ = BootClock::now();
+    BOOST_OUTCOME_TRY(queue(CallFrame { id, method, std::move(payload) }));
+    shared_->callsStarted.add();
+    calls_.emplace(id, &call);
+    if (!waitFor(shared_->runtime.context(), call.event, timeout, call.done)) {
+        calls_.erase(id);
+        shared_->changed.notify();
+        return failure(ErrorCode::Timeout, "no reply to " + method + " from " + toString(remote()));
+    }
+    shared_->changed.notify();
+    if (call.error) {
+        return std::move(*call.error);
+    }
+    return std::move(call.reply);
+}
+
+auto PeerLink::notify(const std::string &method, json payload) -> bool
+{
+    if (!isReady() || isQueueFull()) {
+        return false;
+    }
+    lastUsed_ = BootClock::now();
+    return queue(NoticeFrame { method, std::move(payload) }).has_value();
+}
+
+auto PeerLink::openStream(const RequestHead &head) -> Result<OutboundCall>
+{
+    if (!isReady()) {
+        return failure(ErrorCode::Unavailable, "the link to " + toString(remote()) + " takes no streams");
+    }
+    const uint64_t id = nextOutboundId(table_);
+    BOOST_OUTCOME_TRY(queue(OpenFrame { id, head }));
+    lastUsed_ = BootClock::now();
+    shared_->streamsOpened.add();
+    auto stream = std::make_shared<LinkStream>(shared_from_this(), startStream(table_, id));
+    streams_.emplace(id, stream);
+    return stream->makeOutboundCall();
+}
+
+void PeerLink::sayGoodbye()
+{
+    if (isReady() && table_.role == LinkRole::Acceptor) {
+        static_cast<void>(queue(GoodbyeFrame {}));
+    }
+}
+
+auto PeerLink::queue(const Frame &frame) -> Result<void>
+{
+    if (phase_ == Phase::Closed) {
+        return closedError("the link to " + toString(remote()) + " is closed");
+    }
+    const size_t before = out_.size();
+    encodeFrame(frame, out_);
+    const size_t limit = shared_->options.maxFrameBytes;
+    if (out_.size() - before > limit) {
+        const size_t size = out_.size() - before;
+        out_.resize(before);
+        return failure(ErrorCode::TooLarge, "frame of " + std::to_string(size) + " bytes");
+    }
+    if (out_.size() > limit) {
+        sendBuffered(before);
+    }
+    if (!flushScheduled_) {
+        flushScheduled_ = true;
+        boost::asio::post(shared_->runtime.context(), [self = shared_from_this()] {
+            self->flushScheduled_ = false;
+            self->flush();
+        });
+    }
+    return success();
+}
+
+void PeerLink::sendBuffered(size_t bytes)
+{
+    socket_->send(std::string_view(out_).substr(0, bytes));
+    if (out_.capacity() > kKeptBufferBytes && bytes == out_.size()) {
+        std::string().swap(out_);
+    } else {
+        out_.erase(0, bytes);
+    }
+}
+
+void PeerLink::flush()
+{
+    if (!out_.empty()) {
+        sendBuffered(out_.size());
+    }
+}
+
+void PeerLink::onDrained()
+{
+    if (isQueueFull()) {
+        return;
+    }
+    for (const auto &[id, stream] : streams_) {
+        stream->wakeWriter();
+    }
+}
+
+void PeerLink::settle(const StreamState &stream)
+{
+    if (!stream.live && streams_.erase(stream.id) > 0) {
+        lastUsed_ = BootClock::now();
+        shared_->changed.notify();
+    }
+}
+
+void PeerLink::close(const Error &why)
+{
+    if (phase_ == Phase::Closed) {
+        return;
+    }
+    const auto self = shared_from_this();
+    const bool wasReady = phase_ == Phase::Ready;
+    flush();
+    phase_ = Phase::Closed;
+    handshakeTimer_.reset();
+    socket_->close(why.message);
+    if (wasReady) {
+        --shared_->openLinks;
+        shared_->linksOpen.set(static_cast<double>(shared_->openLinks));
+    }
+    const Error cut = why.code == ErrorCode::Closed ? why : closedError("link lost: " + why.message);
+    for (auto &[id, call] : std::exchange(calls_, {})) {
+        call->done = true;
+        call->error = cut;
+        call->event.notify();
+    }
+    static_cast<void>(cutAll(table_, cut));
+    for (auto &[id, stream] : std::exchange(streams_, {})) {
+        stream->wake();
+    }
+    observer_.closed(why);
+    shared_->changed.notify();
+}
+
+void PeerLink::onSocketClosed(SocketEnd end, const std::string &reason)
+{
+    if (phase_ == Phase::Ready) {
+        if (end == SocketEnd::Violation) {
+            shared_->violations.add();
+            logEvent(EventId::PeerFrameInvalid,
+                     { { "node", peer_.node.value }, { "remote", toString(remote()) }, { "reason", reason } });
+        } else if (end == SocketEnd::Lost) {
+            logEvent(EventId::PeerLost,
+                     { { "node", peer_.node.value }, { "remote", toString(remote()) }, { "reason", reason } });
+        }
+    }
+    close(closedError(reason));
+    const auto gone = std::exchange(observer_, {}).gone;
+    gone();
+    shared_->changed.notify();
+}
+
+void PeerLink::tick(TimePoint now)
+{
+    const auto &options = shared_->options;
+    const Duration silent = now - socket_->lastReceived();
+    if (phase_ != Phase::Ready) {
+        return;
+    }
+    if (silent >= options.deadAfter) {
+        logEvent(EventId::PeerLost,
+                 { { "node", peer_.node.value }, { "remote", toString(remote()) }, { "reason", "nothing received" } });
+        close(closedError("nothing received from " + toString(remote())));
+        return;
+    }
+    const bool isUnused = draining_ || now - lastUsed_ >= options.idleTimeout;
+    if (table_.role == LinkRole::Dialler && !inUse() && isUnused) {
+        close(closedError("the link is not in use"));
+        return;
+    }
+    if (silent >= options.pingInterval) {
+        socket_->ping();
+    }
+}
+
+auto PeerLink::isReady() const -> bool
+{
+    return phase_ == Phase::Ready;
+}
+
+auto PeerLink::isDraining() const -> bool
+{
+    return draining_;
+}
+
+auto PeerLink::inUse() const -> bool
+{
+    return !calls_.empty() || !streams_.empty();
+}
+
+auto PeerLink::queuedBytes() const -> size_t
+{
+    return out_.size() + socket_->queuedBytes();
+}
+
+auto PeerLink::unreadBytes() const -> size_t
+{
+    size_t bytes = 0;
+    for (const auto &[id, stream] : streams_) {
+        bytes += stream->state().unreadBytes;
+    }
+    return bytes;
+}
+
+auto PeerLink::isQueueFull() const -> bool
+{
+    return queuedBytes() >= shared_->options.maxQueuedBytes;
+}
+
+auto PeerLink::table() -> StreamTable &
+{
+    return table_;
+}
+
+auto PeerLink::role() const -> LinkRole
+{
+    return table_.role;
+}
+
+auto PeerLink::remote() const -> Endpoint
+{
+    return socket_->remote();
+}
+
+} // namespace snipestream
