--- /dev/null
+++ b/config/relay.h
@@ -0,0 +1,78 @@
+#pragma once
+
+#include "core/ids.h"
+#include "core/result.h"
+#include "platform/log_client.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace snipestream {
+
+/// Nodes per failure domain that poll the log.
+inline constexpr size_t kRelaysPerDomain = 3;
+
+/// Returns the relays of a failure domain among its nodes, the best first; the same on every node that knows the same
+/// nodes.
+auto relaysOf(const DomainName &domain, const std::vector<NodeName> &nodesOfDomain) -> std::vector<NodeName>;
+
+/// The last records that a node folded, for nodes that ask for them.
+struct RecordHistory
+{
+    /// Without gaps.
+    std::deque<LogRecord> records;
+    size_t bytes = 0;
+    /// The oldest records leave above this.
+    size_t maxBytes = size_t { 1024 } * 1024;
+};
+
+/// Adds a folded record. A record that does not follow the last one restarts the history.
+void rememberRecord(RecordHistory &history, const LogRecord &record);
+
+/// Answer to "records since offset" (config.records).
+struct RecordsAnswer
+{
+    std::vector<LogRecord> records;
+    /// Offset up to which the answering node has folded. If it is above the asked offset and there are no records, the
+    /// asking node needs the state (config.state).
+    uint64_t nextOffset = 0;
+};
+
+/// Returns the records from `fromOffset` on, at most `maxBytes` of payload but at least one if there is any.
+auto recordsSince(const RecordHistory &history, uint64_t nextOffset, uint64_t fromOffset, size_t maxBytes)
+    -> RecordsAnswer;
+
+/// What to do with an answer.
+enum class CatchUpStep {
+    /// The peer knows nothing newer.
+    Nothing,
+    /// Fold `records`.
+    ApplyRecords,
+    /// The peer is ahead but no longer has the records; ask it for its state.
+    TakeState,
+};
+
+struct CatchUp
+{
+    CatchUpStep step = CatchUpStep::Nothing;
+    /// Records from the own offset on, without gaps.
+    std::vector<LogRecord> records;
+};
+
+/// Returns the records that continue at `nextOffset` without gap; older ones are dropped, as are all after a gap.
+auto contiguousFrom(uint64_t nextOffset, const std::vector<LogRecord> &offered) -> std::vector<LogRecord>;
+
+/// Decides what a node at `nextOffset` does with a peer's answer; never goes backwards.
+auto planCatchUp(uint64_t nextOffset, const RecordsAnswer &answer) -> CatchUp;
+
+/// Encodes an answer for the peer link (JSON text).
+auto encodeRecordsAnswer(const RecordsAnswer &answer) -> std::string;
+
+/// Reads an answer. ErrorCode::InvalidInput: it does not parse.
+auto decodeRecordsAnswer(std::string_view text) -> Result<RecordsAnswer>;
+
+} // namespace snipestream
