Add the HTTP log client, its blocking transport and a log stand-in

Cause: nodes and operators read and append configuration on the platform's log, and failure tests need a log that is down, slow, loses answers after the append took effect, or drops old records.

The client is a thin layer over a transport function, so the node can bring one that blocks only a fiber. A page with a gap, a wrong first offset or a record beyond its head is a protocol violation, because the fold relies on contiguous offsets. Errors tell whether a request may have had an effect.

Ruled out: synchronous Beast operations with a timeout; Beast applies timeouts only to asynchronous ones, so each call runs a private io_context.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -42,14 +42,19 @@
   endif()
 endfunction()
 
-# Builds every tests/standins/NAME.cpp into the program NAME: small stand-ins for the systems around a node.
+# Builds tests/standins/*.cpp into the library sns_standins and every NAME_main.cpp there into the program NAME: small
+# stand-ins for the systems around a node.
 function(snipestream_standins)
+  file(GLOB SHARED CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/standins/*.cpp)
+  list(FILTER SHARED EXCLUDE REGEX "_main\\.cpp$")
+  add_library(sns_standins STATIC ${SHARED})
+  target_link_libraries(sns_standins PUBLIC sns_platform)
   file(GLOB SOURCES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/tests/standins/*_main.cpp)
   foreach(SOURCE IN LISTS SOURCES)
     get_filename_component(NAME ${SOURCE} NAME_WE)
     string(REPLACE "_main" "" NAME ${NAME})
     add_executable(${NAME} ${SOURCE})
-    target_link_libraries(${NAME} PRIVATE sns_node absl::flags absl::flags_parse absl::flags_usage)
+    target_link_libraries(${NAME} PRIVATE sns_node sns_standins absl::flags absl::flags_parse absl::flags_usage)
     set_target_properties(${NAME} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/standins)
   endforeach()
 endfunction()
