--- a/config/catch_up.h
+++ b/config/catch_up.h
@@ -17,6 +17,8 @@
 {
     std::vector<FoldOutcome> outcomes;
     bool snapshotAdopted = false;
+    /// Keys that stopped authenticating through records or the snapshot.
+    std::vector<KeyId> withdrawnKeys;
     /// From the log's last answer.
     uint64_t head = 0;
     uint64_t earliest = 0;
@@ -27,7 +29,8 @@
 
 /// Reads the configuration stream from the state's offset to its head and folds it. If records in between have expired,
 /// first adopts a snapshot from the log. Records folded before an error stay folded. Errors: those of the log;
-/// Unavailable if the records have expired and the log holds no complete snapshot that continues (ask a peer then).
+/// Unavailable if the records have expired and the log holds no complete snapshot that continues (ask a peer then);
+/// ProtocolViolation if the log ends below the state's offset, so that it has lost records.
 auto catchUpFromLog(ConfigFold &fold, const LogClient &log, size_t pageRecords, int64_t nowMs,
                     const FoldListener &listener = {}) -> Result<CatchUpOutcome>;
 
--- /dev/null
+++ b/config/change_check.cpp
@@ -0,0 +1,186 @@
+#include "config/change_check.h"
+
+#include "config/text.h"
+
+#include <algorithm>
+#include <map>
+#include <optional>
+#include <set>
+
+namespace snipestream {
+
+namespace {
+
+/// Adds who published a revision, as far as the audit trail still has it.
+auto winnerText(const ConfigState &state, const std::string &id, uint64_t revision, const char *action) -> std::string
+{
+    std::string text = "rule \"" + id + "\" was " + action + " at revision " + std::to_string(revision);
+    const auto entry = std::find_if(state.audit.rbegin(), state.audit.rend(), [revision](const AuditEntry &candidate) {
+        return candidate.verdict == Verdict::Applied && candidate.revision == revision;
+    });
+    return entry == state.audit.rend() ? text : text + " by " + entry->by;
+}
+
+/// Returns what won against the change for one rule; empty if nothing did.
+auto conflictOf(const ConfigState &state, const std::string &id, uint64_t base) -> std::string
+{
+    const auto current = state.rules.find(id);
+    if (current != state.rules.end()) {
+        return current->second.revision > base ? winnerText(state, id, current->second.revision, "changed")
+                                               : std::string();
+    }
+    const RemovedRules &removed = removalsFor(state, id);
+    const auto removal = removed.revisions.find(id);
+    if (removal != removed.revisions.end()) {
+        return removal->second > base ? winnerText(state, id, removal->second, "removed") : std::string();
+    }
+    if (removed.forgottenRevision > base) {
+        return "rule \"" + id + "\" may have been removed up to revision " + std::to_string(removed.forgottenRevision)
+            + ", which is no longer recorded";
+    }
+    return {};
+}
+
+/// The rules as the change would leave them, looked up without copying the state.
+class ChangedRules
+{
+public:
+    ChangedRules(const ConfigState &state, const ChangeRecord &change)
+        : state_(state)
+        , removals_(change.removals.begin(), change.removals.end())
+    {
+        for (const Rule &rule : change.upserts) {
+            upserts_[ruleId(rule)] = &rule;
+        }
+    }
+
+    [[nodiscard]] auto find(const std::string &id) const -> const Rule *
+    {
+        const auto upsert = upserts_.find(id);
+        if (upsert != upserts_.end()) {
+            return upsert->second;
+        }
+        const auto current = state_.rules.find(id);
+        return removals_.count(id) != 0 || current == state_.rules.end() ? nullptr : &current->second.rule;
+    }
+
+private:
+    const ConfigState &state_;
+    std::set<std::string> removals_;
+    std::map<std::string, const Rule *> upserts_;
+};
+
+auto checkKey(const ConfigState &state, const ChangedRules &after, const KeyRule &key) -> std::string
+{
+    const std::string id = "key " + key.id.value;
+    const auto withdrawn = state.removedKeys.revisions.find(id);
+    if (withdrawn != state.removedKeys.revisions.end()) {
+        return "key id " + key.id.value + " was withdrawn at revision " + std::to_string(withdrawn->second)
+            + " and cannot be used again; make a key with a new id";
+    }
+    const auto current = state.index.keys.find(key.id);
+    if (current != state.index.keys.end()
+        && (current->second.team != key.team || current->second.salt != key.salt || current->second.hmac != key.hmac)) {
+        return "key " + key.id.value + " cannot change its hash or team; make a key with a new id and remove this one";
+    }
+    if (after.find("team " + key.team.value) == nullptr) {
+        return "key " + key.id.value + " names the team " + key.team.value + ", which has no rule";
+    }
+    return {};
+}
+
+auto checkRoutes(const ConfigState &state, const ChangeRecord &change, const ChangedRules &after) -> std::string
+{
+    std::map<std::string, RouteName> newPaths;
+    for (const Rule &rule : change.upserts) {
+        const auto *route = std::get_if<RouteRule>(&rule);
+        if (route == nullptr) {
+            continue;
+        }
+        const std::string path = route->method + " " + route->pathPrefix;
+        const auto [first, isFree] = newPaths.emplace(path, route->name);
+        if (!isFree) {
+            return "routes " + first->second.value + " and " + route->name.value + " both match " + path;
+        }
+        const auto current = state.index.routes.find(path);
+        if (current == state.index.routes.end() || current->second.name == route->name) {
+            continue;
+        }
+        const Rule *other = after.find("route " + current->second.name.value);
+        if (other != nullptr
+            && std::get<RouteRule>(*other).method + " " + std::get<RouteRule>(*other).pathPrefix == path) {
+            return "routes " + current->second.name.value + " and " + route->name.value + " both match " + path;
+        }
+    }
+    return {};
+}
+
+auto checkRemovedTeams(const ConfigState &state, const ChangeRecord &change, const ChangedRules &after) -> std::string
+{
+    const bool removesTeam = std::any_of(change.removals.begin(), change.removals.end(), [](const std::string &id) {
+        return id.compare(0, 5, "team ") == 0;
+    });
+    if (!removesTeam) {
+        return {};
+    }
+    for (const auto &[id, key] : state.index.keys) {
+        if (after.find("key " + id.value) != nullptr && after.find("team " + key.team.value) == nullptr) {
+            return "team " + key.team.value + " still has the key " + id.value + "; remove both in one change";
+        }
+    }
+    return {};
+}
+
+auto findInvalid(const ConfigState &state, const ChangeRecord &change) -> std::string
+{
+    const ChangedRules after(state, change);
+    for (const std::string &id : change.removals) {
+        if (state.rules.count(id) == 0) {
+            return "there is no rule " + inQuotes(id) + " to remove";
+        }
+    }
+    for (const Rule &rule : change.upserts) {
+        const auto *key = std::get_if<KeyRule>(&rule);
+        std::string reason = key == nullptr ? std::string() : checkKey(state, after, *key);
+        if (!reason.empty()) {
+            return reason;
+        }
+    }
+    std::string routes = checkRoutes(state, change, after);
+    return routes.empty() ? checkRemovedTeams(state, change, after) : routes;
+}
+
+} // namespace
+
+auto checkChange(const ConfigState &state, const ChangeRecord &change) -> ChangeCheck
+{
+    if (change.baseRevision > state.revision) {
+        return ChangeCheck { Verdict::Invalid,
+                             "base revision " + std::to_string(change.baseRevision) + " is above the revision "
+                                 + std::to_string(state.revision) + " in force" };
+    }
+    std::vector<std::string> touched = change.removals;
+    for (const Rule &rule : change.upserts) {
+        touched.push_back(ruleId(rule));
+    }
+    if (touched.empty()) {
+        return ChangeCheck { Verdict::Invalid, "the change touches no rule" };
+    }
+    std::set<std::string> distinct;
+    for (const std::string &id : touched) {
+        if (!distinct.insert(id).second) {
+            return ChangeCheck { Verdict::Invalid, "the change touches " + inQuotes(id) + " twice" };
+        }
+    }
+    for (const std::string &id : touched) {
+        const std::string winner = conflictOf(state, id, change.baseRevision);
+        if (!winner.empty()) {
+            return ChangeCheck { Verdict::Conflict,
+                                 winner + ", after base revision " + std::to_string(change.baseRevision) };
+        }
+    }
+    const std::string invalid = findInvalid(state, change);
+    return ChangeCheck { invalid.empty() ? Verdict::Applied : Verdict::Invalid, invalid };
+}
+
+} // namespace snipestream
--- a/config/config_state.h
+++ b/config/config_state.h
@@ -19,9 +19,11 @@
 /// entries recognise repeated change ids.
 inline constexpr size_t kMaxAuditEntries = 4096;
 
-/// Ids of removed rules that are kept. A change based on a revision before the newest forgotten removal is rejected if
-/// it touches a rule that does not exist, so that the limit never lets a removed rule return unnoticed.
-inline constexpr size_t kMaxRemovedRules = 65536;
+/// Withdrawn key ids that are kept and can not be used again; about 80 days at 400 withdrawals a day.
+inline constexpr size_t kMaxRemovedKeys = 32768;
+
+/// Ids of other removed rules that are kept.
+inline constexpr size_t kMaxRemovedRules = 8192;
 
 /// What the fold decided about a record.
 enum class Verdict {
@@ -76,6 +78,16 @@
     std::unordered_map<std::string, RouteRule> routes;
 };
 
+/// Rules that were removed, as far as they are kept.
+struct RemovedRules
+{
+    /// Rule id -> revision that removed it.
+    std::map<std::string, uint64_t> revisions;
+    /// Highest revision of a removal that is no longer kept. A change with a lower base is rejected if it touches a
+    /// rule that does not exist, so that the bound never lets a removed rule return unnoticed.
+    uint64_t forgottenRevision = 0;
+};
+
 /// The configuration: the fold of all records below `nextOffset`. Nodes with the same `nextOffset` have the same state,
 /// except for the times in the audit trail.
 struct ConfigState
@@ -86,12 +98,10 @@
     uint64_t revision = 0;
     /// Rules in force by rule id.
     std::map<std::string, RuleEntry> rules;
-    /// Removed rules: rule id -> revision that removed it. A removed key id cannot be used again.
-    std::map<std::string, uint64_t> removedRules;
-    /// The same by revision, so that the oldest is forgotten first.
-    std::multimap<uint64_t, std::string> removedByRevision;
-    /// Highest revision of a removal that is no longer kept.
-    uint64_t forgottenRevision = 0;
+    /// Keys that were withdrawn. Their ids cannot be used again.
+    RemovedRules removedKeys;
+    /// Other rules that were removed.
+    RemovedRules removedRules;
     std::deque<AuditEntry> audit;
     /// Change id -> offset of its first record, for the entries in `audit`.
     std::unordered_map<std::string, uint64_t> changeOffsets;
@@ -120,15 +130,16 @@
 /// Returns all rules in force, sorted by rule id.
 auto rulesInForce(const ConfigState &state) -> std::vector<Rule>;
 
+/// Returns the removals that a rule id belongs to: those of keys or those of other rules.
+auto removalsFor(const ConfigState &state, const std::string &id) -> const RemovedRules &;
+
 /// Puts a rule into the state with the revision that changed it, index included. Used by the fold and by snapshots.
 void putRule(ConfigState &state, const Rule &rule, uint64_t revision);
 
-/// Takes a rule out of the state, index included, and remembers the removal.
+/// Takes a rule out of the state, index included, and remembers the removal. The oldest removal is forgotten above the
+/// bound.
 void removeRule(ConfigState &state, const std::string &id, uint64_t revision);
 
-/// Remembers a removal, forgetting the oldest one above kMaxRemovedRules.
-void rememberRemoval(ConfigState &state, const std::string &id, uint64_t revision);
-
 /// Adds an entry to the audit trail, dropping the oldest one above kMaxAuditEntries.
 void addAuditEntry(ConfigState &state, AuditEntry entry);
 
--- a/config/fold.h
+++ b/config/fold.h
@@ -41,7 +41,7 @@
 struct FoldOutcome
 {
     uint64_t offset = 0;
-    /// "change", "snapshot", the name of a section, or empty if the record does not parse.
+    /// "change", "snapshot", the name of a section or an unknown kind; empty if the record does not parse.
     std::string kind;
     Verdict verdict = Verdict::Unreadable;
     std::string changeId;
@@ -54,8 +54,10 @@
     std::vector<KeyId> withdrawnKeys;
 };
 
-/// Folds the record at `state.nextOffset`. A record with any other offset breaks an invariant (CHECK): callers select
-/// records with contiguousFrom() first. `nowMs` is the wall-clock time for the audit trail.
+/// Folds the record at `state.nextOffset`. A record of an unknown kind only moves the offset, so that programs without
+/// some sections (the operator tool) and later versions fold the rules alike. A record with any other offset breaks an
+/// invariant (CHECK): callers select records with contiguousFrom() first. `nowMs` is the wall-clock time for the audit
+/// trail.
 auto applyRecord(ConfigFold &fold, const LogRecord &record, int64_t nowMs) -> FoldOutcome;
 
 /// Writes the event that goes with an outcome (SNS2001 to SNS2003); nothing for sections and snapshots that applied.
--- /dev/null
+++ b/config/relay.cpp
@@ -0,0 +1,120 @@
+#include "config/relay.h"
+
+#include "config/json_reader.h"
+#include "core/hash.h"
+
+#include <limits>
+
+#include <nlohmann/json.hpp>
+
+namespace snipestream {
+
+namespace {
+constexpr uint64_t kMaxNumber = std::numeric_limits<uint64_t>::max();
+} // namespace
+
+auto relaysOf(const DomainName &domain, const std::vector<NodeName> &nodesOfDomain) -> std::vector<NodeName>
+{
+    std::vector<std::string> names;
+    names.reserve(nodesOfDomain.size());
+    for (const NodeName &node : nodesOfDomain) {
+        names.push_back(node.value);
+    }
+    std::vector<NodeName> relays;
+    for (const size_t index : rendezvousOrder("relay " + domain.value, names, kRelaysPerDomain)) {
+        relays.push_back(nodesOfDomain[index]);
+    }
+    return relays;
+}
+
+void rememberRecord(RecordHistory &history, const LogRecord &record)
+{
+    if (!history.records.empty() && history.records.back().offset + 1 != record.offset) {
+        history.records.clear();
+        history.bytes = 0;
+    }
+    history.records.push_back(record);
+    history.bytes += record.payload.size();
+    while (history.bytes > history.maxBytes && history.records.size() > 1) {
+        history.bytes -= history.records.front().payload.size();
+        history.records.pop_front();
+    }
+}
+
+auto recordsSince(const RecordHistory &history, uint64_t nextOffset, uint64_t fromOffset, size_t maxBytes)
+    -> RecordsAnswer
+{
+    RecordsAnswer answer;
+    answer.nextOffset = nextOffset;
+    if (history.records.empty() || fromOffset < history.records.front().offset) {
+        return answer;
+    }
+    size_t bytes = 0;
+    for (size_t i = fromOffset - history.records.front().offset; i < history.records.size(); ++i) {
+        const LogRecord &record = history.records[i];
+        bytes += record.payload.size();
+        if (bytes > maxBytes && !answer.records.empty()) {
+            return answer;
+        }
+        answer.records.push_back(record);
+    }
+    return answer;
+}
+
+auto contiguousFrom(uint64_t nextOffset, const std::vector<LogRecord> &offered) -> std::vector<LogRecord>
+{
+    std::vector<LogRecord> records;
+    for (const LogRecord &record : offered) {
+        if (record.offset == nextOffset + records.size()) {
+            records.push_back(record);
+        } else if (record.offset > nextOffset + records.size()) {
+            break;
+        }
+    }
+    return records;
+}
+
+auto planCatchUp(uint64_t nextOffset, const RecordsAnswer &answer) -> CatchUp
+{
+    CatchUp plan;
+    plan.records = contiguousFrom(nextOffset, answer.records);
+    if (!plan.records.empty()) {
+        plan.step = CatchUpStep::ApplyRecords;
+    } else if (answer.nextOffset > nextOffset) {
+        plan.step = CatchUpStep::TakeState;
+    }
+    return plan;
+}
+
+auto encodeRecordsAnswer(const RecordsAnswer &answer) -> std::string
+{
+    nlohmann::json records = nlohmann::json::array();
+    for (const LogRecord &record : answer.records) {
+        records.push_back({ { "offset", record.offset }, { "payload", record.payload } });
+    }
+    return dumpJson(nlohmann::json { { "nextOffset", answer.nextOffset }, { "records", std::move(records) } });
+}
+
+auto decodeRecordsAnswer(std::string_view text) -> Result<RecordsAnswer>
+{
+    std::vector<JsonError> errors;
+    const nlohmann::json document = parseJsonText(text, errors);
+    JsonReader reader(document, "$", errors);
+    RecordsAnswer answer;
+    answer.nextOffset = reader.number("nextOffset", 0, kMaxNumber);
+    for (const auto &[element, path] : reader.list("records")) {
+        JsonReader fields(*element, path, errors);
+        LogRecord record;
+        record.offset = fields.number("offset", 0, kMaxNumber - 1);
+        record.payload = fields.text("payload");
+        fields.finish();
+        answer.records.push_back(std::move(record));
+    }
+    reader.finish();
+    if (!errors.empty()) {
+        return failure(ErrorCode::InvalidInput, joinErrors(errors, "; "));
+    }
+    return answer;
+}
+
+} // namespace snipestream
--- a/config/settings.h
+++ b/config/settings.h
@@ -1,12 +1,13 @@
 #pragma once
 
+#include "config/json_reader.h"
+#include "config/snapshot.h"
 #include "core/ids.h"
 #include "core/result.h"
 #include "core/time.h"
 
 #include <cstddef>
 #include <cstdint>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -38,15 +39,6 @@
     size_t maxConnections = 4096;
 };
 
-/// How the log keeps the configuration stream; decides when snapshots are due.
-struct RetentionSettings
-{
-    /// Records are kept for this long.
-    Duration age = std::chrono::hours(48);
-    /// At least this many records are kept; 0 if the log has no such limit.
-    uint64_t records = 0;
-};
-
 /// Settings of snipestreamd.
 struct Settings
 {
@@ -65,24 +57,17 @@
     std::vector<Endpoint> seedPeers;
     TimeoutSettings timeouts;
     LimitSettings limits;
-    RetentionSettings retention;
+    /// How long the log keeps records; decides when snapshots are due.
+    Retention retention { std::chrono::hours(48), 0 };
     /// Time from the stop signal until requests that still run are cut.
     Duration shutdownDeadline = seconds(30);
 };
 
-/// An error in the settings file.
-struct SettingsError
-{
-    /// JSON path of the field, such as "$.limits.maxBodyBytes".
-    std::string path;
-    std::string message;
-};
-
 /// Settings, or every error of the file at once.
 struct SettingsResult
 {
     Settings settings;
-    std::vector<SettingsError> errors;
+    std::vector<JsonError> errors;
 };
 
 /// Parses the text of a settings file. Unknown fields, missing required fields and values out of range are errors.
--- a/config/snapshot.h
+++ b/config/snapshot.h
@@ -25,9 +25,18 @@
 /// Returns the state with all sections as a snapshot. Times of the audit trail and the key cache are not in it.
 auto takeSnapshot(const ConfigFold &fold) -> Snapshot;
 
-/// Replaces the state by a snapshot if its offset is higher. Returns whether it did. ErrorCode::InvalidInput: the text
+/// What became of an offered snapshot.
+struct Adoption
+{
+    /// False if the snapshot's offset is not higher than the own one; nothing changed then.
+    bool adopted = false;
+    /// Keys that no longer authenticate.
+    std::vector<KeyId> withdrawnKeys;
+};
+
+/// Replaces the state by a snapshot if its offset is higher. ErrorCode::InvalidInput: the text
 /// does not parse or lacks a section; the state is then as it was. `nowMs` is the time for the audit trail.
-auto adoptSnapshot(ConfigFold &fold, const Snapshot &snapshot, int64_t nowMs) -> Result<bool>;
+auto adoptSnapshot(ConfigFold &fold, const Snapshot &snapshot, int64_t nowMs) -> Result<Adoption>;
 
 /// One piece of a snapshot, small enough for one log record or one frame between nodes.
 struct SnapshotPart
@@ -62,9 +71,17 @@
 /// Adds a part, in any order. Returns the snapshot once it is complete and its hash is right.
 auto addSnapshotPart(SnapshotAssembly &assembly, SnapshotPart part) -> std::optional<Snapshot>;
 
-/// Returns whether a new snapshot has to be published: the oldest record or snapshot that a starting node needs is at
-/// half of the retention, by age or by count. `earliest` and `head` are those of the log's last answer.
-auto isSnapshotDue(const ConfigState &state, uint64_t head, Duration retentionAge, uint64_t retentionRecords,
-                   int64_t nowMs) -> bool;
+/// How long the log keeps the configuration stream.
+struct Retention
+{
+    Duration age {};
+    /// Records that are kept; 0 if the log has no such limit.
+    uint64_t records = 0;
+};
+
+/// Returns whether a new snapshot has to be published: there was none yet, or the newest one is at half of the
+/// retention, by age or by count. A snapshot whose time lies in the future by more than a minute counts as old, so that
+/// one wrong clock cannot stop the publication.
+auto isSnapshotDue(const ConfigState &state, const Retention &retention, int64_t nowMs) -> bool;
 
 } // namespace snipestream
