--- a/config/change.cpp
+++ b/config/change.cpp
@@ -35,7 +35,7 @@
     for (const Rule &rule : change.upserts) {
         upserts.push_back(formatRule(rule));
     }
-    return dumpJson(Json { { "kind", "change" },
+    return dumpJson(Json { { "type", "change" },
                            { "id", change.id },
                            { "base", change.baseRevision },
                            { "by", change.by },
@@ -49,8 +49,8 @@
     const Json document = parseJsonText(payload, errors);
     JsonReader reader(document, "$", errors);
     ChangeRecord change;
-    if (reader.text("kind") != "change") {
-        reader.addError("kind", "is not \"change\"");
+    if (reader.text("type") != "change") {
+        reader.addError("type", "is not \"change\"");
     }
     change.id = reader.text("id");
     if (change.id.empty() || change.id.size() > kMaxIdBytes) {
--- a/config/change_check.cpp
+++ b/config/change_check.cpp
@@ -16,7 +16,7 @@
 {
     std::string text = "rule \"" + id + "\" was " + action + " at revision " + std::to_string(revision);
     const auto entry = std::find_if(state.audit.rbegin(), state.audit.rend(), [revision](const AuditEntry &candidate) {
-        return candidate.verdict == Verdict::Applied && candidate.revision == revision;
+        return candidate.verdict == ChangeVerdict::Applied && candidate.revision == revision;
     });
     return entry == state.audit.rend() ? text : text + " by " + entry->by;
 }
@@ -155,7 +155,7 @@
 auto checkChange(const ConfigState &state, const ChangeRecord &change) -> ChangeCheck
 {
     if (change.baseRevision > state.revision) {
-        return ChangeCheck { Verdict::Invalid,
+        return ChangeCheck { ChangeVerdict::Invalid,
                              "base revision " + std::to_string(change.baseRevision) + " is above the revision "
                                  + std::to_string(state.revision) + " in force" };
     }
@@ -164,23 +164,23 @@
         touched.push_back(ruleId(rule));
     }
     if (touched.empty()) {
-        return ChangeCheck { Verdict::Invalid, "the change touches no rule" };
+        return ChangeCheck { ChangeVerdict::Invalid, "the change touches no rule" };
     }
     std::set<std::string> distinct;
     for (const std::string &id : touched) {
         if (!distinct.insert(id).second) {
-            return ChangeCheck { Verdict::Invalid, "the change touches " + inQuotes(id) + " twice" };
+            return ChangeCheck { ChangeVerdict::Invalid, "the change touches " + inQuotes(id) + " twice" };
         }
     }
     for (const std::string &id : touched) {
         const std::string winner = conflictOf(state, id, change.baseRevision);
         if (!winner.empty()) {
-            return ChangeCheck { Verdict::Conflict,
+            return ChangeCheck { ChangeVerdict::Conflict,
                                  winner + ", after base revision " + std::to_string(change.baseRevision) };
         }
     }
     const std::string invalid = findInvalid(state, change);
-    return ChangeCheck { invalid.empty() ? Verdict::Applied : Verdict::Invalid, invalid };
+    return ChangeCheck { invalid.empty() ? ChangeVerdict::Applied : ChangeVerdict::Invalid, invalid };
 }
 
 } // namespace snipestream
--- a/config/change_check.h
+++ b/config/change_check.h
@@ -11,7 +11,7 @@
 struct ChangeCheck
 {
     /// Applied, Conflict or Invalid.
-    Verdict verdict = Verdict::Applied;
+    ChangeVerdict verdict = ChangeVerdict::Applied;
     /// Why not: for a conflict the rule, the revision and the operator that won.
     std::string detail;
 };
--- a/config/config_state.cpp
+++ b/config/config_state.cpp
@@ -69,18 +69,18 @@
 
 } // namespace
 
-auto verdictName(Verdict verdict) -> std::string_view
+auto verdictName(ChangeVerdict verdict) -> std::string_view
 {
     return kVerdictNames[static_cast<size_t>(verdict)];
 }
 
-auto parseVerdict(std::string_view name) -> std::optional<Verdict>
+auto parseVerdict(std::string_view name) -> std::optional<ChangeVerdict>
 {
     const auto *const found = std::find(kVerdictNames.begin(), kVerdictNames.end(), name);
     if (found == kVerdictNames.end()) {
         return std::nullopt;
     }
-    return static_cast<Verdict>(found - kVerdictNames.begin());
+    return static_cast<ChangeVerdict>(found - kVerdictNames.begin());
 }
 
 auto matchRoute(const ConfigState &state, std::string_view method, std::string_view path) -> Result<const RouteRule *>
--- a/config/config_state.h
+++ b/config/config_state.h
@@ -26,7 +26,7 @@
 inline constexpr size_t kMaxRemovedRules = 8192;
 
 /// What the fold decided about a record.
-enum class Verdict {
+enum class ChangeVerdict {
     Applied,
     Duplicate,
     Conflict,
@@ -35,10 +35,10 @@
 };
 
 /// Returns the name of the verdict, such as "applied".
-auto verdictName(Verdict verdict) -> std::string_view;
+auto verdictName(ChangeVerdict verdict) -> std::string_view;
 
 /// Parses a name such as "applied"; empty if there is no such verdict.
-auto parseVerdict(std::string_view name) -> std::optional<Verdict>;
+auto parseVerdict(std::string_view name) -> std::optional<ChangeVerdict>;
 
 /// One entry of the audit trail: what became of one change record.
 struct AuditEntry
@@ -46,7 +46,7 @@
     uint64_t offset = 0;
     std::string changeId;
     std::string by;
-    Verdict verdict = Verdict::Unreadable;
+    ChangeVerdict verdict = ChangeVerdict::Unreadable;
     /// Revision in force after the record.
     uint64_t revision = 0;
     /// Ids of the rules that the change touches; "-" marks a removal. At most kMaxAuditedRules, then "and <n> more".
--- a/config/fold.cpp
+++ b/config/fold.cpp
@@ -72,13 +72,13 @@
     outcome.by = textOf(document, "by");
     const auto decoded = decodeChange(record.payload);
     if (!decoded) {
-        outcome.verdict = outcome.changeId.empty() ? Verdict::Unreadable : Verdict::Invalid;
+        outcome.verdict = outcome.changeId.empty() ? ChangeVerdict::Unreadable : ChangeVerdict::Invalid;
         outcome.detail = decoded.error().message.substr(0, 1000);
         return {};
     }
     const ChangeRecord &change = decoded.value();
     if (const AuditEntry *earlier = findVerdict(fold.state, change.id)) {
-        outcome.verdict = Verdict::Duplicate;
+        outcome.verdict = ChangeVerdict::Duplicate;
         outcome.detail = "the change was " + std::string(verdictName(earlier->verdict)) + " at offset "
             + std::to_string(earlier->offset);
         return touchedRules(change);
@@ -86,7 +86,7 @@
     const ChangeCheck check = checkChange(fold.state, change);
     outcome.verdict = check.verdict;
     outcome.detail = check.detail;
-    if (check.verdict == Verdict::Applied) {
+    if (check.verdict == ChangeVerdict::Applied) {
         applyChange(fold, change, outcome);
     }
     return touchedRules(change);
@@ -96,11 +96,11 @@
 {
     const auto part = decodeSnapshotPart(record.payload);
     if (!part) {
-        outcome.verdict = Verdict::Invalid;
+        outcome.verdict = ChangeVerdict::Invalid;
         outcome.detail = part.error().message;
         return;
     }
-    outcome.verdict = Verdict::Applied;
+    outcome.verdict = ChangeVerdict::Applied;
     // Parts are appended in order and the writer stops at an error, so the last part means that all are there.
     if (part.value().part + 1 == part.value().parts && part.value().nextOffset <= record.offset) {
         state.snapshotOffset = part.value().nextOffset;
@@ -115,12 +115,12 @@
               return candidate.name == outcome.kind;
           });
     if (section == fold.sections.end()) {
-        outcome.verdict = Verdict::Unreadable;
+        outcome.verdict = ChangeVerdict::Unreadable;
         outcome.detail = "no section folds records of kind " + inQuotes(outcome.kind);
         return;
     }
     const auto applied = section->apply(record.offset, document);
-    outcome.verdict = applied ? Verdict::Applied : Verdict::Invalid;
+    outcome.verdict = applied ? ChangeVerdict::Applied : ChangeVerdict::Invalid;
     outcome.detail = applied ? std::string() : applied.error().message;
 }
 
@@ -147,18 +147,18 @@
     outcome.offset = record.offset;
     const Json document = record.payload.size() > kMaxRecordBytes ? Json(Json::value_t::discarded)
                                                                   : Json::parse(record.payload, nullptr, false);
-    outcome.kind = textOf(document, "kind");
+    outcome.kind = textOf(document, "type");
     fold.state.nextOffset = record.offset + 1;
     if (outcome.kind == "snapshot") {
         foldSnapshotPart(fold.state, record, outcome);
     } else if (outcome.kind == "change") {
         std::vector<std::string> touched = foldChange(fold, record, document, outcome);
-        fold.state.unreadableRecords += outcome.verdict == Verdict::Unreadable ? 1 : 0;
+        fold.state.unreadableRecords += outcome.verdict == ChangeVerdict::Unreadable ? 1 : 0;
         audit(fold.state, outcome, std::move(touched), nowMs);
     } else if (!outcome.kind.empty()) {
         foldSection(fold, record, document, outcome);
     } else {
-        outcome.verdict = Verdict::Unreadable;
+        outcome.verdict = ChangeVerdict::Unreadable;
         outcome.detail = "the record is larger than " + std::to_string(kMaxRecordBytes)
             + " bytes or no JSON object with a field \"kind\"";
         ++fold.state.unreadableRecords;
@@ -172,12 +172,12 @@
 {
     const std::string offset = std::to_string(outcome.offset);
     const std::string revision = std::to_string(outcome.revision);
-    if (outcome.verdict == Verdict::Unreadable) {
+    if (outcome.verdict == ChangeVerdict::Unreadable) {
         logEvent(EventId::ConfigRecordUnreadable, { { "offset", offset }, { "detail", outcome.detail } });
-    } else if (outcome.verdict != Verdict::Applied) {
+    } else if (outcome.verdict != ChangeVerdict::Applied) {
         logEvent(EventId::ConfigChangeRejected,
                  { { "offset", offset },
-                   { "kind", outcome.kind },
+                   { "type", outcome.kind },
                    { "change", outcome.changeId },
                    { "by", outcome.by },
                    { "verdict", std::string(verdictName(outcome.verdict)) },
--- a/config/fold.h
+++ b/config/fold.h
@@ -43,7 +43,7 @@
     uint64_t offset = 0;
     /// "change", "snapshot", the name of a section or an unknown kind; empty if the record does not parse.
     std::string kind;
-    Verdict verdict = Verdict::Unreadable;
+    ChangeVerdict verdict = ChangeVerdict::Unreadable;
     std::string changeId;
     std::string by;
     /// Revision in force after the record.
--- a/config/settings.cpp
+++ b/config/settings.cpp
@@ -191,6 +191,7 @@
     JsonReader reader(document, "$", result.errors);
     settings.node = NodeName(readName(reader, "node"));
     settings.domain = DomainName(readName(reader, "domain"));
+    settings.fleetSecret = reader.text("fleetSecret", "");
     settings.callerListen = readEndpoint(reader, "callerListen", Reach::Any);
     settings.peerListen = readEndpoint(reader, "peerListen", Reach::Specific);
     settings.targetListen = readEndpoint(reader, "targetListen", Reach::Loopback);
--- a/config/settings.h
+++ b/config/settings.h
@@ -44,6 +44,8 @@
 {
     NodeName node;
     DomainName domain;
+    /// Shared by all nodes of the fleet; a process without it cannot open a link to a node.
+    std::string fleetSecret;
     /// Callers connect here.
     Endpoint callerListen;
     /// Other nodes connect here; also the address that other nodes are told, so it is no wildcard.
--- a/config/snapshot.cpp
+++ b/config/snapshot.cpp
@@ -103,7 +103,7 @@
         if (!verdict) {
             fields.addError("verdict", "is not a verdict");
         }
-        entry.verdict = verdict.value_or(Verdict::Unreadable);
+        entry.verdict = verdict.value_or(ChangeVerdict::Unreadable);
         entry.revision = fields.number("revision", 0, kMaxNumber);
         entry.touched = fields.texts("touched");
         entry.detail = fields.text("detail");
@@ -244,7 +244,7 @@
 
 auto encodeSnapshotPart(const SnapshotPart &part) -> std::string
 {
-    return dumpJson(Json { { "kind", "snapshot" },
+    return dumpJson(Json { { "type", "snapshot" },
                            { "id", part.id },
                            { "nextOffset", part.nextOffset },
                            { "part", part.part },
@@ -260,8 +260,8 @@
     const Json document = parseJsonText(payload, errors);
     JsonReader reader(document, "$", errors);
     SnapshotPart part;
-    if (reader.text("kind") != "snapshot") {
-        reader.addError("kind", "is not \"snapshot\"");
+    if (reader.text("type") != "snapshot") {
+        reader.addError("type", "is not \"snapshot\"");
     }
     part.id = reader.text("id");
     part.nextOffset = reader.number("nextOffset", 0, kMaxNumber);
--- a/core/json_fields.cpp
+++ b/core/json_fields.cpp
@@ -25,6 +25,45 @@
     return found->get<std::string>();
 }
 
+auto JsonFields::shortText(const char *name) -> std::string
+{
+    constexpr size_t kMaxBytes = 255;
+    std::string value = text(name);
+    if (value.empty() || value.size() > kMaxBytes) {
+        reject("field '" + std::string(name) + "' is not a text of 1 to 255 bytes");
+        return {};
+    }
+    return value;
+}
+
+auto JsonFields::integer(const char *name, int64_t least, int64_t most) -> int64_t
+{
+    const auto *found = field(name);
+    if (found == nullptr) {
+        return least;
+    }
+    const bool tooLarge = found->is_number_unsigned() && found->get<uint64_t>() > static_cast<uint64_t>(INT64_MAX);
+    if (!found->is_number_integer() || tooLarge || found->get<int64_t>() < least || found->get<int64_t>() > most) {
+        reject("field '" + std::string(name) + "' is not an integer from " + std::to_string(least) + " to "
+               + std::to_string(most));
+        return least;
+    }
+    return found->get<int64_t>();
+}
+
+auto JsonFields::unsignedInteger(const char *name) -> uint64_t
+{
+    const auto *found = field(name);
+    if (found == nullptr) {
+        return 0;
+    }
+    if (!found->is_number_integer() || (!found->is_number_unsigned() && found->get<int64_t>() < 0)) {
+        reject("field '" + std::string(name) + "' is not an unsigned integer");
+        return 0;
+    }
+    return found->get<uint64_t>();
+}
+
 auto JsonFields::count(const char *name) -> int64_t
 {
     const auto *found = field(name);
--- a/core/json_fields.h
+++ b/core/json_fields.h
@@ -19,6 +19,12 @@
     explicit JsonFields(const nlohmann::json &json);
 
     auto text(const char *name) -> std::string;
+    /// Reads a text of 1 to 255 bytes, such as a name.
+    auto shortText(const char *name) -> std::string;
+    /// Reads an integer between the bounds, both included.
+    auto integer(const char *name, int64_t least, int64_t most) -> int64_t;
+    /// Reads an integer from 0 to 2^64 - 1.
+    auto unsignedInteger(const char *name) -> uint64_t;
     /// Reads an integer from 0 to 2^63 - 1.
     auto count(const char *name) -> int64_t;
     auto flag(const char *name) -> bool;
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -4,6 +4,7 @@
 #include "core/result.h"
 #include "core/time.h"
 #include "net/fiber_runtime.h"
+#include "platform/http_transport.h"
 
 #include <memory>
 #include <string>
@@ -44,13 +45,6 @@
     std::shared_ptr<State> state_;
 };
 
-/// A whole answer in memory.
-struct HttpAnswer
-{
-    int status = 0;
-    std::string body;
-};
-
 /// Sends a request with a body in memory and reads the whole answer, which may have at most 16 MiB.
 auto fetch(HttpClient &client, const RequestHead &head, const std::string &body) -> Result<HttpAnswer>;
 
--- a/http/http_connection.cpp
+++ b/http/http_connection.cpp
@@ -158,6 +158,12 @@
     return false;
 }
 
+auto HttpConnection::canDiscardBody(const Call &call) -> bool
+{
+    const auto remaining = call.parser.content_length_remaining();
+    return !call.expectsContinue && remaining && *remaining <= kMaxChunkBytes;
+}
+
 auto HttpConnection::handle(const std::shared_ptr<Call> &call) -> bool
 {
     auto &request = call->parser.get();
@@ -205,6 +211,11 @@
     call->ended = true;
     call->cancelHandlers.clear();
     // The functions of the exchange hold the call; releasing them breaks the cycle.
+    if (call->finished && !call->aborted && canDiscardBody(*call)) {
+        while (!call->parser.is_done() && readBody(call)) {
+            // The rest of a small body is read so that the connection can be used again.
+        }
+    }
     const bool keepAlive = call->finished && !call->aborted && !call->cancelled && call->parser.is_done()
         && request.keep_alive() && call->response.keep_alive() && !shared_->stopping;
     call->exchange = Exchange {};
@@ -279,7 +290,7 @@
     } else if (!bodyless) {
         call.response.chunked(true);
     }
-    const bool bodyComplete = call.parser.is_done();
+    const bool bodyComplete = call.parser.is_done() || canDiscardBody(call);
     call.response.keep_alive(request.keep_alive() && !shared_->stopping && !shared_->closeAnnounced && bodyComplete);
     call.response.body().data = nullptr;
     call.response.body().more = true;
--- a/http/http_connection.h
+++ b/http/http_connection.h
@@ -57,6 +57,8 @@
     void answerInvalid(int status, const std::string &detail);
     void lingerAndClose();
     static void cancelCall(Call &call);
+    /// Returns whether what is left of an unread request body is small enough to be read and dropped.
+    static auto canDiscardBody(const Call &call) -> bool;
 
     boost::asio::ip::tcp::socket socket_;
     Endpoint remote_;
--- /dev/null
+++ b/node/claim_messages.h
@@ -0,0 +1,36 @@
+#pragma once
+
+#include "core/result.h"
+#include "idempotency/claim.h"
+
+#include <nlohmann/json_fwd.hpp>
+
+namespace snipestream {
+
+/// Payload of `claim.end`.
+struct EndRequest
+{
+    ClaimKey key;
+    RequestId attempt;
+    Outcome outcome;
+};
+
+/// Payload of `claim.peek`.
+struct PeekRequest
+{
+    ClaimKey key;
+    uint32_t attemptNumber = 1;
+};
+
+auto toJson(const BeginRequest &request) -> nlohmann::json;
+auto toJson(const EndRequest &request) -> nlohmann::json;
+auto toJson(const PeekRequest &request) -> nlohmann::json;
+auto toJson(const ClaimVerdict &verdict) -> nlohmann::json;
+
+/// These fail with InvalidInput on a missing or wrong field and never throw.
+auto beginRequestFromJson(const nlohmann::json &json) -> Result<BeginRequest>;
+auto endRequestFromJson(const nlohmann::json &json) -> Result<EndRequest>;
+auto peekRequestFromJson(const nlohmann::json &json) -> Result<PeekRequest>;
+auto claimVerdictFromJson(const nlohmann::json &json) -> Result<ClaimVerdict>;
+
+} // namespace snipestream
--- /dev/null
+++ b/node/config_service.cpp
@@ -0,0 +1,358 @@
+#include "node/config_service.h"
+
+#include "config/catch_up.h"
+#include "config/snapshot.h"
+#include "core/events.h"
+#include "lease/table.h"
+
+#include <algorithm>
+#include <utility>
+#include <vector>
+
+namespace snipestream {
+
+namespace {
+
+constexpr const char *kRecordsMethod = "config.records";
+constexpr const char *kStateMethod = "config.state";
+
+/// How often a relay polls the log.
+constexpr Duration kLogPoll = milliseconds(250);
+/// How long a node that asks for records is kept waiting if there are none.
+constexpr Duration kLongPoll = seconds(1);
+constexpr Duration kLongPollStep = milliseconds(25);
+/// Pause after nobody answered.
+constexpr Duration kRetryPause = milliseconds(250);
+constexpr Duration kJoinRetry = seconds(2);
+constexpr size_t kPageRecords = 500;
+constexpr size_t kMaxAnswerBytes = 150 * 1024;
+
+/// Takes note of a record that was folded.
+void onFolded(NodeState &state, const LogRecord &record, const FoldOutcome &outcome)
+{
+    rememberRecord(state.history, record);
+    logOutcome(outcome);
+    ++state.foldGeneration;
+}
+
+void setLogReachable(NodeState &state, bool reachable, const std::string &detail)
+{
+    if (state.freshness.logReachable == reachable) {
+        return;
+    }
+    state.freshness.logReachable = reachable;
+    if (reachable) {
+        logEvent(EventId::LogAvailable, { { "log", toString(state.settings.log) } });
+    } else {
+        logEvent(EventId::LogUnavailable, { { "log", toString(state.settings.log) }, { "detail", detail } });
+    }
+}
+
+void confirmFresh(NodeState &state)
+{
+    state.freshness.confirmedAt = BootClock::now();
+    state.freshness.caughtUp = true;
+}
+
+/// Reads the log to its end. Returns whether it answered.
+auto readLog(NodeState &state) -> bool
+{
+    const auto listener = [&state](const LogRecord &record, const FoldOutcome &outcome) {
+        onFolded(state, record, outcome);
+    };
+    const auto outcome = catchUpFromLog(state.fold, state.log, kPageRecords, wallClockMs(), listener);
+    if (!outcome) {
+        setLogReachable(state, false, outcome.error().message);
+        return false;
+    }
+    setLogReachable(state, true, {});
+    if (outcome.value().snapshotAdopted) {
+        logEvent(EventId::ConfigSnapshotTaken, { { "offset", std::to_string(state.fold.state.nextOffset) } });
+        ++state.foldGeneration;
+    }
+    confirmFresh(state);
+    return true;
+}
+
+/// Appends a snapshot if one is due. Only the first relay of all domains does so; a second snapshot is harmless.
+void publishSnapshotIfDue(NodeState &state)
+{
+    if (!isSnapshotDue(state.fold.state, state.settings.retention, wallClockMs())) {
+        return;
+    }
+    const std::string id = state.settings.node.value + "-" + std::to_string(state.fold.state.nextOffset);
+    static_cast<void>(publishSnapshot(state.fold, state.log, id, wallClockMs()));
+}
+
+/// Fetches the whole state of a peer that no longer has the records this node needs.
+auto takeState(NodeState &state, const Endpoint &peer) -> bool
+{
+    SnapshotAssembly assembly;
+    uint32_t parts = 1;
+    for (uint32_t part = 0; part < parts; ++part) {
+        const auto answer = state.peers->call(peer, kStateMethod, { { "part", part } }, state.settings.timeouts.peer);
+        if (!answer || !answer.value().is_string()) {
+            return false;
+        }
+        auto decoded = decodeSnapshotPart(answer.value().get<std::string>());
+        if (!decoded) {
+            return false;
+        }
+        parts = decoded.value().parts;
+        if (const auto snapshot = addSnapshotPart(assembly, std::move(decoded).value())) {
+            const auto adopted = adoptSnapshot(state.fold, *snapshot, wallClockMs());
+            if (adopted && adopted.value().adopted) {
+                state.history.records.clear();
+                logEvent(EventId::ConfigSnapshotTaken, { { "offset", std::to_string(state.fold.state.nextOffset) } });
+                ++state.foldGeneration;
+            }
+            return adopted.has_value();
+        }
+    }
+    return false;
+}
+
+/// Asks a peer for what is newer. Returns whether it answered.
+auto askPeer(NodeState &state, const Endpoint &peer) -> bool
+{
+    const auto answer = state.peers->call(peer, kRecordsMethod, { { "from", state.fold.state.nextOffset } },
+                                          kLongPoll + state.settings.timeouts.peer);
+    if (!answer || !answer.value().is_object()) {
+        return false;
+    }
+    const auto text = answer.value().find("records");
+    const auto fresh = answer.value().find("ageMs");
+    if (text == answer.value().end() || !text->is_string() || fresh == answer.value().end()
+        || !fresh->is_number_integer()) {
+        return false;
+    }
+    const auto decoded = decodeRecordsAnswer(text->get<std::string>());
+    if (!decoded) {
+        return false;
+    }
+    const CatchUp plan = planCatchUp(state.fold.state.nextOffset, decoded.value());
+    if (plan.step == CatchUpStep::TakeState) {
+        return takeState(state, peer);
+    }
+    for (const auto &record : plan.records) {
+        onFolded(state, record, applyRecord(state.fold, record, wallClockMs()));
+    }
+    if (state.fold.state.nextOffset >= decoded.value().nextOffset) {
+        // This node is as fresh as the peer was when it answered.
+        const TimePoint peerConfirmed = BootClock::now() - milliseconds(fresh->get<int64_t>());
+        state.freshness.confirmedAt = std::max(state.freshness.confirmedAt, peerConfirmed);
+        state.freshness.caughtUp = true;
+    }
+    return true;
+}
+
+auto nodesOf(const NodeState &state, const DomainName &domain) -> std::vector<NodeName>
+{
+    std::vector<NodeName> names;
+    for (const auto &[name, row] : state.nodes.nodes) {
+        if (row.joined && row.domain == domain) {
+            names.push_back(name);
+        }
+    }
+    return names;
+}
+
+auto isRelay(const NodeState &state) -> bool
+{
+    const auto relays = relaysOf(state.settings.domain, nodesOf(state, state.settings.domain));
+    return relays.empty() || std::find(relays.begin(), relays.end(), state.settings.node) != relays.end();
+}
+
+/// Returns whom to ask, in this order: relays of the own domain, other nodes of it, then relays of the other domains.
+auto peersToAsk(const NodeState &state, bool isOwnDomain) -> std::vector<Endpoint>
+{
+    std::vector<NodeName> names;
+    if (isOwnDomain) {
+        names = relaysOf(state.settings.domain, nodesOf(state, state.settings.domain));
+    } else {
+        std::vector<DomainName> domains;
+        for (const auto &[name, row] : state.nodes.nodes) {
+            if (row.domain != state.settings.domain
+                && std::find(domains.begin(), domains.end(), row.domain) == domains.end()) {
+                domains.push_back(row.domain);
+            }
+        }
+        for (const auto &domain : domains) {
+            const auto relays = relaysOf(domain, nodesOf(state, domain));
+            names.insert(names.end(), relays.begin(), relays.end());
+        }
+    }
+    std::vector<Endpoint> peers;
+    for (const auto &name : names) {
+        if (name != state.settings.node) {
+            peers.push_back(state.nodes.nodes.at(name).endpoint);
+        }
+    }
+    return peers;
+}
+
+/// Asks one after the other until one answers.
+auto askAny(NodeState &state, const std::vector<Endpoint> &peers) -> bool
+{
+    return std::any_of(peers.begin(), peers.end(), [&state](const Endpoint &peer) {
+        return askPeer(state, peer);
+    });
+}
+
+auto isJoined(const NodeState &state) -> bool
+{
+    const auto row = state.nodes.nodes.find(state.settings.node);
+    return row != state.nodes.nodes.end() && row->second.joined && row->second.incarnation == state.incarnation;
+}
+
+/// Takes a new incarnation if the log says that this one left, such as after a pause in which others reported it dead.
+/// All leases of the old incarnation are given up, because others may have taken them over.
+void renewIncarnation(NodeState &state)
+{
+    const auto row = state.nodes.nodes.find(state.settings.node);
+    if (row == state.nodes.nodes.end() || row->second.joined || row->second.incarnation < state.incarnation) {
+        return;
+    }
+    state.incarnation = std::max(static_cast<uint64_t>(wallClockMs()), row->second.incarnation + 1);
+    state.leaseNode = makeLeaseNode(state.settings.node, state.settings.domain, state.incarnation, BootClock::now());
+    logEvent(EventId::NodeRejoining, { { "incarnation", std::to_string(state.incarnation) } });
+}
+
+auto nodeRecord(const NodeState &state, bool join) -> std::string
+{
+    const NodeRecord record { state.settings.node, join, state.settings.domain, state.settings.peerListen,
+                              state.incarnation };
+    return toJson(record).dump();
+}
+
+/// Serves "records since offset"; keeps the asking node waiting for a while if there are none.
+auto answerRecords(NodeState &state, const nlohmann::json &payload) -> Result<nlohmann::json>
+{
+    const auto from = payload.is_object() ? payload.find("from") : payload.end();
+    if (!payload.is_object() || from == payload.end() || !from->is_number_unsigned()) {
+        return failure(ErrorCode::InvalidInput, "config.records needs an offset in 'from'");
+    }
+    const auto offset = from->get<uint64_t>();
+    const TimePoint end = BootClock::now() + kLongPoll;
+    while (state.fold.state.nextOffset <= offset && BootClock::now() < end && !state.ending) {
+        state.runtime.sleepFor(kLongPollStep);
+    }
+    const RecordsAnswer answer = recordsSince(state.history, state.fold.state.nextOffset, offset, kMaxAnswerBytes);
+    return nlohmann::json { { "records", encodeRecordsAnswer(answer) },
+                            { "ageMs", toMsRoundedUp(configAge(state, BootClock::now())) } };
+}
+
+/// Serves one part of the whole state.
+auto answerState(NodeState &state, const nlohmann::json &payload) -> Result<nlohmann::json>
+{
+    const auto part = payload.is_object() ? payload.find("part") : payload.end();
+    if (!payload.is_object() || part == payload.end() || !part->is_number_unsigned()) {
+        return failure(ErrorCode::InvalidInput, "config.state needs the number of a part");
+    }
+    const Snapshot snapshot = takeSnapshot(state.fold);
+    const std::string id = state.settings.node.value + "@" + std::to_string(snapshot.nextOffset);
+    const auto parts = splitSnapshot(snapshot, id, wallClockMs());
+    if (part->get<uint64_t>() >= parts.size()) {
+        return failure(ErrorCode::NotFound, "the state has only " + std::to_string(parts.size()) + " parts");
+    }
+    return nlohmann::json(encodeSnapshotPart(parts[part->get<size_t>()]));
+}
+
+} // namespace
+
+auto configAge(const NodeState &state, TimePoint now) -> Duration
+{
+    return now - state.freshness.confirmedAt;
+}
+
+void addFoldSections(NodeState &state)
+{
+    FoldSection nodes;
+    nodes.name = "node";
+    nodes.apply = [&state](uint64_t, const nlohmann::json &record) -> Result<void> {
+        BOOST_OUTCOME_TRY(const NodeRecord parsed, nodeRecordFromJson(record));
+        applyNodeRecord(state.nodes, parsed);
+        return success();
+    };
+    nodes.dump = [&state] {
+        return dumpNodeTable(state.nodes);
+    };
+    nodes.load = [&state](const nlohmann::json &dumped) -> Result<void> {
+        BOOST_OUTCOME_TRY(NodeTable loaded, loadNodeTable(dumped));
+        loaded.revision = std::max(loaded.revision, state.nodes.revision) + 1;
+        state.nodes = std::move(loaded);
+        return success();
+    };
+    state.fold.sections.push_back(std::move(nodes));
+
+    FoldSection leases;
+    leases.name = "lease";
+    leases.apply = [&state](uint64_t, const nlohmann::json &record) -> Result<void> {
+        BOOST_OUTCOME_TRY(const LeaseRecord parsed, leaseRecordFromJson(record));
+        applyLeaseRecord(state.leases, parsed);
+        return success();
+    };
+    leases.dump = [&state] {
+        return dumpLeaseTable(state.leases);
+    };
+    leases.load = [&state](const nlohmann::json &dumped) -> Result<void> {
+        BOOST_OUTCOME_TRY(LeaseTable loaded, loadLeaseTable(dumped));
+        state.leases = std::move(loaded);
+        return success();
+    };
+    state.fold.sections.push_back(std::move(leases));
+}
+
+void serveConfig(NodeState &state)
+{
+    state.peers->onCall(kRecordsMethod, [&state](const PeerIdentity &, const nlohmann::json &payload) {
+        return answerRecords(state, payload);
+    });
+    state.peers->onCall(kStateMethod, [&state](const PeerIdentity &, const nlohmann::json &payload) {
+        return answerState(state, payload);
+    });
+}
+
+auto loadConfigAtStart(NodeState &state) -> bool
+{
+    return readLog(state) || askAny(state, state.settings.seedPeers);
+}
+
+void followConfig(NodeState &state)
+{
+    TimePoint nextJoin = BootClock::now();
+    while (!state.ending) {
+        if (!isJoined(state) && BootClock::now() >= nextJoin && !state.stopping) {
+            renewIncarnation(state);
+            static_cast<void>(state.log.append(kConfigStream, nodeRecord(state, true)));
+            nextJoin = BootClock::now() + kJoinRetry;
+        }
+        // A node that is not on the log yet reads the log, so that it sees its own record soon.
+        if (isRelay(state) || !isJoined(state)) {
+            if (readLog(state)) {
+                publishSnapshotIfDue(state);
+                state.runtime.sleepFor(kLogPoll);
+                continue;
+            }
+            if (!askAny(state, peersToAsk(state, false)) && !askAny(state, state.settings.seedPeers)) {
+                state.runtime.sleepFor(kRetryPause);
+            }
+            continue;
+        }
+        if (askAny(state, peersToAsk(state, true))) {
+            continue;
+        }
+        if (!readLog(state) && !askAny(state, peersToAsk(state, false))) {
+            state.runtime.sleepFor(kRetryPause);
+        }
+    }
+}
+
+void appendLeave(NodeState &state)
+{
+    if (isJoined(state)) {
+        static_cast<void>(state.log.append(kConfigStream, nodeRecord(state, false)));
+    }
+}
+
+} // namespace snipestream
--- /dev/null
+++ b/node/dispatch.cpp
@@ -0,0 +1,198 @@
+#include "node/dispatch.h"
+
+#include "core/events.h"
+#include "node/directory_service.h"
+#include "node/forward.h"
+#include "node/target_call.h"
+#include "retry/retry.h"
+#include "routing/selection.h"
+
+#include <utility>
+#include <vector>
+
+namespace snipestream {
+
+namespace {
+
+/// One attempt at one endpoint.
+struct Attempt
+{
+    EndpointId endpoint;
+    std::optional<Refusal> refusal;
+    ForwardResult forwarded;
+};
+
+auto evidenceOf(const Attempt &attempt, bool cancelled) -> CallEvidence
+{
+    if (cancelled) {
+        return CallEvidence::None;
+    }
+    if (!attempt.refusal) {
+        const bool failed = !attempt.forwarded.complete || attempt.forwarded.head->status >= 500;
+        return failed ? CallEvidence::Failure : CallEvidence::Success;
+    }
+    switch (attempt.refusal->reason) {
+    case RefusalReason::Overloaded:
+    case RefusalReason::QueueTimeout:
+        return CallEvidence::Overloaded;
+    case RefusalReason::NoTarget:
+    case RefusalReason::ShuttingDown:
+        return CallEvidence::Leaving;
+    case RefusalReason::DeadlinePassed:
+        return attempt.refusal->run == RunState::NotRun ? CallEvidence::None : CallEvidence::Failure;
+    case RefusalReason::Cancelled:
+        return CallEvidence::None;
+    default:
+        return CallEvidence::Failure;
+    }
+}
+
+/// Opens the call to the endpoint, through this node's own admission if the target is local.
+auto openAttempt(NodeState &state, const EndpointId &endpoint, const RequestHead &head, Exchange &exchange)
+    -> TargetCall
+{
+    if (endpoint.node == state.settings.node) {
+        return openTargetCall(state, head, exchange);
+    }
+    const auto node = state.nodes.nodes.find(endpoint.node);
+    if (node == state.nodes.nodes.end()) {
+        return { Refusal { RefusalReason::NoTarget, RunState::NotRun, milliseconds(100),
+                           "node " + endpoint.node.value + " is not known" },
+                 std::nullopt };
+    }
+    auto opened = state.peers->openStream(node->second.endpoint, head);
+    if (!opened) {
+        return { refusalFor(opened.error(), false), std::nullopt };
+    }
+    return { std::nullopt, std::move(opened).value() };
+}
+
+/// Decides whether a failed attempt is followed by another one, and waits for its time.
+auto shouldRetry(NodeState &state, Exchange &exchange, const RequestHead &head, TimePoint deadline,
+                 AttemptBudget &budget, const FailedAttempt &failed, bool cannotRepeat) -> bool
+{
+    if (exchange.isCancelled() || state.stopping) {
+        return false;
+    }
+    const RetriedCall call { head.idempotent, deadline, cannotRepeat };
+    const RetryDecision decision = decideRetry(budget, state.retryRatio, call, failed, BootClock::now(), state.random);
+    if (decision.no) {
+        return false;
+    }
+    if (decision.backoff > Duration::zero()) {
+        state.runtime.sleepFor(decision.backoff);
+    }
+    return true;
+}
+
+/// Runs one attempt. The answer is passed on unless it is a refusal or a server error that is tried again.
+auto runAttempt(NodeState &state, Exchange &exchange, const RequestHead &head, const RequestBodyStart &start,
+                const EndpointId &endpoint, size_t captureBytes, const HeadFilter &filter) -> Attempt
+{
+    Attempt attempt;
+    attempt.endpoint = endpoint;
+    TargetCall opened = openAttempt(state, endpoint, head, exchange);
+    if (opened.refusal) {
+        attempt.refusal = opened.refusal;
+        return attempt;
+    }
+    attempt.forwarded = forwardExchange(state.runtime, exchange, *opened.call, start, filter, captureBytes);
+    if (attempt.forwarded.head && attempt.forwarded.head->refusal) {
+        attempt.refusal = attempt.forwarded.head->refusal;
+    } else if (!attempt.forwarded.passedOn && attempt.forwarded.error) {
+        attempt.refusal = refusalFor(*attempt.forwarded.error, attempt.forwarded.mayHaveBeenSent);
+    }
+    return attempt;
+}
+
+auto noTarget(const ServiceName &service) -> Refusal
+{
+    return Refusal { RefusalReason::NoTarget, RunState::NotRun, milliseconds(500),
+                     "no target of " + service.value + " can be reached" };
+}
+
+} // namespace
+
+auto dispatchRequest(NodeState &state, Exchange &exchange, RequestHead head, TimePoint deadline, AttemptBudget &budget,
+                     size_t captureBytes) -> DispatchResult
+{
+    DispatchResult result;
+    const auto start = readBodyStart(exchange);
+    if (!start) {
+        result.refusal = Refusal { RefusalReason::Cancelled, RunState::NotRun, {}, start.error().message };
+        return result;
+    }
+    ensureSubscribed(state, head.service);
+    std::vector<EndpointId> tried;
+    for (int number = 1;; ++number) {
+        const TimePoint now = BootClock::now();
+        if (shouldShedUpstream(state.admission.upstream, head.service, head.priority, head.id, now)) {
+            result.refusal = Refusal { RefusalReason::Overloaded, result.run, milliseconds(500),
+                                       head.service.value + " sheds requests of this priority" };
+            return result;
+        }
+        const auto selection = chooseEndpoint(state.endpoints, head.service, tried, state.random, now);
+        if (!selection) {
+            if (!result.refusal) {
+                result.refusal = noTarget(head.service);
+            }
+            return result;
+        }
+        head.timeLeft = deadline - now;
+        head.attemptsLeft = takeCallShare(budget);
+        if (number == 1) {
+            countFirstAttempt(state.retryRatio, now);
+        }
+        // Without the whole body at hand a second attempt has nothing to send.
+        const bool cannotRepeat = !start.value().whole;
+        bool retryServerError = false;
+        const HeadFilter filter = [&](ResponseHead &answer) {
+            if (answer.sheddingLevel) {
+                observeUpstream(state.admission.upstream, head.service, *answer.sheddingLevel, BootClock::now());
+                answer.sheddingLevel.reset();
+            }
+            if (answer.refusal) {
+                return false;
+            }
+            if (answer.status >= 500) {
+                const FailedAttempt failed { std::nullopt, RunState::Unknown, number };
+                retryServerError = shouldRetry(state, exchange, head, deadline, budget, failed, cannotRepeat);
+                return !retryServerError;
+            }
+            return true;
+        };
+        beginCall(state.endpoints, head.service, selection->endpoint);
+        Attempt attempt = runAttempt(state, exchange, head, start.value(), selection->endpoint, captureBytes, filter);
+        const CallEvidence evidence
+            = retryServerError ? CallEvidence::Failure : evidenceOf(attempt, exchange.isCancelled());
+        if (endCall(state.endpoints, head.service, selection->endpoint, evidence, BootClock::now())) {
+            logEvent(EventId::TargetEjected,
+                     { { "service", head.service.value }, { "target", selection->endpoint.target.value } });
+        }
+        tried.push_back(selection->endpoint);
+        if (retryServerError) {
+            result.run = RunState::Unknown;
+            continue;
+        }
+        if (!attempt.refusal) {
+            result.refusal.reset();
+            result.run = RunState::Unknown;
+            result.head = attempt.forwarded.head;
+            result.complete = attempt.forwarded.complete;
+            result.captured = std::move(attempt.forwarded.captured);
+            result.capturedWhole = attempt.forwarded.capturedWhole;
+            return result;
+        }
+        if (attempt.refusal->run == RunState::Unknown) {
+            result.run = RunState::Unknown;
+        }
+        result.refusal = attempt.refusal;
+        result.refusal->run = result.run;
+        const FailedAttempt failed { attempt.refusal->reason, attempt.refusal->run, number };
+        if (!shouldRetry(state, exchange, head, deadline, budget, failed, cannotRepeat)) {
+            return result;
+        }
+    }
+}
+
+} // namespace snipestream
--- /dev/null
+++ b/node/lease_service.cpp
@@ -0,0 +1,133 @@
+#include "node/lease_service.h"
+
+#include "core/events.h"
+
+#include <utility>
+
+namespace snipestream {
+
+namespace {
+
+constexpr const char *kPingMethod = "lease.ping";
+constexpr const char *kReleaseMethod = "lease.release";
+constexpr Duration kTick = milliseconds(100);
+/// Appends are tried only while the log was heard of lately, directly or through a relay.
+constexpr Duration kLogHeardWithin = seconds(3);
+
+auto liveNodes(const NodeState &state) -> LiveNodes
+{
+    LiveNodes live;
+    for (const auto &[name, row] : state.nodes.nodes) {
+        if (row.joined && row.domain == state.settings.domain) {
+            live.emplace(name, row.incarnation);
+        }
+    }
+    return live;
+}
+
+void ping(NodeState &state, const NodeName &witness, const LeasePing &message)
+{
+    if (witness == state.settings.node) {
+        const LeasePong pong
+            = answerPing(state.leaseNode.witness, state.leases, state.leaseNode.params, message, BootClock::now());
+        applyPong(state.leaseNode.holder, state.leaseNode.params, pong, BootClock::now());
+        return;
+    }
+    const auto row = state.nodes.nodes.find(witness);
+    if (row == state.nodes.nodes.end()) {
+        return;
+    }
+    state.runtime.spawn([&state, endpoint = row->second.endpoint, message] {
+        const auto answer = state.peers->call(endpoint, kPingMethod, toJson(message), seconds(1));
+        if (!answer) {
+            return;
+        }
+        if (const auto pong = leasePongFromJson(answer.value())) {
+            applyPong(state.leaseNode.holder, state.leaseNode.params, pong.value(), BootClock::now());
+        }
+    });
+}
+
+void append(NodeState &state, const LeaseRecord &record)
+{
+    logEvent(EventId::LeaseClaimed,
+             { { "range", std::to_string(record.key.range) }, { "epoch", std::to_string(record.epoch) } });
+    state.runtime.spawn([&state, text = toJson(record).dump()] {
+        static_cast<void>(state.log.append(kConfigStream, text));
+    });
+}
+
+} // namespace
+
+void serveLeases(NodeState &state)
+{
+    state.peers->onCall(kPingMethod,
+                        [&state](const PeerIdentity &, const nlohmann::json &payload) -> Result<nlohmann::json> {
+                            BOOST_OUTCOME_TRY(const LeasePing message, leasePingFromJson(payload));
+                            return toJson(answerPing(state.leaseNode.witness, state.leases, state.leaseNode.params,
+                                                     message, BootClock::now()));
+                        });
+    state.peers->onCall(kReleaseMethod,
+                        [&state](const PeerIdentity &, const nlohmann::json &payload) -> Result<nlohmann::json> {
+                            BOOST_OUTCOME_TRY(const LeaseRelease message, leaseReleaseFromJson(payload));
+                            applyRelease(state.leaseNode.witness, message);
+                            return nlohmann::json(true);
+                        });
+}
+
+void runLeases(NodeState &state)
+{
+    while (!state.ending) {
+        if (state.freshness.caughtUp && !state.leaseNode.witness.logRead) {
+            markLogRead(state.leaseNode.witness, state.leases);
+        }
+        const TimePoint now = BootClock::now();
+        const bool canAppend = !state.stopping && configAge(state, now) < kLogHeardWithin;
+        const LeaseOutputs outputs = tickLease(state.leaseNode, state.leases, now, { canAppend, liveNodes(state) });
+        for (const auto &[witness, message] : outputs.pings) {
+            ping(state, witness, message);
+        }
+        for (const auto &record : outputs.appends) {
+            append(state, record);
+        }
+        for (const auto &key : outputs.acquired) {
+            logEvent(EventId::LeaseAcquired, { { "range", std::to_string(key.range) } });
+        }
+        for (const auto &key : outputs.lost) {
+            logEvent(EventId::LeaseLost, { { "range", std::to_string(key.range) } });
+        }
+        state.runtime.sleepFor(kTick);
+    }
+}
+
+void releaseLeases(NodeState &state)
+{
+    LiveNodes live = liveNodes(state);
+    live.erase(state.settings.node);
+    const LeaseHandOver handOver = handOverLeases(state.leaseNode.holder, live, BootClock::now());
+    for (const auto &[witness, release] : handOver.releases) {
+        const auto row = state.nodes.nodes.find(witness);
+        if (row != state.nodes.nodes.end() && witness != state.settings.node) {
+            static_cast<void>(
+                state.peers->call(row->second.endpoint, kReleaseMethod, toJson(release), milliseconds(200)));
+        }
+    }
+    for (const auto &record : handOver.records) {
+        static_cast<void>(state.log.append(kConfigStream, toJson(record).dump()));
+    }
+}
+
+auto holderOf(const NodeState &state, const LeaseKey &key) -> std::optional<std::pair<NodeName, Endpoint>>
+{
+    const LeaseEntry *const entry = findLease(state.leases, key);
+    if (entry == nullptr) {
+        return std::nullopt;
+    }
+    const auto row = state.nodes.nodes.find(entry->record.holder);
+    if (row == state.nodes.nodes.end()) {
+        return std::nullopt;
+    }
+    return std::make_pair(row->first, row->second.endpoint);
+}
+
+} // namespace snipestream
--- /dev/null
+++ b/node/log_transport.cpp
@@ -0,0 +1,31 @@
+#include "node/log_transport.h"
+
+#include "http/http_client.h"
+
+#include <memory>
+
+namespace snipestream {
+
+namespace {
+
+/// Calls to the log that may run at once: polling, appends of the node, its leases and its claims.
+constexpr size_t kLogConnections = 8;
+
+} // namespace
+
+auto makeFiberTransport(FiberRuntime &runtime, const Endpoint &log) -> HttpTransport
+{
+    HttpClientOptions options;
+    options.server = log;
+    options.maxConnections = kLogConnections;
+    const auto client = std::make_shared<HttpClient>(runtime, options);
+    return [client](const std::string &method, const std::string &path, const std::string &body, Duration timeout) {
+        RequestHead head;
+        head.method = method;
+        head.path = path;
+        head.timeLeft = timeout;
+        return fetch(*client, head, body);
+    };
+}
+
+} // namespace snipestream
--- /dev/null
+++ b/node/main.cpp
@@ -0,0 +1,78 @@
+#include "config/settings.h"
+#include "core/events.h"
+#include "net/fiber_runtime.h"
+#include "node/node.h"
+
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include <absl/flags/flag.h>
+#include <absl/flags/parse.h>
+#include <absl/flags/usage.h>
+#include <absl/flags/usage_config.h>
+#include <boost/asio/signal_set.hpp>
+#include <glog/logging.h>
+
+ABSL_FLAG(std::string, settings, "", "Path of the settings file (JSON); required");
+ABSL_FLAG(bool, check, false, "Only check the settings file");
+
+namespace {
+
+constexpr int kExitSettings = 2;
+constexpr int kExitUnavailable = 3;
+constexpr int kExitCut = 4;
+
+void watchSignals(boost::asio::signal_set &signals, snipestream::Node &node)
+{
+    signals.async_wait([&signals, &node](const boost::system::error_code &error, int) {
+        if (error) {
+            return;
+        }
+        node.requestStop();
+        watchSignals(signals, node);
+    });
+}
+
+} // namespace
+
+auto main(int argc, char **argv) -> int
+{
+    absl::SetProgramUsageMessage(
+        "snipestreamd: overload control beside the targets of one VM.\n"
+        "Usage: snipestreamd --settings=FILE\n"
+        "SIGTERM starts a graceful shutdown; a second one cuts what is still running.\n"
+        "Exit codes: 0 stopped, 2 settings, 3 an address cannot be bound, 4 requests were cut.");
+    absl::FlagsUsageConfig usage;
+    usage.version_string = [] {
+        return std::string("snipestreamd ") + SNIPESTREAM_VERSION + "\n";
+    };
+    absl::SetFlagsUsageConfig(usage);
+    absl::ParseCommandLine(argc, argv);
+    FLAGS_logtostderr = true;
+    google::InitGoogleLogging(argv[0]);
+    std::signal(SIGPIPE, SIG_IGN);
+
+    auto settings = snipestream::loadSettings(absl::GetFlag(FLAGS_settings));
+    if (!settings) {
+        snipestream::logEvent(snipestream::EventId::SettingsInvalid, { { "file", absl::GetFlag(FLAGS_settings) } });
+        std::cerr << settings.error().message << "\n";
+        return kExitSettings;
+    }
+    if (absl::GetFlag(FLAGS_check)) {
+        std::cout << absl::GetFlag(FLAGS_settings) << " is valid\n";
+        return EXIT_SUCCESS;
+    }
+    snipestream::FiberRuntime runtime;
+    snipestream::Node node(runtime, std::move(settings).value());
+    if (const auto started = node.start(); !started) {
+        std::cerr << started.error().message << "\n";
+        return kExitUnavailable;
+    }
+    boost::asio::signal_set signals(runtime.context(), SIGTERM, SIGINT);
+    watchSignals(signals, node);
+    runtime.run();
+    google::FlushLogFiles(google::INFO);
+    // Fibers of cut requests may still hold parts of the node; the process ends without unwinding them.
+    std::_Exit(node.cutRequests() == 0 ? EXIT_SUCCESS : kExitCut);
+}
--- /dev/null
+++ b/node/node_state.h
@@ -0,0 +1,111 @@
+#pragma once
+
+#include "admission/admission.h"
+#include "config/fold.h"
+#include "config/relay.h"
+#include "config/settings.h"
+#include "core/metrics.h"
+#include "core/random.h"
+#include "http/http_client.h"
+#include "lease/lease.h"
+#include "net/fiber_event.h"
+#include "net/fiber_runtime.h"
+#include "node/claim_service.h"
+#include "node/failure_detector.h"
+#include "node/request_context.h"
+#include "node/share_table.h"
+#include "peer/peer_network.h"
+#include "platform/log_client.h"
+#include "retry/ratio.h"
+#include "routing/directory.h"
+#include "routing/endpoint_table.h"
+#include "routing/local_targets.h"
+#include "routing/node_table.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <unordered_map>
+
+namespace snipestream {
+
+/// A fiber that waits for admission to a local target.
+struct AdmissionWait
+{
+    FiberEvent event;
+    std::optional<Decision> decision;
+    bool cancelled = false;
+};
+
+/// Connections to one local target.
+struct TargetConnections
+{
+    Endpoint endpoint;
+    int connections = 0;
+    std::shared_ptr<HttpClient> client;
+};
+
+/// How up to date this node's configuration is.
+struct ConfigFreshness
+{
+    /// When the log, or a peer that is no further behind than one poll, last confirmed that nothing newer is known.
+    TimePoint confirmedAt;
+    /// The log answered the last call of this node.
+    bool logReachable = false;
+    /// The configuration was read to an end of the log at least once.
+    bool caughtUp = false;
+};
+
+/// All state of one node. The functions of this package run on one thread and change it between two waits.
+struct NodeState
+{
+    NodeState(FiberRuntime &runtimeUsed, Settings chosen);
+
+    FiberRuntime &runtime;
+    Settings settings;
+    /// Grows with each start of the node (wall clock in milliseconds).
+    uint64_t incarnation;
+    MetricsRegistry metrics;
+    Random random;
+
+    ConfigFold fold;
+    RecordHistory history;
+    LogClient log;
+    ConfigFreshness freshness;
+    /// Notified when the fold moved, for long polls.
+    uint64_t foldGeneration = 0;
+
+    NodeTable nodes;
+    DirectoryCache directoryCache;
+    DirectoryTable directory;
+    EndpointTable endpoints;
+    LocalTargetTable localTargets;
+    std::map<TargetName, TargetConnections> targetConnections;
+    /// Services that this node calls, and when it last did.
+    std::map<ServiceName, TimePoint> calledServices;
+
+    AdmissionTable admission;
+    std::unordered_map<Ticket, AdmissionWait *> admissionWaits;
+    RetryRatio retryRatio;
+    RequestContextTable contexts;
+    ShareTable share;
+
+    LeaseTable leases;
+    LeaseNode leaseNode;
+    FailureDetector failureDetector;
+    ClaimOwner claimOwner;
+
+    std::unique_ptr<PeerNetwork> peers;
+    /// Begins a graceful shutdown; set by the node program.
+    std::function<void()> onStopRequest;
+    /// Set once a graceful shutdown began.
+    bool stopping = false;
+    /// Set when the background fibers have to end.
+    bool ending = false;
+};
+
+/// Returns the time to this moment of the configuration clock: how old the configuration in force may be.
+auto configAge(const NodeState &state, TimePoint now) -> Duration;
+
+} // namespace snipestream
--- /dev/null
+++ b/node/target_call.cpp
@@ -0,0 +1,234 @@
+#include "node/target_call.h"
+
+#include "node/forward.h"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+namespace snipestream {
+
+namespace {
+
+constexpr const char *kContextHeader = "Snipestream-Context";
+constexpr const char *kTimeoutHeader = "Snipestream-Timeout-Ms";
+
+/// A request that occupies a slot of a local target. Ends once: with an outcome, or as cancelled when it is dropped.
+struct TargetRun
+{
+    TargetRun(NodeState &stateUsed, Ticket ticketUsed, std::string handleUsed)
+        : state(stateUsed)
+        , ticket(ticketUsed)
+        , handle(std::move(handleUsed))
+    {
+    }
+    ~TargetRun()
+    {
+        end(RunOutcome::Cancelled);
+    }
+    TargetRun(const TargetRun &) = delete;
+    auto operator=(const TargetRun &) -> TargetRun & = delete;
+
+    void end(RunOutcome outcome)
+    {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        closeContext(state.contexts, handle);
+        applyDecisions(state, complete(state.admission, ticket, outcome, BootClock::now()));
+    }
+
+    void fail(const Error &error)
+    {
+        const bool late = error.code == ErrorCode::Timeout;
+        const bool cancelled = error.code == ErrorCode::Cancelled;
+        end(late ? RunOutcome::TimedOut : cancelled ? RunOutcome::Cancelled : RunOutcome::Failed);
+    }
+
+    NodeState &state;
+    Ticket ticket;
+    std::string handle;
+    bool ended = false;
+};
+
+/// Returns the call with its end reported to admission and the context closed.
+auto trackCall(OutboundCall inner, const std::shared_ptr<TargetRun> &run) -> OutboundCall
+{
+    OutboundCall call = inner;
+    call.awaitHead = [inner, run]() -> Result<ResponseHead> {
+        auto head = inner.awaitHead();
+        if (!head) {
+            run->fail(head.error());
+        }
+        return head;
+    };
+    call.responseBody.read = [inner, run]() -> Result<BodyChunk> {
+        auto chunk = inner.responseBody.read();
+        if (!chunk) {
+            run->fail(chunk.error());
+        } else if (chunk.value().last) {
+            run->end(RunOutcome::Answered);
+        }
+        return chunk;
+    };
+    call.cancel = [inner, run] {
+        inner.cancel();
+        run->end(RunOutcome::Cancelled);
+    };
+    return call;
+}
+
+auto findTargetOf(const NodeState &state, const ServiceName &service) -> const LocalTarget *
+{
+    for (const auto &[name, target] : state.localTargets.targets) {
+        if (target.announcement.service == service && target.announcement.state == EndpointState::Active) {
+            return &target;
+        }
+    }
+    return nullptr;
+}
+
+/// Waits until admission decided on a queued request. Returns a refusal if it does not start.
+auto awaitAdmission(NodeState &state, Ticket ticket, Exchange &exchange) -> std::optional<Refusal>
+{
+    const auto wait = std::make_shared<AdmissionWait>();
+    state.admissionWaits[ticket] = wait.get();
+    exchange.onCancel([weak = std::weak_ptr<AdmissionWait>(wait)] {
+        if (const auto waiting = weak.lock()) {
+            waiting->cancelled = true;
+            waiting->event.notify();
+        }
+    });
+    while (!wait->decision && !wait->cancelled) {
+        wait->event.wait();
+    }
+    state.admissionWaits.erase(ticket);
+    if (wait->cancelled) {
+        applyDecisions(state, cancel(state.admission, ticket, BootClock::now()));
+        return Refusal { RefusalReason::Cancelled, RunState::NotRun, {}, "the caller left while the request waited" };
+    }
+    if (!wait->decision->start) {
+        return wait->decision->refusal;
+    }
+    return std::nullopt;
+}
+
+/// Makes the head that the target gets: no key, no caller-sent header of ours, and the context of this run.
+auto targetHead(const RequestHead &head, const std::string &handle, Duration timeLeft) -> RequestHead
+{
+    RequestHead sent = head;
+    sent.timeLeft = timeLeft;
+    sent.headers.emplace_back(kContextHeader, handle);
+    sent.headers.emplace_back(kTimeoutHeader, std::to_string(duration_cast<milliseconds>(timeLeft).count()));
+    return sent;
+}
+
+} // namespace
+
+void applyDecisions(NodeState &state, const std::vector<Decision> &decisions)
+{
+    for (const auto &decision : decisions) {
+        const auto wait = state.admissionWaits.find(decision.ticket);
+        if (wait != state.admissionWaits.end()) {
+            wait->second->decision = decision;
+            wait->second->event.notify();
+        }
+    }
+}
+
+auto refusalFor(const Error &error, bool mayHaveBeenSent) -> Refusal
+{
+    const RunState run = mayHaveBeenSent ? RunState::Unknown : RunState::NotRun;
+    switch (error.code) {
+    case ErrorCode::Timeout:
+        return Refusal { RefusalReason::DeadlinePassed, run, {}, error.message };
+    case ErrorCode::Cancelled:
+        return Refusal { RefusalReason::Cancelled, run, {}, error.message };
+    case ErrorCode::ProtocolViolation:
+        return Refusal { RefusalReason::BadAnswer, run, {}, error.message };
+    default:
+        return Refusal { RefusalReason::ConnectionLost, run, milliseconds(100), error.message };
+    }
+}
+
+auto openTargetCall(NodeState &state, const RequestHead &head, Exchange &exchange) -> TargetCall
+{
+    const TimePoint deadline = BootClock::now() + head.timeLeft;
+    const LocalTarget *const target = findTargetOf(state, head.service);
+    if (target == nullptr) {
+        return { Refusal { RefusalReason::NoTarget, RunState::NotRun, milliseconds(100),
+                           "node " + state.settings.node.value + " has no active target of " + head.service.value },
+                 std::nullopt };
+    }
+    const TargetName name = target->announcement.target;
+    const AdmissionRequest request { head.id, head.team, head.priority, head.route, deadline };
+    const Offer answer = offer(state.admission, name, request, BootClock::now());
+    applyDecisions(state, answer.decisions);
+    if (answer.verdict == AdmissionVerdict::Refused) {
+        return { answer.refusal, std::nullopt };
+    }
+    if (answer.verdict == AdmissionVerdict::Queued) {
+        if (auto refusal = awaitAdmission(state, answer.ticket, exchange)) {
+            return { std::move(refusal), std::nullopt };
+        }
+    }
+    const RequestContext context { head.id, head.team, head.priority, deadline, head.attemptsLeft, head.depth + 1 };
+    const auto run = std::make_shared<TargetRun>(state, answer.ticket, openContext(state.contexts, context));
+    const Duration timeLeft = deadline - BootClock::now();
+    const auto connections = state.targetConnections.find(name);
+    if (connections == state.targetConnections.end()) {
+        run->end(RunOutcome::Failed);
+        return { Refusal { RefusalReason::NoTarget, RunState::NotRun, milliseconds(100), name.value + " left" },
+                 std::nullopt };
+    }
+    // Kept by this copy, since the target may leave while the connection is being opened.
+    const std::shared_ptr<HttpClient> client = connections->second.client;
+    auto opened = client->open(targetHead(head, run->handle, timeLeft));
+    if (!opened) {
+        run->fail(opened.error());
+        return { refusalFor(opened.error(), false), std::nullopt };
+    }
+    return { std::nullopt, trackCall(std::move(opened).value(), run) };
+}
+
+void serveStream(NodeState &state, Exchange &exchange)
+{
+    const auto refuse = [&](const Refusal &refusal) {
+        ResponseHead head;
+        head.status = refusalStatus(refusal.reason);
+        head.refusal = refusal;
+        head.bodyLength = 0;
+        if (exchange.respond(head)) {
+            static_cast<void>(exchange.responseBody.finish());
+        }
+    };
+    if (state.stopping && findTargetOf(state, exchange.head.service) == nullptr) {
+        refuse({ RefusalReason::ShuttingDown, RunState::NotRun, milliseconds(100), "the node is shutting down" });
+        return;
+    }
+    TargetCall target = openTargetCall(state, exchange.head, exchange);
+    if (target.refusal) {
+        refuse(*target.refusal);
+        return;
+    }
+    const auto start = readBodyStart(exchange);
+    if (!start) {
+        target.call->cancel();
+        return;
+    }
+    const auto addLevel = [&](ResponseHead &head) {
+        const LocalTarget *const local = findTargetOf(state, exchange.head.service);
+        if (local != nullptr) {
+            const auto status = admissionStatus(state.admission, local->announcement.target, BootClock::now());
+            head.sheddingLevel = status ? std::optional<int>(status->sheddingLevel) : std::nullopt;
+        }
+        return true;
+    };
+    const ForwardResult result = forwardExchange(state.runtime, exchange, *target.call, start.value(), addLevel);
+    if (!result.passedOn && result.error && !exchange.isCancelled()) {
+        refuse(refusalFor(*result.error, result.mayHaveBeenSent));
+    }
+}
+
+} // namespace snipestream
--- a/routing/directory_messages.cpp
+++ b/routing/directory_messages.cpp
@@ -1,5 +1,5 @@
+#include "core/json_fields.h"
 #include "routing/directory.h"
-#include "routing/json_fields.h"
 
 namespace snipestream {
 
@@ -66,7 +66,7 @@
 {
     JsonFields fields(json);
     AnnounceMessage message { recordsFromJson(fields) };
-    if (!fields.ok()) {
+    if (fields.failed()) {
         return fields.error();
     }
     return message;
@@ -76,11 +76,11 @@
 {
     JsonFields fields(json);
     SubscribeMessage message;
-    message.service = ServiceName(fields.text("service"));
-    message.subscriber = NodeName(fields.text("subscriber"));
+    message.service = ServiceName(fields.shortText("service"));
+    message.subscriber = NodeName(fields.shortText("subscriber"));
     message.directoryIncarnation = fields.unsignedInteger("inc");
     message.knownVersion = fields.unsignedInteger("known");
-    if (!fields.ok()) {
+    if (fields.failed()) {
         return fields.error();
     }
     return message;
@@ -90,14 +90,14 @@
 {
     JsonFields fields(json);
     UpdateMessage message;
-    message.service = ServiceName(fields.text("service"));
-    message.directory = NodeName(fields.text("directory"));
+    message.service = ServiceName(fields.shortText("service"));
+    message.directory = NodeName(fields.shortText("directory"));
     message.directoryIncarnation = fields.unsignedInteger("inc");
     message.fromVersion = fields.unsignedInteger("from");
     message.toVersion = fields.unsignedInteger("to");
-    message.complete = fields.boolean("complete");
+    message.complete = fields.flag("complete");
     message.records = recordsFromJson(fields);
-    if (!fields.ok()) {
+    if (fields.failed()) {
         return fields.error();
     }
     return message;
--- a/routing/endpoint.cpp
+++ b/routing/endpoint.cpp
@@ -1,6 +1,6 @@
 #include "routing/endpoint.h"
 
-#include "routing/json_fields.h"
+#include "core/json_fields.h"
 
 #include <nlohmann/json.hpp>
 
@@ -47,14 +47,14 @@
 {
     JsonFields fields(json);
     EndpointRecord record;
-    record.id = EndpointId { NodeName(fields.text("node")), TargetName(fields.text("target")) };
-    record.service = ServiceName(fields.text("service"));
-    record.domain = DomainName(fields.text("domain"));
+    record.id = EndpointId { NodeName(fields.shortText("node")), TargetName(fields.shortText("target")) };
+    record.service = ServiceName(fields.shortText("service"));
+    record.domain = DomainName(fields.shortText("domain"));
     record.slots = static_cast<int>(fields.integer("slots", 1, 1'000'000));
-    record.suspect = fields.boolean("suspect");
+    record.suspect = fields.flag("suspect");
     record.incarnation = fields.unsignedInteger("inc");
     record.version = fields.unsignedInteger("ver");
-    const std::string state = fields.text("state");
+    const std::string state = fields.shortText("state");
     bool known = false;
     for (const auto candidate : { EndpointState::Active, EndpointState::Draining, EndpointState::Left }) {
         if (endpointStateName(candidate) == state) {
@@ -65,7 +65,7 @@
     if (!known) {
         fields.reject("state \"" + state + "\" is not active, draining or left");
     }
-    if (!fields.ok()) {
+    if (fields.failed()) {
         return fields.error();
     }
     return record;
--- a/routing/local_targets.cpp
+++ b/routing/local_targets.cpp
@@ -1,6 +1,6 @@
 #include "routing/local_targets.h"
 
-#include "routing/json_fields.h"
+#include "core/json_fields.h"
 
 #include <algorithm>
 
@@ -37,20 +37,20 @@
 {
     JsonFields fields(json);
     TargetAnnouncement announcement;
-    announcement.target = TargetName(fields.text("target"));
-    announcement.service = ServiceName(fields.text("service"));
-    announcement.endpoint.address = fields.text("address");
+    announcement.target = TargetName(fields.shortText("target"));
+    announcement.service = ServiceName(fields.shortText("service"));
+    announcement.endpoint.address = fields.shortText("address");
     announcement.endpoint.port = static_cast<uint16_t>(fields.integer("port", 1, 65535));
     announcement.slots = static_cast<int>(fields.integer("slots", 1, 1'000'000));
     announcement.connections = static_cast<int>(fields.integer("connections", 1, 1'000'000));
     if (json.is_object() && json.contains("cold")) {
-        announcement.cold = fields.boolean("cold");
+        announcement.cold = fields.flag("cold");
     }
     if (json.is_object() && json.contains("instance")) {
         announcement.instance = fields.unsignedInteger("instance");
     }
     if (json.is_object() && json.contains("state")) {
-        const std::string state = fields.text("state");
+        const std::string state = fields.shortText("state");
         if (state == "draining") {
             announcement.state = EndpointState::Draining;
         } else if (state == "left") {
@@ -59,7 +59,7 @@
             fields.reject("state \"" + state + "\" is not active, draining or left");
         }
     }
-    if (!fields.ok()) {
+    if (fields.failed()) {
         return fields.error();
     }
     return announcement;
--- a/routing/node_table.cpp
+++ b/routing/node_table.cpp
@@ -1,7 +1,7 @@
 #include "routing/node_table.h"
 
 #include "core/hash.h"
-#include "routing/json_fields.h"
+#include "core/json_fields.h"
 
 namespace snipestream {
 
@@ -19,21 +19,21 @@
 auto nodeRecordFromJson(const nlohmann::json &json) -> Result<NodeRecord>
 {
     JsonFields fields(json);
-    if (fields.text("type") != "node") {
+    if (fields.shortText("type") != "node") {
         fields.reject("the type is not \"node\"");
     }
     NodeRecord record;
-    const std::string action = fields.text("action");
+    const std::string action = fields.shortText("action");
     if (action != "join" && action != "leave") {
         fields.reject("action \"" + action + "\" is not join or leave");
     }
     record.join = action == "join";
-    record.name = NodeName(fields.text("node"));
-    record.domain = DomainName(fields.text("domain"));
-    record.endpoint.address = fields.text("address");
+    record.name = NodeName(fields.shortText("node"));
+    record.domain = DomainName(fields.shortText("domain"));
+    record.endpoint.address = fields.shortText("address");
     record.endpoint.port = static_cast<uint16_t>(fields.integer("port", 1, 65535));
     record.incarnation = fields.unsignedInteger("incarnation");
-    if (!fields.ok()) {
+    if (fields.failed()) {
         return fields.error();
     }
     return record;
@@ -75,7 +75,7 @@
         }
         applyNodeRecord(table, record.value());
     }
-    if (!fields.ok()) {
+    if (fields.failed()) {
         return fields.error();
     }
     return table;
--- a/tests/config/fold_test.cpp
+++ b/tests/config/fold_test.cpp
@@ -94,7 +94,7 @@
         });
         section("a change of the same rule with an older base loses and names the winner", [&] {
             const auto lost = fold(node, change("c2", 0, { rule("team a rate=9/s burst=5") }));
-            CPPUNIT_ASSERT(lost.verdict == Verdict::Conflict);
+            CPPUNIT_ASSERT(lost.verdict == ChangeVerdict::Conflict);
             CPPUNIT_ASSERT_EQUAL(std::string("rule \"team a\" was changed at revision 1 by ann, after base revision 0"),
                                  lost.detail);
         });
@@ -109,7 +109,7 @@
                 change("i3", 2, {}, { "team zzz" }),
                 change("i4", 2, { team }, { "team a" }),
                 change("i5", 2, { rule("key zzz k1 hash=" + std::string(32, '0') + ":" + std::string(64, '0')) }),
-                R"({"kind":"change","id":"i6","base":2,"by":"ann","upserts":["team a rate=0/s"],"removals":[]})",
+                R"({"type":"change","id":"i6","base":2,"by":"ann","upserts":["team a rate=0/s"],"removals":[]})",
             };
             for (const std::string &payload : invalid) {
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(payload, std::string("invalid"), verdictOf(node, payload));
@@ -118,15 +118,15 @@
         });
         section("records that do not parse are counted", [&] {
             CPPUNIT_ASSERT_EQUAL(std::string("unreadable"), verdictOf(node, "{"));
-            CPPUNIT_ASSERT_EQUAL(std::string("unreadable"), verdictOf(node, R"({"kind":"change"})"));
+            CPPUNIT_ASSERT_EQUAL(std::string("unreadable"), verdictOf(node, R"({"type":"change"})"));
             CPPUNIT_ASSERT_EQUAL(std::string("unreadable"), verdictOf(node, std::string(kMaxRecordBytes + 1, ' ')));
             CPPUNIT_ASSERT_EQUAL(uint64_t { 3 }, node.state.unreadableRecords);
         });
         section("the audit trail has every verdict", [&] {
             CPPUNIT_ASSERT_EQUAL(size_t { 13 }, node.state.audit.size());
             CPPUNIT_ASSERT_EQUAL(std::string("ann"), node.state.audit.front().by);
-            CPPUNIT_ASSERT(findVerdict(node.state, "c2")->verdict == Verdict::Conflict);
-            CPPUNIT_ASSERT(findVerdict(node.state, "c1")->verdict == Verdict::Applied);
+            CPPUNIT_ASSERT(findVerdict(node.state, "c2")->verdict == ChangeVerdict::Conflict);
+            CPPUNIT_ASSERT(findVerdict(node.state, "c1")->verdict == ChangeVerdict::Applied);
         });
     }
 
@@ -153,7 +153,7 @@
         });
         section("an old file cannot bring the key back", [&] {
             const auto outcome = fold(node, change("c4", 2, { key.rule }));
-            CPPUNIT_ASSERT(outcome.verdict == Verdict::Invalid);
+            CPPUNIT_ASSERT(outcome.verdict == ChangeVerdict::Invalid);
             CPPUNIT_ASSERT(outcome.detail.find("withdrawn at revision 2") != std::string::npos);
         });
         section("neither can it after a snapshot", [&] {
@@ -214,9 +214,9 @@
         ConfigFold node;
         node.sections.push_back(numbersSection(numbers));
         section("records go to their section, in order with changes", [&] {
-            CPPUNIT_ASSERT_EQUAL(std::string("applied"), verdictOf(node, R"({"kind":"number","value":7})"));
-            CPPUNIT_ASSERT_EQUAL(std::string("invalid"), verdictOf(node, R"({"kind":"number"})"));
-            CPPUNIT_ASSERT_EQUAL(std::string("unreadable"), verdictOf(node, R"({"kind":"else"})"));
+            CPPUNIT_ASSERT_EQUAL(std::string("applied"), verdictOf(node, R"({"type":"number","value":7})"));
+            CPPUNIT_ASSERT_EQUAL(std::string("invalid"), verdictOf(node, R"({"type":"number"})"));
+            CPPUNIT_ASSERT_EQUAL(std::string("unreadable"), verdictOf(node, R"({"type":"else"})"));
             CPPUNIT_ASSERT_EQUAL(uint64_t { 3 }, node.state.nextOffset);
         });
         const Snapshot snapshot = takeSnapshot(node);
--- a/tests/standins/target_standin_main.cpp
+++ b/tests/standins/target_standin_main.cpp
@@ -117,9 +117,12 @@
 void announceForever(Target &target, uint16_t port)
 {
     const nlohmann::json announcement = {
-        { "name", absl::GetFlag(FLAGS_name) },
+        { "target", absl::GetFlag(FLAGS_name) },
         { "service", absl::GetFlag(FLAGS_service) },
-        { "address", "127.0.0.1:" + std::to_string(port) },
+        { "address", "127.0.0.1" },
+        { "port", port },
+        { "cold", true },
+        { "instance", static_cast<uint64_t>(wallClockMs()) },
         { "slots", absl::GetFlag(FLAGS_slots) },
         { "connections", absl::GetFlag(FLAGS_connections) },
     };
