--- a/config/change_check.cpp
+++ b/config/change_check.cpp
@@ -123,9 +123,11 @@
     if (!removesTeam) {
         return {};
     }
-    for (const auto &[id, key] : state.index.keys) {
-        if (after.find("key " + id.value) != nullptr && after.find("team " + key.team.value) == nullptr) {
-            return "team " + key.team.value + " still has the key " + id.value + "; remove both in one change";
+    // In the order of the rules: the index is unordered, and all nodes must write the same text into the audit trail.
+    for (const auto &[id, entry] : state.rules) {
+        const auto *key = std::get_if<KeyRule>(&entry.rule);
+        if (key != nullptr && after.find(id) != nullptr && after.find("team " + key->team.value) == nullptr) {
+            return "team " + key->team.value + " still has the " + id + "; remove both in one change";
         }
     }
     return {};
