--- a/config/json_reader.cpp
+++ b/config/json_reader.cpp
@@ -45,6 +45,11 @@
     return value_.is_object() && value_.contains(name);
 }
 
+auto JsonReader::hasText(const std::string &name) const -> bool
+{
+    return has(name) && value_[name].is_string();
+}
+
 auto JsonReader::find(const std::string &name, bool required) -> const Json *
 {
     asked_.insert(name);
--- a/config/json_reader.h
+++ b/config/json_reader.h
@@ -31,7 +31,9 @@
     /// `value` and `errors` must outlive the reader.
     JsonReader(const nlohmann::json &value, std::string path, std::vector<JsonError> &errors);
 
-    auto has(const std::string &name) const -> bool;
+    [[nodiscard]] auto has(const std::string &name) const -> bool;
+    /// Returns whether the field is there and a string.
+    [[nodiscard]] auto hasText(const std::string &name) const -> bool;
     auto text(const std::string &name, std::optional<std::string> fallback = std::nullopt) -> std::string;
     auto number(const std::string &name, uint64_t min, uint64_t max, std::optional<uint64_t> fallback = std::nullopt)
         -> uint64_t;
--- a/config/settings.cpp
+++ b/config/settings.cpp
@@ -34,7 +34,7 @@
 
 auto readName(JsonReader &reader, const std::string &name) -> std::string
 {
-    const bool given = reader.has(name);
+    const bool given = reader.hasText(name);
     std::string text = reader.text(name);
     if (given && !isValidName(text)) {
         reader.addError(name,
@@ -66,7 +66,7 @@
 auto readEndpoint(JsonReader &reader, const std::string &name, Reach reach) -> Endpoint
 {
     Endpoint endpoint;
-    const bool given = reader.has(name);
+    const bool given = reader.hasText(name);
     const std::string text = reader.text(name);
     const std::string problem = given ? checkEndpoint(text, reach, endpoint) : std::string();
     if (!problem.empty()) {
