Add the operator tool snipestreamctl

Cause: operators publish rules, withdraw keys, drain nodes and ask what a team's share was spent on, while answers get lost and other operators publish at the same time.

A publication reads the log after every failed append and repeats the same change id only if the record is not there, so it tells the true verdict. A rules file names the revision it was exported at; a stale file then loses against later changes instead of reverting them. A withdrawal is repeated on a conflict, because it is meant whatever else changed in the rule. Usage errors end with code 2, which Abseil's own flag parser does not give; flags are set through its reflection instead.

Ruled out: taking the revision in force as base for every file; a file edited an hour ago would silently revert the changes made since. It remains the base only for files without the line.

--- a/config/change.cpp
+++ b/config/change.cpp
@@ -18,8 +18,6 @@
 using Json = nlohmann::json;
 
 constexpr size_t kChangeIdBytes = 16;
-constexpr size_t kMaxIdBytes = 100;
-constexpr size_t kMaxByBytes = 200;
 
 } // namespace
 
@@ -53,7 +51,7 @@
         reader.addError("kind", "is not \"change\"");
     }
     change.id = reader.text("id");
-    if (change.id.empty() || change.id.size() > kMaxIdBytes) {
+    if (change.id.empty() || change.id.size() > kMaxChangeIdBytes) {
         reader.addError("id", "has not 1 to 100 bytes");
     }
     change.baseRevision = reader.number("base", 0, std::numeric_limits<uint64_t>::max());
--- a/config/snapshot.cpp
+++ b/config/snapshot.cpp
@@ -1,5 +1,6 @@
 #include "config/snapshot.h"
 
+#include "config/audit_json.h"
 #include "config/json_reader.h"
 #include "config/rules_parser.h"
 #include "core/hash.h"
@@ -45,13 +46,7 @@
 {
     Json entries = Json::array();
     for (const AuditEntry &entry : audit) {
-        entries.push_back(Json { { "offset", entry.offset },
-                                 { "change", entry.changeId },
-                                 { "by", entry.by },
-                                 { "verdict", verdictName(entry.verdict) },
-                                 { "revision", entry.revision },
-                                 { "touched", entry.touched },
-                                 { "detail", entry.detail } });
+        entries.push_back(auditEntryJson(entry));
     }
     return entries;
 }
--- /dev/null
+++ b/ctl/wait.cpp
@@ -0,0 +1,58 @@
+#include "ctl/wait.h"
+
+#include "config/text.h"
+#include "ctl/node_calls.h"
+
+namespace snipestream {
+
+namespace {
+
+constexpr Duration kPollPause = milliseconds(200);
+
+/// Returns why the node does not have the revision yet; empty if it has.
+auto missing(const CtlContext &context, const CtlOptions &options, const Endpoint &node, uint64_t revision)
+    -> std::string
+{
+    const auto status = callNode(context, node, "GET", "/snipestream/v1/status", options.callTimeout);
+    if (!status) {
+        return toString(node) + " " + status.error().message;
+    }
+    const uint64_t reached = fieldNumber(status.value(), "revision");
+    return reached >= revision ? std::string() : toString(node) + " at revision " + std::to_string(reached);
+}
+
+} // namespace
+
+auto waitForRevision(const CtlContext &context, const CtlOptions &options, uint64_t revision) -> WaitOutcome
+{
+    const TimePoint begin = context.now();
+    std::vector<Endpoint> open = context.nodes;
+    std::string shown;
+    for (;;) {
+        WaitOutcome outcome;
+        std::vector<Endpoint> stillOpen;
+        for (const Endpoint &node : open) {
+            const std::string reason = missing(context, options, node, revision);
+            if (!reason.empty()) {
+                stillOpen.push_back(node);
+                outcome.behind.push_back(reason);
+            }
+        }
+        // Revisions never fall, so a node that was ready once is not asked again.
+        open = stillOpen;
+        outcome.ready = context.nodes.size() - open.size();
+        outcome.elapsed = context.now() - begin;
+        const std::string line = std::to_string(outcome.ready) + " of " + std::to_string(context.nodes.size())
+            + " nodes have revision " + std::to_string(revision) + " in force";
+        if (line != shown) {
+            context.progress(line);
+            shown = line;
+        }
+        if (open.empty() || outcome.elapsed + kPollPause > options.waitTimeout) {
+            return outcome;
+        }
+        context.sleep(kPollPause);
+    }
+}
+
+} // namespace snipestream
