Make the fold prove that no live claim has expired from the log

Cause: with a log that keeps records for less time than claims live, the fuzz test found two double runs.

A record of a newer owner now proves that owner's fence, and each record names the offset below which no copy of it can stand. A fold that cannot prove from these offsets that it has every live claim quarantines the range. Owners append a checkpoint every eighth of the log's retention so that the proof holds.

Ruled out: counting the tries of an append in the record, because a late first try looks like a regular one.

--- a/idempotency/claim_internal.cpp
+++ b/idempotency/claim_internal.cpp
@@ -188,6 +188,7 @@
     record.range = table.range;
     record.epoch = table.epoch;
     record.sequence = table.lastSequence + 1;
+    record.notBefore = table.notBefore;
     record.homeRevision = table.homeRevision;
     record.liveFrom = table.liveBySequence.empty() ? record.sequence : table.liveBySequence.begin()->first;
     if (table.quarantinedUntil && *table.quarantinedUntil > now) {
--- a/idempotency/claim_owner.cpp
+++ b/idempotency/claim_owner.cpp
@@ -86,7 +86,7 @@
     ClaimsRecord fence = claims::makeRecord(table, RecordKind::Fence, now);
     fence.liveFrom = fold.domain.empty() ? fence.sequence : fold.liveFrom;
     fence.quarantineLeft = fold.quarantineLeft;
-    const bool isHole = claims::needsRenewal(table.settings) && mayMissClaims(fold, table.logDroppedRecords);
+    const bool isHole = claims::needsRenewal(table.settings) && mayMissClaims(fold);
     if (table.predecessorUnlogged || isHole) {
         fence.quarantineLeft = table.settings.retention;
     }
@@ -94,19 +94,29 @@
     table.phase = OwnerPhase::Fencing;
 }
 
+/// Sets when a record is due even if no claim changes: to shorten a quarantine that a successor would find on the log,
+/// and to leave it records close enough to each other to prove that none between them is missing.
+void setCheckpoint(ClaimTable &table, TimePoint now)
+{
+    table.checkpointAt = TimePoint::max();
+    if (claims::needsRenewal(table.settings)) {
+        table.checkpointAt = now + table.settings.logRetention / 8;
+    }
+    if (table.quarantinedUntil) {
+        table.checkpointAt = std::min(table.checkpointAt, now + table.settings.retention / 24);
+    }
+}
+
 /// Takes the folded claims over and starts to grant.
 void startServing(ClaimTable &table, TimePoint now, OwnerOutputs &outputs)
 {
     table.phase = OwnerPhase::Serving;
     table.inFlight.reset();
     table.lastSequence = table.fold.lastSequence;
-    table.checkpointAt = TimePoint::max();
-    if (claims::needsRenewal(table.settings)) {
-        table.checkpointAt = now + table.settings.logRetention / 2;
-    }
+    setCheckpoint(table, now);
     if (table.fold.quarantineLeft > Duration::zero()) {
         table.quarantinedUntil = now + table.fold.quarantineLeft;
-        table.checkpointAt = std::min(table.checkpointAt, now + table.settings.retention / 24);
+        setCheckpoint(table, now);
         outputs.events.push_back(OwnerEvent::RangeQuarantined);
     }
     for (auto &[key, folded] : table.fold.claims) {
@@ -220,13 +230,7 @@
         batch = claims::makeRecord(table, RecordKind::Handover, now);
     }
     table.lastSequence = batch->sequence;
-    table.checkpointAt = TimePoint::max();
-    if (claims::needsRenewal(table.settings)) {
-        table.checkpointAt = now + table.settings.logRetention / 2;
-    }
-    if (batch->quarantineLeft > Duration::zero()) {
-        table.checkpointAt = std::min(table.checkpointAt, now + table.settings.retention / 24);
-    }
+    setCheckpoint(table, now);
     table.inFlight = InFlightAppend { std::move(*batch), std::nullopt, false };
 }
 
@@ -292,8 +296,8 @@
     return outputs;
 }
 
-auto onAppendResult(ClaimTable &table, uint64_t epoch, uint64_t sequence, AppendResult result, const OwnerView &view,
-                    TimePoint now) -> OwnerOutputs
+auto onAppendResult(ClaimTable &table, uint64_t epoch, uint64_t sequence, AppendResult result, uint64_t offset,
+                    const OwnerView &view, TimePoint now) -> OwnerOutputs
 {
     OwnerOutputs outputs;
     followLease(table, view, now, outputs);
@@ -316,6 +320,7 @@
     table.lastAppendSlow = flight.repeated || (flight.sentAt && now - *flight.sentAt > table.settings.slowAppend);
     const ClaimsRecord record = std::move(flight.record);
     table.inFlight.reset();
+    table.notBefore = std::max(table.notBefore, offset + 1);
     if (record.kind == RecordKind::Handover) {
         table.phase = OwnerPhase::HandedOver;
     }
@@ -345,28 +350,33 @@
     return outputs;
 }
 
-auto onLogRecords(ClaimTable &table, uint64_t readId, const std::vector<ClaimsRecord> &records, bool reachedEnd,
-                  bool logDroppedRecords, const OwnerView &view, TimePoint now) -> OwnerOutputs
+auto onLogRecords(ClaimTable &table, const LogRead &read, const OwnerView &view, TimePoint now) -> OwnerOutputs
 {
     OwnerOutputs outputs;
     followLease(table, view, now, outputs);
     const bool isReading = table.phase == OwnerPhase::Reading || table.phase == OwnerPhase::Fencing;
-    if (!isReading || readId != table.readId) {
+    if (!isReading || read.readId != table.readId) {
         fillOutputs(table, outputs);
         return outputs;
     }
-    table.logDroppedRecords = table.logDroppedRecords || logDroppedRecords;
-    for (const auto &record : records) {
+    if (!table.readUpTo) {
+        table.fold.readFrom = read.earliestOffset;
+    } else if (read.earliestOffset > *table.readUpTo) {
+        // The log dropped records between two reads.
+        restart(table, OwnerPhase::Reading, table.epoch, now);
+        fillOutputs(table, outputs);
+        return outputs;
+    }
+    table.readUpTo = read.nextOffset;
+    for (const auto &record : read.records) {
         applyClaimsRecord(table.fold, record, table.settings.retention);
-        const bool isOwn = table.fold.domain == table.domain && table.fold.epoch == table.epoch
-            && table.fold.homeRevision == table.homeRevision;
-        if (table.phase == OwnerPhase::Fencing && isOwn) {
-            startServing(table, now, outputs);
-            fillOutputs(table, outputs);
-            return outputs;
-        }
     }
-    if (reachedEnd && table.phase == OwnerPhase::Reading && view.valid) {
+    const bool isOwn = table.fold.domain == table.domain && table.fold.epoch == table.epoch
+        && table.fold.homeRevision == table.homeRevision;
+    table.notBefore = read.nextOffset;
+    if (table.phase == OwnerPhase::Fencing && isOwn) {
+        startServing(table, now, outputs);
+    } else if (read.reachedEnd && table.phase == OwnerPhase::Reading && view.valid) {
         startFence(table, now);
     }
     if (view.valid) {
--- a/idempotency/claim_record.cpp
+++ b/idempotency/claim_record.cpp
@@ -236,6 +236,7 @@
         { "epoch", record.epoch },
         { "sequence", record.sequence },
         { "liveFrom", record.liveFrom },
+        { "notBefore", record.notBefore },
         { "homeRevision", record.homeRevision },
         { "quarantineMs", duration_cast<milliseconds>(record.quarantineLeft).count() },
         { "claims", std::move(claims) }
@@ -285,6 +286,7 @@
     record.epoch = reader.number("epoch", UINT64_MAX);
     record.sequence = reader.number("sequence", UINT64_MAX);
     record.liveFrom = reader.number("liveFrom", UINT64_MAX);
+    record.notBefore = reader.number("notBefore", UINT64_MAX);
     record.homeRevision = reader.number("homeRevision", UINT64_MAX);
     record.quarantineLeft = reader.duration("quarantineMs");
     const auto claims = document.find("claims");
--- a/idempotency/claim_record.h
+++ b/idempotency/claim_record.h
@@ -50,6 +50,9 @@
     uint64_t sequence = 0;
     /// No live claim has its newest entry below this sequence number, so older records may be missing from the log.
     uint64_t liveFrom = 0;
+    /// Log offset below which no copy of this record can stand. A reader that has everything from here on knows that it
+    /// sees the first copy and not a delayed repetition, whose successors may have expired.
+    uint64_t notBefore = 0;
     /// Revision of the domain list that made `domain` the home of the range.
     uint64_t homeRevision = 0;
     /// How much longer new keys of the range are refused; zero if the range is not in quarantine.
@@ -59,8 +62,8 @@
     friend auto operator==(const ClaimsRecord &a, const ClaimsRecord &b) -> bool
     {
         return a.kind == b.kind && a.domain == b.domain && a.range == b.range && a.epoch == b.epoch
-            && a.sequence == b.sequence && a.liveFrom == b.liveFrom && a.homeRevision == b.homeRevision
-            && a.quarantineLeft == b.quarantineLeft && a.claims == b.claims;
+            && a.sequence == b.sequence && a.liveFrom == b.liveFrom && a.notBefore == b.notBefore
+            && a.homeRevision == b.homeRevision && a.quarantineLeft == b.quarantineLeft && a.claims == b.claims;
     }
 };
 
--- a/idempotency/claim_table.h
+++ b/idempotency/claim_table.h
@@ -88,7 +88,8 @@
     uint64_t epoch = 0;
     uint64_t homeRevision = 0;
     RangeFold fold;
-    bool logDroppedRecords = false;
+    /// Offset up to which this pass has read, empty before the first records.
+    std::optional<uint64_t> readUpTo;
     bool predecessorUnlogged = false;
     TimePoint readingSince {};
     /// Identifies one pass over the range's records; records of an earlier pass are ignored.
@@ -106,6 +107,8 @@
     double budget = 0;
     TimePoint budgetAt {};
     uint64_t lastSequence = 0;
+    /// The next record can only be stored at this offset or above.
+    uint64_t notBefore = 0;
     /// How many claims have their newest entry in each record.
     std::map<uint64_t, uint32_t> liveBySequence;
     /// When to append a record even if no claim has changed.
@@ -187,15 +190,29 @@
                TimePoint now) -> RunState;
 
 /// Reports the end of the append of the record with this epoch and sequence number. A result for another record is
-/// ignored. Every append must be reported within a few seconds, as Lost if there was no answer.
-auto onAppendResult(ClaimTable &table, uint64_t epoch, uint64_t sequence, AppendResult result, const OwnerView &view,
-                    TimePoint now) -> OwnerOutputs;
-
-/// Feeds records of the range in log order. `reachedEnd` is true if no further record was on the log;
-/// `logDroppedRecords` is true if the earliest retained offset is above the first one; `readId` is that of the outputs
-/// that asked for the records.
-auto onLogRecords(ClaimTable &table, uint64_t readId, const std::vector<ClaimsRecord> &records, bool reachedEnd,
-                  bool logDroppedRecords, const OwnerView &view, TimePoint now) -> OwnerOutputs;
+/// ignored. `offset` is where an acknowledged record stands on the log. Every append must be reported within a few
+/// seconds, as Lost if there was no answer.
+auto onAppendResult(ClaimTable &table, uint64_t epoch, uint64_t sequence, AppendResult result, uint64_t offset,
+                    const OwnerView &view, TimePoint now) -> OwnerOutputs;
+
+/// Some records of the log, in log order and without a gap to those of the read before.
+struct LogRead
+{
+    /// From the outputs that asked for the records.
+    uint64_t readId = 0;
+    /// The records of the range among those read; the reader leaves out other ranges and other types.
+    std::vector<ClaimsRecord> records;
+    /// Earliest offset that the log retained when the read was answered.
+    uint64_t earliestOffset = 0;
+    /// Offset after the last record that was read, of any type.
+    uint64_t nextOffset = 0;
+    /// True if no further record was on the log.
+    bool reachedEnd = false;
+};
+
+/// Feeds records while OwnerOutputs::wantRead is set. A read whose records the log dropped in the meantime starts the
+/// pass again with a new read id.
+auto onLogRecords(ClaimTable &table, const LogRead &read, const OwnerView &view, TimePoint now) -> OwnerOutputs;
 
 /// Tells the table whether the domain list still names its domain as the home of the range. If it does not, the table
 /// takes no new claims, flushes the others and appends a handover record; OwnerPhase::HandedOver follows.
--- a/idempotency/range_fold.cpp
+++ b/idempotency/range_fold.cpp
@@ -6,6 +6,14 @@
 
 namespace {
 
+/// Notes from which record on the fold is provably complete.
+void noteProof(RangeFold &fold, const ClaimsRecord &record)
+{
+    if (!fold.provenFrom && record.notBefore >= fold.readFrom) {
+        fold.provenFrom = record.sequence;
+    }
+}
+
 /// A fence counts if it is newer than everything its own domain wrote and belongs to no older domain list.
 auto acceptFence(RangeFold &fold, const ClaimsRecord &record, Duration retention) -> FoldVerdict
 {
@@ -34,13 +42,28 @@
         fold.quarantineLeft = retention;
     }
     if (isFirst || record.sequence > fold.lastSequence + 1) {
-        fold.firstSequence = record.sequence;
+        fold.provenFrom.reset();
         fold.liveFrom = record.liveFrom;
     }
+    noteProof(fold, record);
     fold.lastSequence = std::max(fold.lastSequence, record.sequence);
     return FoldVerdict::Applied;
 }
 
+/// True if the record's owner must have fenced before the first record that is still on the log. An owner writes
+/// nothing before it has read its fence back, so a record of a newer owner than the one the fold knows proves that
+/// fence. The fold may know an older owner from a void record that was stored after the fence and outlives it on the
+/// log.
+auto isFenceExpired(const RangeFold &fold, const ClaimsRecord &record) -> bool
+{
+    if (fold.domain.empty() || record.homeRevision > fold.homeRevision) {
+        return true;
+    }
+    const auto highest = fold.highestEpochs.find(record.domain);
+    return record.homeRevision == fold.homeRevision && record.domain == fold.domain
+        && highest != fold.highestEpochs.end() && record.epoch > highest->second;
+}
+
 } // namespace
 
 auto applyClaimsRecord(RangeFold &fold, const ClaimsRecord &record, Duration retention) -> FoldVerdict
@@ -51,13 +74,12 @@
     if (record.kind == RecordKind::Fence) {
         return acceptFence(fold, record, retention);
     }
-    if (fold.domain.empty()) {
-        // The fence of this owner has expired from the log.
+    if (isFenceExpired(fold, record)) {
         fold.domain = record.domain;
         fold.epoch = record.epoch;
         fold.homeRevision = record.homeRevision;
         fold.highestEpochs[record.domain] = record.epoch;
-        fold.firstSequence = record.sequence;
+        fold.provenFrom.reset();
         fold.lastSequence = record.sequence - 1;
     }
     if (record.domain != fold.domain || record.epoch != fold.epoch) {
@@ -69,8 +91,9 @@
         return FoldVerdict::Duplicate;
     }
     if (record.sequence != fold.lastSequence + 1) {
-        fold.firstSequence = record.sequence;
+        fold.provenFrom.reset();
     }
+    noteProof(fold, record);
     fold.lastSequence = record.sequence;
     fold.liveFrom = record.liveFrom;
     fold.quarantineLeft = record.quarantineLeft;
@@ -81,12 +104,9 @@
     return FoldVerdict::Applied;
 }
 
-auto mayMissClaims(const RangeFold &fold, bool logDroppedRecords) -> bool
+auto mayMissClaims(const RangeFold &fold) -> bool
 {
-    if (!logDroppedRecords) {
-        return false;
-    }
-    return fold.domain.empty() || fold.firstSequence > fold.liveFrom;
+    return fold.readFrom > 0 && (!fold.provenFrom || *fold.provenFrom > fold.liveFrom);
 }
 
 } // namespace snipestream
--- a/idempotency/range_fold.h
+++ b/idempotency/range_fold.h
@@ -3,6 +3,7 @@
 #include "idempotency/claim_record.h"
 
 #include <map>
+#include <optional>
 #include <unordered_map>
 
 namespace snipestream {
@@ -20,8 +21,10 @@
     std::map<DomainName, uint64_t> highestEpochs;
 
     uint64_t lastSequence = 0;
-    /// First sequence number of the unbroken run of records that ends with the last one.
-    uint64_t firstSequence = 0;
+    /// Offset from which this pass has read the log without a gap.
+    uint64_t readFrom = 0;
+    /// Sequence number from which on the fold provably has every record; empty if it proves nothing.
+    std::optional<uint64_t> provenFrom;
     uint64_t liveFrom = 0;
     Duration quarantineLeft {};
 
@@ -49,8 +52,8 @@
 /// domain without a handover.
 auto applyClaimsRecord(RangeFold &fold, const ClaimsRecord &record, Duration retention) -> FoldVerdict;
 
-/// True if live claims may have expired from the log: the retained records begin after the oldest live claim.
-/// `logDroppedRecords` tells whether the log has dropped any record at all.
-auto mayMissClaims(const RangeFold &fold, bool logDroppedRecords) -> bool;
+/// True if live claims may have expired from the log: the log has dropped records, and those that are left do not prove
+/// that they contain the newest entry of every live claim.
+auto mayMissClaims(const RangeFold &fold) -> bool;
 
 } // namespace snipestream
--- a/tests/idempotency/world.cpp
+++ b/tests/idempotency/world.cpp
@@ -141,7 +141,9 @@
     if (hasClaim) {
         onStep(Step::AppendSent);
     }
-    const auto store = [this, text = toJson(record), hasClaim, hasOutcome] {
+    const auto offset = std::make_shared<uint64_t>(0);
+    const auto store = [this, offset, text = toJson(record), hasClaim, hasOutcome] {
+        *offset = log_.earliest + log_.records.size();
         log_.records.emplace_back(now_, text);
         if (hasClaim) {
             onStep(Step::AppendStored);
@@ -155,7 +157,7 @@
         atOwner(index, incarnation, [=] {
             OwnerView seen = view(index);
             seen.valid = seen.valid || defect_ == Defect::GrantWithoutLease;
-            handle(index, onAppendResult(owners_[index].table, epoch, sequence, result, seen, now_));
+            handle(index, onAppendResult(owners_[index].table, epoch, sequence, result, *offset, seen, now_));
         });
     };
     if (now_ < log_.downUntil) {
@@ -213,7 +215,8 @@
         }
     }
     const bool isAtEnd = node.readOffset == end;
-    handle(index, onLogRecords(table, table.readId, records, isAtEnd, log_.earliest > 0, view(index), now_));
+    const LogRead read { table.readId, records, log_.earliest, node.readOffset, isAtEnd };
+    handle(index, onLogRecords(table, read, view(index), now_));
 }
 
 void World::tickOwner(size_t index)
@@ -445,6 +448,8 @@
     ++node.incarnation;
     node.table = makeClaimTable(settings_, DomainName("a"), 7);
     node.epoch = 0;
+    node.readId = 0;
+    node.lastBitRequest = {};
     node.waiting.clear();
     node.pausedUntil = {};
     if (!restarts) {
