Add the fault matrix and the defects that its oracles must notice

Cause: each fault has to be tried at each step of a request, alone and with a second fault, and an oracle that never fails shows nothing.

--- a/tests/idempotency/claims_fuzz_test.cpp
+++ b/tests/idempotency/claims_fuzz_test.cpp
@@ -43,6 +43,7 @@
     switch (command.kind) {
     case 0:
     case 1:
+        world.requestTime = seconds(command.value % 4 == 0 ? 10 : 2);
         world.request("key" + std::to_string(command.value % 3), static_cast<size_t>(command.value) % 2);
         world.advance(milliseconds(command.value % 5 * 40));
         break;
@@ -93,7 +94,7 @@
         size_t takeovers = 0;
         // inRange() narrows its range with the size, so the commands are drawn at the full size.
         const auto command = rc::gen::resize(
-            rc::kNominalSize, rc::gen::construct<Command>(rc::gen::inRange(0, 6), rc::gen::inRange(0, 15 * 24)));
+            rc::kNominalSize, rc::gen::construct<Command>(rc::gen::inRange(0, 6), rc::gen::inRange(0, 16 * 24)));
         const auto commands = rc::gen::container<std::vector<Command>>(command);
         const bool holds = rc::check("claims", [&] {
             const auto sequence = *rc::gen::resize(60, commands);
--- a/tests/idempotency/world.cpp
+++ b/tests/idempotency/world.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 constexpr Duration kTick = milliseconds(10);
-constexpr Duration kRequestTime = seconds(2);
+
 const TeamName kTeam { "studio" };
 } // namespace
 
@@ -123,7 +123,8 @@
     if (request != node.lastBitRequest && node.table.epoch == node.epoch) {
         node.lastBitRequest = request;
         after(milliseconds(30), [this, request, want = outputs.wantUnloggedBit] {
-            if (lease_.epoch == request.first && request.second > lease_.lastBitRequest) {
+            const bool isReached = defect_ != Defect::UnloggedWithoutWitnesses;
+            if (isReached && lease_.epoch == request.first && request.second > lease_.lastBitRequest) {
                 lease_.bit = want;
                 lease_.lastBitRequest = request.second;
             }
@@ -169,10 +170,12 @@
     const bool isSlow = now_ < log_.slowUntil;
     const bool isLost = std::exchange(log_.loseAnswer, false);
     const bool isDelayed = std::exchange(log_.delayAppend, false);
-    after(isDelayed ? seconds(6) : isSlow ? Duration(milliseconds(400)) : Duration(kTick), store);
-    after(isLost || isDelayed ? milliseconds(700)
-              : isSlow        ? milliseconds(600)
-                              : milliseconds(20),
+    const bool isLate = std::exchange(log_.delayAnswer, false);
+    after(isDelayed || isLate ? seconds(6) : isSlow ? Duration(milliseconds(400)) : Duration(kTick), store);
+    after(isLate                    ? Duration(seconds(6) + kTick)
+              : isLost || isDelayed ? Duration(milliseconds(700))
+              : isSlow              ? milliseconds(600)
+                                    : milliseconds(20),
           [=] {
               answer(isLost || isDelayed ? AppendResult::Lost : AppendResult::Acknowledged);
           });
@@ -264,10 +267,10 @@
     Attempt attempt;
     attempt.trace.key = { kTeam, key };
     attempt.trace.attempt = id;
-    attempt.deadline = now_ + kRequestTime;
+    attempt.deadline = now_ + requestTime;
     attempt.begin
         = BeginRequest { attempt.trace.key, requestFingerprint("POST", "/" + key, 3), id, number, NodeName("e"),
-                         kRequestTime };
+                         requestTime };
     onClaimAsked(attempt.trace);
     const BeginRequest begin = attempt.begin;
     entries_[entry].attempts.emplace(id, std::move(attempt));
@@ -441,144 +444,4 @@
     }
 }
 
-void World::killOwner(bool restarts)
-{
-    auto &node = owners_[lease_.holder];
-    node.isAlive = restarts;
-    ++node.incarnation;
-    node.table = makeClaimTable(settings_, DomainName("a"), 7);
-    node.epoch = 0;
-    node.readId = 0;
-    node.lastBitRequest = {};
-    node.waiting.clear();
-    node.pausedUntil = {};
-    if (!restarts) {
-        after(seconds(8), [&node] {
-            node.isAlive = true;
-        });
-    }
-}
-
-void World::strike(Fault fault)
-{
-    switch (fault) {
-    case Fault::OwnerKilled:
-        killOwner(false);
-        break;
-    case Fault::OwnerRestarted:
-        killOwner(true);
-        break;
-    case Fault::OwnerPaused:
-        owners_[lease_.holder].pausedUntil = now_ + seconds(5);
-        break;
-    case Fault::EntryKilled:
-        for (auto &entry : entries_) {
-            entry = {};
-        }
-        break;
-    case Fault::LogDown:
-        log_.downUntil = now_ + seconds(6);
-        break;
-    case Fault::LogSlow:
-        log_.slowUntil = now_ + seconds(6);
-        break;
-    case Fault::AppendAnswerLost:
-        log_.loseAnswer = true;
-        break;
-    case Fault::AppendDelayed:
-        log_.delayAppend = true;
-        break;
-    case Fault::MessageLost:
-        loseMessage_ = true;
-        break;
-    case Fault::MessageDuplicated:
-        duplicateMessage_ = true;
-        break;
-    case Fault::MessageDelayed:
-        delayMessage_ = true;
-        break;
-    case Fault::HomeLinkClosed:
-        closeHomeLink_ = true;
-        break;
-    case Fault::AdmissionRefused:
-        refusedAdmissions_ = 2;
-        break;
-    case Fault::LogExpires:
-        // The owner cannot renew its claims on the log for longer than the log keeps them.
-        log_.downUntil = now_ + settings_.logRetention + seconds(5);
-        break;
-    case Fault::OutageThenOwnerDeath:
-        log_.downUntil = now_ + seconds(4);
-        after(seconds(2), [this] {
-            killOwner(false);
-        });
-        break;
-    }
-}
-
-auto World::activeFaults() const -> int
-{
-    int active = 0;
-    for (const auto &node : owners_) {
-        active += !node.isAlive || isPaused(node) ? 1 : 0;
-    }
-    for (const bool isSet : { loseMessage_, duplicateMessage_, delayMessage_, closeHomeLink_, refusedAdmissions_ > 0,
-                              log_.loseAnswer, log_.delayAppend, now_ < log_.downUntil, now_ < log_.slowUntil }) {
-        active += isSet ? 1 : 0;
-    }
-    return active;
-}
-
-void World::heal()
-{
-    loseMessage_ = duplicateMessage_ = delayMessage_ = closeHomeLink_ = false;
-    refusedAdmissions_ = 0;
-    log_.loseAnswer = log_.delayAppend = false;
-    log_.downUntil = log_.slowUntil = now_;
-    advance(seconds(20));
-}
-
-auto stepName(Step step) -> std::string
-{
-    static const std::array<const char *, kStepCount> names
-        = { "claim sent",   "claim at the owner",    "append sent", "append stored", "grant sent",
-            "request sent", "request at the target", "answer sent", "outcome sent",  "outcome stored" };
-    return names[static_cast<size_t>(step)];
-}
-
-auto faultName(Fault fault) -> std::string
-{
-    static const std::array<const char *, kFaultCount> names = { "owner killed",
-                                                                 "owner restarted",
-                                                                 "owner paused 5 s",
-                                                                 "entry nodes killed",
-                                                                 "log down 6 s",
-                                                                 "log slow 6 s",
-                                                                 "append answer lost",
-                                                                 "append delayed 6 s",
-                                                                 "next message lost",
-                                                                 "next message doubled",
-                                                                 "next message 4 s late",
-                                                                 "link to home closed",
-                                                                 "admission refused",
-                                                                 "log down past its retention",
-                                                                 "log down, then owner killed" };
-    return names[static_cast<size_t>(fault)];
-}
-
-auto defectName(Defect defect) -> std::string
-{
-    static const std::array<const char *, 10> names = { "none",
-                                                        "run before the append is acknowledged",
-                                                        "grant although the lease was not valid at the acknowledgement",
-                                                        "no fence",
-                                                        "forget on takeover",
-                                                        "resend after a byte was sent",
-                                                        "not-run said while an attempt is unknown",
-                                                        "quarantine skipped",
-                                                        "unlogged mode without the witnesses",
-                                                        "replay cut short" };
-    return names[static_cast<size_t>(defect)];
-}
-
 } // namespace snipestream::testing
--- a/tests/idempotency/world.h
+++ b/tests/idempotency/world.h
@@ -51,6 +51,7 @@
     LogSlow,
     AppendAnswerLost,
     AppendDelayed,
+    AppendLate,
     MessageLost,
     MessageDuplicated,
     MessageDelayed,
@@ -59,7 +60,7 @@
     LogExpires,
     OutageThenOwnerDeath,
 };
-constexpr int kFaultCount = 15;
+constexpr int kFaultCount = 16;
 
 /// Two candidate owners of one range, two entry nodes, two home nodes, a target, a log and a lease, in virtual time.
 struct World
@@ -79,6 +80,8 @@
     Oracle oracle;
     /// Called at each step of each attempt.
     std::function<void(Step)> onStep = [](Step) {};
+    /// Time left of the requests that are made from now on.
+    Duration requestTime = seconds(2);
     size_t quarantines = 0;
     size_t unloggedModes = 0;
     size_t takeovers = 0;
@@ -123,6 +126,7 @@
         TimePoint slowUntil {};
         bool loseAnswer = false;
         bool delayAppend = false;
+        bool delayAnswer = false;
     };
     struct Lease
     {
@@ -170,7 +174,6 @@
     bool delayMessage_ = false;
     bool closeHomeLink_ = false;
     int refusedAdmissions_ = 0;
-    TimePoint expiryEnds_ {};
 };
 
 auto stepName(Step step) -> std::string;
--- /dev/null
+++ b/tests/idempotency/world_faults.cpp
@@ -0,0 +1,161 @@
+#include "tests/idempotency/world.h"
+
+namespace snipestream::testing {
+
+void World::killOwner(bool restarts)
+{
+    auto &node = owners_[lease_.holder];
+    node.isAlive = restarts;
+    ++node.incarnation;
+    node.table = makeClaimTable(settings_, DomainName("a"), 7);
+    node.epoch = 0;
+    node.readId = 0;
+    node.lastBitRequest = {};
+    node.waiting.clear();
+    node.pausedUntil = {};
+    if (!restarts) {
+        after(seconds(8), [&node] {
+            node.isAlive = true;
+        });
+    }
+}
+
+void World::strike(Fault fault)
+{
+    switch (fault) {
+    case Fault::OwnerKilled:
+        // A step is reported in the middle of an action of the node that dies, so the death follows the action.
+        after({}, [this] {
+            killOwner(false);
+        });
+        break;
+    case Fault::OwnerRestarted:
+        after({}, [this] {
+            killOwner(true);
+        });
+        break;
+    case Fault::OwnerPaused:
+        owners_[lease_.holder].pausedUntil = now_ + seconds(5);
+        break;
+    case Fault::EntryKilled:
+        after({}, [this] {
+            entries_ = {};
+        });
+        break;
+    case Fault::LogDown:
+        log_.downUntil = now_ + seconds(6);
+        break;
+    case Fault::LogSlow:
+        log_.slowUntil = now_ + seconds(6);
+        break;
+    case Fault::AppendAnswerLost:
+        log_.loseAnswer = true;
+        break;
+    case Fault::AppendDelayed:
+        log_.delayAppend = true;
+        break;
+    case Fault::AppendLate:
+        log_.delayAnswer = true;
+        break;
+    case Fault::MessageLost:
+        loseMessage_ = true;
+        break;
+    case Fault::MessageDuplicated:
+        duplicateMessage_ = true;
+        break;
+    case Fault::MessageDelayed:
+        delayMessage_ = true;
+        break;
+    case Fault::HomeLinkClosed:
+        closeHomeLink_ = true;
+        break;
+    case Fault::AdmissionRefused:
+        refusedAdmissions_ = 2;
+        break;
+    case Fault::LogExpires:
+        // The owner cannot renew its claims on the log for longer than the log keeps them.
+        log_.downUntil = now_ + settings_.logRetention + seconds(5);
+        break;
+    case Fault::OutageThenOwnerDeath:
+        log_.downUntil = now_ + seconds(4);
+        after(seconds(2), [this] {
+            killOwner(false);
+        });
+        break;
+    }
+}
+
+auto World::activeFaults() const -> int
+{
+    int active = 0;
+    for (const auto &node : owners_) {
+        active += !node.isAlive || isPaused(node) ? 1 : 0;
+    }
+    for (const bool isSet :
+         { loseMessage_, duplicateMessage_, delayMessage_, closeHomeLink_, refusedAdmissions_ > 0, log_.loseAnswer,
+           log_.delayAppend, log_.delayAnswer, now_ < log_.downUntil, now_ < log_.slowUntil }) {
+        active += isSet ? 1 : 0;
+    }
+    return active;
+}
+
+void World::heal()
+{
+    loseMessage_ = duplicateMessage_ = delayMessage_ = closeHomeLink_ = false;
+    refusedAdmissions_ = 0;
+    log_.loseAnswer = log_.delayAppend = log_.delayAnswer = false;
+    log_.downUntil = log_.slowUntil = now_;
+    advance(seconds(20));
+}
+
+auto stepName(Step step) -> std::string
+{
+    static const std::vector<const char *> names = {
+        "claim sent", //
+        "claim at the owner", "append sent",  "append stored",  "grant sent", "request sent", "request at the target",
+        "answer sent",        "outcome sent", "outcome stored",
+    };
+    return names.at(static_cast<size_t>(step));
+}
+
+auto faultName(Fault fault) -> std::string
+{
+    static const std::vector<const char *> names = {
+        "owner killed", //
+        "owner restarted",
+        "owner paused 5 s",
+        "entry nodes killed",
+        "log down 6 s",
+        "log slow 6 s",
+        "append answer lost",
+        "append lost, stored 6 s later",
+        "append and answer 6 s late",
+        "next message lost",
+        "next message doubled",
+        "next message 4 s late",
+        "link to home closed",
+        "admission refused",
+        "log down past its retention",
+        "log down, then owner killed",
+    };
+    return names.at(static_cast<size_t>(fault));
+}
+
+auto defectName(Defect defect) -> std::string
+{
+    static const std::vector<const char *> names = {
+        "none", //
+        "run before the append is acknowledged",
+        "grant although the lease was not valid at the acknowledgement",
+        "no fence",
+        "forget on takeover",
+        "resend after a byte was sent",
+        "not-run said while an attempt is unknown",
+        "quarantine skipped",
+        "unlogged mode without the witnesses",
+        "replay cut short",
+    };
+    return names.at(static_cast<size_t>(defect));
+}
+
+} // namespace snipestream::testing
