--- a/peer/link.cpp
+++ b/peer/link.cpp
@@ -1,11 +1,10 @@
 #include "peer/link.h"
 
 #include "core/events.h"
-#include "core/random.h"
 #include "net/await.h"
-#include "peer/handshake.h"
 #include "peer/link_stream.h"
 
+#include <algorithm>
 #include <utility>
 
 namespace snipestream {
@@ -14,8 +13,6 @@
 
 namespace {
 
-constexpr size_t kNonceBytes = 16;
-
 /// A link that sent a large message keeps at most this much of its buffer.
 constexpr size_t kKeptBufferBytes = 4096;
 
@@ -51,6 +48,11 @@
 
 } // namespace
 
+auto tickInterval(const PeerOptions &options) -> Duration
+{
+    return std::min(options.pingInterval, options.deadAfter) / 2;
+}
+
 PeerShared::PeerShared(FiberRuntime &runtimeToUse, PeerOptions optionsToUse, MetricsRegistry &metrics)
     : runtime(runtimeToUse)
     , options(std::move(optionsToUse))
@@ -73,48 +75,6 @@
     table_.window = shared_->options.streamWindowBytes;
 }
 
-void PeerLink::start(LinkObserver observer)
-{
-    observer_ = std::move(observer);
-    const auto &self = shared_->options.self;
-    ownHello_
-        = { shared_->options.version, self.node.value, self.incarnation, self.domain.value, table_.window, {}, {} };
-    ownHello_.nonce = secureRandomHex(kNonceBytes);
-    handshakeTimer_
-        = std::make_unique<boost::asio::steady_timer>(shared_->runtime.context(), shared_->options.connectTimeout);
-    handshakeTimer_->async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
-        const auto link = weak.lock();
-        if (link && !error && link->phase_ != Phase::Ready) {
-            link->close({ ErrorCode::Timeout, "the handshake timed out" });
-        }
-    });
-    // The socket drops its handlers when it ends, which breaks the cycle.
-    const auto link = shared_from_this();
-    socket_->start({ [link] {
-                        link->onOpened();
-                    },
-                     [link](std::string_view message) {
-                         link->onMessage(message);
-                     },
-                     [link] {
-                         link->onDrained();
-                     },
-                     [link](SocketEnd end, const std::string &reason) {
-                         link->onSocketClosed(end, reason);
-                     } });
-}
-
-void PeerLink::onOpened()
-{
-    if (phase_ != Phase::Connecting) {
-        return;
-    }
-    if (table_.role == LinkRole::Dialler) {
-        static_cast<void>(queue(ownHello_));
-    }
-    phase_ = Phase::AwaitHello;
-}
-
 void PeerLink::onMessage(std::string_view message)
 {
     while (!message.empty() && phase_ != Phase::Closed) {
@@ -144,19 +104,6 @@
     close(error);
 }
 
-void PeerLink::refuse(const std::string &reason)
-{
-    if (phase_ == Phase::Closed) {
-        return;
-    }
-    shared_->linksRefused.add();
-    logEvent(EventId::PeerRefused, { { "remote", toString(remote()) }, { "reason", reason } });
-    if (table_.role == LinkRole::Acceptor) {
-        static_cast<void>(queue(RefuseFrame { reason }));
-    }
-    close({ ErrorCode::Unavailable, "link to " + toString(remote()) + " refused: " + reason });
-}
-
 auto PeerLink::onFrame(Frame &&frame) -> Result<void>
 {
     if (phase_ != Phase::Ready) {
@@ -203,78 +150,6 @@
                    "frame of kind " + std::to_string(frame.index()) + " is not for this end of the link");
 }
 
-auto PeerLink::onHandshakeFrame(const Frame &frame) -> Result<void>
-{
-    if (const auto *hello = std::get_if<HelloFrame>(&frame); hello != nullptr && phase_ == Phase::AwaitHello) {
-        return table_.role == LinkRole::Dialler ? onAcceptorHello(*hello) : onDiallerHello(*hello);
-    }
-    if (const auto *proof = std::get_if<ProofFrame>(&frame); proof != nullptr && phase_ == Phase::AwaitProof) {
-        if (const auto checked
-            = checkProof(shared_->options.fleetSecret, LinkRole::Dialler, peerHello_, ownHello_, proof->proof);
-            !checked) {
-            refuse(checked.error().message);
-            return success();
-        }
-        becomeReady(peerHello_);
-        return success();
-    }
-    if (const auto *refused = std::get_if<RefuseFrame>(&frame);
-        refused != nullptr && table_.role == LinkRole::Dialler) {
-        refuse("the peer says: " + refused->reason);
-        return success();
-    }
-    return failure(ErrorCode::ProtocolViolation, "unexpected frame in the handshake");
-}
-
-auto PeerLink::onDiallerHello(const HelloFrame &hello) -> Result<void>
-{
-    if (const auto checked = checkHello(hello, shared_->options.version); !checked) {
-        refuse(checked.error().message);
-        return success();
-    }
-    peerHello_ = hello;
-    peerHello_.proof.clear();
-    HelloFrame answer = ownHello_;
-    answer.proof = peerProof(shared_->options.fleetSecret, LinkRole::Acceptor, peerHello_, ownHello_);
-    phase_ = Phase::AwaitProof;
-    return queue(answer);
-}
-
-auto PeerLink::onAcceptorHello(const HelloFrame &hello) -> Result<void>
-{
-    auto checked = checkHello(hello, shared_->options.version);
-    if (checked) {
-        checked = checkProof(shared_->options.fleetSecret, LinkRole::Acceptor, ownHello_, hello, hello.proof);
-    }
-    if (!checked) {
-        refuse(checked.error().message);
-        return success();
-    }
-    BOOST_OUTCOME_TRY(
-        queue(ProofFrame { peerProof(shared_->options.fleetSecret, LinkRole::Dialler, ownHello_, hello) }));
-    becomeReady(hello);
-    return success();
-}
-
-void PeerLink::becomeReady(const HelloFrame &peer)
-{
-    phase_ = Phase::Ready;
-    handshakeTimer_.reset();
-    table_.peerWindow = peer.window;
-    peer_ = { NodeName(peer.node), peer.incarnation, DomainName(peer.domain) };
-    ownHello_ = {};
-    peerHello_ = {};
-    ++shared_->openLinks;
-    shared_->linksOpen.set(static_cast<double>(shared_->openLinks));
-    lastUsed_ = BootClock::now();
-    logEvent(EventId::PeerConnected,
-             { { "node", peer_.node.value },
-               { "domain", peer_.domain.value },
-               { "remote", toString(remote()) },
-               { "role", table_.role == LinkRole::Dialler ? "dialler" : "acceptor" } });
-    observer_.ready();
-}
-
 auto PeerLink::inboundRefusal() const -> std::optional<Error>
 {
     if (shared_->refusesInbound) {
@@ -554,11 +429,16 @@
 void PeerLink::tick(TimePoint now)
 {
     const auto &options = shared_->options;
-    const Duration silent = now - socket_->lastReceived();
     if (phase_ != Phase::Ready) {
         return;
     }
-    if (silent >= options.deadAfter) {
+    const TimePoint received = socket_->lastReceived();
+    const Duration silent = now - received;
+    silentTicks_ = received == receivedAtTick_ ? silentTicks_ + 1 : 0;
+    receivedAtTick_ = received;
+    // A process that was paused wakes with old receive times and with answers that it has not read yet. The pause
+    // counts as one tick, so the link must also have been silent at nearly all ticks of the time.
+    if (silent >= options.deadAfter && silentTicks_ + 1 >= options.deadAfter / tickInterval(options)) {
         logEvent(EventId::PeerLost,
                  { { "node", peer_.node.value }, { "remote", toString(remote()) }, { "reason", "nothing received" } });
         close(closedError("nothing received from " + toString(remote())));
--- a/peer/link.h
+++ b/peer/link.h
@@ -47,6 +47,9 @@
     size_t openLinks = 0;
 };
 
+/// Returns how often tick() is called on each link.
+auto tickInterval(const PeerOptions &options) -> Duration;
+
 /// What a link tells the network that owns it. Called between fibers.
 struct LinkObserver
 {
@@ -157,6 +160,9 @@
     size_t inboundCalls_ = 0;
     std::string out_;
     TimePoint lastUsed_ = BootClock::now();
+    /// Ticks in a row at which nothing had arrived since the tick before.
+    int64_t silentTicks_ = 0;
+    TimePoint receivedAtTick_ {};
 };
 
 } // namespace snipestream
--- a/peer/peer_network.cpp
+++ b/peer/peer_network.cpp
@@ -126,7 +126,7 @@
 
 void PeerNetwork::State::startTicking()
 {
-    ticker.expires_after(std::min(shared->options.pingInterval, shared->options.deadAfter) / 2);
+    ticker.expires_after(tickInterval(shared->options));
     ticker.async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
         const auto self = weak.lock();
         if (!self || error || self->stopped) {
--- a/tests/peer/peer_pair.h
+++ b/tests/peer/peer_pair.h
@@ -18,6 +18,7 @@
     options.listen = { "127.0.0.1", 0 };
     options.self = { NodeName(node), 7, DomainName("caerdydd") };
     options.fleetSecret = "fleet secret of the tests";
+    options.connectTimeout = milliseconds(300);
     options.pingInterval = milliseconds(40);
     options.deadAfter = milliseconds(200);
     options.shutdownTimeout = milliseconds(300);
