--- a/ctl/publisher.h
+++ b/ctl/publisher.h
@@ -16,7 +16,7 @@
 /// What the log decided about a change.
 struct Published
 {
-    Verdict verdict = Verdict::Applied;
+    ChangeVerdict verdict = ChangeVerdict::Applied;
     uint64_t offset = 0;
     /// Revision in force after the change's record.
     uint64_t revision = 0;
--- a/ctl/rules_commands.cpp
+++ b/ctl/rules_commands.cpp
@@ -123,7 +123,7 @@
                         { "offset", published.offset },
                         { "revision", published.revision },
                         { "base", change.baseRevision } };
-    if (published.verdict == Verdict::Applied) {
+    if (published.verdict == ChangeVerdict::Applied) {
         report.text = "change " + change.id + " is in force on the log at revision "
             + std::to_string(published.revision) + " (offset " + std::to_string(published.offset) + ")\n";
         return report;
@@ -142,7 +142,7 @@
     report.exit = ExitCode::Refused;
     report.document = { { "verdict", verdictName(check.verdict) }, { "detail", check.detail } };
     report.text = "nothing was published (" + std::string(verdictName(check.verdict)) + "): " + check.detail + "\n";
-    if (check.verdict == Verdict::Conflict) {
+    if (check.verdict == ChangeVerdict::Conflict) {
         report.text.append("run \"snipestreamctl export\", repeat your edits on its output and publish that\n");
     }
     return report;
@@ -172,7 +172,7 @@
         return report;
     }
     CtlReport report = publishedReport(change, published.value());
-    if (published.value().verdict == Verdict::Applied) {
+    if (published.value().verdict == ChangeVerdict::Applied) {
         addWait(context, options, published.value().revision, report);
     }
     return report;
@@ -212,7 +212,7 @@
     describeChange(state, change.value(), report);
     const ChangeCheck check = checkChange(state, change.value());
     report.document["verdict"] = verdictName(check.verdict);
-    if (check.verdict != Verdict::Applied) {
+    if (check.verdict != ChangeVerdict::Applied) {
         report.exit = ExitCode::Refused;
         report.document["detail"] = check.detail;
         report.text.append("would not be applied (")
@@ -242,7 +242,7 @@
         CtlReport report = publishedReport(
             named, Published { earlier->verdict, earlier->offset, earlier->revision, earlier->detail });
         report.document.erase("base");
-        if (earlier->verdict == Verdict::Applied) {
+        if (earlier->verdict == ChangeVerdict::Applied) {
             addWait(context, options, earlier->revision, report);
         }
         return report;
@@ -257,7 +257,7 @@
         return failedReport(change.error());
     }
     const ChangeCheck check = checkChange(state, change.value());
-    if (check.verdict != Verdict::Applied) {
+    if (check.verdict != ChangeVerdict::Applied) {
         return refusedBeforehand(check);
     }
     return publishAndReport(context, options, fold.value(), change.value());
--- a/node/claim_service.cpp
+++ b/node/claim_service.cpp
@@ -111,19 +111,20 @@
         return;
     }
     AppendResult result = AppendResult::Acknowledged;
+    const uint64_t offset = appended ? appended.value() : 0;
     if (!appended) {
         result = appended.error().code == ErrorCode::Unavailable ? AppendResult::Failed : AppendResult::Lost;
     }
     const TimePoint now = BootClock::now();
     const OwnerView view = ownerView(state, range->second, now);
-    applyOutputs(state, number, onAppendResult(range->second.table, record.epoch, record.sequence, result, view, now));
+    applyOutputs(state, number, onAppendResult(range->second.table, record.epoch, record.sequence, result,
+                                offset, view, now));
 }
 
 /// Reads the records of a range from the earliest one to the end of its stream, for one reading pass.
 void readRange(NodeState &state, uint32_t number, uint64_t pass)
 {
     uint64_t offset = 0;
-    bool dropped = false;
     while (!state.ending) {
         const auto page = state.log.read(claimsStream(number), offset, kPageRecords);
         const auto range = state.claimOwner.ranges.find(number);
@@ -133,23 +134,26 @@
         if (!page) {
             if (const auto earliest = earliestOfExpired(page.error())) {
                 offset = *earliest;
-                dropped = true;
                 continue;
             }
             state.runtime.sleepFor(kReportPause);
             continue;
         }
-        std::vector<ClaimsRecord> records;
+        LogRead read;
+        read.readId = pass;
+        read.earliestOffset = page.value().earliest;
         for (const auto &record : page.value().records) {
             offset = record.offset + 1;
             if (auto parsed = claimsRecordFromJson(record.payload)) {
-                records.push_back(std::move(parsed).value());
+                read.records.push_back(std::move(parsed).value());
             }
         }
-        const bool reachedEnd = offset >= page.value().head;
+        read.nextOffset = offset;
+        read.reachedEnd = offset >= page.value().head;
+        const bool reachedEnd = read.reachedEnd;
         const TimePoint now = BootClock::now();
         const OwnerView view = ownerView(state, range->second, now);
-        applyOutputs(state, number, onLogRecords(range->second.table, pass, records, reachedEnd, dropped, view, now));
+        applyOutputs(state, number, onLogRecords(range->second.table, read, view, now));
         if (!reachedEnd) {
             continue;
         }
--- a/tests/config/decoders_test.cpp
+++ b/tests/config/decoders_test.cpp
@@ -99,7 +99,7 @@
             ConfigFold node;
             const auto outcome = applyRecord(node, LogRecord { 0, damage(valid) }, 0);
             RC_ASSERT(node.state.nextOffset == 1U);
-            if (outcome.verdict != Verdict::Applied) {
+            if (outcome.verdict != ChangeVerdict::Applied) {
                 RC_ASSERT(node.state.rules.empty() && node.state.revision == 0U);
                 RC_ASSERT(!outcome.detail.empty());
             }
@@ -134,21 +134,22 @@
             { "deep nesting", std::string(100000, '[') },
             { "deep nesting of objects", "{\"kind\":" + std::string(50000, '{') },
             { "no UTF-8", "{\"kind\":\"change\",\"id\":\"\xff\xfe\"}" },
-            { "kind of another type", R"({"kind":7})" },
+            { "kind of another type", R"({"type":7})" },
             { "empty", "" },
-            { "a huge number", R"({"kind":"change","id":"a","base":1e400,"by":"b","upserts":[],"removals":[]})" },
+            { "a huge number", R"({"type":"change","id":"a","base":1e400,"by":"b","upserts":[],"removals":[]})" },
         };
         for (const auto &[title, payload] : payloads) {
             section(title, [&, text = payload] {
                 const auto outcome = applyRecord(node, LogRecord { node.state.nextOffset, text }, 0);
-                CPPUNIT_ASSERT(outcome.verdict != Verdict::Applied);
+                CPPUNIT_ASSERT(outcome.verdict != ChangeVerdict::Applied);
                 CPPUNIT_ASSERT(!outcome.detail.empty());
             });
         }
         section("valid JSON that nests deeply is refused without exhausting the stack", [&] {
             const std::string deep
                 = "{\"kind\":\"change\",\"id\":" + std::string(50000, '[') + std::string(50000, ']') + "}";
-            CPPUNIT_ASSERT(applyRecord(node, LogRecord { node.state.nextOffset, deep }, 0).verdict != Verdict::Applied);
+            CPPUNIT_ASSERT(applyRecord(node, LogRecord { node.state.nextOffset, deep }, 0).verdict
+                           != ChangeVerdict::Applied);
         });
     }
 
--- a/tests/config/fold_fuzz_test.cpp
+++ b/tests/config/fold_fuzz_test.cpp
@@ -58,7 +58,7 @@
 auto rewritten(const std::string &payload, const std::function<void(nlohmann::json &)> &edit) -> std::string
 {
     auto document = nlohmann::json::parse(payload, nullptr, false);
-    if (!document.is_object() || document["kind"] != "change") {
+    if (!document.is_object() || document["type"] != "change") {
         return payload;
     }
     edit(document);
--- a/tests/config/fold_world.cpp
+++ b/tests/config/fold_world.cpp
@@ -62,7 +62,7 @@
         lines.push_back(rule.line);
     }
     return nlohmann::json {
-        { "kind", "change" }, { "id", record.id },  { "base", record.base },
+        { "type", "change" }, { "id", record.id },  { "base", record.base },
         { "by", "op" },       { "upserts", lines }, { "removals", record.removals }
     }.dump();
 }
@@ -186,8 +186,8 @@
         OracleRecord record;
         record.isNumber = step.b % 2 == 0;
         record.number = static_cast<int>(step.c % 100);
-        append(record.isNumber ? R"({"kind":"number","value":)" + std::to_string(record.number) + "}"
-                               : R"({"kind":"change","id":)",
+        append(record.isNumber ? R"({"type":"number","value":)" + std::to_string(record.number) + "}"
+                               : R"({"type":"change","id":)",
                record);
         return;
     }
@@ -386,7 +386,7 @@
             });
             const auto wins = [this](uint64_t offset) {
                 const auto verdict = verdicts_.find(offset);
-                return verdict != verdicts_.end() && verdict->second == Verdict::Applied;
+                return verdict != verdicts_.end() && verdict->second == ChangeVerdict::Applied;
             };
             expect(!(touchSame && wins(i) && wins(j)), kRaceCheck,
                    "offsets " + std::to_string(i) + " and " + std::to_string(j));
--- a/tests/config/fold_world.h
+++ b/tests/config/fold_world.h
@@ -91,7 +91,7 @@
     std::vector<Node> nodes_;
     std::map<uint64_t, std::string> textAt_;
     /// Verdicts as the nodes reported them, by offset.
-    std::map<uint64_t, Verdict> verdicts_;
+    std::map<uint64_t, ChangeVerdict> verdicts_;
     std::vector<std::string> sent_;
     std::vector<OracleRecord> sentRecords_;
     uint64_t changes_ = 0;
