Add the quota package: fleet-wide rates with loans between domains

Ask and grant numbers contain the incarnation of their process, so (holder, number) identifies a grant and an answer to a former process is given back. Reports carry totals. A holder that gave tokens away fetches some from full holders: a full holder mints nothing, so a team that calls from one domain got back only that domain's share of its rate.

--- /dev/null
+++ b/tests/quota/quota_test.cpp
@@ -0,0 +1,247 @@
+#include "tests/quota/quota_world.h"
+
+#include "tests/support/section.h"
+
+#include <nlohmann/json.hpp>
+
+namespace snipestream {
+
+using testing::QuotaWorld;
+using testing::section;
+
+namespace {
+
+const TeamName kSmall("small");
+
+/// Counts verdicts of a world with one team.
+struct Counted
+{
+    QuotaWorld world;
+    int admitted = 0;
+    int rateExceeded = 0;
+    int unavailable = 0;
+    Duration lastRetryAfter {};
+
+    Counted(size_t domains, size_t nodes, const TeamRule &rule)
+        : world(7, domains, nodes, QuotaParams {})
+    {
+        DomainWeights weights { 1, {} };
+        for (size_t d = 0; d < domains; ++d) {
+            weights.weights[DomainName("d" + std::to_string(d))] = 1;
+        }
+        world.setRules({ { kSmall, rule } });
+        world.setWeights(weights);
+        world.onVerdict = [this](const TeamName &, const TokenVerdict &verdict) {
+            if (verdict.state == TokenState::Admitted) {
+                ++admitted;
+                return;
+            }
+            (verdict.reason == RefusalReason::RateExceeded ? rateExceeded : unavailable) += 1;
+            lastRetryAfter = verdict.retryAfter;
+        };
+    }
+
+    void submit(size_t node, int count)
+    {
+        for (int i = 0; i < count; ++i) {
+            world.submit(node, kSmall);
+        }
+    }
+};
+
+constexpr TeamRule kSmallRule { 2 * kOneToken, 5 * kOneToken };
+
+} // namespace
+
+/// Guards what callers and operators see of quotas: small teams use their whole burst, refusals carry a true retry
+/// time, shares follow the weights, malformed messages are errors.
+class QuotaTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(QuotaTest);
+    CPPUNIT_TEST(testSmallTeamUsesItsBurst);
+    CPPUNIT_TEST(testHolderLost);
+    CPPUNIT_TEST(testPartition);
+    CPPUNIT_TEST(testRestartedEntry);
+    CPPUNIT_TEST(testWeights);
+    CPPUNIT_TEST(testBoundedAsks);
+    CPPUNIT_TEST(testMessages);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testSmallTeamUsesItsBurst()
+    {
+        Counted run(4, 18, kSmallRule);
+        run.world.run(seconds(5));
+        section("five requests at one node are admitted within 60 ms", [&] {
+            run.submit(9, 5);
+            run.world.run(milliseconds(60));
+            CPPUNIT_ASSERT_EQUAL(5, run.admitted);
+        });
+        section("the sixth is told when the next token is minted", [&] {
+            run.submit(9, 1);
+            run.world.run(milliseconds(60));
+            CPPUNIT_ASSERT_EQUAL(1, run.rateExceeded);
+            CPPUNIT_ASSERT(run.lastRetryAfter > milliseconds(350) && run.lastRetryAfter < milliseconds(520));
+        });
+        section("a request after that time is admitted, at another node too", [&] {
+            run.world.run(run.lastRetryAfter);
+            run.submit(14, 1);
+            run.world.run(milliseconds(60));
+            CPPUNIT_ASSERT_EQUAL(6, run.admitted);
+        });
+    }
+
+    void testHolderLost()
+    {
+        Counted run(4, 8, kSmallRule);
+        run.world.run(seconds(5));
+        section("without a holder in the domain the others lend", [&] {
+            run.world.leases[0].valid = false;
+            run.submit(4, 3);
+            run.world.run(milliseconds(200));
+            CPPUNIT_ASSERT_EQUAL(3, run.admitted);
+        });
+        section("a new holder mints nothing until the grants of the old one have expired", [&] {
+            run.world.moveLease(0, 4);
+            run.world.run(milliseconds(1000));
+            run.submit(4, 3);
+            run.world.run(milliseconds(50));
+            CPPUNIT_ASSERT_EQUAL(MicroTokens { 0 }, holderLevel(run.world.machines[4].holder, kSmall).first);
+            run.world.run(milliseconds(1000));
+            CPPUNIT_ASSERT(holderLevel(run.world.machines[4].holder, kSmall).first > 0);
+        });
+        section("without any holder the refusal names the quota, not the rate", [&] {
+            const int before = run.unavailable;
+            for (auto &lease : run.world.leases) {
+                lease.valid = false;
+            }
+            run.submit(5, 1);
+            run.world.run(milliseconds(400));
+            CPPUNIT_ASSERT_EQUAL(before + 1, run.unavailable);
+        });
+    }
+
+    void testPartition()
+    {
+        Counted run(4, 8, TeamRule { 40 * kOneToken, 20 * kOneToken });
+        run.world.run(seconds(5));
+        run.world.domainCutUntil[1] = run.world.now + seconds(60);
+        section("a cut domain serves its share of rate and burst", [&] {
+            for (int i = 0; i < 1000; ++i) {
+                run.submit(5, 1);
+                run.world.run(milliseconds(10));
+            }
+            // 10 s at a quarter of 40/s and a quarter of the burst of 20.
+            CPPUNIT_ASSERT(run.admitted >= 95 && run.admitted <= 105);
+        });
+    }
+
+    void testRestartedEntry()
+    {
+        auto entry = makeEntryTable(NodeName("n1"), 2);
+        QuotaAnswer old;
+        old.team = kSmall;
+        old.from = NodeName("n0");
+        old.ask = firstNumber(1);
+        old.outcome = QuotaOutcome::Granted;
+        old.grant = firstNumber(4);
+        old.amount = kOneToken;
+        old.lifetime = seconds(1);
+        const EntryInputs inputs { { old }, [](uint32_t) {
+                                      return std::vector<NodeName> { NodeName("n0") };
+                                  } };
+        section("an answer to the former process is given back, not used", [&] {
+            const auto verdict = requestToken(entry, {}, kSmall, 1, TimePoint(seconds(1)), TimePoint(seconds(9)));
+            CPPUNIT_ASSERT(verdict.state == TokenState::Waiting);
+            const auto out = tickEntry(entry, {}, TimePoint(seconds(1)), inputs);
+            CPPUNIT_ASSERT(out.verdicts.empty());
+            CPPUNIT_ASSERT_EQUAL(kOneToken, out.asks.at(0).second.reports.at(0).returned);
+        });
+        section("the same answer once more is ignored", [&] {
+            const auto out = tickEntry(entry, {}, TimePoint(seconds(1)), inputs);
+            CPPUNIT_ASSERT(out.asks.empty() && out.verdicts.empty());
+        });
+    }
+
+    void testWeights()
+    {
+        const DomainName a("a");
+        const DomainName b("b");
+        const DomainWeights even { 1, { { a, 1 }, { b, 1 } } };
+        const DomainWeights raised { 2, { { a, 3 }, { b, 1 } } };
+        section("a raise waits for the confirmation of the same weights", [&] {
+            auto state = startShare({ even }, a);
+            updateShare(state, { even, raised }, a);
+            CPPUNIT_ASSERT((state.used == Share { 1, 2 }));
+            confirmShare(state, b, 1);
+            CPPUNIT_ASSERT((state.used == Share { 1, 2 }));
+            confirmShare(state, b, 2);
+            CPPUNIT_ASSERT((state.used == Share { 3, 4 }));
+        });
+        section("a lower share is used at once, and a new holder starts with the lowest one", [&] {
+            auto state = startShare({ even }, b);
+            updateShare(state, { even, raised }, b);
+            CPPUNIT_ASSERT((state.used == Share { 1, 4 }));
+            CPPUNIT_ASSERT((startShare({ even, raised }, a).used == Share { 1, 2 }));
+        });
+        section("holders exchange the confirmation", [&] {
+            Counted run(2, 4, TeamRule { 100 * kOneToken, 100 * kOneToken });
+            run.world.run(seconds(3));
+            run.submit(0, 1);
+            run.submit(1, 1);
+            run.world.setWeights({ 2, { { DomainName("d0"), 3 }, { DomainName("d1"), 1 } } });
+            run.world.run(seconds(4));
+            CPPUNIT_ASSERT_EQUAL(75 * kOneToken, holderLevel(run.world.machines[0].holder, kSmall).first);
+            CPPUNIT_ASSERT_EQUAL(25 * kOneToken, holderLevel(run.world.machines[1].holder, kSmall).first);
+        });
+    }
+
+    void testBoundedAsks()
+    {
+        Counted run(4, 18, kSmallRule);
+        run.world.run(seconds(5));
+        const auto before = run.world.messages;
+        for (int i = 0; i < 2000; ++i) {
+            run.submit(9, 5);
+            run.world.run(milliseconds(1));
+        }
+        section("10,000 refused requests cause few messages", [&] {
+            CPPUNIT_ASSERT(run.rateExceeded > 9900);
+            CPPUNIT_ASSERT(run.world.messages - before < 1000);
+        });
+    }
+
+    void testMessages()
+    {
+        const QuotaAsk ask { kSmall, NodeName("n1"), 7, 1, 5, true, { { 3, 2, 1 } } };
+        const QuotaAnswer answer { kSmall, NodeName("n2"), 7,          QuotaOutcome::Short, 9,
+                                   10,     seconds(1),     seconds(2), seconds(3),          11 };
+        CPPUNIT_ASSERT(toJson(quotaAskFromJson(toJson(ask)).value()) == toJson(ask));
+        CPPUNIT_ASSERT(toJson(quotaAnswerFromJson(toJson(answer)).value()) == toJson(answer));
+        CPPUNIT_ASSERT(weightsAskFromJson(toJson(WeightsAsk { 3, 4, NodeName("n") })).value().version == 4);
+        CPPUNIT_ASSERT(weightsAckFromJson(toJson(WeightsAck { 3, 4, DomainName("d") })).value().range == 3);
+        section("malformed messages are errors", [&] {
+            const auto whole = toJson(answer);
+            for (const auto &item : whole.items()) {
+                auto broken = whole;
+                broken[item.key()] = nlohmann::json::object();
+                CPPUNIT_ASSERT(!quotaAnswerFromJson(broken));
+                broken.erase(item.key());
+                CPPUNIT_ASSERT(!quotaAnswerFromJson(broken));
+            }
+            auto negative = toJson(ask);
+            negative["reports"][0]["returned"] = -1;
+            CPPUNIT_ASSERT(!quotaAskFromJson(negative));
+            auto inverted = toJson(ask);
+            inverted["minimum"] = 6;
+            CPPUNIT_ASSERT(!quotaAskFromJson(inverted));
+            auto outside = toJson(WeightsAsk { 3, 4, NodeName("n") });
+            outside["range"] = 32;
+            CPPUNIT_ASSERT(!weightsAskFromJson(outside));
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(QuotaTest);
+
+} // namespace snipestream
