Bound the quota state and test raised weights and chained witness sets

Cause: holders kept every team that ever asked, and entry nodes every team that ever called.

Change: a holder forgets a team that has its full share and nothing out; an entry node forgets an idle one. Expired grants are found at the front of the map instead of by a walk over all.

--- a/quota/accounts.cpp
+++ b/quota/accounts.cpp
@@ -95,7 +95,13 @@
         return;
     }
     auto &grant = found->second;
-    auto &team = table.teams.at(grant.team);
+    const auto owner = table.teams.find(grant.team);
+    if (owner == table.teams.end()) {
+        // The grant came from loans that have expired, and the team has been forgotten since.
+        table.grants.erase(found);
+        return;
+    }
+    auto &team = owner->second;
     const auto onLoan = [&team](uint64_t number, auto apply) {
         const auto loan = team.loans.find(number);
         if (loan != team.loans.end()) {
@@ -135,15 +141,16 @@
 
 void expireGrants(HolderTable &table, TimePoint now)
 {
-    for (auto grant = table.grants.begin(); grant != table.grants.end();) {
-        if (now < grant->second.expiresAt) {
-            ++grant;
-            continue;
-        }
-        for (const auto &part : grant->second.parts) {
-            table.teams.at(grant->second.team).outstanding -= part.loan == 0 ? part.open : 0;
+    // Grant numbers grow with time and all grants expire after the same time, so the first ones expire first.
+    while (!table.grants.empty() && now >= table.grants.begin()->second.expiresAt) {
+        const auto &grant = table.grants.begin()->second;
+        const auto team = table.teams.find(grant.team);
+        for (const auto &part : grant.parts) {
+            if (part.loan == 0 && team != table.teams.end()) {
+                team->second.outstanding -= part.open;
+            }
         }
-        grant = table.grants.erase(grant);
+        table.grants.erase(table.grants.begin());
     }
     for (auto &[name, team] : table.teams) {
         for (auto loan = team.loans.begin(); loan != team.loans.end();) {
--- a/quota/borrowing.cpp
+++ b/quota/borrowing.cpp
@@ -117,7 +117,11 @@
     auto &team = table.teams.at(name);
     const MicroTokens full = shareOf(rule.burst, share);
     // A quarter of the share has to be missing, so that small differences cause no messages.
-    if (!team.levelingDue || now < team.nextLevelingAt || team.level + team.outstanding > full - full / 4) {
+    if (!team.levelingDue || now < team.nextLevelingAt) {
+        return;
+    }
+    if (team.level + team.outstanding > full - full / 4) {
+        team.levelingDue = team.outstanding > 0;
         return;
     }
     team.levelingDue = false;
--- a/quota/entry.cpp
+++ b/quota/entry.cpp
@@ -227,6 +227,12 @@
     };
     drop(table.avoided);
     drop(table.seenGrants);
+    for (auto item = table.teams.begin(); item != table.teams.end();) {
+        const auto &team = item->second;
+        const bool idle = team.grants.empty() && team.waiting.empty() && !team.pending && team.demand.empty()
+            && now >= team.shortUntil && now >= team.nextAskAt;
+        item = idle ? table.teams.erase(item) : std::next(item);
+    }
 }
 
 } // namespace
--- a/quota/holder.cpp
+++ b/quota/holder.cpp
@@ -54,6 +54,8 @@
         } else {
             updateShare(found->second.share, tick.inputs.weights, tick.table.domain);
         }
+        auto &share = tick.table.ranges.at(range).share;
+        share.used = tick.params.raiseAtOnce ? share.target : share.used;
     }
 }
 
@@ -203,6 +205,21 @@
     levelTokens(tick.table, tick.params, name, rule, share, tick.inputs, tick.now, tick.out);
 }
 
+/// Forgets teams that have their full share and nothing out. Such a team is full again when it is next asked for, since
+/// a new entry mints from the start of the lease on.
+void forgetFullTeams(Tick &tick)
+{
+    auto &teams = tick.table.teams;
+    for (auto item = teams.begin(); item != teams.end();) {
+        const auto &team = item->second;
+        const auto rule = tick.inputs.rules.find(item->first);
+        const bool idle = team.outstanding == 0 && team.waiting.empty() && team.loans.empty() && !team.levelingDue;
+        const bool full = rule == tick.inputs.rules.end()
+            || team.level >= shareOf(rule->second.burst, tick.table.ranges.at(team.range).share.used);
+        item = idle && full ? teams.erase(item) : std::next(item);
+    }
+}
+
 /// Returns whether this holder has no more tokens out than its share under the newest weights allows.
 auto keepsToTarget(const Tick &tick, uint32_t range, const ShareState &share) -> bool
 {
@@ -287,6 +304,7 @@
         levelTeam(tick, name);
     }
     reportLoans(table, params, now, out);
+    forgetFullTeams(tick);
     return out;
 }
 
--- a/quota/holder.h
+++ b/quota/holder.h
@@ -108,7 +108,8 @@
     std::map<std::pair<NodeName, uint64_t>, TimePoint> seenLoans;
 };
 
-/// What a tick of the holder side needs. The validity of the leases must have been read at the moment of the tick.
+/// What a tick of the holder side needs. The validity of the leases must have been read at the moment of the tick. The
+/// caller keeps one of these, changes rules, weights and peers when they change, and refills the messages.
 struct HolderInputs
 {
     /// The ranges whose lease is valid now, with the time since which this process has held it (HeldLease::validFrom).
--- a/quota/params.h
+++ b/quota/params.h
@@ -23,6 +23,8 @@
     bool lifetimeFromReceipt = false;
     /// Faulty if set: a duplicated answer is counted again.
     bool countDuplicates = false;
+    /// Faulty if set: a raised domain weight is used before the other domains confirmed theirs.
+    bool raiseAtOnce = false;
 
     /// How long a holder keeps an ask while it borrows.
     Duration askPatience = milliseconds(60);
--- a/tests/lease/lease_test.cpp
+++ b/tests/lease/lease_test.cpp
@@ -198,6 +198,21 @@
             const auto small = nodesNamed({ "a", "b", "c", "d" });
             CPPUNIT_ASSERT_EQUAL(size_t { 3 }, chooseWitnesses(kKey, NodeName("a"), small, {}).size());
         });
+        section("the sets of all epochs that were never valid have to agree", [&] {
+            SmallWorld world;
+            applyLeaseRecord(world.table, makeRecord(2, "b", { "u", "v", "w" }));
+            applyLeaseRecord(world.table, makeRecord(3, "b", { "u", "v", "w" }));
+            for (const char *name : { "u", "v", "w" }) {
+                world.start(name, 1, 0);
+            }
+            for (const char *name : { "x", "y", "z" }) {
+                world.start(name, 2, 3500);
+            }
+            world.exchange(world.b, 4000);
+            CPPUNIT_ASSERT(!isLeaseValid(world.b.holder, kKey, at(4000)));
+            world.exchange(world.b, 7000);
+            CPPUNIT_ASSERT(isLeaseValid(world.b.holder, kKey, at(7000)));
+        });
         section("a holder replaces a witness that is gone and stays valid", [&] {
             SmallWorld world;
             const LeaseInputs inputs { true, nodesNamed({ "a", "b", "x", "y", "z" }) };
--- a/tests/quota/quota_fuzz_test.cpp
+++ b/tests/quota/quota_fuzz_test.cpp
@@ -346,6 +346,7 @@
 
 /// Late answers matter only while the levels are full otherwise, so these runs have no other fault.
 const std::vector<int> kSlowNetwork = { QuotaCommand::Delay, QuotaCommand::Burst };
+const std::vector<int> kWeights = { QuotaCommand::ChangeWeights, QuotaCommand::CutDomain, QuotaCommand::MoveLease };
 
 /// Returns the number of runs after which the oracle reports a violation, or -1 if it never does. With `kinds` only
 /// these commands occur.
@@ -377,6 +378,7 @@
     CPPUNIT_TEST(testCatchesDoubleCountedGrant);
     CPPUNIT_TEST(testCatchesMintingAtTakeover);
     CPPUNIT_TEST(testCatchesLifetimeFromReceipt);
+    CPPUNIT_TEST(testCatchesRaiseAtOnce);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -396,6 +398,7 @@
     {
         CPPUNIT_ASSERT_EQUAL(-1, runsUntilViolation(patientParams()));
         CPPUNIT_ASSERT_EQUAL(-1, runsUntilViolation(patientParams(), kSlowNetwork));
+        CPPUNIT_ASSERT_EQUAL(-1, runsUntilViolation(patientParams(), kWeights));
     }
 
     void testCatchesDoubleCountedGrant()
@@ -419,6 +422,13 @@
         expectCaught("lifetime counted from receipt", params, kSlowNetwork);
     }
 
+    void testCatchesRaiseAtOnce()
+    {
+        auto params = patientParams();
+        params.raiseAtOnce = true;
+        expectCaught("a raised weight is used at once", params, kWeights);
+    }
+
 private:
     static void expectCaught(const std::string &fault, const QuotaParams &params, const std::vector<int> &kinds = {})
     {
