Enforce the teams' rates in the node

Cause: requests ran without a token until the quota package was there.

The entry side asks the holder of its domain and waits in the request's fiber; the holder side runs on every message.

Ruled out: calls instead of notices, because a holder answers only after it has borrowed, and a late answer must not hold a call open.

--- a/bench/quota_bench.cpp
+++ b/bench/quota_bench.cpp
@@ -54,7 +54,7 @@
 class Bench
 {
 public:
-    Bench(Mode mode, Fault fault, const TeamName &team, const TeamRule &rule)
+    Bench(Mode mode, Fault fault, const TeamName &team, const TeamQuota &rule)
         : mode_(mode)
         , fault_(fault)
         , team_(team)
@@ -190,7 +190,7 @@
                                                       { Fault::Cut, "domain cut" },
                                                       { Fault::HolderDeath, "holder death" },
                                                       { Fault::LogOutage, "log outage" } };
-    const std::pair<TeamName, TeamRule> teams[]
+    const std::pair<TeamName, TeamQuota> teams[]
         = { { kSmallTeam, { 2 * kOneToken, 5 * kOneToken } }, { kLargeTeam, { 1000 * kOneToken, 200 * kOneToken } } };
     std::printf(
         "18 nodes, 4 failure domains, 120 s; cut of one domain for 30 s; holder death with a successor after 7 s;\n"
--- a/node/claim_service.cpp
+++ b/node/claim_service.cpp
@@ -117,8 +117,8 @@
     }
     const TimePoint now = BootClock::now();
     const OwnerView view = ownerView(state, range->second, now);
-    applyOutputs(state, number, onAppendResult(range->second.table, record.epoch, record.sequence, result,
-                                offset, view, now));
+    applyOutputs(state, number,
+                 onAppendResult(range->second.table, record.epoch, record.sequence, result, offset, view, now));
 }
 
 /// Reads the records of a range from the earliest one to the end of its stream, for one reading pass.
--- a/node/lease_service.cpp
+++ b/node/lease_service.cpp
@@ -1,6 +1,7 @@
 #include "node/lease_service.h"
 
 #include "core/events.h"
+#include "idempotency/claim.h"
 
 #include <utility>
 
@@ -48,6 +49,15 @@
     });
 }
 
+auto domainNames(const NodeState &state) -> std::vector<DomainName>
+{
+    std::vector<DomainName> names;
+    for (const auto &[name, weight] : domainWeights(state.fold.state)) {
+        names.push_back(name);
+    }
+    return names;
+}
+
 void append(NodeState &state, const LeaseRecord &record)
 {
     logEvent(EventId::LeaseClaimed,
@@ -91,6 +101,10 @@
             append(state, record);
         }
         for (const auto &key : outputs.acquired) {
+            if (homeDomainOf(key.range, domainNames(state)) != key.domain) {
+                // No claims of this range are kept in this domain, so no predecessor can have kept any in memory.
+                markPriorResolved(state.leaseNode.holder, key);
+            }
             logEvent(EventId::LeaseAcquired, { { "range", std::to_string(key.range) } });
         }
         for (const auto &key : outputs.lost) {
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -11,6 +11,7 @@
 #include "node/lease_service.h"
 #include "node/log_transport.h"
 #include "node/node_state.h"
+#include "node/quota_service.h"
 #include "node/shutdown.h"
 #include "node/target_call.h"
 #include "platform/http_log_client.h"
@@ -187,6 +188,8 @@
     serveChecks(state);
     serveLeases(state);
     serveClaims(state);
+    serveQuota(state);
+    startQuota(state);
     state.peers->onStream([&state](Exchange &exchange) {
         serveStream(state, exchange);
     });
@@ -228,6 +231,9 @@
     state.runtime.spawn([&state] {
         runClaims(state);
     });
+    state.runtime.spawn([&state] {
+        runQuota(state);
+    });
     state.runtime.spawn([this] {
         impl_->runAdmission();
     });
--- a/node/node_state.h
+++ b/node/node_state.h
@@ -12,6 +12,7 @@
 #include "net/fiber_runtime.h"
 #include "node/claim_service.h"
 #include "node/failure_detector.h"
+#include "node/quota_service.h"
 #include "node/request_context.h"
 #include "node/share_table.h"
 #include "peer/peer_network.h"
@@ -95,6 +96,7 @@
     LeaseNode leaseNode;
     FailureDetector failureDetector;
     ClaimOwner claimOwner;
+    QuotaState quota;
 
     std::unique_ptr<PeerNetwork> peers;
     /// Begins a graceful shutdown; set by the node program.
--- a/node/quota_service.h
+++ b/node/quota_service.h
@@ -3,13 +3,55 @@
 #include "core/ids.h"
 #include "core/refusal.h"
 #include "core/time.h"
+#include "net/fiber_event.h"
+#include "quota/entry.h"
+#include "quota/holder.h"
 
+#include <cstdint>
+#include <map>
 #include <optional>
+#include <unordered_map>
+#include <utility>
 
 namespace snipestream {
 
 struct NodeState;
 
+/// A fiber that waits for a token.
+struct TokenWait
+{
+    FiberEvent event;
+    TokenVerdict verdict;
+    bool isDecided = false;
+};
+
+/// Quota state of one node: it may hold ranges, and it is the entry of requests.
+struct QuotaState
+{
+    QuotaParams params;
+    HolderTable holder;
+    HolderInputs holderInputs;
+    EntryTable entry;
+    EntryInputs entryInputs;
+    std::unordered_map<uint64_t, TokenWait *> waits;
+    uint64_t nextTicket = 1;
+    /// Revision of the configuration that the rules in the inputs were taken from.
+    uint64_t rulesRevision = 0;
+    /// Asks that holders have not answered yet, and whether their answer goes to the entry side.
+    std::map<std::pair<NodeName, uint64_t>, std::pair<bool, TimePoint>> openAsks;
+    /// Set while messages are being processed, so that messages to this node itself are queued and not nested.
+    bool isProcessing = false;
+};
+
+/// Sets the state up for this node's incarnation.
+void startQuota(NodeState &state);
+
+/// Registers the messages of quota with the peer links. Call before the links listen.
+void serveQuota(NodeState &state);
+
+/// Runs both sides every few milliseconds until the node ends. Runs in a fiber of its own.
+void runQuota(NodeState &state);
+
 /// Takes one token of the team's rate, waiting for the holder's answer at most until the deadline. Returns the refusal
 /// if the team has none left or no holder can be reached.
 auto acquireToken(NodeState &state, const TeamName &team, TimePoint deadline) -> std::optional<Refusal>;
--- a/quota/accounts.cpp
+++ b/quota/accounts.cpp
@@ -27,7 +27,7 @@
 
 } // namespace
 
-void mint(TeamLevel &team, const TeamRule &rule, const Share &share, TimePoint now)
+void mint(TeamLevel &team, const TeamQuota &rule, const Share &share, TimePoint now)
 {
     __extension__ using Wide = __int128;
     const MicroTokens room = shareOf(rule.burst, share) - team.outstanding;
@@ -206,7 +206,7 @@
         = Loan { answer.from, answer.grant, answer.amount, 0, 0, now, expiresAt, false };
 }
 
-void absorbLoans(TeamLevel &team, const TeamRule &rule, const Share &share, TimePoint now)
+void absorbLoans(TeamLevel &team, const TeamQuota &rule, const Share &share, TimePoint now)
 {
     MicroTokens room = shareOf(rule.burst, share) - team.level - team.outstanding;
     for (auto &[number, loan] : team.loans) {
--- a/quota/accounts.h
+++ b/quota/accounts.h
@@ -5,7 +5,7 @@
 namespace snipestream {
 
 /// Adds the tokens minted since the last call, up to the domain's share of the burst less what is outstanding.
-void mint(TeamLevel &team, const TeamRule &rule, const Share &share, TimePoint now);
+void mint(TeamLevel &team, const TeamQuota &rule, const Share &share, TimePoint now);
 
 /// Returns the tokens that can be given to an entry node now: the own level and unexpired loans.
 auto availableTokens(const TeamLevel &team, TimePoint now) -> MicroTokens;
@@ -27,7 +27,7 @@
 
 /// Turns unused loans into own level, as far as the domain's share has room. The lender is told that they were spent,
 /// so that the tokens in existence stay within the burst.
-void absorbLoans(TeamLevel &team, const TeamRule &rule, const Share &share, TimePoint now);
+void absorbLoans(TeamLevel &team, const TeamQuota &rule, const Share &share, TimePoint now);
 
 /// Returns loans that nobody uses and reports what was spent of the others.
 void reportLoans(HolderTable &table, const QuotaParams &params, TimePoint now, HolderOutputs &out);
--- a/quota/borrowing.cpp
+++ b/quota/borrowing.cpp
@@ -10,7 +10,7 @@
 
 /// Estimates the level of another holder: what it had left when it answered plus what it minted since. A holder not
 /// heard from lately is expected to have its whole share.
-auto estimateLevel(const PeerLevel &peer, const QuotaParams &params, const TeamRule &rule, const Share &share,
+auto estimateLevel(const PeerLevel &peer, const QuotaParams &params, const TeamQuota &rule, const Share &share,
                    TimePoint now) -> MicroTokens
 {
     const MicroTokens full = shareOf(rule.burst, share);
@@ -37,7 +37,7 @@
     MicroTokens pending = 0;
 };
 
-auto findLenders(TeamLevel &team, const QuotaParams &params, const TeamRule &rule, const HolderInputs &inputs,
+auto findLenders(TeamLevel &team, const QuotaParams &params, const TeamQuota &rule, const HolderInputs &inputs,
                  TimePoint now) -> Lenders
 {
     Lenders lenders;
@@ -84,7 +84,7 @@
 
 } // namespace
 
-auto borrowTokens(HolderTable &table, const QuotaParams &params, const TeamName &name, const TeamRule &rule,
+auto borrowTokens(HolderTable &table, const QuotaParams &params, const TeamName &name, const TeamQuota &rule,
                   const HolderInputs &inputs, TimePoint now, HolderOutputs &out) -> MicroTokens
 {
     auto &team = table.teams.at(name);
@@ -111,7 +111,7 @@
     return expected;
 }
 
-void levelTokens(HolderTable &table, const QuotaParams &params, const TeamName &name, const TeamRule &rule,
+void levelTokens(HolderTable &table, const QuotaParams &params, const TeamName &name, const TeamQuota &rule,
                  const Share &share, const HolderInputs &inputs, TimePoint now, HolderOutputs &out)
 {
     auto &team = table.teams.at(name);
--- a/quota/entry.cpp
+++ b/quota/entry.cpp
@@ -171,7 +171,7 @@
 /// Refuses the requests whose token will not be minted in time, and those that waited too long for an answer.
 void refuseLate(EntryTeam &team, const QuotaParams &params, TimePoint now, EntryOutputs &out)
 {
-    std::deque<WaitingRequest> kept;
+    std::deque<TokenWaiter> kept;
     TimePoint mintedAt = std::max(team.shortUntil, now);
     for (const auto &request : team.waiting) {
         const bool isShort = team.shortUntil > now;
@@ -258,7 +258,7 @@
     if (entry.shortUntil > now && (wait > params.mintPatience || now + wait > deadline)) {
         return refusal(ticket, RefusalReason::RateExceeded, wait);
     }
-    entry.waiting.push_back(WaitingRequest { ticket, std::min(deadline, now + params.answerPatience) });
+    entry.waiting.push_back(TokenWaiter { ticket, std::min(deadline, now + params.answerPatience) });
     return TokenVerdict { ticket, TokenState::Waiting };
 }
 
@@ -270,7 +270,7 @@
     }
     auto &waiting = found->second.waiting;
     waiting.erase(std::remove_if(waiting.begin(), waiting.end(),
-                                 [ticket](const WaitingRequest &request) {
+                                 [ticket](const TokenWaiter &request) {
                                      return request.ticket == ticket;
                                  }),
                   waiting.end());
--- a/quota/entry.h
+++ b/quota/entry.h
@@ -27,7 +27,7 @@
 };
 
 /// A request that waits for a token.
-struct WaitingRequest
+struct TokenWaiter
 {
     uint64_t ticket = 0;
     TimePoint giveUpAt {};
@@ -45,7 +45,7 @@
 struct EntryTeam
 {
     std::vector<CachedGrant> grants;
-    std::deque<WaitingRequest> waiting;
+    std::deque<TokenWaiter> waiting;
     std::optional<PendingAsk> pending;
     /// Times of the requests in the last demand window.
     std::deque<TimePoint> demand;
--- a/quota/holder.h
+++ b/quota/holder.h
@@ -11,7 +11,7 @@
 namespace snipestream {
 
 /// Rate and burst of a team over the whole fleet.
-struct TeamRule
+struct TeamQuota
 {
     /// Micro-tokens per second.
     MicroTokens rate = 0;
@@ -115,7 +115,7 @@
     /// The ranges whose lease is valid now, with the time since which this process has held it (HeldLease::validFrom).
     std::map<uint32_t, TimePoint> validRanges;
     /// Rules and weights folded at least up to the lease record of this holder. The weights are not empty.
-    std::map<TeamName, TeamRule> rules;
+    std::map<TeamName, TeamQuota> rules;
     std::vector<DomainWeights> weights;
     /// Holders of the same range in other domains.
     std::map<uint32_t, std::map<DomainName, NodeName>> peers;
--- a/tests/quota/quota_fuzz_test.cpp
+++ b/tests/quota/quota_fuzz_test.cpp
@@ -129,8 +129,8 @@
     Run(uint64_t seed, const QuotaParams &params)
         : world_(seed, 3, 6, params)
     {
-        rules_[kTeams[0]] = TeamRule { 2 * kOneToken, 5 * kOneToken };
-        rules_[kTeams[1]] = TeamRule { 100 * kOneToken, 20 * kOneToken };
+        rules_[kTeams[0]] = TeamQuota { 2 * kOneToken, 5 * kOneToken };
+        rules_[kTeams[1]] = TeamQuota { 100 * kOneToken, 20 * kOneToken };
         weights_ = DomainWeights { 1, { { DomainName("d0"), 1 }, { DomainName("d1"), 1 }, { DomainName("d2"), 2 } } };
         world_.setRules(rules_);
         world_.setWeights(weights_);
@@ -277,8 +277,8 @@
         if (now() < oracles_[team].changeAt && oracles_[team].changeAt < 1e17) {
             return;
         }
-        rules_[team] = TeamRule { static_cast<MicroTokens>(1 + choice) * kOneToken,
-                                  static_cast<MicroTokens>(3 + choice / 4) * kOneToken };
+        rules_[team] = TeamQuota { static_cast<MicroTokens>(1 + choice) * kOneToken,
+                                   static_cast<MicroTokens>(3 + choice / 4) * kOneToken };
         oracles_[team].change(tokens(rules_[team].rate), tokens(rules_[team].burst), now());
         spread([team, rule = rules_[team]](QuotaWorld::Machine &each) {
             each.rules[team] = rule;
@@ -310,7 +310,7 @@
     }
 
     QuotaWorld world_;
-    std::map<TeamName, TeamRule> rules_;
+    std::map<TeamName, TeamQuota> rules_;
     DomainWeights weights_;
     std::map<TeamName, Oracle> oracles_;
     std::map<size_t, std::deque<std::pair<Duration, std::function<void(QuotaWorld::Machine &)>>>> due_;
--- a/tests/quota/quota_test.cpp
+++ b/tests/quota/quota_test.cpp
@@ -22,7 +22,7 @@
     int unavailable = 0;
     Duration lastRetryAfter {};
 
-    Counted(size_t domains, size_t nodes, const TeamRule &rule)
+    Counted(size_t domains, size_t nodes, const TeamQuota &rule)
         : world(7, domains, nodes, QuotaParams {})
     {
         DomainWeights weights { 1, {} };
@@ -49,7 +49,7 @@
     }
 };
 
-constexpr TeamRule kSmallRule { 2 * kOneToken, 5 * kOneToken };
+constexpr TeamQuota kSmallRule { 2 * kOneToken, 5 * kOneToken };
 
 } // namespace
 
@@ -123,7 +123,7 @@
 
     void testPartition()
     {
-        Counted run(4, 8, TeamRule { 40 * kOneToken, 20 * kOneToken });
+        Counted run(4, 8, TeamQuota { 40 * kOneToken, 20 * kOneToken });
         run.world.run(seconds(5));
         run.world.domainCutUntil[1] = run.world.now + seconds(60);
         section("a cut domain serves its share of rate and burst", [&] {
@@ -185,7 +185,7 @@
             CPPUNIT_ASSERT((startShare({ even, raised }, a).used == Share { 1, 2 }));
         });
         section("holders exchange the confirmation", [&] {
-            Counted run(2, 4, TeamRule { 100 * kOneToken, 100 * kOneToken });
+            Counted run(2, 4, TeamQuota { 100 * kOneToken, 100 * kOneToken });
             const uint32_t range = rangeOf(kSmall.value);
             run.world.run(seconds(3));
             run.submit(0, 1);
--- a/tests/quota/quota_world.h
+++ b/tests/quota/quota_world.h
@@ -33,7 +33,7 @@
         Duration slowUntil {};
         Duration cutInUntil {};
         Duration cutOutUntil {};
-        std::map<TeamName, TeamRule> rules;
+        std::map<TeamName, TeamQuota> rules;
         std::vector<DomainWeights> weights;
         std::vector<QuotaAsk> asks;
         std::vector<QuotaAnswer> holderAnswers;
@@ -83,7 +83,7 @@
         leases[domain] = Lease { node, now, true };
     }
 
-    void setRules(const std::map<TeamName, TeamRule> &rules)
+    void setRules(const std::map<TeamName, TeamQuota> &rules)
     {
         for (auto &machine : machines) {
             machine.rules = rules;
