--- a/config/snapshot.cpp
+++ b/config/snapshot.cpp
@@ -24,9 +24,9 @@
 /// Text per part. JSON escapes quotes and backslashes, so a part may grow to twice this within a record.
 constexpr size_t kPartBytes = kMaxRecordBytes / 2 - 1024;
 /// Snapshots that are assembled at the same time.
-constexpr size_t kMaxAssemblies = 4;
-/// Parts of one snapshot; bounds the memory that a damaged record can ask for.
-constexpr uint32_t kMaxParts = 4096;
+constexpr size_t kMaxAssemblies = 3;
+/// Parts of one snapshot, about 15 MB of text; bounds the memory that a damaged record can ask for.
+constexpr uint32_t kMaxParts = 256;
 /// A snapshot time this far ahead of the own clock is taken for a wrong clock.
 constexpr int64_t kMaxClockLeadMs = 60 * 1000;
 
