--- a/config/config_state.h
+++ b/config/config_state.h
@@ -109,6 +109,8 @@
     uint64_t unreadableRecords = 0;
     /// `nextOffset` of the newest complete snapshot seen on the log, and the wall-clock time its writer gave.
     uint64_t snapshotOffset = 0;
+    /// Offset behind the last part of that snapshot.
+    uint64_t snapshotEnd = 0;
     int64_t snapshotAtMs = 0;
     RequestIndex index;
 };
--- a/config/fold.cpp
+++ b/config/fold.cpp
@@ -104,6 +104,7 @@
     // Parts are appended in order and the writer stops at an error, so the last part means that all are there.
     if (part.value().part + 1 == part.value().parts && part.value().nextOffset <= record.offset) {
         state.snapshotOffset = part.value().nextOffset;
+        state.snapshotEnd = record.offset + 1;
         state.snapshotAtMs = part.value().atMs;
     }
 }
--- a/config/relay.cpp
+++ b/config/relay.cpp
@@ -3,6 +3,7 @@
 #include "config/json_reader.h"
 #include "core/hash.h"
 
+#include <algorithm>
 #include <limits>
 
 #include <nlohmann/json.hpp>
@@ -10,21 +11,40 @@
 namespace snipestream {
 
 namespace {
+
 constexpr uint64_t kMaxNumber = std::numeric_limits<uint64_t>::max();
-} // namespace
 
-auto relaysOf(const DomainName &domain, const std::vector<NodeName> &nodesOfDomain) -> std::vector<NodeName>
+/// Returns the nodes with the highest rendezvous hash for the key.
+auto firstNodes(const std::string &key, const std::vector<NodeName> &nodes, size_t count) -> std::vector<NodeName>
 {
     std::vector<std::string> names;
-    names.reserve(nodesOfDomain.size());
-    for (const NodeName &node : nodesOfDomain) {
+    names.reserve(nodes.size());
+    for (const NodeName &node : nodes) {
         names.push_back(node.value);
     }
-    std::vector<NodeName> relays;
-    for (const size_t index : rendezvousOrder("relay " + domain.value, names, kRelaysPerDomain)) {
-        relays.push_back(nodesOfDomain[index]);
+    std::vector<NodeName> first;
+    first.reserve(count);
+    for (const size_t index : rendezvousOrder(key, names, count)) {
+        first.push_back(nodes[index]);
+    }
+    return first;
+}
+
+} // namespace
+
+auto relaysOf(const DomainName &domain, const std::vector<NodeName> &nodesOfDomain) -> std::vector<NodeName>
+{
+    return firstNodes("relay " + domain.value, nodesOfDomain, kRelaysPerDomain);
+}
+
+auto snapshotTurn(const NodeName &self, const std::vector<NodeName> &nodes) -> std::optional<Duration>
+{
+    const auto publishers = firstNodes("snapshot", nodes, kSnapshotPublishers);
+    const auto found = std::find(publishers.begin(), publishers.end(), self);
+    if (found == publishers.end()) {
+        return std::nullopt;
     }
-    return relays;
+    return kSnapshotTurn * (found - publishers.begin());
 }
 
 void rememberRecord(RecordHistory &history, const LogRecord &record)
--- a/config/relay.h
+++ b/config/relay.h
@@ -2,11 +2,13 @@
 
 #include "core/ids.h"
 #include "core/result.h"
+#include "core/time.h"
 #include "platform/log_client.h"
 
 #include <cstddef>
 #include <cstdint>
 #include <deque>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -20,6 +22,17 @@
 /// nodes.
 auto relaysOf(const DomainName &domain, const std::vector<NodeName> &nodesOfDomain) -> std::vector<NodeName>;
 
+/// Nodes that may publish a snapshot, and the time between their turns.
+inline constexpr size_t kSnapshotPublishers = 5;
+inline constexpr Duration kSnapshotTurn = seconds(10);
+
+/// Returns how long a node waits after a snapshot became due before it publishes one, so that one node publishes and
+/// the next one takes over if it does not; empty if the node is not among the publishers.
+auto snapshotTurn(const NodeName &self, const std::vector<NodeName> &nodes) -> std::optional<Duration>;
+
+/// Payload bytes per answer to config.records, so that the answer fits one frame between nodes.
+inline constexpr size_t kRecordsAnswerBytes = 100 * 1024;
+
 /// The last records that a node folded, for nodes that ask for them.
 struct RecordHistory
 {
--- a/config/snapshot.cpp
+++ b/config/snapshot.cpp
@@ -119,6 +119,7 @@
     readAudit(reader, state, nowMs, errors);
     state.unreadableRecords = reader.number("unreadableRecords", 0, kMaxNumber);
     state.snapshotOffset = reader.number("snapshotOffset", 0, kMaxNumber);
+    state.snapshotEnd = reader.number("snapshotEnd", 0, kMaxNumber);
     state.snapshotAtMs = static_cast<int64_t>(reader.number("snapshotAtMs", 0, std::numeric_limits<int64_t>::max()));
     return state;
 }
@@ -167,6 +168,7 @@
                             { "audit", dumpAudit(state.audit) },
                             { "unreadableRecords", state.unreadableRecords },
                             { "snapshotOffset", state.snapshotOffset },
+                            { "snapshotEnd", state.snapshotEnd },
                             { "snapshotAtMs", state.snapshotAtMs },
                             { "sections", std::move(sections) } };
     return Snapshot { state.nextOffset, dumpJson(document) };
@@ -317,7 +319,8 @@
     }
     const int64_t age = nowMs - state.snapshotAtMs;
     const int64_t halfAge = duration_cast<milliseconds>(retention.age).count() / 2;
-    const uint64_t records = state.nextOffset - state.snapshotOffset;
+    // The snapshot's own parts do not count, or a large one would make the next one due at once.
+    const uint64_t records = state.nextOffset - std::min(state.snapshotEnd, state.nextOffset);
     return age < -kMaxClockLeadMs || age >= halfAge || (retention.records != 0 && records >= retention.records / 2);
 }
 
--- a/config/snapshot.h
+++ b/config/snapshot.h
@@ -81,7 +81,8 @@
 
 /// Returns whether a new snapshot has to be published: there was none yet, or the newest one is at half of the
 /// retention, by age or by count. A snapshot whose time lies in the future by more than a minute counts as old, so that
-/// one wrong clock cannot stop the publication.
+/// one wrong clock cannot stop the publication. A log that keeps a number of records has to keep at least four times as
+/// many as a snapshot has parts.
 auto isSnapshotDue(const ConfigState &state, const Retention &retention, int64_t nowMs) -> bool;
 
 } // namespace snipestream
--- a/tests/config/decoders_test.cpp
+++ b/tests/config/decoders_test.cpp
@@ -7,6 +7,7 @@
 #include "tests/support/section.h"
 
 #include <functional>
+#include <set>
 #include <string>
 
 #include <rapidcheck.h>
@@ -165,6 +166,15 @@
             CPPUNIT_ASSERT_EQUAL(size_t { 3 }, relays.size());
             CPPUNIT_ASSERT(relaysOf(DomainName("a"), nodes) == relays);
         });
+        section("five nodes take turns with snapshots, one at a time", [&] {
+            std::set<Duration> turns;
+            for (const NodeName &node : nodes) {
+                const auto turn = snapshotTurn(node, nodes);
+                CPPUNIT_ASSERT(!turn || turns.insert(*turn).second);
+            }
+            CPPUNIT_ASSERT_EQUAL(size_t { 5 }, turns.size());
+            CPPUNIT_ASSERT(*turns.begin() == Duration::zero());
+        });
         section("the history is bounded and answers from any kept offset", [&] {
             RecordHistory history;
             history.maxBytes = 50;
--- a/tests/config/fold_test.cpp
+++ b/tests/config/fold_test.cpp
@@ -76,6 +76,7 @@
     CPPUNIT_TEST(testExpiredRecordsNeedSnapshot);
     CPPUNIT_TEST(testLargeSnapshot);
     CPPUNIT_TEST(testSnapshotDue);
+    CPPUNIT_TEST(testNewNodesAlwaysCatchUp);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -334,9 +335,41 @@
             for (int i = 0; i < 99; ++i) {
                 fold(node, "x");
             }
+            CPPUNIT_ASSERT(!isSnapshotDue(node.state, retention, 100001));
+            fold(node, "x");
             CPPUNIT_ASSERT(isSnapshotDue(node.state, retention, 100001));
         });
     }
+
+    /// Guards against snapshots that come too late for a log that keeps few records.
+    void testNewNodesAlwaysCatchUp()
+    {
+        constexpr size_t kKept = 100;
+        FakeLog log(kKept);
+        const LogClient client = log.client();
+        ConfigFold relay;
+        size_t snapshots = 0;
+        for (int i = 0; i < 1000; ++i) {
+            CPPUNIT_ASSERT(client.append(kConfigStream,
+                                         change("c" + std::to_string(i), relay.state.revision,
+                                                { rule("team t" + std::to_string(i % 50) + " rate=1/s burst=1") })));
+            if (i % 10 == 0) {
+                CPPUNIT_ASSERT(catchUpFromLog(relay, client, 7, 0));
+                if (isSnapshotDue(relay.state, Retention { std::chrono::hours(1), kKept }, 1000)) {
+                    CPPUNIT_ASSERT(publishSnapshot(relay, client, "s" + std::to_string(i), 1000));
+                    ++snapshots;
+                }
+            }
+            ConfigFold fresh;
+            const auto caughtUp = catchUpFromLog(fresh, client, 7, 0);
+            CPPUNIT_ASSERT_MESSAGE(caughtUp ? "" : caughtUp.error().message, caughtUp.has_value());
+        }
+        CPPUNIT_ASSERT(catchUpFromLog(relay, client, 7, 0));
+        ConfigFold fresh;
+        CPPUNIT_ASSERT(catchUpFromLog(fresh, client, 7, 0));
+        CPPUNIT_ASSERT_EQUAL(takeSnapshot(relay).text, takeSnapshot(fresh).text);
+        CPPUNIT_ASSERT(snapshots > 10 && snapshots < 40);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FoldTest);
