--- a/config/snapshot.cpp
+++ b/config/snapshot.cpp
@@ -24,9 +24,9 @@
 /// Text per part. JSON escapes quotes and backslashes, so a part may grow to twice this within a record.
 constexpr size_t kPartBytes = kMaxRecordBytes / 2 - 1024;
 /// Snapshots that are assembled at the same time.
-constexpr size_t kMaxAssemblies = 4;
-/// Parts of one snapshot; bounds the memory that a damaged record can ask for.
-constexpr uint32_t kMaxParts = 4096;
+constexpr size_t kMaxAssemblies = 3;
+/// Parts of one snapshot, about 15 MB of text; bounds the memory that a damaged record can ask for.
+constexpr uint32_t kMaxParts = 256;
 /// A snapshot time this far ahead of the own clock is taken for a wrong clock.
 constexpr int64_t kMaxClockLeadMs = 60 * 1000;
 
@@ -119,6 +119,7 @@
     readAudit(reader, state, nowMs, errors);
     state.unreadableRecords = reader.number("unreadableRecords", 0, kMaxNumber);
     state.snapshotOffset = reader.number("snapshotOffset", 0, kMaxNumber);
+    state.snapshotEnd = reader.number("snapshotEnd", 0, kMaxNumber);
     state.snapshotAtMs = static_cast<int64_t>(reader.number("snapshotAtMs", 0, std::numeric_limits<int64_t>::max()));
     return state;
 }
@@ -167,6 +168,7 @@
                             { "audit", dumpAudit(state.audit) },
                             { "unreadableRecords", state.unreadableRecords },
                             { "snapshotOffset", state.snapshotOffset },
+                            { "snapshotEnd", state.snapshotEnd },
                             { "snapshotAtMs", state.snapshotAtMs },
                             { "sections", std::move(sections) } };
     return Snapshot { state.nextOffset, dumpJson(document) };
@@ -317,7 +319,8 @@
     }
     const int64_t age = nowMs - state.snapshotAtMs;
     const int64_t halfAge = duration_cast<milliseconds>(retention.age).count() / 2;
-    const uint64_t records = state.nextOffset - state.snapshotOffset;
+    // The snapshot's own parts do not count, or a large one would make the next one due at once.
+    const uint64_t records = state.nextOffset - std::min(state.snapshotEnd, state.nextOffset);
     return age < -kMaxClockLeadMs || age >= halfAge || (retention.records != 0 && records >= retention.records / 2);
 }
 
