--- a/admission/admission.cpp
+++ b/admission/admission.cpp
@@ -333,6 +333,7 @@
 {
     std::vector<Decision> decisions;
     for (auto &target : table.targets) {
+        sampleInFlight(target.limit, static_cast<int>(target.running.size()));
         tickLimit(target.limit, table.settings.limit, now);
         refuseLate(table, target, now, decisions);
         startWaiting(table, target, now, decisions);
@@ -344,7 +345,7 @@
         const int limit = currentLimit(target.limit, table.settings.limit, now);
         target.shedding.useSum += std::min(1.0, static_cast<double>(target.running.size()) / limit);
         ++target.shedding.useSamples;
-        if (tickShedding(target.shedding, table.settings.shedding, now)) {
+        if (tickShedding(target.shedding, table.settings.shedding, toDuration(meanServiceTime(target.limit)), now)) {
             target.shedding.queueWasEmpty = target.queue.rows.empty();
             pruneUsage(target.usage, now);
         }
--- a/admission/limit.cpp
+++ b/admission/limit.cpp
@@ -16,6 +16,8 @@
 constexpr double kSlowMeanGain = 1.0 / 100;
 /// Weight with which the baseline follows a lower slow mean.
 constexpr double kBaselineFall = 0.05;
+/// Part of the limit that all samples of a window reach if the number of running requests is steady.
+constexpr double kSteadyPart = 0.85;
 /// Mean latencies that a changed limit needs to show its effect, and the longest wait for it in seconds.
 constexpr double kSettleLatencies = 1.5;
 constexpr double kLongestSettle = 5;
@@ -35,6 +37,7 @@
     state.ratioSum = 0;
     state.latencySum = 0;
     state.peakInFlight = 0;
+    state.lowInFlight = INT_MAX;
 }
 
 /// Leaves out the answers to requests that started under the limit before the change.
@@ -137,6 +140,11 @@
     state.ratioSum += observed / row.baseline;
 }
 
+void sampleInFlight(LimitState &state, int running)
+{
+    state.lowInFlight = std::min(state.lowInFlight, running);
+}
+
 auto tickLimit(LimitState &state, const LimitSettings &settings, TimePoint now) -> bool
 {
     const Duration age = now - state.windowStart;
@@ -145,30 +153,43 @@
             >= state.slots) {
         state.cold = false;
     }
+    const double ratio = state.answers > 0 ? state.ratioSum / state.answers : 0;
+    const bool wasUsed = state.peakInFlight >= static_cast<int>(state.limit * 0.9);
+    const double slowdown = 1 + (state.slowdown - 1) * std::exp(-toSeconds(age) / toSeconds(settings.slowdownDecay));
+    const bool congested
+        = state.answers > 0 && ratio > std::max(settings.congestedRatio, settings.congestedAgain * slowdown);
     // A window holds at least one full turnover of the running requests, so that it reflects the current limit.
-    const int needed = std::max(settings.windowAnswers, static_cast<int>(state.limit));
+    const int least = congested || state.examining ? settings.examinedAnswers : settings.windowAnswers;
+    const int needed = std::max(least, static_cast<int>(state.limit));
     if (age < settings.window || (state.answers < needed && age < settings.longestWindow)) {
         return false;
     }
-    const double ratio = state.answers > 0 ? state.ratioSum / state.answers : 0;
-    const bool wasUsed = state.peakInFlight >= static_cast<int>(state.limit * 0.9);
-    state.slowdown = 1 + (state.slowdown - 1) * std::exp(-toSeconds(age) / toSeconds(settings.slowdownDecay));
-    const bool congested = state.answers > 0 && ratio > settings.congestedRatio * state.slowdown;
+    state.slowdown = slowdown;
+    const bool unhelpful = congested && state.examining
+        && ratio > state.ratioBefore * (1 - kHelpfulPart * (1 - settings.decreaseFactor));
     if (!congested) {
-        state.decreases = 0;
+        state.examining = false;
+        state.wasDecreased = false;
         if (wasUsed) {
-            state.limit += std::max(1.0, state.slots * settings.increaseFraction);
+            const bool isFree = ratio < settings.freeRatio * slowdown;
+            state.limit += isFree ? std::max(1.0, state.slots * settings.increaseFraction) : 1.0;
         }
-    } else if (state.decreases >= 2 && ratio > state.ratioBefore * (1 - kHelpfulPart * (1 - settings.decreaseFactor))) {
+    } else if (unhelpful) {
         state.slowdown = std::max(1.0, ratio);
         state.limit = state.limitBefore;
-        state.decreases = 0;
+        state.examining = false;
+        state.wasDecreased = false;
         settle(state, now);
     } else {
-        // The limit before the first decrease is kept over the second one, which is the first to be examined.
-        state.limitBefore = state.decreases == 1 ? state.limitBefore : state.limit;
+        // If fewer requests ran than the limit allows, the ratio is below that of the full limit, and a decrease would
+        // seem not to help. Such a decrease is not examined; it brings the number of running requests to the limit.
+        const bool isSteady = state.lowInFlight >= static_cast<int>(state.limit * kSteadyPart);
+        if (!state.wasDecreased || state.examining) {
+            state.limitBefore = state.limit;
+        }
+        state.examining = isSteady;
+        state.wasDecreased = true;
         state.ratioBefore = ratio;
-        ++state.decreases;
         // Starting from what really ran makes the decrease take effect at once.
         const double used = std::min(state.limit, std::max(1.0, static_cast<double>(state.peakInFlight)));
         state.limit = std::max(1.0, used * settings.decreaseFactor);
--- a/admission/limit.h
+++ b/admission/limit.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/time.h"
 
+#include <climits>
 #include <cstddef>
 #include <cstdint>
 #include <unordered_map>
@@ -15,20 +16,28 @@
 {
     /// Shortest time over which latency is judged.
     Duration window = milliseconds(100);
-    /// Fewest answers that a judgement needs. The mean of 64 exponentially distributed times is off by 12%.
+    /// Fewest answers that a judgement needs.
     int windowAnswers = 64;
+    /// The same for windows before and after a decrease, which are compared. The mean of 256 exponentially distributed
+    /// times is off by 6%, and a wrong verdict lasts long.
+    int examinedAnswers = 256;
     /// A window with fewer answers is judged anyway after this time.
     Duration longestWindow = seconds(1);
     /// Ratio of observed to least latency above which the target counts as congested.
     double congestedRatio = 2.0;
+    /// The same relative to an accepted slowdown.
+    double congestedAgain = 1.5;
     /// Factor of a decrease. Large steps make it visible within one window whether the decrease helped.
     double decreaseFactor = 0.65;
-    /// Increase per window as a fraction of the slots; at least one.
+    /// Ratio below which the target is clearly free, so that the limit grows fast; above it, it grows by one a window.
+    double freeRatio = 1.2;
+    /// Fast increase per window as a fraction of the slots; at least one.
     double increaseFraction = 0.05;
-    /// Time in which the least latency follows a lasting rise.
-    Duration baselineRise = seconds(30);
+    /// Time in which the least latency follows a lasting rise. A shorter one lets a congested target pass as a slow
+    /// one.
+    Duration baselineRise = seconds(300);
     /// Time in which an accepted slowdown is forgotten, so that it is examined again.
-    Duration slowdownDecay = seconds(5);
+    Duration slowdownDecay = seconds(20);
     /// Fraction of its slots that a cold target starts with; the fraction doubles each second.
     double coldFraction = 0.1;
 };
@@ -64,12 +73,15 @@
     /// Answers before this moment ran under the previous limit and are not judged.
     TimePoint settledAt;
     int peakInFlight = 0;
+    /// Fewest running requests of the window, by samples.
+    int lowInFlight = INT_MAX;
 
     /// Accepted ratio of latency to baseline: the target is slow for reasons that a lower limit does not change.
     double slowdown = 1;
-    /// Decreases in a row. The first one makes the number of running requests steady; from the second on each is
-    /// compared with the state before it.
-    int decreases = 0;
+    /// The last window was congested, and its ratio was taken while the number of running requests was steady, so that
+    /// the effect of the decrease that followed can be seen.
+    bool examining = false;
+    bool wasDecreased = false;
     /// Limit to return to if the last decrease did not help, and ratio before it.
     double limitBefore = 1;
     double ratioBefore = 1;
@@ -94,6 +106,9 @@
 void observeLatency(LimitState &state, const LimitSettings &settings, uint32_t route, Duration latency, bool timedOut,
                     TimePoint now);
 
+/// Notes how many requests run. Called at each tick.
+void sampleInFlight(LimitState &state, int running);
+
 /// Judges the window if it is over and moves the limit. Returns true if a window was judged.
 auto tickLimit(LimitState &state, const LimitSettings &settings, TimePoint now) -> bool;
 
--- a/admission/shedding.cpp
+++ b/admission/shedding.cpp
@@ -67,13 +67,16 @@
     state.arrivals[static_cast<size_t>(rank)] += 1;
 }
 
-auto tickShedding(SheddingState &state, const SheddingSettings &settings, TimePoint now) -> bool
+auto tickShedding(SheddingState &state, const SheddingSettings &settings, Duration serviceTime, TimePoint now) -> bool
 {
     if (now - state.windowStart < settings.window) {
         return false;
     }
     // Without any start in the window the shortest wait is unknown and counts as long.
-    const bool standing = !state.queueWasEmpty && state.shortestWait >= settings.standingWait;
+    const auto longWait = std::max(
+        settings.standingWait,
+        Duration(static_cast<Duration::rep>(static_cast<double>(serviceTime.count()) * settings.standingPart)));
+    const bool standing = !state.queueWasEmpty && state.shortestWait >= longWait;
     const double admitted = admittedArrivals(state);
     if (standing || state.overflowed) {
         const int level = levelForArrivals(state, admitted * (1 - settings.shedStep));
--- a/admission/shedding.h
+++ b/admission/shedding.h
@@ -31,6 +31,8 @@
     Duration window = milliseconds(100);
     /// A queue whose shortest wait in a window exceeds this is a standing queue: it delays without absorbing a burst.
     Duration standingWait = milliseconds(20);
+    /// The same as a part of the service time, whichever is longer: a wait far below the service time costs little.
+    double standingPart = 0.25;
     /// Part of the admitted arrivals that one overloaded window removes at least.
     double shedStep = 0.05;
     /// Part of the admitted arrivals that one calm window adds.
@@ -64,7 +66,7 @@
 void observeArrival(SheddingState &state, int rank);
 
 /// Moves the level if the window is over. Returns true if it was.
-auto tickShedding(SheddingState &state, const SheddingSettings &settings, TimePoint now) -> bool;
+auto tickShedding(SheddingState &state, const SheddingSettings &settings, Duration serviceTime, TimePoint now) -> bool;
 
 /// Level of a service as its answers report it to this node.
 struct UpstreamLevel
