--- a/admission/shedding.cpp
+++ b/admission/shedding.cpp
@@ -104,6 +104,20 @@
     return true;
 }
 
+auto upstreamKey(const ServiceName &service, const RouteName &route) -> ServiceName
+{
+    return ServiceName(service.value + "/" + route.value);
+}
+
+auto reportedLevel(int own, const UpstreamTable &table, const std::vector<ServiceName> &called, TimePoint now) -> int
+{
+    int level = own;
+    for (const auto &key : called) {
+        level = std::max(level, upstreamLevel(table, key, now));
+    }
+    return level;
+}
+
 void observeUpstream(UpstreamTable &table, const ServiceName &service, int level, TimePoint now)
 {
     auto &row = table.services[service];
--- a/admission/shedding.h
+++ b/admission/shedding.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <unordered_map>
+#include <vector>
 
 namespace snipestream {
 
@@ -81,6 +82,14 @@
     std::unordered_map<ServiceName, UpstreamLevel> services;
 };
 
+/// Returns the name under which levels of one route of a service are kept. Routes of a service go on to different
+/// services, so levels that include services further down are kept per route.
+auto upstreamKey(const ServiceName &service, const RouteName &route) -> ServiceName;
+
+/// Returns the level to report with an answer: the target's own one or the highest one of the calls that were made for
+/// the request, named by their keys. The first node of a chain then sheds what the last one would.
+auto reportedLevel(int own, const UpstreamTable &table, const std::vector<ServiceName> &called, TimePoint now) -> int;
+
 /// Takes the level that came with an answer of the service into account. Levels out of range are clamped.
 void observeUpstream(UpstreamTable &table, const ServiceName &service, int level, TimePoint now);
 
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -9,6 +9,8 @@
 ABSL_FLAG(uint64_t, seed, 1, "seed of arrivals and service times");
 ABSL_FLAG(std::string, only, "", "run only scenarios whose name contains this text");
 ABSL_FLAG(bool, quota_reserve, true, "token buckets keep a part of the burst for important requests");
+ABSL_FLAG(bool, quota_refund, true, "tokens of requests that were refused before they ran are given back");
+ABSL_FLAG(bool, deep_levels, true, "answers report the shedding levels of services further down");
 ABSL_FLAG(bool, snipestream_only, false, "leave out the rows without snipestream");
 
 namespace snipestream::bench {
@@ -65,6 +67,8 @@
               << "| --- | --- | --- | --- | --- | --- | --- | --- |" << std::endl;
     for (const auto &deployment : { cymru(), nairobi() }) {
         for (auto &scenario : scenarios) {
+            scenario.quotaRefund = absl::GetFlag(FLAGS_quota_refund);
+            scenario.deepLevels = absl::GetFlag(FLAGS_deep_levels);
             scenario.quotaReserve = absl::GetFlag(FLAGS_quota_reserve);
             if (scenario.name.find(absl::GetFlag(FLAGS_only)) != std::string::npos) {
                 printScenario(deployment, scenario, rows, absl::GetFlag(FLAGS_seed));
--- a/bench/policy_calls.cpp
+++ b/bench/policy_calls.cpp
@@ -10,6 +10,11 @@
         || reason == RefusalReason::DeadlinePassed;
 }
 
+auto keyOf(const ModelService &service, const ModelRoute &route) -> ServiceName
+{
+    return upstreamKey(ServiceName(service.name), RouteName(route.name));
+}
+
 } // namespace
 
 void World::dispatch(const CallPtr &call)
@@ -20,7 +25,8 @@
     const auto &route = deployment_.routes[call->root->logical->route];
     const ServiceName service(deployment_.services[route.services[call->hop]].name);
     auto &from = nodes_[call->from];
-    if (shouldShedUpstream(from.admission.upstream, service, route.priority, call->root->id, now_)) {
+    const ServiceName key = keyOf(deployment_.services[route.services[call->hop]], route);
+    if (shouldShedUpstream(from.admission.upstream, key, route.priority, call->root->id, now_)) {
         call->done(false, RefusalReason::Overloaded);
         return;
     }
@@ -89,6 +95,7 @@
 void World::runAt(size_t node, Ticket ticket, const CallPtr &call, int share)
 {
     call->root->active[{ node, ticket }] = true;
+    call->root->hasRun = true;
     const auto finish = [this, node, ticket, call](bool ok, std::optional<RefusalReason> reason) {
         if (call->root->active.erase({ node, ticket }) == 0) {
             return;
@@ -115,8 +122,15 @@
 
 void World::answer(size_t node, const CallPtr &call, bool ok, std::optional<RefusalReason> reason)
 {
-    const auto status = admissionStatus(nodes_[node].admission, nodes_[node].id.target, now_);
-    after(deployment_.hopLatency, [this, node, call, ok, reason, level = status->sheddingLevel] {
+    const auto &home = nodes_[node].admission;
+    int level = admissionStatus(home, nodes_[node].id.target, now_)->sheddingLevel;
+    // The answer also carries the level of the services further down, so that the entry sheds before any work starts.
+    const auto &path = deployment_.routes[call->root->logical->route];
+    if (scenario_.deepLevels && call->hop + 1 < path.services.size()) {
+        const auto &next = deployment_.services[path.services[call->hop + 1]];
+        level = reportedLevel(level, home.upstream, { keyOf(next, path) }, now_);
+    }
+    after(deployment_.hopLatency, [this, node, call, ok, reason, level] {
         const ServiceName service(deployment_.services[nodes_[node].service].name);
         auto &from = nodes_[call->from];
         CallEvidence evidence = CallEvidence::Failure;
@@ -128,7 +142,9 @@
             evidence = CallEvidence::Overloaded;
         }
         endCall(from.endpoints, service, nodes_[node].id, evidence, now_);
-        observeUpstream(from.admission.upstream, service, level, now_);
+        const auto &observed = deployment_.routes[call->root->logical->route];
+        observeUpstream(from.admission.upstream, keyOf(deployment_.services[nodes_[node].service], observed), level,
+                        now_);
         if (ok || call->root->over) {
             call->done(ok, reason);
             return;
--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -65,6 +65,10 @@
     bool hardRetries = false;
     /// The token buckets of snipestream keep a part of the burst for important requests.
     bool quotaReserve = true;
+    /// A token is given back if the request was refused before any target worked for it.
+    bool quotaRefund = true;
+    /// Answers report the shedding levels of the services further down as well.
+    bool deepLevels = true;
 };
 
 /// Who decides about requests.
--- a/bench/policy_world.cpp
+++ b/bench/policy_world.cpp
@@ -156,6 +156,7 @@
         endAttempt(root, false, true);
         return;
     }
+    root->charged = policy_ == Policy::Snipestream;
     auto call = std::make_shared<Call>();
     call->from = entry;
     call->root = root;
@@ -177,6 +178,10 @@
         return;
     }
     root->over = true;
+    auto &quota = quota_[root->logical->team];
+    if (root->charged && !root->hasRun && scenario_.quotaRefund) {
+        quota.level = std::min(quota.burst, quota.level + 1);
+    }
     const auto active = std::move(root->active);
     for (const auto &[key, running] : active) {
         auto &node = nodes_[key.first];
--- a/bench/policy_world.h
+++ b/bench/policy_world.h
@@ -44,6 +44,9 @@
     /// The attempt began while the trigger lasted.
     bool counts = false;
     bool over = false;
+    /// A target has begun to work for it.
+    bool hasRun = false;
+    bool charged = false;
     /// Runs and waits at targets, for cancellation.
     std::map<std::pair<size_t, Ticket>, bool> active;
 };
