--- a/admission/shedding.h
+++ b/admission/shedding.h
@@ -6,6 +6,7 @@
 
 #include <array>
 #include <unordered_map>
+#include <vector>
 
 namespace snipestream {
 
@@ -31,6 +32,8 @@
     Duration window = milliseconds(100);
     /// A queue whose shortest wait in a window exceeds this is a standing queue: it delays without absorbing a burst.
     Duration standingWait = milliseconds(20);
+    /// The same as a part of the service time, whichever is longer: a wait far below the service time costs little.
+    double standingPart = 0.25;
     /// Part of the admitted arrivals that one overloaded window removes at least.
     double shedStep = 0.05;
     /// Part of the admitted arrivals that one calm window adds.
@@ -64,7 +67,7 @@
 void observeArrival(SheddingState &state, int rank);
 
 /// Moves the level if the window is over. Returns true if it was.
-auto tickShedding(SheddingState &state, const SheddingSettings &settings, TimePoint now) -> bool;
+auto tickShedding(SheddingState &state, const SheddingSettings &settings, Duration serviceTime, TimePoint now) -> bool;
 
 /// Level of a service as its answers report it to this node.
 struct UpstreamLevel
@@ -79,6 +82,14 @@
     std::unordered_map<ServiceName, UpstreamLevel> services;
 };
 
+/// Returns the name under which levels of one route of a service are kept. Routes of a service go on to different
+/// services, so levels that include services further down are kept per route.
+auto upstreamKey(const ServiceName &service, const RouteName &route) -> ServiceName;
+
+/// Returns the level to report with an answer: the target's own one or the highest one of the calls that were made for
+/// the request, named by their keys. The first node of a chain then sheds what the last one would.
+auto reportedLevel(int own, const UpstreamTable &table, const std::vector<ServiceName> &called, TimePoint now) -> int;
+
 /// Takes the level that came with an answer of the service into account. Levels out of range are clamped.
 void observeUpstream(UpstreamTable &table, const ServiceName &service, int level, TimePoint now);
 
