Halve the memory of a claim and bound the claims that wait for the log

Cause: an owner keeps claims for 24 h, so bytes per claim decide how many it can take; and at 10,000 claims/s offered the queue grew to a wait of 11 s.

Timers point to the key in the table and responses are packed into one string. New claims are refused while 3,000 wait for the log, and beyond 24 MiB of claims; responses are then no longer recorded, and no claim is forgotten early.

--- a/idempotency/claim.h
+++ b/idempotency/claim.h
@@ -156,7 +156,12 @@
     double appendBurst = 6;
     size_t maxBatchBytes = size_t { 128 } * 1024;
     size_t maxBatchClaims = 2000;
-    size_t maxClaims = 200'000;
+    size_t maxClaims = 100'000;
+    /// Memory that the claims of one range may take, in bytes. New claims are refused beyond it, and responses are no
+    /// longer recorded; no claim is forgotten early.
+    size_t maxClaimBytes = size_t { 24 } * 1024 * 1024;
+    /// New claims are refused while this many wait for the log, which is about a second's worth.
+    size_t maxWaiting = 3000;
     size_t maxRecordedBody = size_t { 4 } * 1024;
     /// Largest sum of header names and values that is recorded with a response.
     size_t maxRecordedHeaders = size_t { 2 } * 1024;
--- a/idempotency/claim_internal.cpp
+++ b/idempotency/claim_internal.cpp
@@ -1,9 +1,23 @@
 #include "idempotency/claim_internal.h"
 
+#include "idempotency/packed_response.h"
+
 #include <algorithm>
 
 namespace snipestream::claims {
 
+namespace {
+
+/// Memory of a claim without the texts of its key and response, as bench/claims_bench measures it.
+constexpr size_t kClaimOverhead = 400;
+
+auto textBytes(const ClaimKey &key) -> size_t
+{
+    return key.team.value.size() + key.idempotencyKey.size();
+}
+
+} // namespace
+
 auto isServing(const ClaimTable &table, const OwnerView &view) -> bool
 {
     return view.valid && view.epoch == table.epoch && table.phase == OwnerPhase::Serving;
@@ -83,9 +97,29 @@
         due = std::min(due, claim.loggedAt + settings.logRetention / 2);
     }
     if (due != claim.timerAt) {
+        table.timers.erase({ claim.timerAt, &key });
         claim.timerAt = due;
-        table.timers.emplace(due, key);
+        table.timers.emplace(due, &key);
+    }
+}
+
+auto addClaim(ClaimTable &table, const ClaimKey &key) -> std::pair<const ClaimKey &, Claim &>
+{
+    const auto [added, isNew] = table.claims.try_emplace(key);
+    if (isNew) {
+        table.claimBytes += kClaimOverhead + textBytes(key);
+    }
+    return { added->first, added->second };
+}
+
+void keepResponse(ClaimTable &table, Claim &claim, const std::optional<RecordedResponse> &response)
+{
+    table.claimBytes -= claim.response.size();
+    claim.response.clear();
+    if (response && table.claimBytes < table.settings.maxClaimBytes) {
+        claim.response = packResponse(*response);
     }
+    table.claimBytes += claim.response.size();
 }
 
 void eraseClaim(ClaimTable &table, const ClaimKey &key)
@@ -96,6 +130,8 @@
     }
     clearUnlogged(table, found->second);
     moveToSequence(table, found->second, 0);
+    table.timers.erase({ found->second.timerAt, &found->first });
+    table.claimBytes -= kClaimOverhead + textBytes(key) + found->second.response.size();
     table.claims.erase(found);
 }
 
@@ -130,8 +166,9 @@
     schedule(table, key, claim);
     if (claim.timerAt <= now) {
         // A released claim whose release is not on the log yet.
+        table.timers.erase({ claim.timerAt, &key });
         claim.timerAt = now + seconds(1);
-        table.timers.emplace(claim.timerAt, key);
+        table.timers.emplace(claim.timerAt, &key);
     }
     return true;
 }
@@ -148,7 +185,10 @@
         }
         auto &claim = found->second;
         ClaimEntry entry { found->first, claim.fingerprint, claim.attempt, claim.attemptNumber,
-                           claim.state,  now - claim.since, claim.response };
+                           claim.state,  now - claim.since, std::nullopt };
+        if (!claim.response.empty()) {
+            entry.response = unpackResponse(claim.response);
+        }
         const size_t size = entryBytes(entry);
         if (!record.claims.empty() && bytes + size > limit) {
             return;
@@ -169,13 +209,9 @@
 void runTimers(ClaimTable &table, TimePoint now, std::vector<LateVerdict> &verdicts)
 {
     while (!table.timers.empty() && table.timers.begin()->first <= now) {
-        const auto node = table.timers.extract(table.timers.begin());
-        const auto found = table.claims.find(node.mapped());
-        if (found == table.claims.end() || found->second.timerAt != node.key()) {
-            continue;
-        }
-        if (!settleClaim(table, found->first, found->second, now, verdicts)) {
-            eraseClaim(table, node.mapped());
+        const ClaimKey &key = *table.timers.begin()->second;
+        if (!settleClaim(table, key, table.claims.at(key), now, verdicts)) {
+            eraseClaim(table, key);
         }
     }
 }
--- a/idempotency/claim_internal.h
+++ b/idempotency/claim_internal.h
@@ -28,9 +28,15 @@
 /// Moves the claim's newest entry to the record with this sequence number.
 void moveToSequence(ClaimTable &table, Claim &claim, uint64_t sequence);
 
-/// Sets the claim's timer to the next moment at which something is due.
+/// Sets the claim's timer to the next moment at which something is due. `key` is the key in the table.
 void schedule(ClaimTable &table, const ClaimKey &key, Claim &claim);
 
+/// Returns the claim of a key that is not in the table yet, and its key in the table.
+auto addClaim(ClaimTable &table, const ClaimKey &key) -> std::pair<const ClaimKey &, Claim &>;
+
+/// Records the response of a claim if there is memory for it.
+void keepResponse(ClaimTable &table, Claim &claim, const std::optional<RecordedResponse> &response);
+
 /// Removes the claim from the table.
 void eraseClaim(ClaimTable &table, const ClaimKey &key);
 
--- a/idempotency/claim_owner.cpp
+++ b/idempotency/claim_owner.cpp
@@ -38,6 +38,7 @@
     fresh.wantUnloggedBit = epoch == table.epoch && table.wantUnloggedBit;
     fresh.predecessorUnlogged = epoch == table.epoch && table.predecessorUnlogged;
     fresh.refusedFull = table.refusedFull;
+    fresh.refusedBusy = table.refusedBusy;
     fresh.refusedOtherFingerprint = table.refusedOtherFingerprint;
     fresh.voidAppends = table.voidAppends;
     fresh.lateOutcomes = table.lateOutcomes;
@@ -119,8 +120,8 @@
         setCheckpoint(table, now);
         outputs.events.push_back(OwnerEvent::RangeQuarantined);
     }
-    for (auto &[key, folded] : table.fold.claims) {
-        auto &claim = table.claims[key];
+    for (auto &[folding, folded] : table.fold.claims) {
+        auto [key, claim] = claims::addClaim(table, folding);
         claim.fingerprint = folded.entry.fingerprint;
         claim.attempt = folded.entry.attempt;
         claim.attemptNumber = folded.entry.attemptNumber;
@@ -131,7 +132,7 @@
         claim.since = now - folded.entry.age;
         // The age of the entry on the log is not known, so it is renewed at once if the log may drop it.
         claim.loggedAt = now - table.settings.logRetention / 2;
-        claim.response = std::move(folded.entry.response);
+        claims::keepResponse(table, claim, folded.entry.response);
         claims::moveToSequence(table, claim, folded.sequence);
         claims::schedule(table, key, claim);
     }
--- a/idempotency/claim_table.cpp
+++ b/idempotency/claim_table.cpp
@@ -1,6 +1,7 @@
 #include "idempotency/claim_table.h"
 
 #include "idempotency/claim_internal.h"
+#include "idempotency/packed_response.h"
 
 namespace snipestream {
 
@@ -21,8 +22,8 @@
 
 auto alreadyRun(const Claim &claim) -> Verdict
 {
-    if (claim.response) {
-        return Replay { *claim.response };
+    if (!claim.response.empty()) {
+        return Replay { unpackResponse(claim.response) };
     }
     const bool isDone = claim.state == ClaimState::Done;
     return refuse(RefusalReason::AlreadyRun, RunState::Unknown, {},
@@ -75,7 +76,7 @@
 /// Makes a new claim, or takes a released one again.
 auto takeClaim(ClaimTable &table, const BeginRequest &request, const OwnerView &view, TimePoint now) -> Verdict
 {
-    auto &claim = table.claims[request.key];
+    auto [key, claim] = claims::addClaim(table, request.key);
     claim.fingerprint = request.fingerprint;
     claim.attempt = request.attempt;
     claim.attemptNumber = request.attemptNumber;
@@ -83,10 +84,10 @@
     claim.granted = false;
     claim.since = now;
     claim.deadline = now + request.timeLeft;
-    claim.response.reset();
-    claims::schedule(table, request.key, claim);
+    claims::keepResponse(table, claim, std::nullopt);
+    claims::schedule(table, key, claim);
     const bool isUnlogged = table.mode == LogMode::Unlogged && view.unloggedConfirmed;
-    claims::markDirty(table, request.key, claim, !isUnlogged);
+    claims::markDirty(table, key, claim, !isUnlogged);
     if (!isUnlogged) {
         return Wait {};
     }
@@ -155,11 +156,18 @@
         return refuse(RefusalReason::DeadlinePassed, freeRunState(claim, request.attemptNumber), {},
                       "no time is left for the request");
     }
-    if (claim == nullptr && table.claims.size() >= table.settings.maxClaims) {
+    const bool isFull
+        = table.claims.size() >= table.settings.maxClaims || table.claimBytes >= table.settings.maxClaimBytes;
+    if (claim == nullptr && isFull) {
         // Forgetting an old claim to make room could let its request run twice.
         ++table.refusedFull;
         return refuse(RefusalReason::ClaimUnavailable, freeRunState(claim, request.attemptNumber), kFullRetry,
-                      "the owner holds the maximum of " + std::to_string(table.settings.maxClaims) + " claims");
+                      "the owner has no memory for more than its " + std::to_string(table.claims.size()) + " claims");
+    }
+    if (table.urgent.size() >= table.settings.maxWaiting) {
+        ++table.refusedBusy;
+        return refuse(RefusalReason::ClaimUnavailable, freeRunState(claim, request.attemptNumber), kOwnerRetry,
+                      std::to_string(table.urgent.size()) + " claims wait for the log");
     }
     return takeClaim(table, request, view, now);
 }
@@ -182,7 +190,7 @@
     switch (outcome.kind) {
     case OutcomeKind::Done:
         claim.granted = true;
-        claim.response = outcome.response;
+        claims::keepResponse(table, claim, outcome.response);
         enterState(table, found->first, claim, ClaimState::Done, now);
         break;
     case OutcomeKind::NotRun:
--- a/idempotency/claim_table.h
+++ b/idempotency/claim_table.h
@@ -7,6 +7,7 @@
 #include <deque>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -38,7 +39,8 @@
     TimePoint timerAt {};
     /// Sequence number of the record with the newest entry; zero if there is none.
     uint64_t sequence = 0;
-    std::optional<RecordedResponse> response;
+    /// The packed response, empty if none is recorded.
+    std::string response;
 };
 
 /// How far this node is in taking over a range.
@@ -79,6 +81,13 @@
 /// One range as its owner sees it. All functions below run on one table and are told the time and the lease.
 struct ClaimTable
 {
+    ClaimTable() = default;
+    ClaimTable(ClaimTable &&) = default;
+    ClaimTable(const ClaimTable &) = delete;
+    auto operator=(ClaimTable &&) -> ClaimTable & = default;
+    auto operator=(const ClaimTable &) -> ClaimTable & = delete;
+    ~ClaimTable() = default;
+
     ClaimSettings settings;
     DomainName domain;
     uint32_t range = 0;
@@ -99,9 +108,11 @@
     /// Claims that wait for the log, and other states to be appended. A key may stand in a queue more than once.
     std::deque<ClaimKey> urgent;
     std::deque<ClaimKey> lazy;
-    /// When to look at a claim again: deadline, renewal on the log or expiry. An entry counts only if the claim's
-    /// `timerAt` is still the same moment.
-    std::multimap<TimePoint, ClaimKey> timers;
+    /// Estimated memory of all claims.
+    size_t claimBytes = 0;
+    /// When to look at each claim again: deadline, renewal on the log or expiry. The pointers are to the keys in
+    /// `claims`.
+    std::set<std::pair<TimePoint, const ClaimKey *>> timers;
 
     std::optional<InFlightAppend> inFlight;
     double budget = 0;
@@ -123,6 +134,7 @@
     bool handoverWanted = false;
 
     uint64_t refusedFull = 0;
+    uint64_t refusedBusy = 0;
     uint64_t refusedOtherFingerprint = 0;
     uint64_t voidAppends = 0;
     uint64_t lateOutcomes = 0;
