Keep the merged packages building under the shared names

Cause: the measurement programs of configuration, admission and claims still used the names from before the merge.

Measured: every target of the workspace builds.

--- a/admission/limit.cpp
+++ b/admission/limit.cpp
@@ -145,7 +145,7 @@
     state.lowInFlight = std::min(state.lowInFlight, running);
 }
 
-auto tickLimit(LimitState &state, const LimitSettings &settings, TimePoint now) -> bool
+auto tickLimit(LimitState &state, const ConcurrencyLimitSettings &settings, TimePoint now) -> bool
 {
     const Duration age = now - state.windowStart;
     if (state.cold
--- a/bench/config_bench.cpp
+++ b/bench/config_bench.cpp
@@ -50,7 +50,7 @@
         change.upserts
             = { line("team " + name + " rate=5/s burst=5"), key.rule,
                 line("route " + name + " GET /a/" + name + " service=s priority=high idempotent=yes open=no") };
-        if (append(encodeChange(change)) != Verdict::Applied) {
+        if (append(encodeChange(change)) != ChangeVerdict::Applied) {
             std::cerr << "a change was not applied\n";
         }
     });
--- a/bench/policy_calls.cpp
+++ b/bench/policy_calls.cpp
@@ -59,9 +59,9 @@
     const AdmissionRequest request { call->root->id, TeamName("team-" + std::to_string(logical.team)), route.priority,
                                      RouteName(route.name), call->root->deadline };
     const Offer result = offer(home.admission, home.id.target, request, now_);
-    if (result.verdict == Verdict::Refused) {
+    if (result.verdict == AdmissionVerdict::Refused) {
         answer(node, call, false, result.refusal.reason);
-    } else if (result.verdict == Verdict::Run) {
+    } else if (result.verdict == AdmissionVerdict::Run) {
         runAt(node, result.ticket, call, share);
     } else {
         call->root->active[{ node, result.ticket }] = false;
--- a/bench/policy_cost_bench.cpp
+++ b/bench/policy_cost_bench.cpp
@@ -42,7 +42,7 @@
     std::vector<Ticket> running;
     for (int i = 0; i < 400; ++i) {
         const Offer result = offer(table, target, request(i), now);
-        if (result.verdict == Verdict::Run) {
+        if (result.verdict == AdmissionVerdict::Run) {
             running.push_back(result.ticket);
         }
     }
--- a/tests/idempotency/claim_table_test.cpp
+++ b/tests/idempotency/claim_table_test.cpp
@@ -44,7 +44,7 @@
                            view, now);
         }
     }
-    auto begin(uint64_t attempt, uint64_t fingerprint = 1, const ClaimKey &key = kKey) -> Verdict
+    auto begin(uint64_t attempt, uint64_t fingerprint = 1, const ClaimKey &key = kKey) -> ClaimVerdict
     {
         const BeginRequest request {
             key, fingerprint, RequestId { 0, attempt }, static_cast<uint32_t>(attempt), NodeName("e"), seconds(10)
@@ -60,7 +60,7 @@
     }
 };
 
-auto reasonOf(const Verdict &verdict) -> std::string
+auto reasonOf(const ClaimVerdict &verdict) -> std::string
 {
     if (const auto *refused = std::get_if<Refused>(&verdict)) {
         return std::string(refusalReasonName(refused->refusal.reason)) + " "
