--- a/bench/policy_world.cpp
+++ b/bench/policy_world.cpp
@@ -12,8 +12,9 @@
 constexpr Duration kAfter = seconds(20);
 /// Sum of the team rates relative to the normal load.
 constexpr double kRateRoom = 1.2;
-/// Part of the burst that requests of a priority leave to those above it.
-constexpr std::array<double, kPriorityCount> kReserve = { 0, 0.2, 0.4, 0.5 };
+/// Part of the burst that is kept for critical requests. Steps for high priority as well gave bookings the tokens of
+/// lookups, which the diary could not serve.
+constexpr double kCriticalReserve = 0.3;
 
 } // namespace
 
@@ -150,7 +151,7 @@
     });
     const bool limited = policy_ == Policy::Snipestream || policy_ == Policy::Fixed;
     const bool reserves = policy_ == Policy::Snipestream && scenario_.quotaReserve;
-    const double reserve = reserves ? kReserve[static_cast<size_t>(route.priority)] : 0;
+    const double reserve = reserves && route.priority != Priority::Critical ? kCriticalReserve : 0;
     auto &bucket = policy_ == Policy::Fixed ? nodes_[entry].buckets[logical->team] : quota_[logical->team];
     if (limited && !takeToken(bucket, now_, reserve)) {
         endAttempt(root, false, true);
