--- a/config/config_state.h
+++ b/config/config_state.h
@@ -117,10 +117,11 @@
 
 /// Finds the route with the longest prefix of whole path segments; the query is ignored. ErrorCode::NotFound: no route.
 /// ErrorCode::InvalidInput: the path has dot segments, empty segments, encoded slashes or control characters, which a
-/// target could resolve to a path of another route.
+/// target could resolve to a path of another route. The pointer is valid until the next record is folded, so a fiber
+/// that waits has to copy the rule.
 auto matchRoute(const ConfigState &state, std::string_view method, std::string_view path) -> Result<const RouteRule *>;
 
-/// Returns the rate and burst of a team, or null if there is no such team.
+/// Returns the rate and burst of a team, or null if there is no such team; valid until the next record is folded.
 auto findTeam(const ConfigState &state, const TeamName &team) -> const TeamRule *;
 
 /// Returns the weights of all failure domains that the rules name.
--- a/config/json_reader.cpp
+++ b/config/json_reader.cpp
@@ -10,6 +10,25 @@
 
 using Json = nlohmann::json;
 
+namespace {
+
+/// Returns where a text that does not parse is wrong, such as " at line 2".
+auto placeOfError(std::string_view text) -> std::string
+{
+    try {
+        [[maybe_unused]] const Json unread = Json::parse(text);
+    } catch (const Json::parse_error &error) {
+        const std::string_view before = text.substr(0, error.byte == 0 ? 0 : error.byte - 1);
+        return " at line " + std::to_string(1 + std::count(before.begin(), before.end(), '\n'));
+    } catch (const Json::exception &) {
+        // A number that is too large is no parse_error and has no place.
+        return ": a number is out of range";
+    }
+    return {};
+}
+
+} // namespace
+
 auto joinErrors(const std::vector<JsonError> &errors, std::string_view separator) -> std::string
 {
     std::vector<std::string> lines;
@@ -146,18 +165,7 @@
 {
     Json value = Json::parse(text, nullptr, false);
     if (value.is_discarded()) {
-        size_t line = 1;
-        std::string reason;
-        try {
-            value = Json::parse(text);
-        } catch (const Json::parse_error &error) {
-            const size_t behind = std::min(error.byte, text.size());
-            for (size_t i = 0; i + 1 < behind; ++i) {
-                line += text[i] == '\n' ? 1 : 0;
-            }
-            reason = "line " + std::to_string(line);
-        }
-        errors.push_back(JsonError { "$", "the text is not valid JSON at " + reason });
+        errors.push_back(JsonError { "$", "the text is not valid JSON" + placeOfError(text) });
     }
     return value;
 }
--- a/tests/config/decoders_test.cpp
+++ b/tests/config/decoders_test.cpp
@@ -3,6 +3,7 @@
 #include "config/snapshot.h"
 
 #include "config/rules_parser.h"
+#include "config/settings.h"
 #include "core/random.h"
 #include "tests/support/section.h"
 
@@ -146,6 +147,14 @@
                 CPPUNIT_ASSERT(!outcome.detail.empty());
             });
         }
+        section("a number out of range is an error of every decoder", [&] {
+            const std::string huge = R"({"kind":"snapshot","id":"s","nextOffset":1e999,"records":[]})";
+            CPPUNIT_ASSERT(decodeSnapshotPart(huge).has_error());
+            CPPUNIT_ASSERT(decodeChange(huge).has_error());
+            CPPUNIT_ASSERT(decodeRecordsAnswer(huge).has_error());
+            CPPUNIT_ASSERT(adoptSnapshot(node, Snapshot { 1000, huge }, 0).has_error());
+            CPPUNIT_ASSERT(!parseSettings(huge).errors.empty());
+        });
         section("valid JSON that nests deeply is refused without exhausting the stack", [&] {
             const std::string deep
                 = "{\"kind\":\"change\",\"id\":" + std::string(50000, '[') + std::string(50000, ']') + "}";
