Report overload further down the chain and keep draining targets reachable

Cause: a target that answered 5xx because a service below it was overloaded was ejected as faulty, and a request that was on its way when a drain began was refused at once.

The home node reports the highest shedding level of the calls made under a context and marks such errors; they count as overload. Admission of a draining target closes 1.5 s after the announcement, within the 3 s bound.

--- a/node/admin.cpp
+++ b/node/admin.cpp
@@ -15,6 +15,8 @@
 constexpr std::string_view kPrefix = "/snipestream/v1/";
 constexpr std::string_view kTargets = "targets";
 constexpr size_t kMaxAdminBody = 64 * 1024;
+/// Time after the start of a drain in which a target still takes requests; the bound for new work is 3 s.
+constexpr Duration kDrainNotice = milliseconds(1500);
 
 void answerJson(Exchange &exchange, int status, const nlohmann::json &body)
 {
@@ -51,8 +53,16 @@
         break;
     }
     case AnnounceEffect::Draining:
-        drainTarget(state.admission, name, BootClock::now());
         logEvent(EventId::TargetDraining, { { "target", name.value } });
+        // Requests that other nodes sent before they learnt of the drain are still taken.
+        state.runtime.spawn([&state, name, instance = announcement.instance] {
+            state.runtime.sleepFor(kDrainNotice);
+            const auto row = state.localTargets.targets.find(name);
+            if (row != state.localTargets.targets.end() && row->second.announcement.instance == instance
+                && row->second.announcement.state == EndpointState::Draining) {
+                drainTarget(state.admission, name, BootClock::now());
+            }
+        });
         break;
     case AnnounceEffect::Left:
         applyDecisions(state, removeTarget(state.admission, name));
--- a/node/dispatch.cpp
+++ b/node/dispatch.cpp
@@ -20,6 +20,8 @@
     EndpointId endpoint;
     std::optional<Refusal> refusal;
     ForwardResult forwarded;
+    /// The target failed because a service that it called is overloaded.
+    bool overloadedBelow = false;
 };
 
 auto evidenceOf(const Attempt &attempt, bool cancelled) -> CallEvidence
@@ -28,6 +30,9 @@
         return CallEvidence::None;
     }
     if (!attempt.refusal) {
+        if (attempt.overloadedBelow) {
+            return CallEvidence::Overloaded;
+        }
         const bool failed = !attempt.forwarded.complete || attempt.forwarded.head->status >= 500;
         return failed ? CallEvidence::Failure : CallEvidence::Success;
     }
@@ -123,10 +128,11 @@
         return result;
     }
     ensureSubscribed(state, head.service);
+    const ServiceName levelKey = upstreamKey(head.service, head.route);
     std::vector<EndpointId> tried;
     for (int number = 1;; ++number) {
         const TimePoint now = BootClock::now();
-        if (shouldShedUpstream(state.admission.upstream, head.service, head.priority, head.id, now)) {
+        if (shouldShedUpstream(state.admission.upstream, levelKey, head.priority, head.id, now)) {
             result.refusal = Refusal { RefusalReason::Overloaded, result.run, milliseconds(500),
                                        head.service.value + " sheds requests of this priority" };
             return result;
@@ -146,16 +152,21 @@
         // Without the whole body at hand a second attempt has nothing to send.
         const bool cannotRepeat = !start.value().whole;
         bool retryServerError = false;
+        bool overloadedBelow = false;
         const HeadFilter filter = [&](ResponseHead &answer) {
             if (answer.sheddingLevel) {
-                observeUpstream(state.admission.upstream, head.service, *answer.sheddingLevel, BootClock::now());
+                observeUpstream(state.admission.upstream, levelKey, *answer.sheddingLevel, BootClock::now());
                 answer.sheddingLevel.reset();
             }
             if (answer.refusal) {
                 return false;
             }
+            overloadedBelow = findHeader(answer.headers, kOverloadedBelowHeader).has_value();
+            removeHeader(answer.headers, kOverloadedBelowHeader);
             if (answer.status >= 500) {
-                const FailedAttempt failed { std::nullopt, RunState::Unknown, number };
+                const auto reason
+                    = overloadedBelow ? std::optional<RefusalReason>(RefusalReason::Overloaded) : std::nullopt;
+                const FailedAttempt failed { reason, RunState::Unknown, number };
                 retryServerError = shouldRetry(state, exchange, head, deadline, budget, failed, cannotRepeat);
                 return !retryServerError;
             }
@@ -163,6 +174,7 @@
         };
         beginCall(state.endpoints, head.service, selection->endpoint);
         Attempt attempt = runAttempt(state, exchange, head, start.value(), selection->endpoint, captureBytes, filter);
+        attempt.overloadedBelow = overloadedBelow;
         const CallEvidence evidence
             = retryServerError ? CallEvidence::Failure : evidenceOf(attempt, exchange.isCancelled());
         if (endCall(state.endpoints, head.service, selection->endpoint, evidence, BootClock::now())) {
--- a/node/entry.cpp
+++ b/node/entry.cpp
@@ -22,6 +22,8 @@
 constexpr const char *kAttemptHeader = "Snipestream-Attempt";
 /// Deepest call chain; a longer one is most likely a loop between services.
 constexpr int kMaxDepth = 64;
+/// When callers may come back after early shedding; the level moves every 100 ms.
+constexpr Duration kShedRetryAfter = milliseconds(500);
 
 /// A request on its way through the entry node.
 struct EntryRequest
@@ -179,6 +181,10 @@
     AttemptBudget pool = receivedBudget(context.attemptsLeft);
     request.budget = AttemptBudget { takeCallShare(pool) };
     context.attemptsLeft = pool.left;
+    const ServiceName key = upstreamKey(route.value()->service, route.value()->name);
+    if (std::find(context.calledKeys.begin(), context.calledKeys.end(), key) == context.calledKeys.end()) {
+        context.calledKeys.push_back(key);
+    }
     return applyRoute(state, request, *route.value());
 }
 
@@ -276,7 +282,7 @@
 }
 
 /// Runs a non-idempotent request under a claim of its idempotency key.
-void runClaimed(NodeState &state, Exchange &exchange, EntryRequest &request)
+auto runClaimed(NodeState &state, Exchange &exchange, EntryRequest &request) -> std::optional<RefusalReason>
 {
     AttemptTrace &trace = *request.trace;
     BeginRequest begin;
@@ -301,6 +307,7 @@
         recordRefusal(state.share, request.head.team, action.refusal->reason);
     }
     finishAction(state, exchange, request, action);
+    return action.refusal ? std::optional<RefusalReason>(action.refusal->reason) : std::nullopt;
 }
 
 /// Makes the refusal of a keyed request truthful for all attempts of the key, not only for this one.
@@ -316,29 +323,35 @@
     return result;
 }
 
-/// Runs the request once it is prepared.
-void runRequest(NodeState &state, Exchange &exchange, EntryRequest &request)
+/// Runs the request once it is prepared. Returns why it was refused, if it was.
+auto runRequest(NodeState &state, Exchange &exchange, EntryRequest &request) -> std::optional<RefusalReason>
 {
     std::optional<Refusal> refused;
     if (request.deadline <= BootClock::now()) {
         refused = refusal(RefusalReason::DeadlinePassed, "the deadline passed before the request was sent on");
+    } else if (shouldShedUpstream(state.admission.upstream, upstreamKey(request.head.service, request.head.route),
+                                  request.head.priority, request.head.id, BootClock::now())) {
+        // Checked before the token, which the request would pay for nothing.
+        refused = refusal(RefusalReason::Overloaded, request.head.service.value + " sheds requests of this priority",
+                          kShedRetryAfter);
     } else {
         refused = takeToken(state, request);
     }
     if (refused) {
         recordRefusal(state.share, request.head.team, refused->reason);
         refuse(exchange, truthful(state, request, *refused));
-        return;
+        return refused->reason;
     }
     stripPrivateHeaders(request.head.headers);
     ++state.share.teams[request.head.team].admitted;
     if (request.trace) {
-        runClaimed(state, exchange, request);
-        return;
+        return runClaimed(state, exchange, request);
     }
     if (const auto notAnswered = runIdempotent(state, exchange, request)) {
         refuse(exchange, *notAnswered);
+        return notAnswered->reason;
     }
+    return std::nullopt;
 }
 
 } // namespace
@@ -378,7 +391,13 @@
         refuse(exchange, *refused);
         return;
     }
-    runRequest(state, exchange, request);
+    const auto outcome = runRequest(state, exchange, request);
+    // The context may have ended while the call ran.
+    RequestContext *const current = findContext(state.contexts, *handle, BootClock::now());
+    if (current != nullptr && outcome
+        && (*outcome == RefusalReason::Overloaded || *outcome == RefusalReason::QueueTimeout)) {
+        current->overloadedBelow = true;
+    }
 }
 
 } // namespace snipestream
--- a/node/request_context.h
+++ b/node/request_context.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <unordered_map>
+#include <vector>
 
 namespace snipestream {
 
@@ -25,6 +26,11 @@
     int attemptsLeft = 0;
     /// Hops since the original request.
     int depth = 0;
+    /// Keys (upstreamKey) of the calls made under this context so far.
+    std::vector<ServiceName> calledKeys;
+    /// A call under this context was refused for overload, so a server error of the target says nothing about the
+    /// target.
+    bool overloadedBelow = false;
 };
 
 /// Contexts of the requests that run at the targets of this node, by handle.
--- a/node/target_call.cpp
+++ b/node/target_call.cpp
@@ -52,14 +52,32 @@
     bool ended = false;
 };
 
+/// Adds what other nodes learn from an answer: the shedding level, and whether an error stems from an overload below.
+void annotateHead(ResponseHead &head, const TargetRun &run, const TargetName &target)
+{
+    const TimePoint now = BootClock::now();
+    const auto row = run.state.contexts.rows.find(run.handle);
+    const auto status = admissionStatus(run.state.admission, target, now);
+    if (row == run.state.contexts.rows.end() || !status) {
+        return;
+    }
+    const RequestContext &context = row->second;
+    head.sheddingLevel = reportedLevel(status->sheddingLevel, run.state.admission.upstream, context.calledKeys, now);
+    if (head.status >= 500 && context.overloadedBelow) {
+        head.headers.emplace_back(kOverloadedBelowHeader, "1");
+    }
+}
+
 /// Returns the call with its end reported to admission and the context closed.
-auto trackCall(OutboundCall inner, const std::shared_ptr<TargetRun> &run) -> OutboundCall
+auto trackCall(OutboundCall inner, const std::shared_ptr<TargetRun> &run, const TargetName &target) -> OutboundCall
 {
     OutboundCall call = inner;
-    call.awaitHead = [inner, run]() -> Result<ResponseHead> {
+    call.awaitHead = [inner, run, target]() -> Result<ResponseHead> {
         auto head = inner.awaitHead();
         if (!head) {
             run->fail(head.error());
+        } else {
+            annotateHead(head.value(), *run, target);
         }
         return head;
     };
@@ -82,7 +100,7 @@
 auto findTargetOf(const NodeState &state, const ServiceName &service) -> const LocalTarget *
 {
     for (const auto &[name, target] : state.localTargets.targets) {
-        if (target.announcement.service == service && target.announcement.state == EndpointState::Active) {
+        if (target.announcement.service == service && target.announcement.state != EndpointState::Left) {
             return &target;
         }
     }
@@ -158,7 +176,7 @@
     const LocalTarget *const target = findTargetOf(state, head.service);
     if (target == nullptr) {
         return { Refusal { RefusalReason::NoTarget, RunState::NotRun, milliseconds(100),
-                           "node " + state.settings.node.value + " has no active target of " + head.service.value },
+                           "node " + state.settings.node.value + " has no target of " + head.service.value },
                  std::nullopt };
     }
     const TargetName name = target->announcement.target;
@@ -189,7 +207,7 @@
         run->fail(opened.error());
         return { refusalFor(opened.error(), false), std::nullopt };
     }
-    return { std::nullopt, trackCall(std::move(opened).value(), run) };
+    return { std::nullopt, trackCall(std::move(opened).value(), run, name) };
 }
 
 void serveStream(NodeState &state, Exchange &exchange)
@@ -217,15 +235,10 @@
         target.call->cancel();
         return;
     }
-    const auto addLevel = [&](ResponseHead &head) {
-        const LocalTarget *const local = findTargetOf(state, exchange.head.service);
-        if (local != nullptr) {
-            const auto status = admissionStatus(state.admission, local->announcement.target, BootClock::now());
-            head.sheddingLevel = status ? std::optional<int>(status->sheddingLevel) : std::nullopt;
-        }
+    const auto passOn = [](ResponseHead &) {
         return true;
     };
-    const ForwardResult result = forwardExchange(state.runtime, exchange, *target.call, start.value(), addLevel);
+    const ForwardResult result = forwardExchange(state.runtime, exchange, *target.call, start.value(), passOn);
     if (!result.passedOn && result.error && !exchange.isCancelled()) {
         refuse(refusalFor(*result.error, result.mayHaveBeenSent));
     }
--- a/node/target_call.h
+++ b/node/target_call.h
@@ -7,6 +7,9 @@
 
 namespace snipestream {
 
+/// Header between nodes: the server error of a target follows from an overload of a service that it called.
+inline constexpr const char *kOverloadedBelowHeader = "Snipestream-Overloaded-Below";
+
 /// A request that runs at a local target, or the reason why it does not.
 struct TargetCall
 {
--- a/tests/config/decoders_test.cpp
+++ b/tests/config/decoders_test.cpp
@@ -148,7 +148,7 @@
             });
         }
         section("a number out of range is an error of every decoder", [&] {
-            const std::string huge = R"({"kind":"snapshot","id":"s","nextOffset":1e999,"records":[]})";
+            const std::string huge = R"({"type":"snapshot","id":"s","nextOffset":1e999,"records":[]})";
             CPPUNIT_ASSERT(decodeSnapshotPart(huge).has_error());
             CPPUNIT_ASSERT(decodeChange(huge).has_error());
             CPPUNIT_ASSERT(decodeRecordsAnswer(huge).has_error());
