--- a/config/settings.cpp
+++ b/config/settings.cpp
@@ -116,6 +116,17 @@
     read(reader, value);
 }
 
+auto readFleetSecret(JsonReader &reader) -> std::string
+{
+    constexpr size_t kLeastBytes = 16;
+    std::string secret = reader.text("fleetSecret");
+    if (reader.has("fleetSecret") && secret.size() < kLeastBytes) {
+        // The value is not quoted, because messages end up in logs.
+        reader.addError("fleetSecret", "has fewer than 16 characters");
+    }
+    return secret;
+}
+
 void readDomains(JsonReader &reader, Settings &settings)
 {
     std::set<std::string> seen;
@@ -191,7 +202,7 @@
     JsonReader reader(document, "$", result.errors);
     settings.node = NodeName(readName(reader, "node"));
     settings.domain = DomainName(readName(reader, "domain"));
-    settings.fleetSecret = reader.text("fleetSecret", "");
+    settings.fleetSecret = readFleetSecret(reader);
     settings.callerListen = readEndpoint(reader, "callerListen", Reach::Any);
     settings.peerListen = readEndpoint(reader, "peerListen", Reach::Specific);
     settings.targetListen = readEndpoint(reader, "targetListen", Reach::Loopback);
--- a/core/refusal.cpp
+++ b/core/refusal.cpp
@@ -89,7 +89,8 @@
     if (refusal.retryAfter > Duration::zero()) {
         document["retryAfterMs"] = toMsRoundedUp(refusal.retryAfter);
     }
-    return document.dump();
+    // The detail may quote what a caller sent, which need not be UTF-8.
+    return document.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
 }
 
 } // namespace snipestream
--- a/node/admin.cpp
+++ b/node/admin.cpp
@@ -1,5 +1,6 @@
 #include "node/admin.h"
 
+#include "config/audit_json.h"
 #include "core/events.h"
 #include "http/http_server.h"
 #include "node/directory_service.h"
@@ -20,13 +21,15 @@
 
 void answerJson(Exchange &exchange, int status, const nlohmann::json &body)
 {
-    static_cast<void>(respondWith(exchange, status, "application/json", body.dump() + "\n"));
+    static_cast<void>(respondWith(exchange, status, "application/json",
+                                  body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"));
 }
 
 void answerError(Exchange &exchange, int status, const std::string &detail)
 {
     const nlohmann::json problem = { { "type", "about:blank" }, { "status", status }, { "detail", detail } };
-    static_cast<void>(respondWith(exchange, status, "application/problem+json", problem.dump() + "\n"));
+    static_cast<void>(respondWith(exchange, status, "application/problem+json",
+                                  problem.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"));
 }
 
 /// Keeps connections and admission of a local target in step with its announcement.
@@ -166,22 +169,6 @@
              { "targets", targets } };
 }
 
-auto auditJson(const NodeState &state) -> nlohmann::json
-{
-    nlohmann::json entries = nlohmann::json::array();
-    for (const auto &entry : state.fold.state.audit) {
-        entries.push_back({ { "offset", entry.offset },
-                            { "changeId", entry.changeId },
-                            { "by", entry.by },
-                            { "verdict", verdictName(entry.verdict) },
-                            { "revision", entry.revision },
-                            { "touched", entry.touched },
-                            { "detail", entry.detail },
-                            { "inForceAtMs", entry.inForceAtMs } });
-    }
-    return { { "entries", entries } };
-}
-
 void showTeamShare(MetricsRegistry &metrics, const TeamName &team, const TeamShare &share)
 {
     const auto show = [&](const std::string &result, uint64_t value) {
@@ -252,7 +239,7 @@
     } else if (rest == "share" && method == "GET") {
         answerJson(exchange, 200, shareToJson(state.share));
     } else if (rest == "audit" && method == "GET") {
-        answerJson(exchange, 200, auditJson(state));
+        answerJson(exchange, 200, auditTrailJson(state.fold.state));
     } else if (rest == "drain" && method == "POST") {
         answerJson(exchange, 202, { { "stopping", true } });
         requestStop(state);
--- a/node/config_service.cpp
+++ b/node/config_service.cpp
@@ -27,12 +27,26 @@
 constexpr size_t kPageRecords = 500;
 constexpr size_t kMaxAnswerBytes = 150 * 1024;
 
+/// Makes the rates of the teams their weights in the fairness of admission.
+void applyTeamWeights(NodeState &state)
+{
+    if (state.weightsRevision == state.fold.state.revision) {
+        return;
+    }
+    state.weightsRevision = state.fold.state.revision;
+    std::map<TeamName, double> weights;
+    for (const auto &[name, rule] : state.fold.state.index.teams) {
+        weights[name] = static_cast<double>(rule.rate);
+    }
+    setTeamWeights(state.admission, std::move(weights));
+}
+
 /// Takes note of a record that was folded.
 void onFolded(NodeState &state, const LogRecord &record, const FoldOutcome &outcome)
 {
     rememberRecord(state.history, record);
     logOutcome(outcome);
-    ++state.foldGeneration;
+    applyTeamWeights(state);
 }
 
 void setLogReachable(NodeState &state, bool reachable, const std::string &detail)
@@ -68,16 +82,29 @@
     setLogReachable(state, true, {});
     if (outcome.value().snapshotAdopted) {
         logEvent(EventId::ConfigSnapshotTaken, { { "offset", std::to_string(state.fold.state.nextOffset) } });
-        ++state.foldGeneration;
+        applyTeamWeights(state);
     }
     confirmFresh(state);
     return true;
 }
 
-/// Appends a snapshot if one is due. Only the first relay of all domains does so; a second snapshot is harmless.
+/// Appends a snapshot if one is due and it is this node's turn; a second snapshot is harmless.
 void publishSnapshotIfDue(NodeState &state)
 {
     if (!isSnapshotDue(state.fold.state, state.settings.retention, wallClockMs())) {
+        state.snapshotDueSince.reset();
+        return;
+    }
+    std::vector<NodeName> nodes;
+    for (const auto &[name, row] : state.nodes.nodes) {
+        if (row.joined) {
+            nodes.push_back(name);
+        }
+    }
+    const TimePoint now = BootClock::now();
+    state.snapshotDueSince = state.snapshotDueSince.value_or(now);
+    const auto turn = snapshotTurn(state.settings.node, nodes);
+    if (!turn || now - *state.snapshotDueSince < *turn) {
         return;
     }
     const std::string id = state.settings.node.value + "-" + std::to_string(state.fold.state.nextOffset);
@@ -104,7 +131,7 @@
             if (adopted && adopted.value().adopted) {
                 state.history.records.clear();
                 logEvent(EventId::ConfigSnapshotTaken, { { "offset", std::to_string(state.fold.state.nextOffset) } });
-                ++state.foldGeneration;
+                applyTeamWeights(state);
             }
             return adopted.has_value();
         }
@@ -327,10 +354,12 @@
             static_cast<void>(state.log.append(kConfigStream, nodeRecord(state, true)));
             nextJoin = BootClock::now() + kJoinRetry;
         }
+        if (state.freshness.caughtUp) {
+            publishSnapshotIfDue(state);
+        }
         // A node that is not on the log yet reads the log, so that it sees its own record soon.
         if (isRelay(state) || !isJoined(state)) {
             if (readLog(state)) {
-                publishSnapshotIfDue(state);
                 state.runtime.sleepFor(kLogPoll);
                 continue;
             }
--- a/node/dispatch.cpp
+++ b/node/dispatch.cpp
@@ -7,13 +7,20 @@
 #include "retry/retry.h"
 #include "routing/selection.h"
 
+#include <functional>
+#include <memory>
 #include <utility>
 #include <vector>
 
+#include <boost/asio/steady_timer.hpp>
+
 namespace snipestream {
 
 namespace {
 
+/// The home node answers at the deadline; this node waits a little longer for that answer, which says more.
+constexpr Duration kDeadlineMargin = milliseconds(20);
+
 /// One attempt at one endpoint.
 struct Attempt
 {
@@ -101,7 +108,23 @@
         attempt.refusal = opened.refusal;
         return attempt;
     }
+    // A home node that is frozen answers nothing, not even that the deadline passed.
+    bool timedOut = false;
+    boost::asio::steady_timer limit(state.runtime.context(), head.timeLeft + kDeadlineMargin);
+    const auto cancel = std::make_shared<std::function<void()>>(opened.call->cancel);
+    limit.async_wait(
+        [&timedOut, weak = std::weak_ptr<std::function<void()>>(cancel)](const boost::system::error_code &error) {
+            const auto function = weak.lock();
+            if (!error && function) {
+                timedOut = true;
+                (*function)();
+            }
+        });
     attempt.forwarded = forwardExchange(state.runtime, exchange, *opened.call, start, filter, captureBytes);
+    limit.cancel();
+    if (timedOut && attempt.forwarded.error) {
+        attempt.forwarded.error = Error { ErrorCode::Timeout, "the deadline passed without an answer" };
+    }
     if (attempt.forwarded.head && attempt.forwarded.head->refusal) {
         attempt.refusal = attempt.forwarded.head->refusal;
     } else if (!attempt.forwarded.passedOn && attempt.forwarded.error) {
--- a/node/node_state.h
+++ b/node/node_state.h
@@ -74,8 +74,10 @@
     RecordHistory history;
     LogClient log;
     ConfigFreshness freshness;
-    /// Notified when the fold moved, for long polls.
-    uint64_t foldGeneration = 0;
+    /// Since when a snapshot is due; empty if none is.
+    std::optional<TimePoint> snapshotDueSince;
+    /// Revision that the team weights of admission were taken from.
+    uint64_t weightsRevision = 0;
 
     NodeTable nodes;
     DirectoryCache directoryCache;
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -16,6 +16,7 @@
 {
     return Json { { "node", "n1" },
                   { "domain", "Caerdydd" },
+                  { "fleetSecret", "a secret of 16 or more" },
                   { "callerListen", "0.0.0.0:7000" },
                   { "peerListen", "10.0.0.1:7001" },
                   { "targetListen", "127.0.0.1:7002" },
@@ -82,6 +83,7 @@
             std::string("$.node: \"-\" is not a name of 1 to 63 letters, digits, '-', '_' and '.', starting with a "
                         "letter or digit\n"
                         "$.domain: is missing\n"
+                        "$.fleetSecret: has fewer than 16 characters\n"
                         "$.callerListen: \"here\" is not <IP address>:<port> with a port from 1 to 65535, such as "
                         "127.0.0.1:7000 or [::1]:7000\n"
                         "$.peerListen: is a number, expected a string\n"
@@ -94,6 +96,7 @@
                         "$.limits.maxBodys: is not a known field\n"
                         "$.extra: is not a known field"),
             errorsOf(Json { { "node", "-" },
+                            { "fleetSecret", "too short" },
                             { "callerListen", "here" },
                             { "peerListen", 7 },
                             { "targetListen", "10.0.0.1:7002" },
@@ -106,6 +109,7 @@
     void testSingleErrors()
     {
         const std::vector<std::tuple<std::string, Json, std::string>> cases = {
+            { "fleetSecret", "", "$.fleetSecret: has fewer than 16 characters" },
             { "callerListen", "10.0.0.1:7001", "$.peerListen: is 10.0.0.1:7001, the same as callerListen" },
             { "callerListen", "10.0.0.1:0", "$.callerListen: " },
             { "callerListen", "10.0.0.1:65536", "$.callerListen: " },
--- a/tests/core/metrics_test.cpp
+++ b/tests/core/metrics_test.cpp
@@ -15,6 +15,7 @@
     CPPUNIT_TEST_SUITE(MetricsTest);
     CPPUNIT_TEST(testExposition);
     CPPUNIT_TEST(testRefusalNames);
+    CPPUNIT_TEST(testDetailThatIsNotUtf8);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -37,6 +38,13 @@
         });
     }
 
+    /// A header value with stray bytes once ended the process through an exception of the JSON writer.
+    void testDetailThatIsNotUtf8()
+    {
+        const Refusal refusal { RefusalReason::BadRequest, RunState::NotRun, {}, "value '\xff\xfe' is not a time" };
+        CPPUNIT_ASSERT(nlohmann::json::accept(toProblemDocument(refusal, "id")));
+    }
+
     void testRefusalNames()
     {
         for (int i = 0; i < kRefusalReasonCount; ++i) {
