--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -2,7 +2,8 @@
 # Builds everything, starts a log stand-in, four nodes in two failure domains and four target stand-ins as separate
 # processes on loopback, sends requests through them and prints what happened. Ends its own processes.
 # Usage: scripts/demo.sh            runs the demonstration
-#        scripts/demo.sh --path     also measures the latency that two nodes add (bench/path_bench)
+#        scripts/demo.sh --path-only  measures the latency that two nodes add, one caller (bench/path_bench)
+#        scripts/demo.sh --path-busy  the same with 16 callers that do not pause
 set -euo pipefail
 cd "$(dirname "$0")/.."
 ./scripts/build.sh snipestreamd snipestreamctl log_standin target_standin path_bench
@@ -57,7 +58,7 @@
 cat >"$run/rules" <<RULES
 domain east weight=1 # asked by operator: demonstration
 domain west weight=1 # asked by operator: demonstration
-team studio rate=2000/s burst=4000 # asked by operator: demonstration
+team studio rate=50000/s burst=10000 # asked by operator: demonstration
 team small rate=2/s burst=5 # asked by operator: demonstration
 $rule
 $(ctl key new small k2 --reason="demonstration" --by=operator | tee "$run/key2" | grep '^key small')
@@ -96,6 +97,19 @@
     "http://127.0.0.1:17001/deposits/0"
 ctl status --nodes="$admin"
 
+measure_path() { # path_bench arguments ...
+    # node4 has no catalogue target, so each of its requests crosses to another node.
+    "$build/bench/path_bench" --node_port=17004 --target_port=17303 --key="$key" --path=/stock/1 "$@"
+}
+if [[ "${1:-}" == "--path-only" ]]; then
+    measure_path
+    exit
+fi
+if [[ "${1:-}" == "--path-busy" ]]; then
+    measure_path --concurrency=16 --pause_us=0 --requests=20000
+    exit
+fi
+
 step "requests"
 request "lookup at node4, target behind another node" -H "Authorization: Bearer $key" http://127.0.0.1:17004/stock/7
 request "public page, no key" http://127.0.0.1:17002/hours
@@ -131,11 +145,6 @@
 step "audit trail"
 ctl audit
 
-if [[ "${1:-}" == "--path" ]]; then
-    step "latency through two nodes against direct calls (node4 has no catalogue target)"
-    "$build/bench/path_bench" --node_port=17004 --target_port=17303 --key="$key" --path=/stock/1
-fi
-
 step "graceful stop"
 for ((i = ${#pids[@]} - 1; i >= 0; --i)); do kill "${pids[$i]}" 2>/dev/null || true; done
 for pid in "${pids[@]}"; do wait "$pid" || echo "process $pid ended with $?"; done
