Test nodes as processes: path and claims, and mark answers with the request id

Answers and replays now lose the target's Snipestream fields and get the id of the request.

PathTest::testPathOverTwoNodes failed before the change at the check of Snipestream-Request-Id and passes after it. The claim tests (repeat at every node, owner, entry and home node killed) passed at the first run and found no second run.

--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -71,3 +71,10 @@
     set_target_properties(${NAME} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bench)
   endforeach()
 endfunction()
+
+# Makes test_NAME depend on the programs that its tests start as processes of their own.
+function(snipestream_process_tests NAME)
+  if(TARGET test_${NAME})
+    add_dependencies(test_${NAME} snipestreamd log_standin target_standin)
+  endif()
+endfunction()
--- a/node/dispatch.cpp
+++ b/node/dispatch.cpp
@@ -3,6 +3,7 @@
 #include "core/events.h"
 #include "node/directory_service.h"
 #include "node/forward.h"
+#include "node/private_headers.h"
 #include "node/target_call.h"
 #include "retry/retry.h"
 #include "routing/selection.h"
@@ -157,9 +158,9 @@
             if (answer.status >= 500) {
                 const FailedAttempt failed { std::nullopt, RunState::Unknown, number };
                 retryServerError = shouldRetry(state, exchange, head, deadline, budget, failed, cannotRepeat);
-                return !retryServerError;
             }
-            return true;
+            markAnswer(answer.headers, head.id);
+            return !retryServerError;
         };
         beginCall(state.endpoints, head.service, selection->endpoint);
         Attempt attempt = runAttempt(state, exchange, head, start.value(), selection->endpoint, captureBytes, filter);
--- a/node/entry.cpp
+++ b/node/entry.cpp
@@ -5,6 +5,7 @@
 #include "idempotency/attempt_trace.h"
 #include "node/claim_service.h"
 #include "node/dispatch.h"
+#include "node/private_headers.h"
 #include "node/quota_service.h"
 
 #include <algorithm>
@@ -50,21 +51,6 @@
     }
 }
 
-/// Removes what only concerns this system: the key, and fields that a caller might set to pose as a node.
-void stripPrivateHeaders(HeaderList &headers)
-{
-    static constexpr std::string_view kPrefix = "snipestream-";
-    const auto isPrivate = [](const auto &field) {
-        std::string name = field.first.substr(0, kPrefix.size());
-        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
-            return static_cast<char>(std::tolower(c));
-        });
-        return name == kPrefix;
-    };
-    headers.erase(std::remove_if(headers.begin(), headers.end(), isPrivate), headers.end());
-    removeHeader(headers, kAuthorizationHeader);
-}
-
 /// Reads the time that the caller leaves; the limit of the settings if it names none.
 auto timeLeftOf(const RequestHead &head, Duration limit) -> Result<Duration>
 {
@@ -230,6 +216,7 @@
     ResponseHead head;
     head.status = recorded.status;
     head.headers = recorded.headers;
+    markAnswer(head.headers, exchange.head.id);
     head.headers.emplace_back("Snipestream-Replayed", "true");
     head.bodyLength = recorded.body.size();
     if (exchange.respond(head) && (recorded.body.empty() || exchange.responseBody.write(recorded.body))) {
@@ -331,6 +318,7 @@
         return;
     }
     stripPrivateHeaders(request.head.headers);
+    removeHeader(request.head.headers, kAuthorizationHeader);
     ++state.share.teams[request.head.team].admitted;
     if (request.trace) {
         runClaimed(state, exchange, request);
--- /dev/null
+++ b/node/private_headers.h
@@ -0,0 +1,15 @@
+#pragma once
+
+#include "core/exchange.h"
+
+namespace snipestream {
+
+/// Removes the fields that only snipestream sets, "Snipestream-" and whatever follows. A caller could use them to pose
+/// as a node, and a target to make its own answer look like a refusal that can be trusted.
+void stripPrivateHeaders(HeaderList &headers);
+
+/// Makes the headers of a target's answer those that its caller gets: without private fields of the target, with the
+/// id of the request.
+void markAnswer(HeaderList &headers, const RequestId &id);
+
+} // namespace snipestream
