--- a/tests/node/cluster.cpp
+++ b/tests/node/cluster.cpp
@@ -141,7 +141,7 @@
             = spawn(target.name,
                     { (buildDirectory() / "standins/target_standin").string(), "--name=" + target.name,
                       "--service=" + plan.service, "--port=" + std::to_string(target.port),
-                      "--node_port=" + std::to_string(nodes.at(plan.node).targetPort),
+                      "--node_port=" + std::to_string(plan.announces ? nodes.at(plan.node).targetPort : 0),
                       "--slots=" + std::to_string(plan.slots), "--service_ms=" + std::to_string(plan.serviceMs) });
         targets.push_back(target);
     }
@@ -167,6 +167,7 @@
 auto Cluster::spawn(const std::string &name, const std::vector<std::string> &arguments) const -> pid_t
 {
     std::vector<char *> pointers;
+    pointers.reserve(arguments.size() + 1);
     for (const auto &argument : arguments) {
         pointers.push_back(const_cast<char *>(argument.c_str())); // NOLINT(cppcoreguidelines-pro-type-const-cast)
     }
@@ -276,6 +277,11 @@
     return "Bearer " + key.bearer;
 }
 
+auto Cluster::appendToLog(const std::string &payload) const -> Result<uint64_t>
+{
+    return client_.append(kConfigStream, payload);
+}
+
 void Cluster::awaitRevision(uint64_t revision, Duration limit)
 {
     eventually("revision " + std::to_string(revision) + " is in force at every node", limit, [&] {
--- a/tests/node/cluster.h
+++ b/tests/node/cluster.h
@@ -28,6 +28,8 @@
     size_t node = 0;
     int serviceMs = 1;
     int slots = 50;
+    /// False if the test announces the target itself.
+    bool announces = true;
 };
 
 /// A running node program.
@@ -65,6 +67,8 @@
     /// Appends a change to the log and returns it.
     auto publish(const std::vector<Rule> &upserts, const std::vector<std::string> &removals = {},
                  std::optional<uint64_t> baseRevision = std::nullopt) -> ChangeRecord;
+    /// Appends a payload to the configuration stream, once.
+    [[nodiscard]] auto appendToLog(const std::string &payload) const -> Result<uint64_t>;
     /// Waits until every running node has the revision in force.
     void awaitRevision(uint64_t revision, Duration limit = seconds(7));
     /// Adds a team with one key and returns what its callers send as Authorization.
--- a/tests/node/http_caller.cpp
+++ b/tests/node/http_caller.cpp
@@ -130,21 +130,31 @@
     return reply;
 }
 
-auto HttpCaller::sendPartOf(const CallerRequest &request, size_t bytes, Duration timeout) -> bool
+auto HttpCaller::sendPartOf(const CallerRequest &request, size_t bytes, bool chunked, Duration timeout) -> bool
 {
     if (!stream_ && connect(timeout)) {
         return false;
     }
+    auto message = toMessage(request);
+    message.body().clear();
+    if (chunked) {
+        message.chunked(true);
+    } else {
+        message.content_length(request.body.size());
+    }
     std::ostringstream text;
-    text << toMessage(request);
-    const std::string all = text.str();
-    const size_t headEnd = all.find("\r\n\r\n") + 4;
+    text << message.base();
+    if (chunked) {
+        text << std::hex << bytes << "\r\n" << request.body.substr(0, bytes) << "\r\n";
+    } else {
+        text << request.body.substr(0, bytes);
+    }
     beast::error_code result;
+    const std::string all = text.str();
     stream_->expires_after(timeout);
-    asio::async_write(*stream_, asio::buffer(all.data(), headEnd + bytes),
-                      [&result](const beast::error_code &code, size_t) {
-                          result = code;
-                      });
+    asio::async_write(*stream_, asio::buffer(all), [&result](const beast::error_code &code, size_t) {
+        result = code;
+    });
     run();
     stream_.reset();
     return !result;
--- a/tests/node/http_caller.h
+++ b/tests/node/http_caller.h
@@ -50,9 +50,9 @@
     /// Sends a request and waits for the complete response. Opens the connection if it is closed.
     auto send(const CallerRequest &request, Duration timeout = seconds(10)) -> Reply;
 
-    /// Sends the head, which announces the whole body, and only the first `bytes` bytes of the body, then closes the
-    /// connection. Returns whether all of that was written.
-    auto sendPartOf(const CallerRequest &request, size_t bytes, Duration timeout = seconds(10)) -> bool;
+    /// Sends the head and only the first `bytes` bytes of the body, then closes the connection. The head announces the
+    /// length of the whole body, or a chunked body that is cut before its last chunk. Returns whether all was written.
+    auto sendPartOf(const CallerRequest &request, size_t bytes, bool chunked, Duration timeout = seconds(10)) -> bool;
 
     [[nodiscard]] auto isOpen() const -> bool;
 
--- a/tests/standins/target_standin_main.cpp
+++ b/tests/standins/target_standin_main.cpp
@@ -1,5 +1,4 @@
 #include "core/events.h"
-#include "core/hash.h"
 #include "http/http_client.h"
 #include "http/http_server.h"
 #include "net/fiber_event.h"
@@ -78,14 +77,17 @@
         return;
     }
     uint64_t bytes = 0;
-    uint64_t hash = 0;
+    // FNV-1a, because it does not depend on how the body is cut into chunks.
+    uint64_t hash = 14695981039346656037ULL;
     while (true) {
         const auto chunk = exchange.requestBody.read();
         if (!chunk) {
             return;
         }
         bytes += chunk.value().bytes.size();
-        hash = stableHash(chunk.value().bytes, hash);
+        for (const char byte : chunk.value().bytes) {
+            hash = (hash ^ static_cast<unsigned char>(byte)) * 1099511628211ULL;
+        }
         if (chunk.value().last) {
             break;
         }
@@ -96,8 +98,9 @@
         ++target.runs[std::string(*key)];
     }
     work(target);
-    nlohmann::json answer
-        = { { "target", absl::GetFlag(FLAGS_name) }, { "path", exchange.head.path }, { "bytes", bytes } };
+    nlohmann::json answer = {
+        { "target", absl::GetFlag(FLAGS_name) }, { "path", exchange.head.path }, { "bytes", bytes }, { "hash", hash }
+    };
     for (const auto &[name, value] : exchange.head.headers) {
         answer["headers"][name] = value;
     }
