--- a/node/admin.cpp
+++ b/node/admin.cpp
@@ -1,5 +1,6 @@
 #include "node/admin.h"
 
+#include "config/audit_json.h"
 #include "core/events.h"
 #include "http/http_server.h"
 #include "node/directory_service.h"
@@ -15,16 +16,20 @@
 constexpr std::string_view kPrefix = "/snipestream/v1/";
 constexpr std::string_view kTargets = "targets";
 constexpr size_t kMaxAdminBody = 64 * 1024;
+/// Time after the start of a drain in which a target still takes requests; the bound for new work is 3 s.
+constexpr Duration kDrainNotice = milliseconds(1500);
 
 void answerJson(Exchange &exchange, int status, const nlohmann::json &body)
 {
-    static_cast<void>(respondWith(exchange, status, "application/json", body.dump() + "\n"));
+    static_cast<void>(respondWith(exchange, status, "application/json",
+                                  body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"));
 }
 
 void answerError(Exchange &exchange, int status, const std::string &detail)
 {
     const nlohmann::json problem = { { "type", "about:blank" }, { "status", status }, { "detail", detail } };
-    static_cast<void>(respondWith(exchange, status, "application/problem+json", problem.dump() + "\n"));
+    static_cast<void>(respondWith(exchange, status, "application/problem+json",
+                                  problem.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"));
 }
 
 /// Keeps connections and admission of a local target in step with its announcement.
@@ -51,8 +56,16 @@
         break;
     }
     case AnnounceEffect::Draining:
-        drainTarget(state.admission, name, BootClock::now());
         logEvent(EventId::TargetDraining, { { "target", name.value } });
+        // Requests that other nodes sent before they learnt of the drain are still taken.
+        state.runtime.spawn([&state, name, instance = announcement.instance] {
+            state.runtime.sleepFor(kDrainNotice);
+            const auto row = state.localTargets.targets.find(name);
+            if (row != state.localTargets.targets.end() && row->second.announcement.instance == instance
+                && row->second.announcement.state == EndpointState::Draining) {
+                drainTarget(state.admission, name, BootClock::now());
+            }
+        });
         break;
     case AnnounceEffect::Left:
         applyDecisions(state, removeTarget(state.admission, name));
@@ -156,22 +169,6 @@
              { "targets", targets } };
 }
 
-auto auditJson(const NodeState &state) -> nlohmann::json
-{
-    nlohmann::json entries = nlohmann::json::array();
-    for (const auto &entry : state.fold.state.audit) {
-        entries.push_back({ { "offset", entry.offset },
-                            { "changeId", entry.changeId },
-                            { "by", entry.by },
-                            { "verdict", verdictName(entry.verdict) },
-                            { "revision", entry.revision },
-                            { "touched", entry.touched },
-                            { "detail", entry.detail },
-                            { "inForceAtMs", entry.inForceAtMs } });
-    }
-    return { { "entries", entries } };
-}
-
 void showTeamShare(MetricsRegistry &metrics, const TeamName &team, const TeamShare &share)
 {
     const auto show = [&](const std::string &result, uint64_t value) {
@@ -242,7 +239,7 @@
     } else if (rest == "share" && method == "GET") {
         answerJson(exchange, 200, shareToJson(state.share));
     } else if (rest == "audit" && method == "GET") {
-        answerJson(exchange, 200, auditJson(state));
+        answerJson(exchange, 200, auditTrailJson(state.fold.state));
     } else if (rest == "drain" && method == "POST") {
         answerJson(exchange, 202, { { "stopping", true } });
         requestStop(state);
--- a/node/dispatch.cpp
+++ b/node/dispatch.cpp
@@ -8,19 +8,28 @@
 #include "retry/retry.h"
 #include "routing/selection.h"
 
+#include <functional>
+#include <memory>
 #include <utility>
 #include <vector>
 
+#include <boost/asio/steady_timer.hpp>
+
 namespace snipestream {
 
 namespace {
 
+/// The home node answers at the deadline; this node waits a little longer for that answer, which says more.
+constexpr Duration kDeadlineMargin = milliseconds(20);
+
 /// One attempt at one endpoint.
 struct Attempt
 {
     EndpointId endpoint;
     std::optional<Refusal> refusal;
     ForwardResult forwarded;
+    /// The target failed because a service that it called is overloaded.
+    bool overloadedBelow = false;
 };
 
 auto evidenceOf(const Attempt &attempt, bool cancelled) -> CallEvidence
@@ -29,6 +38,9 @@
         return CallEvidence::None;
     }
     if (!attempt.refusal) {
+        if (attempt.overloadedBelow) {
+            return CallEvidence::Overloaded;
+        }
         const bool failed = !attempt.forwarded.complete || attempt.forwarded.head->status >= 500;
         return failed ? CallEvidence::Failure : CallEvidence::Success;
     }
@@ -97,7 +109,23 @@
         attempt.refusal = opened.refusal;
         return attempt;
     }
+    // A home node that is frozen answers nothing, not even that the deadline passed.
+    bool timedOut = false;
+    boost::asio::steady_timer limit(state.runtime.context(), head.timeLeft + kDeadlineMargin);
+    const auto cancel = std::make_shared<std::function<void()>>(opened.call->cancel);
+    limit.async_wait(
+        [&timedOut, weak = std::weak_ptr<std::function<void()>>(cancel)](const boost::system::error_code &error) {
+            const auto function = weak.lock();
+            if (!error && function) {
+                timedOut = true;
+                (*function)();
+            }
+        });
     attempt.forwarded = forwardExchange(state.runtime, exchange, *opened.call, start, filter, captureBytes);
+    limit.cancel();
+    if (timedOut && attempt.forwarded.error) {
+        attempt.forwarded.error = Error { ErrorCode::Timeout, "the deadline passed without an answer" };
+    }
     if (attempt.forwarded.head && attempt.forwarded.head->refusal) {
         attempt.refusal = attempt.forwarded.head->refusal;
     } else if (!attempt.forwarded.passedOn && attempt.forwarded.error) {
@@ -124,10 +152,11 @@
         return result;
     }
     ensureSubscribed(state, head.service);
+    const ServiceName levelKey = upstreamKey(head.service, head.route);
     std::vector<EndpointId> tried;
     for (int number = 1;; ++number) {
         const TimePoint now = BootClock::now();
-        if (shouldShedUpstream(state.admission.upstream, head.service, head.priority, head.id, now)) {
+        if (shouldShedUpstream(state.admission.upstream, levelKey, head.priority, head.id, now)) {
             result.refusal = Refusal { RefusalReason::Overloaded, result.run, milliseconds(500),
                                        head.service.value + " sheds requests of this priority" };
             return result;
@@ -147,16 +176,21 @@
         // Without the whole body at hand a second attempt has nothing to send.
         const bool cannotRepeat = !start.value().whole;
         bool retryServerError = false;
+        bool overloadedBelow = false;
         const HeadFilter filter = [&](ResponseHead &answer) {
             if (answer.sheddingLevel) {
-                observeUpstream(state.admission.upstream, head.service, *answer.sheddingLevel, BootClock::now());
+                observeUpstream(state.admission.upstream, levelKey, *answer.sheddingLevel, BootClock::now());
                 answer.sheddingLevel.reset();
             }
             if (answer.refusal) {
                 return false;
             }
+            overloadedBelow = findHeader(answer.headers, kOverloadedBelowHeader).has_value();
+            removeHeader(answer.headers, kOverloadedBelowHeader);
             if (answer.status >= 500) {
-                const FailedAttempt failed { std::nullopt, RunState::Unknown, number };
+                const auto reason
+                    = overloadedBelow ? std::optional<RefusalReason>(RefusalReason::Overloaded) : std::nullopt;
+                const FailedAttempt failed { reason, RunState::Unknown, number };
                 retryServerError = shouldRetry(state, exchange, head, deadline, budget, failed, cannotRepeat);
             }
             markAnswer(answer.headers, head.id);
@@ -164,6 +198,7 @@
         };
         beginCall(state.endpoints, head.service, selection->endpoint);
         Attempt attempt = runAttempt(state, exchange, head, start.value(), selection->endpoint, captureBytes, filter);
+        attempt.overloadedBelow = overloadedBelow;
         const CallEvidence evidence
             = retryServerError ? CallEvidence::Failure : evidenceOf(attempt, exchange.isCancelled());
         if (endCall(state.endpoints, head.service, selection->endpoint, evidence, BootClock::now())) {
--- a/tests/config/decoders_test.cpp
+++ b/tests/config/decoders_test.cpp
@@ -3,10 +3,12 @@
 #include "config/snapshot.h"
 
 #include "config/rules_parser.h"
+#include "config/settings.h"
 #include "core/random.h"
 #include "tests/support/section.h"
 
 #include <functional>
+#include <set>
 #include <string>
 
 #include <rapidcheck.h>
@@ -145,6 +147,14 @@
                 CPPUNIT_ASSERT(!outcome.detail.empty());
             });
         }
+        section("a number out of range is an error of every decoder", [&] {
+            const std::string huge = R"({"type":"snapshot","id":"s","nextOffset":1e999,"records":[]})";
+            CPPUNIT_ASSERT(decodeSnapshotPart(huge).has_error());
+            CPPUNIT_ASSERT(decodeChange(huge).has_error());
+            CPPUNIT_ASSERT(decodeRecordsAnswer(huge).has_error());
+            CPPUNIT_ASSERT(adoptSnapshot(node, Snapshot { 1000, huge }, 0).has_error());
+            CPPUNIT_ASSERT(!parseSettings(huge).errors.empty());
+        });
         section("valid JSON that nests deeply is refused without exhausting the stack", [&] {
             const std::string deep
                 = "{\"kind\":\"change\",\"id\":" + std::string(50000, '[') + std::string(50000, ']') + "}";
@@ -166,6 +176,15 @@
             CPPUNIT_ASSERT_EQUAL(size_t { 3 }, relays.size());
             CPPUNIT_ASSERT(relaysOf(DomainName("a"), nodes) == relays);
         });
+        section("five nodes take turns with snapshots, one at a time", [&] {
+            std::set<Duration> turns;
+            for (const NodeName &node : nodes) {
+                const auto turn = snapshotTurn(node, nodes);
+                CPPUNIT_ASSERT(!turn || turns.insert(*turn).second);
+            }
+            CPPUNIT_ASSERT_EQUAL(size_t { 5 }, turns.size());
+            CPPUNIT_ASSERT(*turns.begin() == Duration::zero());
+        });
         section("the history is bounded and answers from any kept offset", [&] {
             RecordHistory history;
             history.maxBytes = 50;
