--- a/node/entry.cpp
+++ b/node/entry.cpp
@@ -5,6 +5,7 @@
 #include "idempotency/attempt_trace.h"
 #include "node/claim_service.h"
 #include "node/dispatch.h"
+#include "node/private_headers.h"
 #include "node/quota_service.h"
 
 #include <algorithm>
@@ -52,21 +53,6 @@
     }
 }
 
-/// Removes what only concerns this system: the key, and fields that a caller might set to pose as a node.
-void stripPrivateHeaders(HeaderList &headers)
-{
-    static constexpr std::string_view kPrefix = "snipestream-";
-    const auto isPrivate = [](const auto &field) {
-        std::string name = field.first.substr(0, kPrefix.size());
-        std::transform(name.begin(), name.end(), name.begin(), [](unsigned char c) {
-            return static_cast<char>(std::tolower(c));
-        });
-        return name == kPrefix;
-    };
-    headers.erase(std::remove_if(headers.begin(), headers.end(), isPrivate), headers.end());
-    removeHeader(headers, kAuthorizationHeader);
-}
-
 /// Reads the time that the caller leaves; the limit of the settings if it names none.
 auto timeLeftOf(const RequestHead &head, Duration limit) -> Result<Duration>
 {
@@ -236,6 +222,7 @@
     ResponseHead head;
     head.status = recorded.status;
     head.headers = recorded.headers;
+    markAnswer(head.headers, exchange.head.id);
     head.headers.emplace_back("Snipestream-Replayed", "true");
     head.bodyLength = recorded.body.size();
     if (exchange.respond(head) && (recorded.body.empty() || exchange.responseBody.write(recorded.body))) {
@@ -343,6 +330,7 @@
         return refused->reason;
     }
     stripPrivateHeaders(request.head.headers);
+    removeHeader(request.head.headers, kAuthorizationHeader);
     ++state.share.teams[request.head.team].admitted;
     if (request.trace) {
         return runClaimed(state, exchange, request);
