Read the audit trail's field 'change' in the process test

Cause: nodes serve the audit trail through config/audit_json.h, whose field is 'change'; the test still read 'changeId'. The check is as strict as before.

--- a/tests/node/config_process_test.cpp
+++ b/tests/node/config_process_test.cpp
@@ -13,14 +13,14 @@
 
 const AskedBy kAsked { "test", "process test" };
 
-/// Returns "offset change id verdict revision" of every audit entry of a node.
+/// Returns "offset change verdict revision" of every audit entry of a node.
 auto verdictsAt(const Cluster &cluster, size_t node) -> std::vector<std::string>
 {
     std::vector<std::string> lines;
     const nlohmann::json audit = cluster.audit(node);
     for (const auto &entry : audit.value("entries", nlohmann::json::array())) {
-        lines.push_back(entry["offset"].dump() + " " + entry["changeId"].get<std::string>() + " "
-                        + entry["verdict"].get<std::string>() + " " + entry["revision"].dump());
+        lines.push_back(entry.at("offset").dump() + " " + entry.at("change").get<std::string>() + " "
+                        + entry.at("verdict").get<std::string>() + " " + entry.at("revision").dump());
     }
     return lines;
 }
