--- a/core/events.cpp
+++ b/core/events.cpp
@@ -59,8 +59,6 @@
         { EventId::LeaseAcquired, Severity::Info, "lease-acquired", "This node became the valid holder of a range." },
         { EventId::LeaseLost, Severity::Warning, "lease-lost", "This node stopped being the valid holder of a range." },
         { EventId::LeaseClaimed, Severity::Info, "lease-claimed", "This node appended a lease record for a range." },
-        { EventId::LoanRefused, Severity::Warning, "loan-refused",
-          "A loan or grant of tokens was refused because it was invalid." },
         { EventId::UnloggedModeEntered, Severity::Warning, "unlogged-mode-entered",
           "Claims are kept in memory because the log does not take appends." },
         { EventId::UnloggedModeLeft, Severity::Info, "unlogged-mode-left", "All claims are on the log again." },
--- a/core/events.h
+++ b/core/events.h
@@ -34,7 +34,6 @@
     LeaseAcquired = 3001,
     LeaseLost = 3002,
     LeaseClaimed = 3003,
-    LoanRefused = 4001,
     UnloggedModeEntered = 5001,
     UnloggedModeLeft = 5002,
     RangeQuarantined = 5003,
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -13,10 +13,10 @@
 
 struct HttpServer::State : HttpServerShared
 {
-    State(FiberRuntime &runtimeUsed, HttpServerOptions chosen, MetricsRegistry &metrics, HttpHandler handlerUsed)
+    State(FiberRuntime &runtimeUsed, const HttpServerOptions &chosen, MetricsRegistry &metrics, HttpHandler handlerUsed)
         : HttpServerShared {
             runtimeUsed,
-            std::move(chosen),
+            chosen,
             std::move(handlerUsed),
             metrics.counter("snipestream_http_requests_total", "Requests over HTTP", {{"server", chosen.name}}),
             metrics.counter("snipestream_http_invalid_requests_total", "Malformed requests", {{"server", chosen.name}}),
@@ -41,8 +41,9 @@
 
 } // namespace
 
-HttpServer::HttpServer(FiberRuntime &runtime, HttpServerOptions options, MetricsRegistry &metrics, HttpHandler handler)
-    : state_(std::make_shared<State>(runtime, std::move(options), metrics, std::move(handler)))
+HttpServer::HttpServer(FiberRuntime &runtime, const HttpServerOptions &options, MetricsRegistry &metrics,
+                       HttpHandler handler)
+    : state_(std::make_shared<State>(runtime, options, metrics, std::move(handler)))
 {
 }
 
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -38,7 +38,7 @@
 class HttpServer
 {
 public:
-    HttpServer(FiberRuntime &runtime, HttpServerOptions options, MetricsRegistry &metrics, HttpHandler handler);
+    HttpServer(FiberRuntime &runtime, const HttpServerOptions &options, MetricsRegistry &metrics, HttpHandler handler);
     /// Closes all connections. Their fibers must have ended by then: call closeAll() and let the runtime run to its
     /// end.
     ~HttpServer();
--- a/node/admin.cpp
+++ b/node/admin.cpp
@@ -198,7 +198,6 @@
         .set(std::chrono::duration<double>(configAge(state, now)).count());
     metrics.gauge("snipestream_log_reachable", "1 if the platform's log answered the last call")
         .set(state.freshness.logReachable ? 1 : 0);
-    metrics.gauge("snipestream_peer_links", "Links to other nodes").set(static_cast<double>(state.peers->linkCount()));
     metrics.gauge("snipestream_running_contexts", "Requests that run at targets of this node")
         .set(static_cast<double>(state.contexts.rows.size()));
     for (const auto &[name, target] : state.localTargets.targets) {
--- a/node/claim_service.cpp
+++ b/node/claim_service.cpp
@@ -4,6 +4,7 @@
 #include "lease/holder.h"
 #include "net/await.h"
 #include "node/claim_messages.h"
+#include "node/config_service.h"
 #include "node/lease_service.h"
 #include "node/node_state.h"
 
@@ -42,18 +43,11 @@
     return domains;
 }
 
-/// Returns the revision of the last change of any domain rule.
-auto domainListRevision(const NodeState &state) -> uint64_t
+auto claimSettings(const NodeState &state) -> ClaimSettings
 {
-    constexpr std::string_view kPrefix = "domain ";
-    uint64_t revision = 0;
-    for (const auto &[id, entry] : state.fold.state.rules) {
-        revision = id.rfind(kPrefix, 0) == 0 ? std::max(revision, entry.revision) : revision;
-    }
-    for (const auto &[id, removed] : state.fold.state.removedRules.revisions) {
-        revision = id.rfind(kPrefix, 0) == 0 ? std::max(revision, removed) : revision;
-    }
-    return revision;
+    ClaimSettings settings;
+    settings.logRetention = state.settings.retention.age;
+    return settings;
 }
 
 /// Returns what the lease says about this node's ownership of a range at this moment.
@@ -214,7 +208,7 @@
         }
         if (isHome && findHeldLease(state.leaseNode.holder, leaseKeyOf(state, number)) != nullptr) {
             state.claimOwner.ranges.emplace(
-                number, OwnedRange { makeClaimTable(ClaimSettings {}, state.settings.domain, number), 0, 0 });
+                number, OwnedRange { makeClaimTable(claimSettings(state), state.settings.domain, number), 0, 0 });
         }
     }
 }
--- a/node/config_service.cpp
+++ b/node/config_service.cpp
@@ -4,6 +4,7 @@
 #include "config/snapshot.h"
 #include "core/events.h"
 #include "lease/table.h"
+#include "node/quota_service.h"
 
 #include <algorithm>
 #include <utility>
@@ -47,6 +48,7 @@
     rememberRecord(state.history, record);
     logOutcome(outcome);
     applyTeamWeights(state);
+    recordDomainWeights(state);
 }
 
 void setLogReachable(NodeState &state, bool reachable, const std::string &detail)
@@ -292,8 +294,35 @@
     return now - state.freshness.confirmedAt;
 }
 
+auto domainListRevision(const NodeState &state) -> uint64_t
+{
+    constexpr std::string_view kPrefix = "domain ";
+    uint64_t revision = 0;
+    for (const auto &[id, entry] : state.fold.state.rules) {
+        revision = id.rfind(kPrefix, 0) == 0 ? std::max(revision, entry.revision) : revision;
+    }
+    for (const auto &[id, removed] : state.fold.state.removedRules.revisions) {
+        revision = id.rfind(kPrefix, 0) == 0 ? std::max(revision, removed) : revision;
+    }
+    return revision;
+}
+
 void addFoldSections(NodeState &state)
 {
+    // Records of this section do not exist: it only carries the history of the weights through snapshots.
+    FoldSection weights;
+    weights.name = "domain-weights";
+    weights.apply = [](uint64_t, const nlohmann::json &) -> Result<void> {
+        return failure(ErrorCode::InvalidInput, "there are no records of type domain-weights");
+    };
+    weights.dump = [&state] {
+        return dumpWeightHistory(state.quota);
+    };
+    weights.load = [&state](const nlohmann::json &dumped) {
+        return loadWeightHistory(state.quota, dumped);
+    };
+    state.fold.sections.push_back(std::move(weights));
+
     FoldSection nodes;
     nodes.name = "node";
     nodes.apply = [&state](uint64_t, const nlohmann::json &record) -> Result<void> {
--- a/node/config_service.h
+++ b/node/config_service.h
@@ -18,6 +18,9 @@
 /// poll the log, other nodes ask a relay. Runs in a fiber of its own.
 void followConfig(NodeState &state);
 
+/// Returns the revision of the last change of any domain rule; zero if there has been none.
+auto domainListRevision(const NodeState &state) -> uint64_t;
+
 /// Appends this node's leave record; an error only delays what others learn from the closed links.
 void appendLeave(NodeState &state);
 
--- a/node/entry.cpp
+++ b/node/entry.cpp
@@ -34,6 +34,8 @@
     AttemptBudget budget;
     /// Requests under a context are part of an original request that has paid already.
     bool isCharged = false;
+    /// Came from a caller and not from a target that works on another request; only these count in the share report.
+    bool isOriginal = false;
     /// From the caller's Snipestream-Attempt.
     uint32_t attemptNumber = 1;
     /// Set for non-idempotent routes.
@@ -112,7 +114,7 @@
 auto prepareCallerRequest(NodeState &state, Exchange &exchange, EntryRequest &request) -> std::optional<Refusal>
 {
     request.head = exchange.head;
-    request.head.id = exchange.head.id;
+    request.isOriginal = true;
     const auto route = matchRoute(state.fold.state, request.head.method, request.head.path);
     if (!route) {
         const bool isBad = route.error().code == ErrorCode::InvalidInput;
@@ -174,9 +176,12 @@
     return applyRoute(state, request, *route.value());
 }
 
-/// Counts how a charged request ended.
+/// Counts how an original request ended.
 void account(NodeState &state, const EntryRequest &request, const DispatchResult &result)
 {
+    if (!request.isOriginal) {
+        return;
+    }
     TeamShare &share = state.share.teams[request.head.team];
     if (result.refusal) {
         recordRefusal(state.share, request.head.team, result.refusal->reason);
@@ -290,7 +295,10 @@
             action = dispatchClaimed(state, exchange, request);
         }
     }
-    if (action.refusal && trace.step < AttemptStep::Dispatched) {
+    if (action.kind == EntryActionKind::RespondRecorded && request.isOriginal) {
+        ++state.share.teams[request.head.team].completed;
+    }
+    if (action.refusal && request.isOriginal && trace.step < AttemptStep::Dispatched) {
         recordRefusal(state.share, request.head.team, action.refusal->reason);
     }
     finishAction(state, exchange, request, action);
@@ -325,13 +333,17 @@
         refused = takeToken(state, request);
     }
     if (refused) {
-        recordRefusal(state.share, request.head.team, refused->reason);
+        if (request.isOriginal) {
+            recordRefusal(state.share, request.head.team, refused->reason);
+        }
         refuse(exchange, truthful(state, request, *refused));
         return refused->reason;
     }
     stripPrivateHeaders(request.head.headers);
     removeHeader(request.head.headers, kAuthorizationHeader);
-    ++state.share.teams[request.head.team].admitted;
+    if (request.isOriginal) {
+        ++state.share.teams[request.head.team].admitted;
+    }
     if (request.trace) {
         return runClaimed(state, exchange, request);
     }
--- a/node/quota_service.cpp
+++ b/node/quota_service.cpp
@@ -2,6 +2,7 @@
 
 #include "core/hash.h"
 #include "net/await.h"
+#include "node/config_service.h"
 #include "node/lease_service.h"
 #include "node/node_state.h"
 
@@ -22,14 +23,17 @@
 constexpr Duration kTick = milliseconds(5);
 /// Asks that get no answer, such as pure reports, are forgotten after this time.
 constexpr Duration kOpenAskLifetime = seconds(2);
+/// Changes of the domain weights that are remembered. A raise is confirmed within seconds unless a domain is
+/// partitioned.
+constexpr size_t kMaxWeightHistory = 32;
 
 void processQuota(NodeState &state);
 
-/// Brings rules and weights in the inputs up to the configuration in force.
+/// Brings the rules in the inputs up to the configuration in force.
 void refreshRules(NodeState &state)
 {
     QuotaState &quota = state.quota;
-    if (quota.rulesRevision == state.fold.state.revision && !quota.holderInputs.weights.empty()) {
+    if (quota.rulesRevision == state.fold.state.revision) {
         return;
     }
     quota.rulesRevision = state.fold.state.revision;
@@ -38,15 +42,6 @@
         quota.holderInputs.rules[name] = TeamQuota { static_cast<MicroTokens>(rule.rate) * kOneToken,
                                                      static_cast<MicroTokens>(rule.burst) * kOneToken };
     }
-    DomainWeights weights;
-    weights.version = state.fold.state.revision;
-    for (const auto &[domain, weight] : domainWeights(state.fold.state)) {
-        weights.weights[domain] = static_cast<int64_t>(weight);
-    }
-    auto &history = quota.holderInputs.weights;
-    if (history.empty() || history.back().weights != weights.weights) {
-        history.push_back(std::move(weights));
-    }
 }
 
 /// Takes over which ranges this node holds at this moment, and who holds them elsewhere.
@@ -140,7 +135,7 @@
     QuotaState &quota = state.quota;
     refreshRules(state);
     refreshLeases(state, now);
-    if (quota.holderInputs.weights.back().weights.empty()) {
+    if (quota.holderInputs.weights.empty() || quota.holderInputs.weights.back().weights.empty()) {
         return;
     }
     const HolderOutputs outputs = tickHolder(quota.holder, quota.params, now, quota.holderInputs);
@@ -233,6 +228,55 @@
     };
 }
 
+void recordDomainWeights(NodeState &state)
+{
+    auto &history = state.quota.holderInputs.weights;
+    DomainWeights current;
+    current.version = domainListRevision(state);
+    for (const auto &[domain, weight] : domainWeights(state.fold.state)) {
+        current.weights[domain] = static_cast<int64_t>(weight);
+    }
+    if (current.weights.empty() || (!history.empty() && history.back().version == current.version)) {
+        return;
+    }
+    history.push_back(std::move(current));
+    if (history.size() > kMaxWeightHistory) {
+        history.erase(history.begin());
+    }
+}
+
+auto dumpWeightHistory(const QuotaState &quota) -> nlohmann::json
+{
+    nlohmann::json history = nlohmann::json::array();
+    for (const auto &entry : quota.holderInputs.weights) {
+        nlohmann::json weights = nlohmann::json::object();
+        for (const auto &[domain, weight] : entry.weights) {
+            weights[domain.value] = weight;
+        }
+        history.push_back({ { "version", entry.version }, { "weights", weights } });
+    }
+    return history;
+}
+
+auto loadWeightHistory(QuotaState &quota, const nlohmann::json &dumped) -> Result<void>
+{
+    try {
+        std::vector<DomainWeights> history;
+        for (const auto &row : dumped) {
+            DomainWeights entry;
+            entry.version = row.at("version").get<uint64_t>();
+            for (const auto &[domain, weight] : row.at("weights").items()) {
+                entry.weights[DomainName(domain)] = weight.get<int64_t>();
+            }
+            history.push_back(std::move(entry));
+        }
+        quota.holderInputs.weights = std::move(history);
+        return success();
+    } catch (const nlohmann::json::exception &error) {
+        return failure(ErrorCode::InvalidInput, std::string("domain weights: ") + error.what());
+    }
+}
+
 void serveQuota(NodeState &state)
 {
     QuotaState &quota = state.quota;
--- a/node/quota_service.h
+++ b/node/quota_service.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/refusal.h"
+#include "core/result.h"
 #include "core/time.h"
 #include "net/fiber_event.h"
 #include "quota/entry.h"
@@ -13,6 +14,8 @@
 #include <unordered_map>
 #include <utility>
 
+#include <nlohmann/json_fwd.hpp>
+
 namespace snipestream {
 
 struct NodeState;
@@ -46,6 +49,16 @@
 /// Sets the state up for this node's incarnation.
 void startQuota(NodeState &state);
 
+/// Adds the domain weights in force to the history if they changed. Call after every folded record: holders start with
+/// the smallest share of the history, so it has to be the same on every node that folded the same records.
+void recordDomainWeights(NodeState &state);
+
+/// Returns the history of the domain weights for a snapshot.
+auto dumpWeightHistory(const QuotaState &quota) -> nlohmann::json;
+
+/// Replaces the history of the domain weights by that of a snapshot; InvalidInput if it is malformed.
+auto loadWeightHistory(QuotaState &quota, const nlohmann::json &dumped) -> Result<void>;
+
 /// Registers the messages of quota with the peer links. Call before the links listen.
 void serveQuota(NodeState &state);
 
--- a/node/share_table.h
+++ b/node/share_table.h
@@ -15,9 +15,9 @@
 /// What the requests of one team that entered at this node came to.
 struct TeamShare
 {
-    /// Requests that got a token.
+    /// Requests of callers that got a token, or came over an open route.
     uint64_t admitted = 0;
-    /// Admitted requests whose whole answer reached the caller.
+    /// Admitted requests whose whole answer, or the recorded one, was sent to the caller.
     uint64_t completed = 0;
     /// Admitted requests that a target worked on without the caller getting the whole answer.
     uint64_t wasted = 0;
