Give the teams of the policy model weights in proportion to their rates

Cause: the model never called setTeamWeights, so the queues gave the largest team (28 to 30% of the rate) no more slots than the smallest (2%). It was the large teams that were served worst, not the small ones.

--- a/bench/policy_world.cpp
+++ b/bench/policy_world.cpp
@@ -63,7 +63,13 @@
             nodes_.push_back(std::move(node));
         }
     }
+    // Without weights the queues give the largest team no more slots than the smallest.
+    std::map<TeamName, double> weights;
+    for (size_t team = 0; team < deployment_.teams.size(); ++team) {
+        weights[TeamName("team-" + std::to_string(team))] = deployment_.teams[team];
+    }
     for (auto &node : nodes_) {
+        setTeamWeights(node.admission, weights);
         for (size_t service = 0; service < deployment_.services.size(); ++service) {
             const ServiceName name(deployment_.services[service].name);
             makeSubscription(node.endpoints, name, NodeName("directory"));
