Keep the known level of a service while its answers arrive

Cause: the level known upstream aged between answers and was rounded down at each one; both add up with the averaging. A trace at 10x in Cymru showed levels of 450 to 470 at the diary and 420 to 440 at an entry, two hops above. The level now stays for 200 ms after an answer and reaches zero after 1 s instead of 2 s. A route that is shed as a whole gets no answers, so the shorter time also lets it return earlier.

--- a/admission/shedding.cpp
+++ b/admission/shedding.cpp
@@ -11,14 +11,31 @@
 
 /// Weight of one answer in the level of a service; averages over the targets that answer.
 constexpr double kUpstreamGain = 1.0 / 8;
-/// Time after the last answer in which the known level falls to zero. Without it a service that was shed completely
-/// would never be tried again.
-constexpr Duration kUpstreamLifetime = seconds(2);
+/// Time after the last answer in which the known level stays as it is. Ageing between answers adds up with the
+/// averaging: answers every 10 ms kept a level of 460 at 430 two hops above.
+constexpr Duration kUpstreamHold = milliseconds(200);
+/// Time after the last answer at which the known level has fallen to zero. Without it a service that was shed
+/// completely would never be tried again.
+constexpr Duration kUpstreamLifetime = seconds(1);
 /// Ranks next to the threshold that upstream nodes still send. The target needs these arrivals to find its level.
 constexpr int kUpstreamMargin = 16;
 /// Decay of the arrival counts per window of 100 ms: a mean age of about one second.
 constexpr float kArrivalDecay = 0.9F;
 
+/// Returns the level after ageing, unrounded: rounding at each answer lowers an average by several ranks.
+auto agedLevel(const UpstreamLevel &row, TimePoint now) -> double
+{
+    const Duration age = now - row.observedAt;
+    if (age <= kUpstreamHold) {
+        return row.level;
+    }
+    if (age >= kUpstreamLifetime) {
+        return 0;
+    }
+    return row.level * std::chrono::duration<double>(kUpstreamLifetime - age).count()
+        / std::chrono::duration<double>(kUpstreamLifetime - kUpstreamHold).count();
+}
+
 auto admittedArrivals(const SheddingState &state) -> double
 {
     double sum = 0;
@@ -121,7 +138,7 @@
 void observeUpstream(UpstreamTable &table, const ServiceName &service, int level, TimePoint now)
 {
     auto &row = table.services[service];
-    const double known = upstreamLevel(table, service, now);
+    const double known = agedLevel(row, now);
     row.level = known + (std::clamp(level, 0, kMaxSheddingLevel) - known) * kUpstreamGain;
     row.observedAt = now;
 }
@@ -136,15 +153,7 @@
 auto upstreamLevel(const UpstreamTable &table, const ServiceName &service, TimePoint now) -> int
 {
     const auto row = table.services.find(service);
-    if (row == table.services.end()) {
-        return 0;
-    }
-    const Duration age = now - row->second.observedAt;
-    if (age >= kUpstreamLifetime) {
-        return 0;
-    }
-    const double left = 1 - std::chrono::duration<double>(age) / std::chrono::duration<double>(kUpstreamLifetime);
-    return static_cast<int>(row->second.level * left);
+    return row == table.services.end() ? 0 : static_cast<int>(agedLevel(row->second, now));
 }
 
 } // namespace snipestream
--- a/tests/admission/shedding_test.cpp
+++ b/tests/admission/shedding_test.cpp
@@ -109,6 +109,17 @@
         section("without answers it is forgotten", [&] {
             CPPUNIT_ASSERT_EQUAL(0, shedPart(Priority::Low, now + seconds(2)));
         });
+        section("time between answers does not lower a lasting level two hops up", [&] {
+            UpstreamTable middle;
+            UpstreamTable entry;
+            TimePoint at = now;
+            for (int i = 0; i < 200; ++i) {
+                at += milliseconds(20);
+                observeUpstream(middle, key, 460, at);
+                observeUpstream(entry, key, reportedLevel(0, middle, { key }, at + milliseconds(10)), at);
+            }
+            CPPUNIT_ASSERT_GREATEREQUAL(455, upstreamLevel(entry, key, at + milliseconds(20)));
+        });
     }
 };
 
