Exempt teams within their share from shedding by cohort

Cause: the level sheds by priority and cohort alone, and only the queue behind it knows teams. The target now admits a request to its queue although its cohort is shed if its team used less than 0.9 of its weighted share, unless its whole priority is shed, so that critical requests are still shed last. Ranks are unchanged: upstream nodes still shed by cohort alone, and a request is never shed at a hop where it was not before at the same level.

--- a/admission/admission.cpp
+++ b/admission/admission.cpp
@@ -245,7 +245,10 @@
     }
     const int rank = rankOf(request.priority, request.id);
     observeArrival(row->shedding, rank);
-    if (isShed(row->shedding.level, rank)) {
+    // A team within its share is not shed for the surge of another team, as long as its priority is not shed as a
+    // whole.
+    if (isShed(row->shedding.level, rank)
+        && (isPriorityShed(row->shedding.level, request.priority) || !isWithinShare(row->usage, request.team, now))) {
         return refused(refusal(RefusalReason::Overloaded, table.settings.leastRetryAfter,
                                "shed at level " + std::to_string(row->shedding.level)));
     }
@@ -347,7 +350,7 @@
         ++target.shedding.useSamples;
         if (tickShedding(target.shedding, table.settings.shedding, toDuration(meanServiceTime(target.limit)), now)) {
             target.shedding.queueWasEmpty = target.queue.rows.empty();
-            pruneUsage(target.usage, now);
+            refreshUsage(target.usage, now);
         }
     }
     return decisions;
--- a/admission/queue.cpp
+++ b/admission/queue.cpp
@@ -8,6 +8,10 @@
 
 namespace {
 
+/// Part of the fair use below which a team counts as within its share. With 1, about half of the teams would be exempt
+/// from the shedding level by chance when all of them surge alike.
+constexpr double kWithinShare = 0.9;
+
 auto decayed(const TeamUsage &usage, TimePoint now) -> double
 {
     return usage.served * std::exp(-std::chrono::duration<double>(now - usage.servedAt).count());
@@ -34,11 +38,26 @@
     return usage == table.teams.end() ? 0 : decayed(usage->second, now) / weightOf(table, team);
 }
 
-void pruneUsage(UsageTable &table, TimePoint now)
+auto isWithinShare(const UsageTable &table, const TeamName &team, TimePoint now) -> bool
+{
+    return weightedUse(table, team, now) < kWithinShare * table.fairUse;
+}
+
+void refreshUsage(UsageTable &table, TimePoint now)
 {
+    double use = 0;
+    double weight = 0;
     for (auto row = table.teams.begin(); row != table.teams.end();) {
-        row = decayed(row->second, now) < 1e-9 ? table.teams.erase(row) : std::next(row);
+        const double served = decayed(row->second, now);
+        if (served < 1e-9) {
+            row = table.teams.erase(row);
+            continue;
+        }
+        use += served;
+        weight += weightOf(table, row->first);
+        ++row;
     }
+    table.fairUse = weight > 0 ? use / weight : 0;
 }
 
 void enqueue(AdmissionQueue &queue, Ticket ticket, WaitingRequest row)
--- a/admission/queue.h
+++ b/admission/queue.h
@@ -26,6 +26,8 @@
     std::map<TeamName, TeamUsage> teams;
     /// Shares of the teams; a team without an entry weighs 1.
     std::map<TeamName, double> weights;
+    /// Use of all teams divided by the sum of their weights, as of the last `refreshUsage`.
+    double fairUse = 0;
 };
 
 /// Adds slot time to the team's use; negative amounts correct an earlier estimate.
@@ -34,8 +36,11 @@
 /// Returns the use of the last second divided by the team's weight.
 auto weightedUse(const UsageTable &table, const TeamName &team, TimePoint now) -> double;
 
-/// Forgets teams without noticeable use.
-void pruneUsage(UsageTable &table, TimePoint now);
+/// Returns whether the team clearly uses less than its weighted share of what all teams use.
+auto isWithinShare(const UsageTable &table, const TeamName &team, TimePoint now) -> bool;
+
+/// Forgets teams without noticeable use and updates the fair use.
+void refreshUsage(UsageTable &table, TimePoint now);
 
 /// A request that waits for a slot.
 struct WaitingRequest
--- a/admission/shedding.cpp
+++ b/admission/shedding.cpp
@@ -79,6 +79,11 @@
     return rank >= kRankCount - level;
 }
 
+auto isPriorityShed(int level, Priority priority) -> bool
+{
+    return isShed(level, static_cast<int>(priority) * kCohortCount);
+}
+
 void observeArrival(SheddingState &state, int rank)
 {
     state.arrivals[static_cast<size_t>(rank)] += 1;
--- a/admission/shedding.h
+++ b/admission/shedding.h
@@ -26,6 +26,9 @@
 /// Returns whether a request of this rank is shed at the level. Level zero sheds nothing.
 auto isShed(int level, int rank) -> bool;
 
+/// Returns whether the level sheds every request of this priority.
+auto isPriorityShed(int level, Priority priority) -> bool;
+
 /// Constants of the shedding level.
 struct SheddingSettings
 {
