Measure tables, messages and running nodes for the capacity page

capacity_bench measures processor time per operation and bytes per row of the tables up to full size and the sizes of the messages. Frame bytes were not counted anywhere, so the peer links count them now (snipestream_peer_bytes_sent_total). Reading them from the loopback device was ruled out because other processes use it too.

The shared sources of bench/ become a library, so that each of them is compiled once and not once per program.

--- /dev/null
+++ b/bench/capacity_admission.cpp
@@ -0,0 +1,84 @@
+#include "bench/capacity_measure.h"
+
+#include "admission/admission.h"
+
+namespace snipestream::bench {
+
+namespace {
+
+auto requestOf(size_t number, size_t teams, TimePoint now) -> AdmissionRequest
+{
+    AdmissionRequest request;
+    request.id = { number * 0x9E3779B97F4A7C15ULL, number };
+    request.team = TeamName("team-" + std::to_string(number % teams));
+    request.route = RouteName("route-1");
+    request.deadline = now + seconds(5);
+    return request;
+}
+
+} // namespace
+
+void benchAdmission()
+{
+    printHead(
+        "Admission at one target with 100 slots",
+        { "teams", "offer and complete", "offer when queued, complete and start", "idle tick", "bytes per team seen" });
+    for (const size_t teams : { 8U, 100U, 1000U }) {
+        const TargetName name("target-1");
+        TimePoint now = TimePoint(seconds(1000));
+        const double before = allocatedBytes();
+        AdmissionTable table;
+        upsertTarget(table, name, ServiceName("service-1"), 100, false, now);
+        size_t next = 0;
+        const auto pass = [&] {
+            now += microseconds(100);
+            const Offer offered = offer(table, name, requestOf(next++, teams, now), now);
+            if (offered.verdict != AdmissionVerdict::Refused) {
+                complete(table, offered.ticket, RunOutcome::Answered, now + microseconds(50));
+            }
+        };
+        for (size_t i = 0; i < teams; ++i) {
+            pass();
+        }
+        const double bytes = (allocatedBytes() - before) / static_cast<double>(teams);
+        const double direct = microsPerRun(pass);
+
+        // One slot and many waiting requests: each run offers one request and ends the one that runs.
+        AdmissionTable busy;
+        upsertTarget(busy, name, ServiceName("service-1"), 100, false, now);
+        std::vector<Ticket> running;
+        for (size_t i = 0; i < 250; ++i) {
+            const Offer offered = offer(busy, name, requestOf(i, teams, now), now);
+            if (offered.verdict == AdmissionVerdict::Run) {
+                running.push_back(offered.ticket);
+            }
+        }
+        const double queued = microsPerRun([&] {
+            now += microseconds(100);
+            const auto take = [&running](const std::vector<Decision> &decisions) {
+                for (const auto &decision : decisions) {
+                    if (decision.start) {
+                        running.push_back(decision.ticket);
+                    }
+                }
+            };
+            const Offer offered = offer(busy, name, requestOf(next++, teams, now), now);
+            take(offered.decisions);
+            if (offered.verdict == AdmissionVerdict::Run) {
+                running.push_back(offered.ticket);
+            }
+            if (!running.empty()) {
+                const Ticket ended = running.front();
+                running.erase(running.begin());
+                take(complete(busy, ended, RunOutcome::Answered, now));
+            }
+        });
+        const double idle = microsPerRun([&] {
+            now += milliseconds(10);
+            tick(table, now);
+        });
+        printRow({ std::to_string(teams), number(direct), number(queued), number(idle), number(bytes) });
+    }
+}
+
+} // namespace snipestream::bench
--- /dev/null
+++ b/bench/capacity_quota.cpp
@@ -0,0 +1,167 @@
+#include "bench/capacity_measure.h"
+
+#include "core/hash.h"
+#include "quota/entry.h"
+#include "quota/holder.h"
+
+#include <nlohmann/json.hpp>
+
+namespace snipestream::bench {
+
+namespace {
+
+const NodeName kHolder("holder");
+const DomainName kDomain("domain-0");
+
+auto teamName(size_t number) -> TeamName
+{
+    return TeamName("team-" + std::to_string(number));
+}
+
+auto inputsFor(size_t teams) -> HolderInputs
+{
+    HolderInputs inputs;
+    for (uint32_t range = 0; range < kRangeCount; ++range) {
+        inputs.validRanges[range] = TimePoint(seconds(1));
+    }
+    for (size_t i = 0; i < teams; ++i) {
+        inputs.rules[teamName(i)] = { 1'000'000 * kOneToken, 1'000'000 * kOneToken };
+    }
+    inputs.weights.push_back({ 1, { { kDomain, 1 } } });
+    return inputs;
+}
+
+void benchHolder()
+{
+    printHead("Quota holder of all 32 ranges",
+              { "teams", "an ask of an entry node", "the same with CBOR both ways", "tick without asks",
+                "bytes per team in use" });
+    for (const size_t teams : { 8U, 100U, 1000U, 10000U }) {
+        const QuotaParams params;
+        HolderInputs inputs = inputsFor(teams);
+        TimePoint now = TimePoint(seconds(1000));
+        const double before = allocatedBytes();
+        HolderTable table = makeHolderTable(kHolder, kDomain, 1);
+        uint64_t next = 1;
+        const auto askOf = [&] {
+            QuotaAsk ask;
+            ask.team = teamName(next % teams);
+            ask.from = NodeName("node-" + std::to_string(next % 1667));
+            ask.number = next++;
+            ask.minimum = kOneToken;
+            ask.wanted = kOneToken;
+            ask.reports.push_back({ 0, kOneToken, 0 });
+            return ask;
+        };
+        const auto serve = [&](const QuotaAsk &ask) {
+            now += microseconds(200);
+            inputs.asks = { ask };
+            HolderOutputs outputs = tickHolder(table, params, now, inputs);
+            inputs.asks.clear();
+            return outputs;
+        };
+        for (size_t i = 0; i < teams; ++i) {
+            serve(askOf());
+        }
+        const double bytes = (allocatedBytes() - before) / static_cast<double>(teams);
+        const double plain = microsPerRun([&] {
+            serve(askOf());
+        });
+        const double whole = microsPerRun([&] {
+            const auto encoded = nlohmann::json::to_cbor(toJson(askOf()));
+            for (const auto &[to, answer] :
+                 serve(quotaAskFromJson(nlohmann::json::from_cbor(encoded)).value()).answers) {
+                nlohmann::json::to_cbor(toJson(answer));
+            }
+        });
+        now += seconds(5);
+        tickHolder(table, params, now, inputs);
+        const double idle = microsPerRun([&] {
+            now += milliseconds(5);
+            tickHolder(table, params, now, inputs);
+        });
+        printRow({ std::to_string(teams), number(plain), number(whole), number(idle), number(bytes) });
+    }
+}
+
+void benchEntry()
+{
+    printHead("Quota entry node",
+              { "teams", "request with a prefetched token", "request that asks the holder", "tick without requests",
+                "asks per request, 100 requests/s and team", "bytes per team in use" });
+    for (const size_t teams : { 8U, 100U, 1000U }) {
+        const QuotaParams params;
+        TimePoint now = TimePoint(seconds(1000));
+        const double before = allocatedBytes();
+        EntryTable table = makeEntryTable(NodeName("entry"), 1);
+        EntryInputs inputs;
+        inputs.holders = [](uint32_t) {
+            return std::vector<NodeName> { kHolder };
+        };
+        uint64_t ticket = 1;
+        uint64_t grant = 1;
+        const auto answerAll = [&](MicroTokens extra) {
+            const EntryOutputs outputs = tickEntry(table, params, now, inputs);
+            inputs.answers.clear();
+            for (const auto &[to, ask] : outputs.asks) {
+                if (ask.wanted > 0) {
+                    inputs.answers.push_back({ ask.team, kHolder, ask.number, QuotaOutcome::Granted, grant++,
+                                               ask.wanted + extra, seconds(1), Duration {}, milliseconds(1),
+                                               kOneToken });
+                }
+            }
+            return outputs.asks.size();
+        };
+        const auto askPass = [&] {
+            now += milliseconds(7);
+            requestToken(table, params, teamName(ticket % teams), ticket, now, now + seconds(1));
+            ++ticket;
+            answerAll(0);
+            answerAll(0);
+        };
+        for (size_t i = 0; i < teams; ++i) {
+            askPass();
+        }
+        const double bytes = (allocatedBytes() - before) / static_cast<double>(teams);
+        const double asking = microsPerRun(askPass);
+        // A grant that covers everything keeps the measurement free of asks.
+        requestToken(table, params, teamName(0), ticket++, now, now + seconds(1));
+        answerAll(1'000'000 * kOneToken);
+        answerAll(0);
+        const double cached = microsPerRun([&] {
+            requestToken(table, params, teamName(0), ticket++, now, now + seconds(1));
+        });
+        uint64_t asks = 0;
+        constexpr uint64_t kSeconds = 1;
+        uint64_t requests = 0;
+        for (int step = 0; step < 200 * static_cast<int>(kSeconds); ++step) {
+            now += milliseconds(5);
+            for (size_t i = step % 2; i < teams; i += 2) {
+                requestToken(table, params, teamName(i), ticket++, now, now + seconds(1));
+                ++requests;
+            }
+            asks += answerAll(0);
+            asks += answerAll(0);
+        }
+        for (int i = 0; i < 1000; ++i) {
+            now += milliseconds(5);
+            answerAll(0);
+        }
+        const double idle = microsPerRun([&] {
+            now += milliseconds(5);
+            tickEntry(table, params, now, inputs);
+        });
+        printRow({ std::to_string(teams), number(cached), number(asking), number(idle),
+                   number(static_cast<double>(asks) / static_cast<double>(requests)), number(bytes) });
+    }
+}
+
+} // namespace
+
+void benchQuota()
+{
+    benchHolder();
+    benchEntry();
+}
+
+} // namespace snipestream::bench
--- a/cmake/packages.cmake
+++ b/cmake/packages.cmake
@@ -59,15 +59,18 @@
   endforeach()
 endfunction()
 
-# Builds every bench/NAME_bench.cpp into the program NAME_bench.
+# Builds the other sources of bench/ into the library sns_bench and every bench/NAME_bench.cpp into the program
+# NAME_bench.
 function(snipestream_benches)
   file(GLOB SOURCES CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/bench/*_bench.cpp)
   file(GLOB SHARED CONFIGURE_DEPENDS ${CMAKE_SOURCE_DIR}/bench/*.cpp)
   list(FILTER SHARED EXCLUDE REGEX "_bench\\.cpp$")
+  add_library(sns_bench STATIC ${SHARED})
+  target_link_libraries(sns_bench PUBLIC sns_node)
   foreach(SOURCE IN LISTS SOURCES)
     get_filename_component(NAME ${SOURCE} NAME_WE)
-    add_executable(${NAME} ${SOURCE} ${SHARED})
-    target_link_libraries(${NAME} PRIVATE sns_node absl::flags absl::flags_parse absl::flags_usage)
+    add_executable(${NAME} ${SOURCE})
+    target_link_libraries(${NAME} PRIVATE sns_bench absl::flags absl::flags_parse absl::flags_usage)
     set_target_properties(${NAME} PROPERTIES RUNTIME_OUTPUT_DIRECTORY ${CMAKE_BINARY_DIR}/bench)
   endforeach()
 endfunction()
--- a/peer/link.cpp
+++ b/peer/link.cpp
@@ -63,6 +63,8 @@
     , noticesDropped(metrics.counter("snipestream_peer_notices_dropped_total", "Notices that were not sent."))
     , callsStarted(metrics.counter("snipestream_peer_calls_total", "Calls sent to peers."))
     , streamsOpened(metrics.counter("snipestream_peer_streams_total", "Streams opened to peers."))
+    , bytesSent(metrics.counter("snipestream_peer_bytes_sent_total",
+                                "Bytes of frames sent to peers, without the headers of websocket, TCP and IP."))
     , linksOpen(metrics.gauge("snipestream_peer_links", "Links that passed the handshake."))
 {
 }
@@ -347,6 +349,7 @@
 void PeerLink::sendBuffered(size_t bytes)
 {
     socket_->send(std::string_view(out_).substr(0, bytes));
+    shared_->bytesSent.add(bytes);
     if (out_.capacity() > kKeptBufferBytes && bytes == out_.size()) {
         std::string().swap(out_);
     } else {
--- a/peer/link.h
+++ b/peer/link.h
@@ -43,6 +43,7 @@
     Counter &noticesDropped;
     Counter &callsStarted;
     Counter &streamsOpened;
+    Counter &bytesSent;
     Gauge &linksOpen;
     size_t openLinks = 0;
 };
