Copy the live nodes of a domain only when a witness is gone

A holder copied the live nodes for each held range in each lease tick, to have a set without the witnesses that are gone. With 32 ranges in a domain of 1,667 nodes the tick took 2,969 us ten times a second, 3% of a core against a limit of 4.9% for all control work. The pings themselves were ruled out: their cost does not depend on the size of the domain.

The lease tests pass unchanged.

--- a/lease/takeover.cpp
+++ b/lease/takeover.cpp
@@ -60,16 +60,19 @@
     if (lease.unlogged) {
         return std::nullopt;
     }
-    LiveNodes usable = live;
-    bool gone = false;
+    std::vector<NodeName> gone;
     for (const auto &witness : entry.record.witnesses) {
         if (now - lease.views.at(witness).heardAt >= params.witnessGoneAfter) {
-            usable.erase(witness);
-            gone = true;
+            gone.push_back(witness);
         }
     }
     next.settled = maySettle(lease);
-    if (gone) {
+    if (!gone.empty()) {
+        // Copied only here: a copy per held range and tick took 3% of a core in a domain of 1,667 nodes.
+        LiveNodes usable = live;
+        for (const auto &witness : gone) {
+            usable.erase(witness);
+        }
         next.witnesses = chooseWitnesses(lease.key, holder.self, usable, entry.record.witnesses);
         if (next.witnesses.size() >= std::min<size_t>(3, entry.record.witnesses.size())) {
             return next;
