--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -1,22 +1,30 @@
 #include "bench/capacity_measure.h"
 
+#include <algorithm>
 #include <cstdio>
+#include <string>
+#include <utility>
+#include <vector>
 
 #include <glog/logging.h>
 
 /// Measures processor time per operation and memory per row of the tables up to the required scale, and the sizes of
-/// the messages. Prints Markdown.
-auto main(int, char **argv) -> int
+/// the messages. Prints Markdown. Arguments name the sections to run, such as "quota"; without any all run.
+auto main(int argc, char **argv) -> int
 {
+    using namespace snipestream::bench;
     google::InitGoogleLogging(argv[0]);
     FLAGS_minloglevel = google::GLOG_ERROR;
+    const std::vector<std::string> wanted(argv + 1, argv + argc);
+    const std::pair<const char *, void (*)()> sections[]
+        = { { "routing", benchRouting },  { "admission", benchAdmission }, { "quota", benchQuota },
+            { "leases", benchLeases },    { "config", benchConfig },       { "claims", benchClaims },
+            { "messages", benchMessages } };
     std::printf("Processor time in microseconds, median of five measurements; memory as bytes allocated.\n");
-    snipestream::bench::benchRouting();
-    snipestream::bench::benchAdmission();
-    snipestream::bench::benchQuota();
-    snipestream::bench::benchLeases();
-    snipestream::bench::benchConfig();
-    snipestream::bench::benchClaims();
-    snipestream::bench::benchMessages();
+    for (const auto &[name, run] : sections) {
+        if (wanted.empty() || std::find(wanted.begin(), wanted.end(), name) != wanted.end()) {
+            run();
+        }
+    }
     return 0;
 }
--- a/bench/capacity_quota.cpp
+++ b/bench/capacity_quota.cpp
@@ -1,6 +1,7 @@
 #include "bench/capacity_measure.h"
 
 #include "core/hash.h"
+#include "core/random.h"
 #include "quota/entry.h"
 #include "quota/holder.h"
 
@@ -88,7 +89,7 @@
 {
     printHead("Quota entry node",
               { "teams", "request with a prefetched token", "request that asks the holder", "tick without requests",
-                "asks per request, 100 requests/s and team", "bytes per team in use" });
+                "bytes per team in use" });
     for (const size_t teams : { 8U, 100U, 1000U }) {
         const QuotaParams params;
         TimePoint now = TimePoint(seconds(1000));
@@ -131,18 +132,6 @@
         const double cached = microsPerRun([&] {
             requestToken(table, params, teamName(0), ticket++, now, now + seconds(1));
         });
-        uint64_t asks = 0;
-        constexpr uint64_t kSeconds = 1;
-        uint64_t requests = 0;
-        for (int step = 0; step < 200 * static_cast<int>(kSeconds); ++step) {
-            now += milliseconds(5);
-            for (size_t i = step % 2; i < teams; i += 2) {
-                requestToken(table, params, teamName(i), ticket++, now, now + seconds(1));
-                ++requests;
-            }
-            asks += answerAll(0);
-            asks += answerAll(0);
-        }
         for (int i = 0; i < 1000; ++i) {
             now += milliseconds(5);
             answerAll(0);
@@ -151,8 +140,48 @@
             now += milliseconds(5);
             tickEntry(table, params, now, inputs);
         });
-        printRow({ std::to_string(teams), number(cached), number(asking), number(idle),
-                   number(static_cast<double>(asks) / static_cast<double>(requests)), number(bytes) });
+        printRow({ std::to_string(teams), number(cached), number(asking), number(idle), number(bytes) });
+    }
+}
+
+void benchAsks()
+{
+    printHead("Asks of an entry node for one team, with a holder that always grants",
+              { "requests per second at this node", "asks per request", "of these reports only" });
+    for (const int rate : { 1, 5, 20, 100, 1000 }) {
+        const QuotaParams params;
+        EntryTable table = makeEntryTable(NodeName("entry"), 1);
+        EntryInputs inputs;
+        inputs.holders = [](uint32_t) {
+            return std::vector<NodeName> { kHolder };
+        };
+        uint64_t requests = 0;
+        uint64_t asks = 0;
+        uint64_t reports = 0;
+        uint64_t grant = 1;
+        TimePoint now = TimePoint(seconds(1000));
+        const TimePoint end = now + seconds(60);
+        Random random(1);
+        while (now < end) {
+            now += milliseconds(1);
+            if (drawBelow(random, 1000) < static_cast<uint64_t>(rate)) {
+                ++requests;
+                requestToken(table, params, teamName(0), requests, now, now + seconds(1));
+            }
+            const EntryOutputs outputs = tickEntry(table, params, now, inputs);
+            inputs.answers.clear();
+            for (const auto &[to, ask] : outputs.asks) {
+                ++asks;
+                reports += ask.wanted == 0 ? 1 : 0;
+                if (ask.wanted > 0) {
+                    inputs.answers.push_back({ ask.team, kHolder, ask.number, QuotaOutcome::Granted, grant++,
+                                               ask.wanted, seconds(1), Duration {}, milliseconds(1), kOneToken });
+                }
+            }
+        }
+        const auto count = static_cast<double>(requests);
+        printRow({ std::to_string(rate), number(static_cast<double>(asks) / count),
+                   number(static_cast<double>(reports) / count) });
     }
 }
 
@@ -162,6 +191,7 @@
 {
     benchHolder();
     benchEntry();
+    benchAsks();
 }
 
 } // namespace snipestream::bench
