--- a/node/claim_service.cpp
+++ b/node/claim_service.cpp
@@ -27,7 +27,8 @@
 constexpr Duration kReportPause = milliseconds(200);
 /// How long a new owner waits for the witnesses to say whether its predecessor kept claims in memory only.
 constexpr Duration kPriorWait = seconds(3);
-constexpr size_t kPageRecords = 200;
+/// Records of one read. Records hold up to 128 KiB, and a whole page is in memory at once.
+constexpr size_t kPageRecords = 20;
 /// How long a begin is repeated while its range changes hands. A planned hand-over takes about half a second, and up to
 /// three seconds if witnesses have just been restarted.
 constexpr Duration kHandOverWait = seconds(4);
--- a/node/config_service.h
+++ b/node/config_service.h
@@ -20,6 +20,8 @@
 
 /// Returns the revision of the last change of any domain rule; zero if there has been none.
 auto domainListRevision(const NodeState &state) -> uint64_t;
+/// Answers the long polls of other nodes now, whether or not there is anything new.
+void endLongPolls(NodeState &state);
 
 /// Appends this node's leave record; an error only delays what others learn from the closed links.
 void appendLeave(NodeState &state);
--- a/peer/link.cpp
+++ b/peer/link.cpp
@@ -327,6 +327,7 @@
 void PeerLink::sendBuffered(size_t bytes)
 {
     socket_->send(std::string_view(out_).substr(0, bytes));
+    shared_->bytesSent.add(bytes);
     if (out_.capacity() > kKeptBufferBytes && bytes == out_.size()) {
         std::string().swap(out_);
     } else {
