Hand claims over at a planned stop and ask further directories for targets

A stopping owner now ends each range with a handover record; a successor that finds it last on the log need not ask the witnesses, since that owner granted nothing after it.

The next directory is asked too, and while the fleet changes a request waits for the next renewals.

At most 256 requests each wait for a range that changes hands, because each keeps a fiber.

Ruled out: a longer wait for the witnesses' answer, which a restart of a majority never ends.

--- a/idempotency/claim_owner.cpp
+++ b/idempotency/claim_owner.cpp
@@ -88,7 +88,9 @@
     fence.liveFrom = fold.domain.empty() ? fence.sequence : fold.liveFrom;
     fence.quarantineLeft = fold.quarantineLeft;
     const bool isHole = claims::needsRenewal(table.settings) && mayMissClaims(fold);
-    if (table.predecessorUnlogged || isHole) {
+    // A predecessor that handed the range over had all its claims on the log and granted none after that record, so
+    // what the witnesses still know, or no longer know, of its bit does not matter.
+    if ((table.predecessorUnlogged && !fold.handedOver) || isHole) {
         fence.quarantineLeft = table.settings.retention;
     }
     table.inFlight = InFlightAppend { std::move(fence), std::nullopt, false };
--- a/node/claim_service.cpp
+++ b/node/claim_service.cpp
@@ -33,6 +33,8 @@
 /// three seconds if witnesses have just been restarted.
 constexpr Duration kHandOverWait = seconds(4);
 constexpr Duration kHandOverPause = milliseconds(50);
+/// Begins that are repeated at once; each keeps a fiber, and a node has to stay within 32 MB.
+constexpr size_t kMaxHandOverWaiters = 256;
 
 auto leaseKeyOf(const NodeState &state, uint32_t range) -> LeaseKey
 {
@@ -205,7 +207,7 @@
 void adoptRanges(NodeState &state, const std::vector<DomainName> &domains)
 {
     for (uint32_t number = 0; number < kRangeCount; ++number) {
-        const bool isHome = homeDomainOf(number, domains) == state.settings.domain;
+        const bool isHome = homeDomainOf(number, domains) == state.settings.domain && !state.claimOwner.isHandingOver;
         const auto known = state.claimOwner.ranges.find(number);
         if (known != state.claimOwner.ranges.end()) {
             setHome(known->second.table, isHome);
@@ -222,7 +224,8 @@
 auto servesRange(const NodeState &state, const OwnedRange &range) -> bool
 {
     const OwnerView view = ownerView(state, range, BootClock::now());
-    return view.valid && view.epoch == range.table.epoch && range.table.phase == OwnerPhase::Serving;
+    return view.valid && view.epoch == range.table.epoch && range.table.phase == OwnerPhase::Serving
+        && !range.table.handoverWanted;
 }
 
 /// Serves a begin at the owner; keeps the caller's fiber until the claim is on the log.
@@ -345,11 +348,14 @@
         auto verdict = askOwner(state, repeated);
         const bool mayChangeHands
             = !verdict && (verdict.error().code == ErrorCode::Unavailable || verdict.error().code == ErrorCode::Closed);
-        if (!mayChangeHands || state.ending || BootClock::now() + kHandOverPause >= giveUp) {
+        if (!mayChangeHands || state.ending || BootClock::now() + kHandOverPause >= giveUp
+            || state.claimOwner.handOverWaiters >= kMaxHandOverWaiters) {
             return verdict;
         }
         // The attempt id is the same each time, so an owner that granted it before grants it again and no other.
+        ++state.claimOwner.handOverWaiters;
         state.runtime.sleepFor(kHandOverPause);
+        --state.claimOwner.handOverWaiters;
         repeated.timeLeft = deadline - BootClock::now();
     }
 }
@@ -394,11 +400,15 @@
     return answer.value() == nlohmann::json(true) ? OwnerKnowledge::NoOtherAttempt : OwnerKnowledge::OtherMayHaveRun;
 }
 
-auto claimsAreOnLog(const NodeState &state) -> bool
+void beginClaimHandover(NodeState &state)
 {
-    return std::all_of(state.claimOwner.ranges.begin(), state.claimOwner.ranges.end(), [](const auto &entry) {
-        const ClaimTable &table = entry.second.table;
-        return table.unloggedGrants == 0 && table.urgent.empty() && !table.inFlight;
+    state.claimOwner.isHandingOver = true;
+}
+
+auto areClaimsHandedOver(const NodeState &state) -> bool
+{
+    return std::none_of(state.claimOwner.ranges.begin(), state.claimOwner.ranges.end(), [](const auto &entry) {
+        return entry.second.table.phase == OwnerPhase::Serving;
     });
 }
 
--- a/node/claim_service.h
+++ b/node/claim_service.h
@@ -38,6 +38,10 @@
     std::map<uint32_t, OwnedRange> ranges;
     /// By attempt id.
     std::unordered_map<RequestId, ClaimWait *> waits;
+    /// Begins of this entry node that wait for a range to change hands.
+    size_t handOverWaiters = 0;
+    /// Set by a graceful shutdown.
+    bool isHandingOver = false;
 };
 
 /// Registers the owner's methods with the peer links. Call before the links listen.
@@ -57,7 +61,11 @@
 /// the sake of a truthful refusal.
 auto peekAtOwner(NodeState &state, const ClaimKey &key, uint32_t attemptNumber) -> OwnerKnowledge;
 
-/// Returns whether every claim of this node is on the log, so that a graceful shutdown may go on.
-auto claimsAreOnLog(const NodeState &state) -> bool;
+/// Begins to hand all ranges over at a graceful shutdown: no new claims are taken, and a last record of each range says
+/// that all its claims are on the log, so that the successor need not quarantine it.
+void beginClaimHandover(NodeState &state);
+
+/// Returns whether the last record of every range is on the log.
+auto areClaimsHandedOver(const NodeState &state) -> bool;
 
 } // namespace snipestream
--- a/node/directory_service.cpp
+++ b/node/directory_service.cpp
@@ -19,6 +19,10 @@
 constexpr int kTicksPerRenewal = 10;
 /// A service that was not called for this long is no longer subscribed to.
 constexpr Duration kServiceIdle = seconds(300);
+/// Longest wait for targets of a service of which no directory knows any while the fleet changes: two renewals.
+constexpr Duration kFirstAnswerWait = seconds(2);
+/// Time after a join or leave in which all nodes learn of it and announce their targets to the new directories.
+constexpr Duration kFleetSettles = seconds(7);
 
 auto peerOf(const NodeState &state, const NodeName &node) -> const Endpoint *
 {
@@ -58,8 +62,15 @@
     }
 }
 
-/// Tries the directory nodes of the service in the own failure domain, then those elsewhere. Returns whether one
-/// answered.
+auto knowsEndpoints(const NodeState &state, const ServiceName &service) -> bool
+{
+    const auto row = state.endpoints.services.find(service);
+    return row != state.endpoints.services.end() && !row->second.rows.empty();
+}
+
+/// Tries the directory nodes of the service in the own failure domain, then those elsewhere. A node that became a
+/// directory of the service a moment ago, because others joined or left, knows no targets yet; then the next one is
+/// asked too. Returns whether one answered.
 auto subscribeTo(NodeState &state, const ServiceName &service) -> bool
 {
     const auto directories = directoryNodes(state.nodes, state.directoryCache, service);
@@ -72,11 +83,16 @@
             order.insert(order.end(), names.begin(), names.end());
         }
     }
+    bool answered = false;
     for (const auto &name : order) {
+        if (answered && knowsEndpoints(state, service)) {
+            return true;
+        }
         const SubscribeMessage message = makeSubscription(state.endpoints, service, name);
         if (name == state.settings.node) {
             applyUpdate(state.endpoints, subscribe(state.directory, message, BootClock::now()), BootClock::now());
-            return true;
+            answered = true;
+            continue;
         }
         const Endpoint *const peer = peerOf(state, name);
         if (peer == nullptr) {
@@ -86,10 +102,16 @@
         const auto update = answer ? updateMessageFromJson(answer.value()) : Result<UpdateMessage>(answer.error());
         if (update) {
             applyUpdate(state.endpoints, update.value(), BootClock::now());
-            return true;
+            answered = true;
         }
     }
-    return false;
+    return answered;
+}
+
+/// Returns whether nodes joined or left a moment ago, or this node has just started.
+auto isFleetChanging(const NodeState &state) -> bool
+{
+    return BootClock::now() - state.nodesChangedAt < kFleetSettles;
 }
 
 void renewSubscriptions(NodeState &state)
@@ -151,7 +173,12 @@
 
 void runDirectory(NodeState &state)
 {
+    uint64_t seenRevision = 0;
     for (int ticks = 0; !state.ending; ++ticks) {
+        if (state.nodes.revision != seenRevision) {
+            seenRevision = state.nodes.revision;
+            state.nodesChangedAt = BootClock::now();
+        }
         if (ticks % kTicksPerRenewal == 0) {
             announceLocalTargets(state);
             // A slow directory node must not delay the announcements.
@@ -172,10 +199,17 @@
 {
     const bool isNew = state.calledServices.count(service) == 0;
     state.calledServices[service] = BootClock::now();
-    if (!isNew) {
+    if (!isNew && knowsEndpoints(state, service)) {
         return;
     }
-    if (!subscribeTo(state, service)) {
+    const TimePoint end = BootClock::now() + kFirstAnswerWait;
+    bool answered = isNew ? subscribeTo(state, service) : true;
+    // While the fleet changes, directories may all be new; the next renewals tell them of the targets.
+    while (!knowsEndpoints(state, service) && isFleetChanging(state) && BootClock::now() < end && !state.ending) {
+        state.runtime.sleepFor(kTick);
+        answered = subscribeTo(state, service) || answered;
+    }
+    if (!answered) {
         // Forgotten, so that the next call asks again at once.
         state.calledServices.erase(service);
     }
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -64,6 +64,7 @@
 {
     const TimePoint now = BootClock::now();
     freshness.confirmedAt = now;
+    nodesChangedAt = now;
     directory.node = settings.node;
     directory.incarnation = incarnation;
     directory.startedAt = now;
@@ -163,7 +164,8 @@
         logEvent(EventId::RequestCutAtStop, { { "request", toHex(context.id) }, { "team", context.team.value } });
     }
     cutRequests = runningRequests();
-    while (!cutNow && !claimsAreOnLog(state) && BootClock::now() < deadline) {
+    beginClaimHandover(state);
+    while (!cutNow && !areClaimsHandedOver(state) && BootClock::now() < deadline) {
         state.runtime.sleepFor(kDrainPoll);
     }
     releaseLeases(state);
--- a/node/node_state.h
+++ b/node/node_state.h
@@ -102,6 +102,8 @@
     std::set<FoldWait *> foldWaits;
 
     NodeTable nodes;
+    /// When a node last joined or left, as far as this node knows.
+    TimePoint nodesChangedAt;
     DirectoryCache directoryCache;
     DirectoryTable directory;
     EndpointTable endpoints;
--- a/node/quota_service.cpp
+++ b/node/quota_service.cpp
@@ -31,6 +31,8 @@
 /// and up to three seconds if witnesses have just been restarted.
 constexpr Duration kHandOverWait = seconds(4);
 constexpr Duration kHandOverPause = milliseconds(50);
+/// Requests that wait for it at once; each keeps a fiber, and a node has to stay within 32 MB.
+constexpr size_t kMaxHandOverWaiters = 256;
 
 void processQuota(NodeState &state);
 
@@ -350,10 +352,13 @@
     while (true) {
         auto refusal = askForToken(state, team, deadline);
         const bool mayChangeHands = refusal && refusal->reason == RefusalReason::QuotaUnavailable;
-        if (!mayChangeHands || state.ending || BootClock::now() + kHandOverPause >= giveUp) {
+        if (!mayChangeHands || state.ending || BootClock::now() + kHandOverPause >= giveUp
+            || state.quota.handOverWaiters >= kMaxHandOverWaiters) {
             return refusal;
         }
+        ++state.quota.handOverWaiters;
         state.runtime.sleepFor(kHandOverPause);
+        --state.quota.handOverWaiters;
     }
 }
 
--- a/node/quota_service.h
+++ b/node/quota_service.h
@@ -42,6 +42,8 @@
     uint64_t rulesRevision = 0;
     /// Asks that holders have not answered yet, and whether their answer goes to the entry side.
     std::map<std::pair<NodeName, uint64_t>, std::pair<bool, TimePoint>> openAsks;
+    /// Requests that wait for a range to change hands.
+    size_t handOverWaiters = 0;
     /// Set while messages are being processed, so that messages to this node itself are queued and not nested.
     bool isProcessing = false;
 };
--- a/tests/idempotency/claim_table_test.cpp
+++ b/tests/idempotency/claim_table_test.cpp
@@ -80,6 +80,7 @@
     CPPUNIT_TEST(testVerdicts);
     CPPUNIT_TEST(testLimits);
     CPPUNIT_TEST(testHandover);
+    CPPUNIT_TEST(testPlannedStopLeavesNoQuarantine);
     CPPUNIT_TEST(testRunStates);
     CPPUNIT_TEST_SUITE_END();
 
@@ -177,6 +178,34 @@
         }
     }
 
+    /// A rolling replacement restarts witnesses, which then no longer know the predecessor's bit. The range was once
+    /// quarantined for a day although its owner had stopped as planned.
+    void testPlannedStopLeavesNoQuarantine()
+    {
+        for (const bool isPlanned : { true, false }) {
+            section(isPlanned ? "the owner stops as planned" : "the owner dies", [&] {
+                Bench bench;
+                bench.take("a", 1);
+                bench.begin(1);
+                if (isPlanned) {
+                    setHome(bench.table, false);
+                    bench.now += seconds(1);
+                    bench.step();
+                    CPPUNIT_ASSERT(bench.table.phase == OwnerPhase::HandedOver);
+                }
+                bench.view = OwnerView { true, 2, true, false };
+                bench.take("a", 1);
+                bench.now += seconds(1);
+                bench.step();
+                bench.step();
+                CPPUNIT_ASSERT(bench.table.phase == OwnerPhase::Serving);
+                CPPUNIT_ASSERT_EQUAL(std::string("already-run unknown"), reasonOf(bench.begin(2)));
+                CPPUNIT_ASSERT_EQUAL(std::string(isPlanned ? "granted" : "claim-unavailable unknown"),
+                                     reasonOf(bench.begin(1, 1, { kKey.team, "other" })));
+            });
+        }
+    }
+
     void testRunStates()
     {
         section("only a claim or a peek allows not-run, and only until the dispatch", [] {
