--- a/admission/admission.cpp
+++ b/admission/admission.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <cmath>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// Bits of a ticket that hold the serial number; the bits above hold the number of the target.
 constexpr unsigned kSerialBits = 40;
@@ -38,7 +40,7 @@
 
 auto refusal(RefusalReason reason, Duration retryAfter, std::string detail) -> Refusal
 {
-    return Refusal { reason, RunState::NotRun, retryAfter, std::move(detail) };
+    return Refusal{reason, RunState::NotRun, retryAfter, std::move(detail)};
 }
 
 auto toDuration(double seconds) -> Duration
@@ -81,13 +83,12 @@
     auto &starts = target.starts[static_cast<size_t>(request.priority)];
     starts.served = decayedStarts(starts, now) + 1;
     starts.servedAt = now;
-    target.running.emplace(ticket, RunningRequest { request.team, request.priority, route, now, charged });
+    target.running.emplace(ticket, RunningRequest{request.team, request.priority, route, now, charged});
     target.limit.peakInFlight = std::max(target.limit.peakInFlight, static_cast<int>(target.running.size()));
 }
 
 /// Returns whether a request can still finish in time if it starts now.
-auto canFinish(AdmissionTarget &target, const AdmissionSettings &settings, uint32_t route, TimePoint deadline,
-               TimePoint now) -> bool
+auto canFinish(AdmissionTarget &target, const AdmissionSettings &settings, uint32_t route, TimePoint deadline, TimePoint now) -> bool
 {
     const Duration left = deadline - now;
     if (left <= Duration::zero()) {
@@ -117,14 +118,14 @@
         const auto row = removeWaiting(target.queue, *ticket);
         if (!canFinish(target, table.settings, row->route, row->request.deadline, now)) {
             target.shedding.overflowed = true;
-            decisions.push_back({ *ticket, false,
-                                  refusal(RefusalReason::QueueTimeout, table.settings.leastRetryAfter,
-                                          "the time left after the wait is below the service time") });
+            decisions.push_back(
+                {*ticket, false,
+                 refusal(RefusalReason::QueueTimeout, table.settings.leastRetryAfter, "the time left after the wait is below the service time")});
             continue;
         }
         target.shedding.shortestWait = std::min(target.shedding.shortestWait, Duration(now - row->queuedAt));
         start(target, *ticket, row->request, row->route, now);
-        decisions.push_back({ *ticket, true, {} });
+        decisions.push_back({*ticket, true, {}});
     }
     target.shedding.queueWasEmpty = target.shedding.queueWasEmpty || target.queue.rows.empty();
 }
@@ -139,7 +140,7 @@
     std::sort(tickets.begin(), tickets.end());
     for (const Ticket ticket : tickets) {
         removeWaiting(target.queue, ticket);
-        decisions.push_back({ ticket, false, why });
+        decisions.push_back({ticket, false, why});
     }
 }
 
@@ -164,21 +165,19 @@
     for (const Ticket ticket : late) {
         removeWaiting(target.queue, ticket);
         target.shedding.overflowed = true;
-        decisions.push_back({ ticket, false,
-                              refusal(RefusalReason::QueueTimeout, table.settings.leastRetryAfter,
-                                      "the request waited too long to finish in time") });
+        decisions.push_back(
+            {ticket, false, refusal(RefusalReason::QueueTimeout, table.settings.leastRetryAfter, "the request waited too long to finish in time")});
     }
 }
 
 auto refused(Refusal why) -> Offer
 {
-    return Offer { AdmissionVerdict::Refused, 0, std::move(why), {} };
+    return Offer{AdmissionVerdict::Refused, 0, std::move(why), {}};
 }
 
 } // namespace
 
-void upsertTarget(AdmissionTable &table, const TargetName &target, const ServiceName &service, int slots, bool cold,
-                  TimePoint now)
+void upsertTarget(AdmissionTable &table, const TargetName &target, const ServiceName &service, int slots, bool cold, TimePoint now)
 {
     AdmissionTarget *row = findTarget(table, target);
     if (row == nullptr) {
@@ -207,8 +206,7 @@
     if (row == table.targets.end()) {
         return decisions;
     }
-    refuseAllWaiting(*row, refusal(RefusalReason::NoTarget, table.settings.leastRetryAfter, "the target left"),
-                     decisions);
+    refuseAllWaiting(*row, refusal(RefusalReason::NoTarget, table.settings.leastRetryAfter, "the target left"), decisions);
     table.targets.erase(row);
     return decisions;
 }
@@ -233,12 +231,10 @@
 {
     AdmissionTarget *row = findTarget(table, target);
     if (row == nullptr) {
-        return refused(refusal(RefusalReason::NoTarget, table.settings.leastRetryAfter,
-                               "target " + target.value + " is not on this VM"));
+        return refused(refusal(RefusalReason::NoTarget, table.settings.leastRetryAfter, "target " + target.value + " is not on this VM"));
     }
     if (row->draining) {
-        return refused(refusal(RefusalReason::NoTarget, table.settings.leastRetryAfter,
-                               "target " + target.value + " is draining"));
+        return refused(refusal(RefusalReason::NoTarget, table.settings.leastRetryAfter, "target " + target.value + " is draining"));
     }
     if (request.deadline <= now) {
         return refused(refusal(RefusalReason::DeadlinePassed, {}, "the deadline passed before the request arrived"));
@@ -247,10 +243,8 @@
     observeArrival(row->shedding, rank);
     // A team within its share is not shed for the surge of another team, as long as its priority is not shed as a
     // whole.
-    if (isShed(row->shedding.level, rank)
-        && (isPriorityShed(row->shedding.level, request.priority) || !isWithinShare(row->usage, request.team, now))) {
-        return refused(refusal(RefusalReason::Overloaded, table.settings.leastRetryAfter,
-                               "shed at level " + std::to_string(row->shedding.level)));
+    if (isShed(row->shedding.level, rank) && (isPriorityShed(row->shedding.level, request.priority) || !isWithinShare(row->usage, request.team, now))) {
+        return refused(refusal(RefusalReason::Overloaded, table.settings.leastRetryAfter, "shed at level " + std::to_string(row->shedding.level)));
     }
     const uint32_t route = routeRow(row->limit, request.route);
     const int limit = currentLimit(row->limit, table.settings.limit, now);
@@ -264,17 +258,15 @@
     if (startsNow) {
         const Ticket ticket = makeTicket(table, *row);
         start(*row, ticket, request, route, now);
-        return Offer { AdmissionVerdict::Run, ticket, {}, {} };
+        return Offer{AdmissionVerdict::Run, ticket, {}, {}};
     }
     const double wait = expectedWait(*row, request, limit, now);
     if (request.deadline - now < toDuration(wait + row->limit.routes[route].mean)) {
         row->shedding.overflowed = true;
-        return refused(
-            refusal(RefusalReason::Overloaded, retryAfter(table, wait), "the expected wait exceeds the time left"));
+        return refused(refusal(RefusalReason::Overloaded, retryAfter(table, wait), "the expected wait exceeds the time left"));
     }
-    Offer result { AdmissionVerdict::Queued, makeTicket(table, *row), {}, {} };
-    const auto bound = static_cast<size_t>(
-        std::max<double>(table.settings.leastQueue, row->limit.slots * table.settings.queuePerSlot));
+    Offer result{AdmissionVerdict::Queued, makeTicket(table, *row), {}, {}};
+    const auto bound = static_cast<size_t>(std::max<double>(table.settings.leastQueue, row->limit.slots * table.settings.queuePerSlot));
     if (row->queue.rows.size() >= bound) {
         row->shedding.overflowed = true;
         const Refusal full = refusal(RefusalReason::Overloaded, retryAfter(table, wait), "the queue is full");
@@ -283,9 +275,9 @@
             return refused(full);
         }
         removeWaiting(row->queue, *displaced);
-        result.decisions.push_back({ *displaced, false, full });
+        result.decisions.push_back({*displaced, false, full});
     }
-    enqueue(row->queue, result.ticket, WaitingRequest { request, now, route });
+    enqueue(row->queue, result.ticket, WaitingRequest{request, now, route});
     std::vector<Decision> decisions;
     startWaiting(table, *row, now, decisions);
     for (auto &decision : decisions) {
@@ -315,8 +307,7 @@
     const Duration latency = now - run->second.startedAt;
     chargeTeam(row->usage, run->second.team, std::chrono::duration<double>(latency).count() - run->second.charged, now);
     if (outcome == RunOutcome::Answered || outcome == RunOutcome::TimedOut) {
-        observeLatency(row->limit, table.settings.limit, run->second.route, latency, outcome == RunOutcome::TimedOut,
-                       now);
+        observeLatency(row->limit, table.settings.limit, run->second.route, latency, outcome == RunOutcome::TimedOut, now);
     }
     row->running.erase(run);
     startWaiting(table, *row, now, decisions);
@@ -341,9 +332,7 @@
         refuseLate(table, target, now, decisions);
         startWaiting(table, target, now, decisions);
         if (target.draining && now - target.drainSince >= table.settings.drainGrace) {
-            refuseAllWaiting(target,
-                             refusal(RefusalReason::NoTarget, table.settings.leastRetryAfter, "the target is draining"),
-                             decisions);
+            refuseAllWaiting(target, refusal(RefusalReason::NoTarget, table.settings.leastRetryAfter, "the target is draining"), decisions);
         }
         const int limit = currentLimit(target.limit, table.settings.limit, now);
         target.shedding.useSum += std::min(1.0, static_cast<double>(target.running.size()) / limit);
@@ -364,17 +353,16 @@
     }
 }
 
-auto admissionStatus(const AdmissionTable &table, const TargetName &target, TimePoint now)
-    -> std::optional<AdmissionStatus>
+auto admissionStatus(const AdmissionTable &table, const TargetName &target, TimePoint now) -> std::optional<AdmissionStatus>
 {
     for (const auto &row : table.targets) {
         if (row.name == target) {
-            return AdmissionStatus { currentLimit(row.limit, table.settings.limit, now),
-                                     static_cast<int>(row.running.size()),
-                                     static_cast<int>(row.queue.rows.size()),
-                                     row.shedding.level,
-                                     row.limit.slowdown,
-                                     row.draining };
+            return AdmissionStatus{currentLimit(row.limit, table.settings.limit, now),
+                                   static_cast<int>(row.running.size()),
+                                   static_cast<int>(row.queue.rows.size()),
+                                   row.shedding.level,
+                                   row.limit.slowdown,
+                                   row.draining};
         }
     }
     return std::nullopt;
--- a/admission/admission.h
+++ b/admission/admission.h
@@ -12,11 +12,11 @@
 #include <unordered_map>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Constants of admission at one node.
-struct AdmissionSettings
-{
+struct AdmissionSettings {
     ConcurrencyLimitSettings limit;
     SheddingSettings shedding;
     /// Waiting requests per slot of the target. Twice the slots cover a burst; more would only wait past deadlines.
@@ -31,8 +31,7 @@
 };
 
 /// A request that occupies a slot.
-struct RunningRequest
-{
+struct RunningRequest {
     TeamName team;
     Priority priority = Priority::Normal;
     uint32_t route = 0;
@@ -42,8 +41,7 @@
 };
 
 /// Admission state of one local target.
-struct AdmissionTarget
-{
+struct AdmissionTarget {
     uint32_t number = 0;
     TargetName name;
     ServiceName service;
@@ -59,8 +57,7 @@
 };
 
 /// All targets of this node.
-struct AdmissionTable
-{
+struct AdmissionTable {
     AdmissionSettings settings;
     std::vector<AdmissionTarget> targets;
     uint32_t nextNumber = 1;
@@ -80,8 +77,7 @@
 };
 
 /// Result of an offer.
-struct Offer
-{
+struct Offer {
     AdmissionVerdict verdict = AdmissionVerdict::Refused;
     /// Set unless refused.
     Ticket ticket = 0;
@@ -93,8 +89,7 @@
 
 /// Adds a target or applies a repeated announcement: a changed number of slots takes effect, and a draining target that
 /// announces itself again takes work again. A new cold target gets slow start.
-void upsertTarget(AdmissionTable &table, const TargetName &target, const ServiceName &service, int slots, bool cold,
-                  TimePoint now);
+void upsertTarget(AdmissionTable &table, const TargetName &target, const ServiceName &service, int slots, bool cold, TimePoint now);
 
 /// Removes the target and refuses what waits for it. Runs in progress are forgotten; their `complete` has no effect.
 auto removeTarget(AdmissionTable &table, const TargetName &target) -> std::vector<Decision>;
@@ -122,8 +117,7 @@
 void setTeamWeights(AdmissionTable &table, std::map<TeamName, double> weights);
 
 /// What operators see of a target.
-struct AdmissionStatus
-{
+struct AdmissionStatus {
     int limit = 0;
     int running = 0;
     int waiting = 0;
@@ -133,7 +127,6 @@
 };
 
 /// Returns the state of a target; empty if it is not known.
-auto admissionStatus(const AdmissionTable &table, const TargetName &target, TimePoint now)
-    -> std::optional<AdmissionStatus>;
+auto admissionStatus(const AdmissionTable &table, const TargetName &target, TimePoint now) -> std::optional<AdmissionStatus>;
 
 } // namespace snipestream
--- a/admission/limit.cpp
+++ b/admission/limit.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <cmath>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr uint32_t kMaxRoutes = 256;
 /// Weight of a new answer in the mean of a route.
@@ -95,8 +97,7 @@
     return answers > 0 ? sum / answers : 0;
 }
 
-void observeLatency(LimitState &state, const ConcurrencyLimitSettings &settings, uint32_t route, Duration latency,
-                    bool timedOut, TimePoint now)
+void observeLatency(LimitState &state, const ConcurrencyLimitSettings &settings, uint32_t route, Duration latency, bool timedOut, TimePoint now)
 {
     auto &row = state.routes[route];
     double observed = std::max(toSeconds(latency), 1e-6);
@@ -114,7 +115,7 @@
     // The first answers weigh as in an ordinary mean, so that the first one does not dominate. Rare answers weigh more,
     // so that a mean that keeps requests away is corrected within about a second.
     const double rare = row.answers == 0 ? 1 : std::min(0.5, toSeconds(now - row.observedAt) / 0.5);
-    const double gain = std::max({ kMeanGain, rare, 1.0 / static_cast<double>(row.answers + 1) });
+    const double gain = std::max({kMeanGain, rare, 1.0 / static_cast<double>(row.answers + 1)});
     row.mean += (bounded - row.mean) * gain;
     row.slowMean += (observed - row.slowMean) * std::max(kSlowMeanGain, 1.0 / static_cast<double>(row.answers + 1));
     if (row.answers < 64) {
@@ -148,16 +149,13 @@
 auto tickLimit(LimitState &state, const ConcurrencyLimitSettings &settings, TimePoint now) -> bool
 {
     const Duration age = now - state.windowStart;
-    if (state.cold
-        && std::ceil(state.slots * settings.coldFraction) * std::exp2(toSeconds(now - state.coldSince))
-            >= state.slots) {
+    if (state.cold && std::ceil(state.slots * settings.coldFraction) * std::exp2(toSeconds(now - state.coldSince)) >= state.slots) {
         state.cold = false;
     }
     const double ratio = state.answers > 0 ? state.ratioSum / state.answers : 0;
     const bool wasUsed = state.peakInFlight >= static_cast<int>(state.limit * 0.9);
     const double slowdown = 1 + (state.slowdown - 1) * std::exp(-toSeconds(age) / toSeconds(settings.slowdownDecay));
-    const bool congested
-        = state.answers > 0 && ratio > std::max(settings.congestedRatio, settings.congestedAgain * slowdown);
+    const bool congested = state.answers > 0 && ratio > std::max(settings.congestedRatio, settings.congestedAgain * slowdown);
     // A window holds at least one full turnover of the running requests, so that it reflects the current limit.
     const int least = congested || state.examining ? settings.examinedAnswers : settings.windowAnswers;
     const int needed = std::max(least, static_cast<int>(state.limit));
@@ -169,8 +167,7 @@
     // loses throughput and stays slow. Both signs are needed, because either alone is often wrong by chance.
     const double rate = state.answers / std::max(1e-3, toSeconds(age));
     const double helpful = 1 - kHelpfulPart * (1 - settings.decreaseFactor);
-    const bool unhelpful
-        = congested && state.examining && ratio > state.ratioBefore * helpful && rate < state.rateBefore * helpful;
+    const bool unhelpful = congested && state.examining && ratio > state.ratioBefore * helpful && rate < state.rateBefore * helpful;
     if (!congested) {
         state.examining = false;
         state.wasDecreased = false;
--- a/admission/limit.h
+++ b/admission/limit.h
@@ -9,11 +9,11 @@
 #include <unordered_map>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Constants of the concurrency limit.
-struct ConcurrencyLimitSettings
-{
+struct ConcurrencyLimitSettings {
     /// Shortest time over which latency is judged.
     Duration window = milliseconds(100);
     /// Fewest answers that a judgement needs.
@@ -43,8 +43,7 @@
 };
 
 /// Latency of one route at one target, in seconds.
-struct RouteLatency
-{
+struct RouteLatency {
     double mean = 0;
     /// Slowly moving minimum of the mean. A minimum of single answers would be far below the mean of any variable
     /// service time, so that every answer would look late.
@@ -58,8 +57,7 @@
 };
 
 /// The adaptive concurrency limit of one target. It relies on own observations only.
-struct LimitState
-{
+struct LimitState {
     int slots = 1;
     double limit = 1;
     /// When slow start began; the limit is not capped if `cold` is false.
@@ -105,8 +103,7 @@
 auto meanServiceTime(const LimitState &state) -> double;
 
 /// Takes the latency of an answer into account. A latency of a run that timed out is a lower bound.
-void observeLatency(LimitState &state, const ConcurrencyLimitSettings &settings, uint32_t route, Duration latency,
-                    bool timedOut, TimePoint now);
+void observeLatency(LimitState &state, const ConcurrencyLimitSettings &settings, uint32_t route, Duration latency, bool timedOut, TimePoint now);
 
 /// Notes how many requests run. Called at each tick.
 void sampleInFlight(LimitState &state, int running);
--- a/admission/queue.cpp
+++ b/admission/queue.cpp
@@ -4,9 +4,11 @@
 #include <cmath>
 #include <limits>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// Part of the fair use below which a team counts as within its share. With 1, about half of the teams would be exempt
 /// from the shedding level by chance when all of them surge alike.
@@ -79,7 +81,7 @@
     const auto priority = static_cast<size_t>(row.request.priority);
     auto &teams = queue.waiting[priority];
     const auto team = teams.find(row.request.team);
-    team->second.erase({ row.request.deadline, ticket });
+    team->second.erase({row.request.deadline, ticket});
     if (team->second.empty()) {
         teams.erase(team);
     }
@@ -107,8 +109,7 @@
     return std::nullopt;
 }
 
-auto requestToDisplace(const AdmissionQueue &queue, const UsageTable &usage, const AdmissionRequest &request,
-                       TimePoint now) -> std::optional<Ticket>
+auto requestToDisplace(const AdmissionQueue &queue, const UsageTable &usage, const AdmissionRequest &request, TimePoint now) -> std::optional<Ticket>
 {
     const auto own = static_cast<size_t>(request.priority);
     for (size_t priority = kPriorityCount; priority-- > own;) {
@@ -118,10 +119,9 @@
         }
         // Weighted count of waiting requests first: it is what a team gains by sending more than the others.
         const TeamName *greatest = nullptr;
-        std::pair<double, double> most { -1, -1 };
+        std::pair<double, double> most{-1, -1};
         for (const auto &[team, requests] : teams) {
-            const std::pair<double, double> load { static_cast<double>(requests.size()) / weightOf(usage, team),
-                                                   weightedUse(usage, team, now) };
+            const std::pair<double, double> load{static_cast<double>(requests.size()) / weightOf(usage, team), weightedUse(usage, team, now)};
             if (load > most) {
                 most = load;
                 greatest = &team;
--- a/admission/queue.h
+++ b/admission/queue.h
@@ -10,19 +10,18 @@
 #include <utility>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Use of a target by one team.
-struct TeamUsage
-{
+struct TeamUsage {
     /// Slot time of the last second, in seconds, decayed exponentially.
     double served = 0;
     TimePoint servedAt;
 };
 
 /// Use of a target by all teams, for fairness.
-struct UsageTable
-{
+struct UsageTable {
     std::map<TeamName, TeamUsage> teams;
     /// Shares of the teams; a team without an entry weighs 1.
     std::map<TeamName, double> weights;
@@ -43,19 +42,17 @@
 void refreshUsage(UsageTable &table, TimePoint now);
 
 /// A request that waits for a slot.
-struct WaitingRequest
-{
+struct WaitingRequest {
     AdmissionRequest request;
     TimePoint queuedAt;
     uint32_t route = 0;
 };
 
 /// Requests of one target that wait: by priority, then team, then deadline.
-struct AdmissionQueue
-{
+struct AdmissionQueue {
     using ByDeadline = std::set<std::pair<TimePoint, Ticket>>;
     std::array<std::map<TeamName, ByDeadline>, kPriorityCount> waiting;
-    std::array<int, kPriorityCount> counts {};
+    std::array<int, kPriorityCount> counts{};
     std::unordered_map<Ticket, WaitingRequest> rows;
 };
 
@@ -71,8 +68,7 @@
 
 /// Returns the waiting request that gives way to `request` in a full queue: one of lower priority, or one of the same
 /// priority whose team waits with more requests and had more use. Empty if `request` itself has to go.
-auto requestToDisplace(const AdmissionQueue &queue, const UsageTable &usage, const AdmissionRequest &request,
-                       TimePoint now) -> std::optional<Ticket>;
+auto requestToDisplace(const AdmissionQueue &queue, const UsageTable &usage, const AdmissionRequest &request, TimePoint now) -> std::optional<Ticket>;
 
 /// Returns how many waiting requests start before a new one of this priority and team, by estimate.
 auto countAhead(const AdmissionQueue &queue, Priority priority, const TeamName &team) -> int;
--- a/admission/request.h
+++ b/admission/request.h
@@ -7,14 +7,14 @@
 
 #include <cstdint>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Identifies one offered request at this node from its offer to its end; never reused.
 using Ticket = uint64_t;
 
 /// What admission needs to know about a request.
-struct AdmissionRequest
-{
+struct AdmissionRequest {
     RequestId id;
     /// Empty on open routes; all such requests share one place in the fairness order.
     TeamName team;
@@ -36,8 +36,7 @@
 };
 
 /// Says that a queued request starts now, or that it ended without having run.
-struct Decision
-{
+struct Decision {
     Ticket ticket = 0;
     bool start = false;
     /// Set if `start` is false.
--- a/admission/shedding.cpp
+++ b/admission/shedding.cpp
@@ -5,9 +5,11 @@
 #include <algorithm>
 #include <string_view>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// Weight of one answer in the level of a service; averages over the targets that answer.
 constexpr double kUpstreamGain = 1.0 / 8;
@@ -64,7 +66,7 @@
 
 auto cohortOf(const RequestId &id) -> int
 {
-    const std::array<uint64_t, 2> words = { id.high, id.low };
+    const std::array<uint64_t, 2> words = {id.high, id.low};
     const std::string_view bytes(reinterpret_cast<const char *>(words.data()), sizeof(words));
     return static_cast<int>(stableHash(bytes, 0x636f686f7274ULL) % kCohortCount);
 }
@@ -95,9 +97,8 @@
         return false;
     }
     // Without any start in the window the shortest wait is unknown and counts as long.
-    const auto longWait = std::max(
-        settings.standingWait,
-        Duration(static_cast<Duration::rep>(static_cast<double>(serviceTime.count()) * settings.standingPart)));
+    const auto longWait =
+        std::max(settings.standingWait, Duration(static_cast<Duration::rep>(static_cast<double>(serviceTime.count()) * settings.standingPart)));
     const bool standing = !state.queueWasEmpty && state.shortestWait >= longWait;
     const double admitted = admittedArrivals(state);
     if (standing || state.overflowed) {
@@ -109,8 +110,7 @@
         const double growth = std::clamp(settings.wantedUse / std::max(use, 0.1), 1 + settings.admitStep, 2.0);
         const int level = levelForArrivals(state, admitted * growth);
         const double idle = std::max(0.0, 1 - use);
-        const int least
-            = settings.leastAdmitRanks + static_cast<int>(idle * (settings.mostAdmitRanks - settings.leastAdmitRanks));
+        const int least = settings.leastAdmitRanks + static_cast<int>(idle * (settings.mostAdmitRanks - settings.leastAdmitRanks));
         const int lowest = std::max(0, state.level - settings.mostAdmitRanks);
         state.level = std::clamp(level, lowest, std::max(lowest, state.level - least));
     }
@@ -148,8 +148,7 @@
     row.observedAt = now;
 }
 
-auto shouldShedUpstream(const UpstreamTable &table, const ServiceName &service, Priority priority, const RequestId &id,
-                        TimePoint now) -> bool
+auto shouldShedUpstream(const UpstreamTable &table, const ServiceName &service, Priority priority, const RequestId &id, TimePoint now) -> bool
 {
     const int level = upstreamLevel(table, service, now) - kUpstreamMargin;
     return level > 0 && isShed(level, rankOf(priority, id));
--- a/admission/shedding.h
+++ b/admission/shedding.h
@@ -8,7 +8,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Number of cohorts that request ids hash into.
 inline constexpr int kCohortCount = 128;
@@ -30,8 +31,7 @@
 auto isPriorityShed(int level, Priority priority) -> bool;
 
 /// Constants of the shedding level.
-struct SheddingSettings
-{
+struct SheddingSettings {
     Duration window = milliseconds(100);
     /// A queue whose shortest wait in a window exceeds this is a standing queue: it delays without absorbing a burst.
     Duration standingWait = milliseconds(20);
@@ -50,11 +50,10 @@
 };
 
 /// Shedding level of one target.
-struct SheddingState
-{
+struct SheddingState {
     int level = 0;
     /// Arrivals per rank, decayed over about a second; includes those that were shed.
-    std::array<float, kRankCount> arrivals {};
+    std::array<float, kRankCount> arrivals{};
     TimePoint windowStart;
     /// The queue was empty at some moment of the window.
     bool queueWasEmpty = true;
@@ -73,15 +72,13 @@
 auto tickShedding(SheddingState &state, const SheddingSettings &settings, Duration serviceTime, TimePoint now) -> bool;
 
 /// Level of a service as its answers report it to this node.
-struct UpstreamLevel
-{
+struct UpstreamLevel {
     double level = 0;
     TimePoint observedAt;
 };
 
 /// Levels of the services that this node calls.
-struct UpstreamTable
-{
+struct UpstreamTable {
     std::unordered_map<ServiceName, UpstreamLevel> services;
 };
 
@@ -97,8 +94,7 @@
 void observeUpstream(UpstreamTable &table, const ServiceName &service, int level, TimePoint now);
 
 /// Returns whether a call to the service would most likely be shed there and so should not be sent.
-auto shouldShedUpstream(const UpstreamTable &table, const ServiceName &service, Priority priority, const RequestId &id,
-                        TimePoint now) -> bool;
+auto shouldShedUpstream(const UpstreamTable &table, const ServiceName &service, Priority priority, const RequestId &id, TimePoint now) -> bool;
 
 /// Returns the level known for the service, after ageing; zero if none is known.
 auto upstreamLevel(const UpstreamTable &table, const ServiceName &service, TimePoint now) -> int;
--- a/bench/capacity_admission.cpp
+++ b/bench/capacity_admission.cpp
@@ -2,14 +2,16 @@
 
 #include "admission/admission.h"
 
-namespace snipestream::bench {
+namespace snipestream::bench
+{
 
-namespace {
+namespace
+{
 
 auto requestOf(size_t number, size_t teams, TimePoint now) -> AdmissionRequest
 {
     AdmissionRequest request;
-    request.id = { number * 0x9E3779B97F4A7C15ULL, number };
+    request.id = {number * 0x9E3779B97F4A7C15ULL, number};
     request.team = TeamName("team-" + std::to_string(number % teams));
     request.route = RouteName("route-1");
     request.deadline = now + seconds(5);
@@ -20,10 +22,9 @@
 
 void benchAdmission()
 {
-    printHead(
-        "Admission at one target with 100 slots",
-        { "teams", "offer and complete", "offer when queued, complete and start", "idle tick", "bytes per team seen" });
-    for (const size_t teams : { 8U, 100U, 1000U }) {
+    printHead("Admission at one target with 100 slots",
+              {"teams", "offer and complete", "offer when queued, complete and start", "idle tick", "bytes per team seen"});
+    for (const size_t teams : {8U, 100U, 1000U}) {
         const TargetName name("target-1");
         TimePoint now = TimePoint(seconds(1000));
         const double before = allocatedBytes();
@@ -77,7 +78,7 @@
             now += milliseconds(10);
             tick(table, now);
         });
-        printRow({ std::to_string(teams), number(direct), number(queued), number(idle), number(bytes) });
+        printRow({std::to_string(teams), number(direct), number(queued), number(idle), number(bytes)});
     }
 }
 
--- a/bench/capacity_bench.cpp
+++ b/bench/capacity_bench.cpp
@@ -16,10 +16,9 @@
     google::InitGoogleLogging(argv[0]);
     FLAGS_minloglevel = google::GLOG_ERROR;
     const std::vector<std::string> wanted(argv + 1, argv + argc);
-    const std::pair<const char *, void (*)()> sections[]
-        = { { "routing", benchRouting },  { "admission", benchAdmission }, { "quota", benchQuota },
-            { "leases", benchLeases },    { "config", benchConfig },       { "claims", benchClaims },
-            { "messages", benchMessages } };
+    const std::pair<const char *, void (*)()> sections[] = {{"routing", benchRouting},  {"admission", benchAdmission}, {"quota", benchQuota},
+                                                            {"leases", benchLeases},    {"config", benchConfig},       {"claims", benchClaims},
+                                                            {"messages", benchMessages}};
     std::printf("Processor time in microseconds, median of five measurements; memory as bytes allocated.\n");
     for (const auto &[name, run] : sections) {
         if (wanted.empty() || std::find(wanted.begin(), wanted.end(), name) != wanted.end()) {
--- a/bench/capacity_claims.cpp
+++ b/bench/capacity_claims.cpp
@@ -5,14 +5,15 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream::bench {
+namespace snipestream::bench
+{
 
-namespace {
+namespace
+{
 
 /// A claim owner with a log that answers at once.
-struct ClaimWorld
-{
-    ClaimTable table = makeClaimTable(ClaimSettings {}, DomainName("domain-0"), 0);
+struct ClaimWorld {
+    ClaimTable table = makeClaimTable(ClaimSettings{}, DomainName("domain-0"), 0);
     OwnerView view;
     TimePoint now = TimePoint(seconds(1000));
     std::vector<ClaimsRecord> log;
@@ -35,8 +36,7 @@
             if (table.phase != OwnerPhase::Serving) {
                 log.push_back(record);
             }
-            outputs = onAppendResult(table, record.epoch, record.sequence, AppendResult::Acknowledged, appends - 1,
-                                     view, now);
+            outputs = onAppendResult(table, record.epoch, record.sequence, AppendResult::Acknowledged, appends - 1, view, now);
         }
     }
 
@@ -60,9 +60,9 @@
     {
         for (size_t i = first; i < first + count; ++i) {
             BeginRequest request;
-            request.key = { TeamName("team-" + std::to_string(i % 1000)), "order-" + std::to_string(i) };
+            request.key = {TeamName("team-" + std::to_string(i % 1000)), "order-" + std::to_string(i)};
             request.fingerprint = i;
-            request.attempt = { i + 1, i + 1 };
+            request.attempt = {i + 1, i + 1};
             request.entryNode = NodeName("domain-0-vm-1");
             request.timeLeft = seconds(5);
             beginClaim(table, request, view, now);
@@ -71,10 +71,8 @@
         for (size_t i = first; i < first + count; ++i) {
             Outcome outcome;
             outcome.kind = OutcomeKind::Done;
-            outcome.response
-                = RecordedResponse { 201, { { "Content-Type", "application/json" } }, std::string(200, 'x') };
-            endClaim(table, { TeamName("team-" + std::to_string(i % 1000)), "order-" + std::to_string(i) },
-                     { i + 1, i + 1 }, outcome, view, now);
+            outcome.response = RecordedResponse{201, {{"Content-Type", "application/json"}}, std::string(200, 'x')};
+            endClaim(table, {TeamName("team-" + std::to_string(i % 1000)), "order-" + std::to_string(i)}, {i + 1, i + 1}, outcome, view, now);
         }
         step(milliseconds(200));
     }
@@ -85,16 +83,15 @@
 void benchClaims()
 {
     printHead("Claim owner of one range",
-              { "claims kept", "claim from begin to end", "bytes per claim", "bytes on the log per claim",
-                "claims per append", "idle tick" });
-    for (const size_t count : { 1000U, 10000U, 100000U }) {
+              {"claims kept", "claim from begin to end", "bytes per claim", "bytes on the log per claim", "claims per append", "idle tick"});
+    for (const size_t count : {1000U, 10000U, 100000U}) {
         const double before = allocatedBytes();
         ClaimWorld world;
         for (int i = 0; i < 500 && world.table.phase != OwnerPhase::Serving; ++i) {
             world.step(milliseconds(20));
         }
         if (world.table.phase != OwnerPhase::Serving) {
-            printRow({ std::to_string(count), "the owner does not serve" });
+            printRow({std::to_string(count), "the owner does not serve"});
             continue;
         }
         constexpr size_t kBatch = 100;
@@ -109,13 +106,12 @@
         const double idle = microsPerRun([&] {
             world.step(milliseconds(20));
         });
-        printRow({ std::to_string(world.table.claims.size()), number(fill / claims), number(bytes),
-                   number(static_cast<double>(world.appendedBytes) / claims),
-                   number(claims / static_cast<double>(world.appends - appendsBefore)), number(idle) });
+        printRow({std::to_string(world.table.claims.size()), number(fill / claims), number(bytes), number(static_cast<double>(world.appendedBytes) / claims),
+                  number(claims / static_cast<double>(world.appends - appendsBefore)), number(idle)});
     }
 
-    printHead("Home domains of all 32 ranges, every 20 ms on every node", { "domains", "time" });
-    for (const size_t count : { 2U, 6U, 12U }) {
+    printHead("Home domains of all 32 ranges, every 20 ms on every node", {"domains", "time"});
+    for (const size_t count : {2U, 6U, 12U}) {
         std::vector<DomainName> domains;
         for (size_t i = 0; i < count; ++i) {
             domains.emplace_back("domain-" + std::to_string(i));
@@ -125,7 +121,7 @@
                 homeDomainOf(range, domains);
             }
         });
-        printRow({ std::to_string(count), number(time) });
+        printRow({std::to_string(count), number(time)});
     }
 }
 
--- a/bench/capacity_config.cpp
+++ b/bench/capacity_config.cpp
@@ -7,40 +7,40 @@
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
-namespace snipestream::bench {
+namespace snipestream::bench
+{
 
-namespace {
+namespace
+{
 
-const AskedBy kAsked { "operator@studio.example", "new studio, ticket 4711" };
+const AskedBy kAsked{"operator@studio.example", "new studio, ticket 4711"};
 
 auto keyRule(size_t number, char digit) -> KeyRule
 {
-    return KeyRule { KeyId("key-" + std::to_string(number)), TeamName("team-" + std::to_string(number % 1000)),
-                     std::string(32, digit), std::string(64, digit), kAsked };
+    return KeyRule{KeyId("key-" + std::to_string(number)), TeamName("team-" + std::to_string(number % 1000)), std::string(32, digit), std::string(64, digit),
+                   kAsked};
 }
 
 auto changeText(uint64_t id, uint64_t base, std::vector<Rule> rules) -> std::string
 {
-    return encodeChange({ "change-" + std::to_string(id), base, "operator@studio.example", std::move(rules), {} });
+    return encodeChange({"change-" + std::to_string(id), base, "operator@studio.example", std::move(rules), {}});
 }
 
 } // namespace
 
 void benchConfig()
 {
-    printHead(
-        "Configuration fold",
-        { "rules", "change of one rule", "bytes per rule", "snapshot", "snapshot bytes", "parts", "adopt a snapshot" });
-    for (const size_t count : { 1000U, 10000U, 100000U }) {
+    printHead("Configuration fold", {"rules", "change of one rule", "bytes per rule", "snapshot", "snapshot bytes", "parts", "adopt a snapshot"});
+    for (const size_t count : {1000U, 10000U, 100000U}) {
         const double before = allocatedBytes();
         ConfigFold fold;
         uint64_t revision = 0;
         constexpr size_t kTeams = 1000;
         std::vector<Rule> teams;
         for (size_t i = 0; i < kTeams; ++i) {
-            teams.emplace_back(TeamRule { TeamName("team-" + std::to_string(i)), 100, 200, kAsked });
+            teams.emplace_back(TeamRule{TeamName("team-" + std::to_string(i)), 100, 200, kAsked});
         }
-        applyRecord(fold, LogRecord { 0, changeText(revision, revision, std::move(teams)) }, 1);
+        applyRecord(fold, LogRecord{0, changeText(revision, revision, std::move(teams))}, 1);
         ++revision;
         constexpr size_t kPerChange = 200;
         for (size_t i = 0; i < count; i += kPerChange) {
@@ -48,16 +48,14 @@
             for (size_t j = i; j < i + kPerChange; ++j) {
                 rules.emplace_back(keyRule(j, 'a'));
             }
-            const LogRecord record { fold.state.nextOffset, changeText(revision, revision, std::move(rules)) };
+            const LogRecord record{fold.state.nextOffset, changeText(revision, revision, std::move(rules))};
             applyRecord(fold, record, 1);
             ++revision;
         }
         CHECK_EQ(fold.state.rules.size(), count + kTeams) << "a change was rejected";
         const double bytes = (allocatedBytes() - before) / static_cast<double>(count);
         const double change = microsPerRun([&] {
-            const LogRecord record { fold.state.nextOffset,
-                                     changeText(revision, revision,
-                                                { keyRule(revision % count, revision % 2 == 0 ? 'b' : 'c') }) };
+            const LogRecord record{fold.state.nextOffset, changeText(revision, revision, {keyRule(revision % count, revision % 2 == 0 ? 'b' : 'c')})};
             applyRecord(fold, record, 1);
             ++revision;
         });
@@ -70,27 +68,23 @@
             ConfigFold other;
             static_cast<void>(adoptSnapshot(other, snapshot, 1));
         });
-        printRow({ std::to_string(count), number(change), number(bytes), number(dump),
-                   std::to_string(snapshot.text.size()), std::to_string(parts), number(adopt) });
+        printRow(
+            {std::to_string(count), number(change), number(bytes), number(dump), std::to_string(snapshot.text.size()), std::to_string(parts), number(adopt)});
     }
 
-    printHead("Relay answers", { "records in the history", "answer without news", "answer with one record" });
-    for (const size_t count : { 100U, 1000U, 4000U }) {
+    printHead("Relay answers", {"records in the history", "answer without news", "answer with one record"});
+    for (const size_t count : {100U, 1000U, 4000U}) {
         RecordHistory history;
         for (size_t i = 0; i < count; ++i) {
-            rememberRecord(history, { i, changeText(i, i, { keyRule(i, 'a') }) });
+            rememberRecord(history, {i, changeText(i, i, {keyRule(i, 'a')})});
         }
         const double empty = microsPerRun([&] {
-            nlohmann::json::to_cbor(
-                { { "records", encodeRecordsAnswer(recordsSince(history, count, count, size_t { 150 } * 1024)) },
-                  { "ageMs", 120 } });
+            nlohmann::json::to_cbor({{"records", encodeRecordsAnswer(recordsSince(history, count, count, size_t{150} * 1024))}, {"ageMs", 120}});
         });
         const double one = microsPerRun([&] {
-            nlohmann::json::to_cbor(
-                { { "records", encodeRecordsAnswer(recordsSince(history, count, count - 1, size_t { 150 } * 1024)) },
-                  { "ageMs", 120 } });
+            nlohmann::json::to_cbor({{"records", encodeRecordsAnswer(recordsSince(history, count, count - 1, size_t{150} * 1024))}, {"ageMs", 120}});
         });
-        printRow({ std::to_string(count), number(empty), number(one) });
+        printRow({std::to_string(count), number(empty), number(one)});
     }
 }
 
--- a/bench/capacity_lease.cpp
+++ b/bench/capacity_lease.cpp
@@ -8,9 +8,11 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream::bench {
+namespace snipestream::bench
+{
 
-namespace {
+namespace
+{
 
 const DomainName kDomain("domain-0");
 
@@ -20,8 +22,7 @@
 }
 
 /// A domain in which node 0 holds the first ranges and node 1 the others.
-struct LeaseWorld
-{
+struct LeaseWorld {
     TimePoint now = TimePoint(seconds(1000));
     LeaseTable leases;
     LeaseNode node;
@@ -38,7 +39,7 @@
         }
         for (uint32_t range = 0; range < (hasOtherHolders ? kRangeCount : held); ++range) {
             LeaseRecord record;
-            record.key = { kDomain, range };
+            record.key = {kDomain, range};
             record.epoch = 1;
             record.holder = nodeName(range < held ? 0 : 1);
             record.incarnation = 1;
@@ -69,10 +70,9 @@
 void benchLeases()
 {
     printHead("Lease tick, every 100 ms",
-              { "nodes of the domain", "ranges held", "tick and its share of the pings, answers included", "pings/s",
-                "copy of the live nodes" });
-    for (const size_t nodes : { 100U, 417U, 1667U }) {
-        for (const uint32_t held : { 1U, 8U, 32U }) {
+              {"nodes of the domain", "ranges held", "tick and its share of the pings, answers included", "pings/s", "copy of the live nodes"});
+    for (const size_t nodes : {100U, 417U, 1667U}) {
+        for (const uint32_t held : {1U, 8U, 32U}) {
             LeaseWorld world(nodes, held, true);
             for (int i = 0; i < 100; ++i) {
                 world.step(milliseconds(100));
@@ -91,14 +91,13 @@
                     live.emplace(name, incarnation);
                 }
             });
-            printRow({ std::to_string(nodes), std::to_string(held), number(tick), number(pings), number(copy) });
+            printRow({std::to_string(nodes), std::to_string(held), number(tick), number(pings), number(copy)});
         }
     }
 
     printHead("Lease tick of a node that holds nothing",
-              { "nodes of the domain", "all ranges held by others", "no range held, before the takeover",
-                "takeover is due" });
-    for (const size_t nodes : { 100U, 417U, 1667U }) {
+              {"nodes of the domain", "all ranges held by others", "no range held, before the takeover", "takeover is due"});
+    for (const size_t nodes : {100U, 417U, 1667U}) {
         LeaseWorld served(nodes, 0, true);
         const double quiet = microsPerRun([&] {
             served.step(milliseconds(100));
@@ -113,7 +112,7 @@
         const double due = microsOnce([&] {
             vacant.step(milliseconds(100));
         });
-        printRow({ std::to_string(nodes), number(quiet), number(waiting), number(due) });
+        printRow({std::to_string(nodes), number(quiet), number(waiting), number(due)});
     }
 }
 
--- a/bench/capacity_measure.cpp
+++ b/bench/capacity_measure.cpp
@@ -9,13 +9,15 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream::bench {
+namespace snipestream::bench
+{
 
-namespace {
+namespace
+{
 
 auto cpuMicros() -> double
 {
-    timespec value {};
+    timespec value{};
     clock_gettime(CLOCK_THREAD_CPUTIME_ID, &value);
     return static_cast<double>(value.tv_sec) * 1e6 + static_cast<double>(value.tv_nsec) * 1e-3;
 }
@@ -34,7 +36,7 @@
     constexpr double kMeasurement = 20e3;
     const double first = std::max(0.02, microsOnce(run));
     const int runs = std::max(1, static_cast<int>(kMeasurement / first));
-    std::array<double, 5> values {};
+    std::array<double, 5> values{};
     for (double &value : values) {
         value = microsOnce([&] {
                     for (int i = 0; i < runs; ++i) {
@@ -76,7 +78,7 @@
 
 auto number(double value) -> std::string
 {
-    std::array<char, 32> text {};
+    std::array<char, 32> text{};
     if (value >= 1000) {
         std::snprintf(text.data(), text.size(), "%.0f", value);
     } else {
--- a/bench/capacity_measure.h
+++ b/bench/capacity_measure.h
@@ -7,7 +7,8 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-namespace snipestream::bench {
+namespace snipestream::bench
+{
 
 /// Returns the processor time of one run in microseconds: the median of five measurements of about 20 ms each. `run` is
 /// called many times.
--- a/bench/capacity_quota.cpp
+++ b/bench/capacity_quota.cpp
@@ -7,9 +7,11 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream::bench {
+namespace snipestream::bench
+{
 
-namespace {
+namespace
+{
 
 const NodeName kHolder("holder");
 const DomainName kDomain("domain-0");
@@ -26,18 +28,17 @@
         inputs.validRanges[range] = TimePoint(seconds(1));
     }
     for (size_t i = 0; i < teams; ++i) {
-        inputs.rules[teamName(i)] = { 1'000'000 * kOneToken, 1'000'000 * kOneToken };
+        inputs.rules[teamName(i)] = {1'000'000 * kOneToken, 1'000'000 * kOneToken};
     }
-    inputs.weights.push_back({ 1, { { kDomain, 1 } } });
+    inputs.weights.push_back({1, {{kDomain, 1}}});
     return inputs;
 }
 
 void benchHolder()
 {
     printHead("Quota holder of all 32 ranges",
-              { "teams", "an ask of an entry node", "the same with CBOR both ways", "tick without asks",
-                "bytes per team in use" });
-    for (const size_t teams : { 8U, 100U, 1000U, 10000U }) {
+              {"teams", "an ask of an entry node", "the same with CBOR both ways", "tick without asks", "bytes per team in use"});
+    for (const size_t teams : {8U, 100U, 1000U, 10000U}) {
         const QuotaParams params;
         HolderInputs inputs = inputsFor(teams);
         TimePoint now = TimePoint(seconds(1000));
@@ -51,12 +52,12 @@
             ask.number = next++;
             ask.minimum = kOneToken;
             ask.wanted = kOneToken;
-            ask.reports.push_back({ 0, kOneToken, 0 });
+            ask.reports.push_back({0, kOneToken, 0});
             return ask;
         };
         const auto serve = [&](const QuotaAsk &ask) {
             now += microseconds(200);
-            inputs.asks = { ask };
+            inputs.asks = {ask};
             HolderOutputs outputs = tickHolder(table, params, now, inputs);
             inputs.asks.clear();
             return outputs;
@@ -70,8 +71,7 @@
         });
         const double whole = microsPerRun([&] {
             const auto encoded = nlohmann::json::to_cbor(toJson(askOf()));
-            for (const auto &[to, answer] :
-                 serve(quotaAskFromJson(nlohmann::json::from_cbor(encoded)).value()).answers) {
+            for (const auto &[to, answer] : serve(quotaAskFromJson(nlohmann::json::from_cbor(encoded)).value()).answers) {
                 nlohmann::json::to_cbor(toJson(answer));
             }
         });
@@ -81,23 +81,22 @@
             now += milliseconds(5);
             tickHolder(table, params, now, inputs);
         });
-        printRow({ std::to_string(teams), number(plain), number(whole), number(idle), number(bytes) });
+        printRow({std::to_string(teams), number(plain), number(whole), number(idle), number(bytes)});
     }
 }
 
 void benchEntry()
 {
     printHead("Quota entry node",
-              { "teams", "request with a prefetched token", "request that asks the holder", "tick without requests",
-                "bytes per team in use" });
-    for (const size_t teams : { 8U, 100U, 1000U }) {
+              {"teams", "request with a prefetched token", "request that asks the holder", "tick without requests", "bytes per team in use"});
+    for (const size_t teams : {8U, 100U, 1000U}) {
         const QuotaParams params;
         TimePoint now = TimePoint(seconds(1000));
         const double before = allocatedBytes();
         EntryTable table = makeEntryTable(NodeName("entry"), 1);
         EntryInputs inputs;
         inputs.holders = [](uint32_t) {
-            return std::vector<NodeName> { kHolder };
+            return std::vector<NodeName>{kHolder};
         };
         uint64_t ticket = 1;
         uint64_t grant = 1;
@@ -106,9 +105,8 @@
             inputs.answers.clear();
             for (const auto &[to, ask] : outputs.asks) {
                 if (ask.wanted > 0) {
-                    inputs.answers.push_back({ ask.team, kHolder, ask.number, QuotaOutcome::Granted, grant++,
-                                               ask.wanted + extra, seconds(1), Duration {}, milliseconds(1),
-                                               kOneToken });
+                    inputs.answers.push_back({ask.team, kHolder, ask.number, QuotaOutcome::Granted, grant++, ask.wanted + extra, seconds(1), Duration{},
+                                              milliseconds(1), kOneToken});
                 }
             }
             return outputs.asks.size();
@@ -140,20 +138,20 @@
             now += milliseconds(5);
             tickEntry(table, params, now, inputs);
         });
-        printRow({ std::to_string(teams), number(cached), number(asking), number(idle), number(bytes) });
+        printRow({std::to_string(teams), number(cached), number(asking), number(idle), number(bytes)});
     }
 }
 
 void benchAsks()
 {
     printHead("Asks of an entry node for one team, with a holder that always grants",
-              { "requests per second at this node", "asks per request", "of these reports only" });
-    for (const int rate : { 1, 5, 20, 100, 1000 }) {
+              {"requests per second at this node", "asks per request", "of these reports only"});
+    for (const int rate : {1, 5, 20, 100, 1000}) {
         const QuotaParams params;
         EntryTable table = makeEntryTable(NodeName("entry"), 1);
         EntryInputs inputs;
         inputs.holders = [](uint32_t) {
-            return std::vector<NodeName> { kHolder };
+            return std::vector<NodeName>{kHolder};
         };
         uint64_t requests = 0;
         uint64_t asks = 0;
@@ -174,14 +172,13 @@
                 ++asks;
                 reports += ask.wanted == 0 ? 1 : 0;
                 if (ask.wanted > 0) {
-                    inputs.answers.push_back({ ask.team, kHolder, ask.number, QuotaOutcome::Granted, grant++,
-                                               ask.wanted, seconds(1), Duration {}, milliseconds(1), kOneToken });
+                    inputs.answers.push_back(
+                        {ask.team, kHolder, ask.number, QuotaOutcome::Granted, grant++, ask.wanted, seconds(1), Duration{}, milliseconds(1), kOneToken});
                 }
             }
         }
         const auto count = static_cast<double>(requests);
-        printRow({ std::to_string(rate), number(static_cast<double>(asks) / count),
-                   number(static_cast<double>(reports) / count) });
+        printRow({std::to_string(rate), number(static_cast<double>(asks) / count), number(static_cast<double>(reports) / count)});
     }
 }
 
--- a/bench/capacity_routing.cpp
+++ b/bench/capacity_routing.cpp
@@ -8,9 +8,11 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream::bench {
+namespace snipestream::bench
+{
 
-namespace {
+namespace
+{
 
 constexpr size_t kDomains = 6;
 constexpr size_t kEndpointsPerService = 30;
@@ -32,13 +34,13 @@
 
 auto nodeRecord(size_t number) -> NodeRecord
 {
-    return { nodeName(number), true, domainName(number), { "10.20.100." + std::to_string(number % 250), 7001 }, 1 };
+    return {nodeName(number), true, domainName(number), {"10.20.100." + std::to_string(number % 250), 7001}, 1};
 }
 
 auto endpointRecord(size_t service, size_t number, uint64_t version) -> EndpointRecord
 {
     EndpointRecord record;
-    record.id = { nodeName(number), TargetName("target-1") };
+    record.id = {nodeName(number), TargetName("target-1")};
     record.service = serviceName(service);
     record.domain = domainName(number);
     record.slots = 100;
@@ -49,10 +51,10 @@
 
 void benchNodeTable()
 {
-    printHead("Node table and directory choice",
-              { "nodes", "fold a record", "bytes per row", "directories of a service after a change", "again",
-                "monitored nodes (of a sixth)", "relays (of a sixth)" });
-    for (const size_t count : { 100U, 1000U, 10000U }) {
+    printHead(
+        "Node table and directory choice",
+        {"nodes", "fold a record", "bytes per row", "directories of a service after a change", "again", "monitored nodes (of a sixth)", "relays (of a sixth)"});
+    for (const size_t count : {100U, 1000U, 10000U}) {
         const double before = allocatedBytes();
         NodeTable table;
         const double fill = microsOnce([&] {
@@ -79,9 +81,8 @@
         const double relays = microsPerRun([&] {
             relaysOf(domainName(0), own);
         });
-        printRow({ std::to_string(count), number(fill / static_cast<double>(count)),
-                   number(bytes / static_cast<double>(count)), number(changed), number(again), number(monitored),
-                   number(relays) });
+        printRow({std::to_string(count), number(fill / static_cast<double>(count)), number(bytes / static_cast<double>(count)), number(changed), number(again),
+                  number(monitored), number(relays)});
     }
 }
 
@@ -101,14 +102,9 @@
 
 void benchEndpoints()
 {
-    printHead("Endpoint table of a calling node",
-              { "services", "endpoints each", "apply a record", "bytes per endpoint", "tick of all", "choose one" });
-    const std::pair<size_t, size_t> sizes[] = { { 1, kEndpointsPerService },
-                                                { 34, kEndpointsPerService },
-                                                { 340, kEndpointsPerService },
-                                                { 1, 300 },
-                                                { 1, 3000 },
-                                                { 1, 10000 } };
+    printHead("Endpoint table of a calling node", {"services", "endpoints each", "apply a record", "bytes per endpoint", "tick of all", "choose one"});
+    const std::pair<size_t, size_t> sizes[] = {
+        {1, kEndpointsPerService}, {34, kEndpointsPerService}, {340, kEndpointsPerService}, {1, 300}, {1, 3000}, {1, 10000}};
     for (const auto &[services, endpoints] : sizes) {
         const double before = allocatedBytes();
         EndpointTable table;
@@ -131,18 +127,16 @@
         const double choose = microsPerRun([&] {
             chooseEndpoint(table, serviceName(0), {}, random, now);
         });
-        printRow({ std::to_string(services), std::to_string(endpoints), number(fill / total), number(bytes / total),
-                   number(tick), number(choose) });
+        printRow({std::to_string(services), std::to_string(endpoints), number(fill / total), number(bytes / total), number(tick), number(choose)});
     }
 }
 
 void benchDirectory()
 {
     printHead("Directory node of one service with 30 endpoints",
-              { "subscribers", "announcement", "subscription without news", "the same with CBOR both ways",
-                "tick without news", "updates after 30 renewals", "updates after 1 change", "tick after 1 change",
-                "bytes per subscriber" });
-    for (const size_t subscribers : { 10U, 100U, 1667U, 10000U }) {
+              {"subscribers", "announcement", "subscription without news", "the same with CBOR both ways", "tick without news", "updates after 30 renewals",
+               "updates after 1 change", "tick after 1 change", "bytes per subscriber"});
+    for (const size_t subscribers : {10U, 100U, 1667U, 10000U}) {
         DirectoryTable table;
         table.node = nodeName(0);
         table.incarnation = 1;
@@ -151,20 +145,20 @@
         const auto renewAll = [&] {
             ++version;
             for (size_t i = 0; i < kEndpointsPerService; ++i) {
-                applyAnnouncement(table, { { endpointRecord(0, i, version) } }, now);
+                applyAnnouncement(table, {{endpointRecord(0, i, version)}}, now);
             }
         };
         renewAll();
         const double before = allocatedBytes();
         for (size_t i = 0; i < subscribers; ++i) {
-            subscribe(table, { serviceName(0), nodeName(i), 1, kEndpointsPerService }, now);
+            subscribe(table, {serviceName(0), nodeName(i), 1, kEndpointsPerService}, now);
         }
         const double bytes = (allocatedBytes() - before) / static_cast<double>(subscribers);
         const double announcement = microsPerRun(renewAll) / kEndpointsPerService;
         const double subscription = microsPerRun([&] {
-            subscribe(table, { serviceName(0), nodeName(3), 1, kEndpointsPerService }, now);
+            subscribe(table, {serviceName(0), nodeName(3), 1, kEndpointsPerService}, now);
         });
-        const SubscribeMessage message { serviceName(0), nodeName(3), 1, kEndpointsPerService };
+        const SubscribeMessage message{serviceName(0), nodeName(3), 1, kEndpointsPerService};
         const auto encoded = nlohmann::json::to_cbor(toJson(message));
         const double whole = microsPerRun([&] {
             const auto decoded = subscribeMessageFromJson(nlohmann::json::from_cbor(encoded));
@@ -177,13 +171,13 @@
         });
         EndpointRecord draining = endpointRecord(0, 1, ++version);
         draining.state = EndpointState::Draining;
-        applyAnnouncement(table, { { draining } }, now);
+        applyAnnouncement(table, {{draining}}, now);
         size_t afterChange = 0;
         const double changed = microsOnce([&] {
             afterChange = tickDirectory(table, now).size();
         });
-        printRow({ std::to_string(subscribers), number(announcement), number(subscription), number(whole), number(tick),
-                   std::to_string(afterRenewals), std::to_string(afterChange), number(changed), number(bytes) });
+        printRow({std::to_string(subscribers), number(announcement), number(subscription), number(whole), number(tick), std::to_string(afterRenewals),
+                  std::to_string(afterChange), number(changed), number(bytes)});
     }
 }
 
--- a/bench/claims_bench.cpp
+++ b/bench/claims_bench.cpp
@@ -12,30 +12,30 @@
 
 #include <malloc.h>
 
-namespace {
+namespace
+{
 
 using namespace snipestream;
 
-constexpr OwnerView kView { true, 1, false, false };
-const TeamName kTeam { "studio-aberystwyth" };
+constexpr OwnerView kView{true, 1, false, false};
+const TeamName kTeam{"studio-aberystwyth"};
 
 auto keyOf(uint64_t number) -> ClaimKey
 {
     // The length of a UUID, which most callers use.
     char text[37];
-    std::snprintf(text, sizeof text, "%08llx-0000-4000-8000-%012llx", static_cast<unsigned long long>(number >> 32U),
-                  static_cast<unsigned long long>(number));
-    return { kTeam, text };
+    std::snprintf(text, sizeof text, "%08llx-0000-4000-8000-%012llx", static_cast<unsigned long long>(number >> 32U), static_cast<unsigned long long>(number));
+    return {kTeam, text};
 }
 
 auto requestOf(uint64_t number) -> BeginRequest
 {
-    return { keyOf(number), number, RequestId { 1, number }, 1, NodeName("entry"), seconds(30) };
+    return {keyOf(number), number, RequestId{1, number}, 1, NodeName("entry"), seconds(30)};
 }
 
 auto responseOf(size_t bodyBytes) -> RecordedResponse
 {
-    return { 201, { { "Content-Type", "application/json" } }, std::string(bodyBytes, 'x') };
+    return {201, {{"Content-Type", "application/json"}}, std::string(bodyBytes, 'x')};
 }
 
 /// Makes a table that serves, with its fence read back.
@@ -43,13 +43,12 @@
 {
     ClaimTable table = makeClaimTable(settings, DomainName("caerdydd"), 0);
     auto outputs = tickClaims(table, kView, 1, now);
-    outputs = onLogRecords(table, LogRead { outputs.readId, {}, 0, 0, true }, kView, now);
-    onLogRecords(table, LogRead { outputs.readId, { *outputs.append }, 0, 1, true }, kView, now);
+    outputs = onLogRecords(table, LogRead{outputs.readId, {}, 0, 0, true}, kView, now);
+    onLogRecords(table, LogRead{outputs.readId, {*outputs.append}, 0, 1, true}, kView, now);
     return table;
 }
 
-struct LoadResult
-{
+struct LoadResult {
     double meanMs = 0;
     double p50Ms = 0;
     double p99Ms = 0;
@@ -66,8 +65,8 @@
     ClaimSettings settings;
     // The table must not fill up, because then refusals would hide the limit of the log.
     settings.maxClaims = 4'000'000;
-    settings.maxClaimBytes = size_t { 8 } << 30U;
-    TimePoint now { seconds(1000) };
+    settings.maxClaimBytes = size_t{8} << 30U;
+    TimePoint now{seconds(1000)};
     ClaimTable table = servingTable(settings, now);
     Random random(7);
     std::exponential_distribution<double> gap(claimsPerSecond);
@@ -103,7 +102,7 @@
         }
         while (!running.empty() && running.begin()->first <= now) {
             const auto ended = running.extract(running.begin()).mapped();
-            endClaim(table, keyOf(ended), RequestId { 1, ended }, { OutcomeKind::Done, response }, kView, now);
+            endClaim(table, keyOf(ended), RequestId{1, ended}, {OutcomeKind::Done, response}, kView, now);
         }
         if (appending && appending->first <= now) {
             const auto record = std::move(appending->second);
@@ -147,11 +146,10 @@
 
 void printRates()
 {
-    std::cout
-        << "## Highest rate of one owner (6 appends/s, burst 6, 128 KiB a batch)\n\n"
-        << "| recorded body | append takes | claims/s | bytes per claim and outcome |\n| --- | --- | --- | --- |\n";
-    for (const size_t body : { size_t { 0 }, size_t { 200 }, size_t { 1024 }, size_t { 4096 } }) {
-        for (const int ms : { 5, 50 }) {
+    std::cout << "## Highest rate of one owner (6 appends/s, burst 6, 128 KiB a batch)\n\n"
+              << "| recorded body | append takes | claims/s | bytes per claim and outcome |\n| --- | --- | --- | --- |\n";
+    for (const size_t body : {size_t{0}, size_t{200}, size_t{1024}, size_t{4096}}) {
+        for (const int ms : {5, 50}) {
             const double rate = highestRate(milliseconds(ms), body);
             const double bytes = offer(rate * 0.9, milliseconds(ms), body, seconds(30)).bytesPerClaim;
             std::printf("| %zu B | %d ms | %.0f | %.0f |\n", body, ms, rate, bytes);
@@ -165,11 +163,10 @@
     std::cout << "\n## Time from begin to grant (200 B bodies, 30 s of virtual time)\n\n"
               << "| claims/s | append takes | mean | median | 99th percentile | appends/s | granted |\n"
               << "| --- | --- | --- | --- | --- | --- | --- |\n";
-    for (const int rate : { 1, 10, 100, 1000, 10'000 }) {
-        for (const int ms : { 5, 50 }) {
+    for (const int rate : {1, 10, 100, 1000, 10'000}) {
+        for (const int ms : {5, 50}) {
             const auto load = offer(rate, milliseconds(ms), 200, seconds(30));
-            std::printf("| %d | %d ms | %.0f ms | %.0f ms | %.0f ms | %.1f | %.0f%% |\n", rate, ms, load.meanMs,
-                        load.p50Ms, load.p99Ms, load.appendsPerSecond,
+            std::printf("| %d | %d ms | %.0f ms | %.0f ms | %.0f ms | %.1f | %.0f%% |\n", rate, ms, load.meanMs, load.p50Ms, load.p99Ms, load.appendsPerSecond,
                         100.0 * static_cast<double>(load.granted) / static_cast<double>(load.offered));
         }
     }
@@ -183,13 +180,12 @@
 
 auto cpuSeconds() -> double
 {
-    timespec value {};
+    timespec value{};
     clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &value);
     return static_cast<double>(value.tv_sec) + static_cast<double>(value.tv_nsec) * 1e-9;
 }
 
-struct SizeResult
-{
+struct SizeResult {
     double bytes = 0;
     double tableMicros = 0;
     double jsonMicros = 0;
@@ -201,10 +197,10 @@
 {
     ClaimSettings settings;
     settings.maxClaims = 4'000'000;
-    settings.maxClaimBytes = size_t { 8 } << 30U;
+    settings.maxClaimBytes = size_t{8} << 30U;
     settings.appendsPerSecond = 1e6;
     settings.appendBurst = 1e6;
-    TimePoint now { seconds(1000) };
+    TimePoint now{seconds(1000)};
     const double heapBefore = heapBytes();
     ClaimTable table = servingTable(settings, now);
     std::vector<std::string> log;
@@ -231,8 +227,7 @@
     }
     flush();
     for (uint64_t number = 0; number < count; ++number) {
-        endClaim(table, keyOf(number), RequestId { 1, number }, { OutcomeKind::Done, responseOf(bodyBytes) }, kView,
-                 now);
+        endClaim(table, keyOf(number), RequestId{1, number}, {OutcomeKind::Done, responseOf(bodyBytes)}, kView, now);
         if (number % 500 == 499) {
             flush();
         }
@@ -251,8 +246,7 @@
     }
     result.foldMicros = (cpuSeconds() - foldBefore) * 1e6;
     const auto claims = static_cast<double>(count);
-    return { result.bytes / claims, result.tableMicros / claims, result.jsonMicros / claims,
-             result.foldMicros / claims };
+    return {result.bytes / claims, result.tableMicros / claims, result.jsonMicros / claims, result.foldMicros / claims};
 }
 
 void printCosts()
@@ -260,14 +254,14 @@
     std::cout << "\n## Memory and CPU per claim\n\n"
               << "| recorded body | claims | memory | CPU in the table | CPU for JSON | CPU of a takeover |\n"
               << "| --- | --- | --- | --- | --- | --- |\n";
-    for (const size_t body : { size_t { 0 }, size_t { 200 }, size_t { 4096 } }) {
-        for (const size_t count : { size_t { 10'000 }, size_t { 50'000 }, size_t { 200'000 } }) {
+    for (const size_t body : {size_t{0}, size_t{200}, size_t{4096}}) {
+        for (const size_t count : {size_t{10'000}, size_t{50'000}, size_t{200'000}}) {
             if (body == 4096 && count > 50'000) {
                 continue;
             }
             const auto cost = measureSize(count, body);
-            std::printf("| %zu B | %zu | %.0f B | %.1f µs | %.1f µs | %.1f µs |\n", body, count, cost.bytes,
-                        cost.tableMicros, cost.jsonMicros, cost.foldMicros);
+            std::printf("| %zu B | %zu | %.0f B | %.1f µs | %.1f µs | %.1f µs |\n", body, count, cost.bytes, cost.tableMicros, cost.jsonMicros,
+                        cost.foldMicros);
             std::fflush(stdout);
         }
     }
--- a/bench/config_bench.cpp
+++ b/bench/config_bench.cpp
@@ -10,7 +10,8 @@
 
 ABSL_FLAG(int, teams, 1000, "teams, each with one key and one route");
 
-namespace {
+namespace
+{
 
 using namespace snipestream;
 
@@ -40,16 +41,15 @@
     ConfigFold fold;
     std::vector<std::string> headers;
     const auto append = [&fold](const std::string &payload) {
-        return applyRecord(fold, LogRecord { fold.state.nextOffset, payload }, 0).verdict;
+        return applyRecord(fold, LogRecord{fold.state.nextOffset, payload}, 0).verdict;
     };
     measure("fold a change with team, key and route", teams, [&](int i) {
         const std::string name = "t" + std::to_string(i);
-        const NewKey key = createKey(TeamName(name), KeyId(name), AskedBy { "bench", "load" });
+        const NewKey key = createKey(TeamName(name), KeyId(name), AskedBy{"bench", "load"});
         headers.push_back("Bearer " + key.bearer);
-        ChangeRecord change { name, fold.state.revision, "bench", {}, {} };
-        change.upserts
-            = { line("team " + name + " rate=5/s burst=5"), key.rule,
-                line("route " + name + " GET /a/" + name + " service=s priority=high idempotent=yes open=no") };
+        ChangeRecord change{name, fold.state.revision, "bench", {}, {}};
+        change.upserts = {line("team " + name + " rate=5/s burst=5"), key.rule,
+                          line("route " + name + " GET /a/" + name + " service=s priority=high idempotent=yes open=no")};
         if (append(encodeChange(change)) != ChangeVerdict::Applied) {
             std::cerr << "a change was not applied\n";
         }
@@ -75,7 +75,7 @@
         ConfigFold fresh;
         found += adoptSnapshot(fresh, snapshot, 0) ? 1 : 0;
     });
-    std::cout << "snapshot bytes: " << snapshot.text.size() << ", parts: " << splitSnapshot(snapshot, "bench", 0).size()
-              << ", calls that succeeded: " << found << "\n";
+    std::cout << "snapshot bytes: " << snapshot.text.size() << ", parts: " << splitSnapshot(snapshot, "bench", 0).size() << ", calls that succeeded: " << found
+              << "\n";
     return 0;
 }
--- a/bench/nodes_bench.cpp
+++ b/bench/nodes_bench.cpp
@@ -42,17 +42,18 @@
 ABSL_FLAG(int, settle, 12, "Seconds before the first measurement");
 ABSL_FLAG(bool, publish_only, false, "Publish the rules and records, then end");
 
-namespace snipestream {
-namespace {
+namespace snipestream
+{
+namespace
+{
 
 constexpr const char *kTeam = "studio";
 constexpr int kExtraDomains = 5;
-const AskedBy kAsked { "bench", "capacity" };
+const AskedBy kAsked{"bench", "capacity"};
 const KeyId kKey("bench");
 
 /// What one node used since its start.
-struct Usage
-{
+struct Usage {
     double cpuSeconds = 0;
     double residentMb = 0;
     double peerBytes = 0;
@@ -66,8 +67,7 @@
     return values.empty() ? 0 : values[values.size() / 2];
 }
 
-struct Bench
-{
+struct Bench {
     FiberRuntime runtime;
     MetricsRegistry metrics;
     std::vector<std::unique_ptr<HttpClient>> callers;
@@ -97,24 +97,23 @@
 auto benchKey() -> KeyRule
 {
     const std::string salt(32, 'a');
-    return KeyRule { kKey, TeamName(kTeam), salt, hashSecret(salt, "secret"), kAsked };
+    return KeyRule{kKey, TeamName(kTeam), salt, hashSecret(salt, "secret"), kAsked};
 }
 
 void appendChange(const LogClient &log, uint64_t base, std::vector<Rule> rules)
 {
-    const ChangeRecord change { newChangeId(), base, "bench", std::move(rules), {} };
+    const ChangeRecord change{newChangeId(), base, "bench", std::move(rules), {}};
     CHECK(log.append(kConfigStream, encodeChange(change))) << "the log takes no change";
 }
 
 void publish(Bench &bench)
 {
-    const Endpoint endpoint { "127.0.0.1", static_cast<uint16_t>(absl::GetFlag(FLAGS_log_port)) };
+    const Endpoint endpoint{"127.0.0.1", static_cast<uint16_t>(absl::GetFlag(FLAGS_log_port))};
     const LogClient log = makeHttpLogClient(makeFiberTransport(bench.runtime, endpoint), seconds(5));
-    std::vector<Rule> rules { DomainRule { DomainName("d0"), 1, kAsked },
-                              TeamRule { TeamName(kTeam), 1000000, 1000000, kAsked }, benchKey() };
+    std::vector<Rule> rules{DomainRule{DomainName("d0"), 1, kAsked}, TeamRule{TeamName(kTeam), 1000000, 1000000, kAsked}, benchKey()};
     for (int i = 0; i < absl::GetFlag(FLAGS_services); ++i) {
-        rules.emplace_back(RouteRule { RouteName("route-" + std::to_string(i)), "GET", "/" + serviceName(i),
-                                       ServiceName(serviceName(i)), Priority::Normal, true, false, kAsked });
+        rules.emplace_back(RouteRule{RouteName("route-" + std::to_string(i)), "GET", "/" + serviceName(i), ServiceName(serviceName(i)), Priority::Normal, true,
+                                     false, kAsked});
     }
     uint64_t base = 0;
     appendChange(log, base++, std::move(rules));
@@ -129,11 +128,7 @@
         appendChange(log, base++, std::move(keys));
     }
     for (int i = 0; i < absl::GetFlag(FLAGS_extra_nodes); ++i) {
-        const NodeRecord record { NodeName("elsewhere-" + std::to_string(i)),
-                                  true,
-                                  DomainName("d" + std::to_string(1 + i % kExtraDomains)),
-                                  { "127.0.0.1", 1 },
-                                  1 };
+        const NodeRecord record{NodeName("elsewhere-" + std::to_string(i)), true, DomainName("d" + std::to_string(1 + i % kExtraDomains)), {"127.0.0.1", 1}, 1};
         CHECK(log.append(kConfigStream, toJson(record).dump())) << "the log takes no node record";
     }
 }
@@ -146,13 +141,12 @@
         for (int i = 0; i < targets; ++i) {
             TargetAnnouncement announcement;
             announcement.target = TargetName("target-" + std::to_string(i));
-            announcement.service
-                = ServiceName(serviceName((static_cast<int>(node) * targets + i) % absl::GetFlag(FLAGS_services)));
-            announcement.endpoint = { "127.0.0.1", bench.targetPort };
+            announcement.service = ServiceName(serviceName((static_cast<int>(node) * targets + i) % absl::GetFlag(FLAGS_services)));
+            announcement.endpoint = {"127.0.0.1", bench.targetPort};
             announcement.slots = 100;
             announcement.connections = 100;
             RequestHead head = request("POST", "/snipestream/v1/targets");
-            head.headers = { { "Content-Type", "application/json" } };
+            head.headers = {{"Content-Type", "application/json"}};
             static_cast<void>(fetch(*bench.targetSides[node], head, toJson(announcement).dump()));
         }
         bench.runtime.sleepFor(seconds(1));
@@ -162,7 +156,7 @@
 void call(Bench &bench, size_t node, int service)
 {
     RequestHead head = request("GET", "/" + serviceName(service));
-    head.headers = { { "Authorization", "Bearer bench.secret" } };
+    head.headers = {{"Authorization", "Bearer bench.secret"}};
     const auto answer = fetch(*bench.callers[node], head, "");
     ++(answer && answer.value().status == 200 ? bench.answered : bench.failed);
 }
@@ -187,10 +181,10 @@
 /// Follows the configuration at the first node, as a node that is no relay does. All pollers share one link.
 void poll(Bench &bench, PeerNetwork &peers)
 {
-    const Endpoint relay { "127.0.0.1", static_cast<uint16_t>(absl::GetFlag(FLAGS_base_port) + 1) };
+    const Endpoint relay{"127.0.0.1", static_cast<uint16_t>(absl::GetFlag(FLAGS_base_port) + 1)};
     uint64_t from = 0;
     while (!bench.isEnding) {
-        const auto answer = peers.call(relay, "config.records", { { "from", from } }, seconds(2));
+        const auto answer = peers.call(relay, "config.records", {{"from", from}}, seconds(2));
         const auto text = answer && answer.value().is_object() ? answer.value().value("records", std::string()) : "";
         if (const auto records = decodeRecordsAnswer(text)) {
             from = records.value().nextOffset;
@@ -221,8 +215,7 @@
     constexpr size_t kUserTime = 11;
     constexpr size_t kSystemTime = 12;
     constexpr size_t kResidentPages = 21;
-    usage.cpuSeconds = (std::stod(fields.at(kUserTime)) + std::stod(fields.at(kSystemTime)))
-        / static_cast<double>(sysconf(_SC_CLK_TCK));
+    usage.cpuSeconds = (std::stod(fields.at(kUserTime)) + std::stod(fields.at(kSystemTime))) / static_cast<double>(sysconf(_SC_CLK_TCK));
     usage.residentMb = std::stod(fields.at(kResidentPages)) * static_cast<double>(sysconf(_SC_PAGESIZE)) / 1024 / 1024;
     const auto page = fetch(*bench.targetSides[node], request("GET", "/metrics"), "");
     if (page) {
@@ -277,9 +270,8 @@
         calls.push_back(sum.peerCalls / nodes / length);
         links.push_back(sum.links / nodes);
     }
-    std::printf("| %zu | %d | %d | %d | %d | %s | %.2f | %.2f | %.1f | %.1f | %.2f | %.2f | %.1f | %.0f |\n",
-                pids.size(), absl::GetFlag(FLAGS_targets), absl::GetFlag(FLAGS_services),
-                absl::GetFlag(FLAGS_extra_rules), absl::GetFlag(FLAGS_extra_nodes), load, median(cpu), median(mostCpu),
+    std::printf("| %zu | %d | %d | %d | %d | %s | %.2f | %.2f | %.1f | %.1f | %.2f | %.2f | %.1f | %.0f |\n", pids.size(), absl::GetFlag(FLAGS_targets),
+                absl::GetFlag(FLAGS_services), absl::GetFlag(FLAGS_extra_rules), absl::GetFlag(FLAGS_extra_nodes), load, median(cpu), median(mostCpu),
                 median(resident), median(mostResident), median(bytes), median(mostBytes), median(calls), median(links));
     std::fflush(stdout);
 }
@@ -288,7 +280,7 @@
 {
     HttpServerOptions options;
     options.name = "target";
-    options.listen = { "127.0.0.1", 0 };
+    options.listen = {"127.0.0.1", 0};
     HttpServer target(bench.runtime, options, bench.metrics, [](Exchange &exchange) {
         static_cast<void>(respondWith(exchange, 200, "text/plain", "ok\n"));
     });
@@ -296,10 +288,8 @@
     const auto pids = absl::GetFlag(FLAGS_pids);
     for (size_t i = 0; i < pids.size(); ++i) {
         const auto port = static_cast<uint16_t>(absl::GetFlag(FLAGS_base_port) + 3 * static_cast<int>(i));
-        bench.callers.push_back(
-            std::make_unique<HttpClient>(bench.runtime, HttpClientOptions { { "127.0.0.1", port }, 4 }));
-        bench.targetSides.push_back(std::make_unique<HttpClient>(
-            bench.runtime, HttpClientOptions { { "127.0.0.1", static_cast<uint16_t>(port + 2) }, 4 }));
+        bench.callers.push_back(std::make_unique<HttpClient>(bench.runtime, HttpClientOptions{{"127.0.0.1", port}, 4}));
+        bench.targetSides.push_back(std::make_unique<HttpClient>(bench.runtime, HttpClientOptions{{"127.0.0.1", static_cast<uint16_t>(port + 2)}, 4}));
     }
     for (size_t i = 0; i < pids.size(); ++i) {
         bench.runtime.spawn([&bench, i] {
@@ -310,7 +300,7 @@
         });
     }
     PeerOptions peerOptions;
-    peerOptions.self = { NodeName("pollers"), 1, DomainName("d0") };
+    peerOptions.self = {NodeName("pollers"), 1, DomainName("d0")};
     peerOptions.fleetSecret = absl::GetFlag(FLAGS_fleet_secret);
     PeerNetwork peers(bench.runtime, peerOptions, bench.metrics);
     bench.runtime.sleepFor(seconds(absl::GetFlag(FLAGS_settle)));
--- a/bench/path_bench.cpp
+++ b/bench/path_bench.cpp
@@ -21,12 +21,13 @@
 ABSL_FLAG(int, concurrency, 1, "Callers; each has one request under way");
 ABSL_FLAG(int, pause_us, 200, "Pause of a caller between two requests, in microseconds");
 
-namespace snipestream {
-namespace {
+namespace snipestream
+{
+namespace
+{
 
 /// Latencies of one kind of call, in microseconds.
-struct Samples
-{
+struct Samples {
     std::vector<double> values;
     int failed = 0;
 };
@@ -48,15 +49,13 @@
     const double took = std::chrono::duration<double, std::micro>(BootClock::now() - start).count();
     if (!answer || answer.value().status != 200) {
         ++samples.failed;
-        LOG_IF(WARNING, samples.failed == 1)
-            << "first failure: " << (answer ? answer.value().body : answer.error().message);
+        LOG_IF(WARNING, samples.failed == 1) << "first failure: " << (answer ? answer.value().body : answer.error().message);
         return -1;
     }
     return took;
 }
 
-struct Bench
-{
+struct Bench {
     FiberRuntime runtime;
     Samples direct;
     Samples through;
@@ -72,7 +71,7 @@
     head.path = absl::GetFlag(FLAGS_path);
     head.timeLeft = seconds(10);
     RequestHead keyed = head;
-    keyed.headers = { { "Authorization", "Bearer " + absl::GetFlag(FLAGS_key) } };
+    keyed.headers = {{"Authorization", "Bearer " + absl::GetFlag(FLAGS_key)}};
     const bool isPaired = absl::GetFlag(FLAGS_target_port) != 0;
     const int total = absl::GetFlag(FLAGS_requests) + absl::GetFlag(FLAGS_warmup);
     while (bench.started < total) {
@@ -99,8 +98,7 @@
 
 void printRow(const char *name, const std::vector<double> &values)
 {
-    std::printf("| %s | %zu | %.1f | %.1f | %.1f |\n", name, values.size(), quantile(values, 0.5),
-                quantile(values, 0.9), quantile(values, 0.99));
+    std::printf("| %s | %zu | %.1f | %.1f | %.1f |\n", name, values.size(), quantile(values, 0.5), quantile(values, 0.9), quantile(values, 0.99));
 }
 
 } // namespace
@@ -116,7 +114,7 @@
     Bench bench;
     const auto connections = static_cast<size_t>(absl::GetFlag(FLAGS_concurrency));
     const auto options = [&](int port) {
-        return HttpClientOptions { { "127.0.0.1", static_cast<uint16_t>(port) }, connections };
+        return HttpClientOptions{{"127.0.0.1", static_cast<uint16_t>(port)}, connections};
     };
     HttpClient node(bench.runtime, options(absl::GetFlag(FLAGS_node_port)));
     HttpClient target(bench.runtime, options(absl::GetFlag(FLAGS_target_port)));
@@ -133,7 +131,7 @@
     printRow("direct", bench.direct.values);
     printRow("through two nodes", bench.through.values);
     printRow("added, paired", bench.added);
-    std::printf("\nfailed: direct %d, through %d; %.0f calls/s through the nodes\n", bench.direct.failed,
-                bench.through.failed, static_cast<double>(bench.through.values.size()) / took);
+    std::printf("\nfailed: direct %d, through %d; %.0f calls/s through the nodes\n", bench.direct.failed, bench.through.failed,
+                static_cast<double>(bench.through.values.size()) / took);
     return bench.through.failed == 0 && bench.direct.failed == 0 ? 0 : 1;
 }
--- a/bench/peer_bench.cpp
+++ b/bench/peer_bench.cpp
@@ -15,15 +15,17 @@
 #include <boost/asio/post.hpp>
 #include <glog/logging.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr size_t kPiece = 64U << 10U;
 
 auto threadCpu() -> Duration
 {
-    timespec value {};
+    timespec value{};
     clock_gettime(CLOCK_THREAD_CPUTIME_ID, &value);
     return seconds(value.tv_sec) + Duration(value.tv_nsec);
 }
@@ -39,8 +41,8 @@
 auto benchOptions(const std::string &node) -> PeerOptions
 {
     PeerOptions options;
-    options.listen = { "0.0.0.0", 0 };
-    options.self = { NodeName(node), 1, DomainName("caerdydd") };
+    options.listen = {"0.0.0.0", 0};
+    options.self = {NodeName(node), 1, DomainName("caerdydd")};
     options.fleetSecret = "fleet secret of the benchmark";
     return options;
 }
@@ -49,13 +51,13 @@
 auto benchHead() -> RequestHead
 {
     RequestHead head;
-    head.id = { 0x1234567890ABCDEF, 0xFEDCBA0987654321 };
+    head.id = {0x1234567890ABCDEF, 0xFEDCBA0987654321};
     head.method = "POST";
     head.path = "/v1/chairs/17/reservations?day=2026-12-04";
-    head.headers = { { "Host", "stock.example" },       { "User-Agent", "studio-client/2.1" },
-                     { "Accept", "application/json" },  { "Content-Type", "application/json" },
-                     { "Accept-Encoding", "identity" }, { "Traceparent", "00-4bf92f3577b34da6a3ce929d0e0e4736-1-01" },
-                     { "Idempotency-Key", "b6f3c1" },   { "Content-Length", "200" } };
+    head.headers = {{"Host", "stock.example"},       {"User-Agent", "studio-client/2.1"},
+                    {"Accept", "application/json"},  {"Content-Type", "application/json"},
+                    {"Accept-Encoding", "identity"}, {"Traceparent", "00-4bf92f3577b34da6a3ce929d0e0e4736-1-01"},
+                    {"Idempotency-Key", "b6f3c1"},   {"Content-Length", "200"}};
     head.bodyLength = 200;
     head.route = RouteName("reserve-chair");
     head.service = ServiceName("diary");
@@ -76,7 +78,7 @@
         thread_ = std::thread([this, &port] {
             serve(port);
         });
-        endpoint = { "127.0.0.1", ready.get() };
+        endpoint = {"127.0.0.1", ready.get()};
     }
 
     ~ServerThread()
@@ -128,7 +130,7 @@
                 }
             }
             ResponseHead head;
-            head.headers = { { "Content-Type", "application/json" }, { "Content-Length", "200" } };
+            head.headers = {{"Content-Type", "application/json"}, {"Content-Length", "200"}};
             head.bodyLength = 200;
             head.sheddingLevel = 3;
             static_cast<void>(exchange.respond(head));
@@ -158,8 +160,7 @@
     std::thread thread_;
 };
 
-struct Client
-{
+struct Client {
     Client()
         : network(runtime, benchOptions("client"), metrics)
     {
@@ -172,7 +173,7 @@
 
 auto smallCall(Client &client, const Endpoint &server) -> bool
 {
-    static const nlohmann::json payload = { { "team", "studio-abertawe" }, { "amount", 1000000 }, { "epoch", 12 } };
+    static const nlohmann::json payload = {{"team", "studio-abertawe"}, {"amount", 1000000}, {"epoch", 12}};
     return client.network.call(server, "echo", payload).has_value();
 }
 
@@ -207,9 +208,9 @@
     std::vector<double> micros;
     micros.reserve(count);
     int failed = 0;
-    Duration elapsed {};
-    Duration clientCpu {};
-    Duration serverCpu {};
+    Duration elapsed{};
+    Duration clientCpu{};
+    Duration serverCpu{};
     client.runtime.runToEnd([&] {
         for (int i = 0; i < 200; ++i) {
             operation(client, server.endpoint);
@@ -242,8 +243,8 @@
     const auto each = [n](Duration duration) {
         return std::chrono::duration<double, std::micro>(duration).count() / n;
     };
-    std::printf("| %s | %d | %.0f | %.0f | %.0f | %.1f | %.1f | %d |\n", name, fibers, 1e6 / each(elapsed),
-                micros[micros.size() / 2], micros[micros.size() * 99 / 100], each(clientCpu), each(serverCpu), failed);
+    std::printf("| %s | %d | %.0f | %.0f | %.0f | %.1f | %.1f | %d |\n", name, fibers, 1e6 / each(elapsed), micros[micros.size() / 2],
+                micros[micros.size() * 99 / 100], each(clientCpu), each(serverCpu), failed);
 }
 
 void measureBody(bool isUpload)
@@ -278,9 +279,8 @@
         const std::chrono::duration<double> clientCpu = threadCpu() - clientStart;
         const std::chrono::duration<double> serverCpu = server.cpu() - serverStart;
         const double megabytes = static_cast<double>(bytes) / 1e6;
-        std::printf("| %s | %.0f | %.0f | %.2f | %.2f |\n", isUpload ? "request" : "response", megabytes,
-                    megabytes / elapsed.count(), clientCpu.count() * 1e3 / megabytes,
-                    serverCpu.count() * 1e3 / megabytes);
+        std::printf("| %s | %.0f | %.0f | %.2f | %.2f |\n", isUpload ? "request" : "response", megabytes, megabytes / elapsed.count(),
+                    clientCpu.count() * 1e3 / megabytes, serverCpu.count() * 1e3 / megabytes);
         client.network.shutdown();
     });
 }
@@ -294,21 +294,19 @@
     client.runtime.runToEnd([&] {
         smallCall(client, server.endpoint);
         size_t links = 0;
-        for (const size_t goal : { 10U, 100U, 400U }) {
+        for (const size_t goal : {10U, 100U, 400U}) {
             const long before = residentKb();
             const size_t added = goal - links;
             for (; links < goal; ++links) {
-                const std::string address
-                    = "127.0." + std::to_string(1 + links / 200) + "." + std::to_string(1 + links % 200);
-                smallCall(client, { address, server.endpoint.port });
+                const std::string address = "127.0." + std::to_string(1 + links / 200) + "." + std::to_string(1 + links % 200);
+                smallCall(client, {address, server.endpoint.port});
             }
             const Duration serverStart = server.cpu();
             const TimePoint start = BootClock::now();
             client.runtime.sleepFor(seconds(3));
             const std::chrono::duration<double> cpu = server.cpu() - serverStart;
             const std::chrono::duration<double> elapsed = BootClock::now() - start;
-            std::printf("| %zu | %.1f | %.2f |\n", client.network.linkCount() - 1,
-                        static_cast<double>(residentKb() - before) / static_cast<double>(added) / 2,
+            std::printf("| %zu | %.1f | %.2f |\n", client.network.linkCount() - 1, static_cast<double>(residentKb() - before) / static_cast<double>(added) / 2,
                         cpu.count() / elapsed.count() * 100);
         }
         client.network.shutdown();
@@ -336,8 +334,9 @@
         snipestream::measure("stream, 200 byte bodies", snipestream::smallStream, 50, 100000);
     }
     if (only.empty() || only == "large") {
-        std::printf("\n| large body | MB | MB/s | client cpu ms/MB | server cpu ms/MB |\n"
-                    "| --- | --- | --- | --- | --- |\n");
+        std::printf(
+            "\n| large body | MB | MB/s | client cpu ms/MB | server cpu ms/MB |\n"
+            "| --- | --- | --- | --- | --- |\n");
         snipestream::measureBody(true);
         snipestream::measureBody(false);
     }
--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -13,12 +13,13 @@
 ABSL_FLAG(bool, deep_levels, true, "answers report the shedding levels of services further down");
 ABSL_FLAG(bool, snipestream_only, false, "leave out the rows without snipestream");
 
-namespace snipestream::bench {
-
-namespace {
+namespace snipestream::bench
+{
 
-struct Row
+namespace
 {
+
+struct Row {
     Policy policy;
     const char *name;
 };
@@ -27,12 +28,10 @@
 {
     for (const auto &row : rows) {
         const auto measured = runPolicy(deployment, scenario, row.policy, seed);
-        const std::string recovery = measured.recovery
-            ? std::to_string(std::chrono::duration<double>(*measured.recovery).count()).substr(0, 4) + " s"
-            : "none in 15 s";
-        std::printf("| %s | %s | %s | %.0f | %.1f%% | %s | %.1f%% | %.1f%% |\n", deployment.name.c_str(),
-                    scenario.name.c_str(), row.name, measured.goodput, 100 * measured.criticalCompleted,
-                    recovery.c_str(), 100 * measured.worstTeam, 100 * measured.wrongful);
+        const std::string recovery =
+            measured.recovery ? std::to_string(std::chrono::duration<double>(*measured.recovery).count()).substr(0, 4) + " s" : "none in 15 s";
+        std::printf("| %s | %s | %s | %.0f | %.1f%% | %s | %.1f%% | %.1f%% |\n", deployment.name.c_str(), scenario.name.c_str(), row.name, measured.goodput,
+                    100 * measured.criticalCompleted, recovery.c_str(), 100 * measured.worstTeam, 100 * measured.wrongful);
         std::fflush(stdout);
     }
 }
@@ -47,25 +46,23 @@
     using namespace snipestream::bench;
     absl::ParseCommandLine(argc, argv);
     std::vector<Scenario> scenarios = {
-        { "1x", 1, 1, 1, false },
-        { "2x", 2, 1, 1, false },
-        { "4x", 4, 1, 1, false },
-        { "10x", 10, 1, 1, false },
-        { "deep service 5x slower", 1, 1, 5, false },
-        { "one team at 8x", 1, 8, 1, false },
-        { "2x, callers retry hard", 2, 1, 1, true },
+        {"1x", 1, 1, 1, false},
+        {"2x", 2, 1, 1, false},
+        {"4x", 4, 1, 1, false},
+        {"10x", 10, 1, 1, false},
+        {"deep service 5x slower", 1, 1, 5, false},
+        {"one team at 8x", 1, 8, 1, false},
+        {"2x, callers retry hard", 2, 1, 1, true},
     };
-    std::vector<Row> rows
-        = { { Policy::Snipestream, "snipestream" }, { Policy::SnipestreamNoQuota, "snipestream, quota off" } };
+    std::vector<Row> rows = {{Policy::Snipestream, "snipestream"}, {Policy::SnipestreamNoQuota, "snipestream, quota off"}};
     if (!absl::GetFlag(FLAGS_snipestream_only)) {
-        rows.insert(rows.begin(), { { Policy::None, "no control" }, { Policy::Fixed, "fixed limits" } });
+        rows.insert(rows.begin(), {{Policy::None, "no control"}, {Policy::Fixed, "fixed limits"}});
     }
-    std::cout << "Weights: lookup 1, booking 5, artwork upload 6, upload 8, deposit 10, certificate 10. Seed "
-              << absl::GetFlag(FLAGS_seed) << ".\n\n"
+    std::cout << "Weights: lookup 1, booking 5, artwork upload 6, upload 8, deposit 10, certificate 10. Seed " << absl::GetFlag(FLAGS_seed) << ".\n\n"
               << "| deployment | scenario | policy | goodput (weight/s) | critical completed | "
                  "recovery | worst-served team | wrongful refusals |\n"
               << "| --- | --- | --- | --- | --- | --- | --- | --- |" << std::endl;
-    for (const auto &deployment : { cymru(), nairobi() }) {
+    for (const auto &deployment : {cymru(), nairobi()}) {
         for (auto &scenario : scenarios) {
             scenario.quotaRefund = absl::GetFlag(FLAGS_quota_refund);
             scenario.deepLevels = absl::GetFlag(FLAGS_deep_levels);
--- a/bench/policy_calls.cpp
+++ b/bench/policy_calls.cpp
@@ -1,13 +1,14 @@
 #include "bench/policy_world.h"
 
-namespace snipestream::bench {
+namespace snipestream::bench
+{
 
-namespace {
+namespace
+{
 
 auto isOverload(std::optional<RefusalReason> reason) -> bool
 {
-    return reason == RefusalReason::Overloaded || reason == RefusalReason::QueueTimeout
-        || reason == RefusalReason::DeadlinePassed;
+    return reason == RefusalReason::Overloaded || reason == RefusalReason::QueueTimeout || reason == RefusalReason::DeadlinePassed;
 }
 
 auto keyOf(const ModelService &service, const ModelRoute &route) -> ServiceName
@@ -56,20 +57,20 @@
     const auto &logical = *call->root->logical;
     const auto &route = deployment_.routes[logical.route];
     auto &home = nodes_[node];
-    const AdmissionRequest request { call->root->id, TeamName("team-" + std::to_string(logical.team)), route.priority,
-                                     RouteName(route.name), call->root->deadline };
+    const AdmissionRequest request{call->root->id, TeamName("team-" + std::to_string(logical.team)), route.priority, RouteName(route.name),
+                                   call->root->deadline};
     const Offer result = offer(home.admission, home.id.target, request, now_);
     if (result.verdict == AdmissionVerdict::Refused) {
         answer(node, call, false, result.refusal.reason);
     } else if (result.verdict == AdmissionVerdict::Run) {
         runAt(node, result.ticket, call, share);
     } else {
-        call->root->active[{ node, result.ticket }] = false;
+        call->root->active[{node, result.ticket}] = false;
         home.starts[result.ticket] = [this, node, call, share, ticket = result.ticket] {
             runAt(node, ticket, call, share);
         };
         home.refusals[result.ticket] = [this, node, call, ticket = result.ticket](const Refusal &refusal) {
-            call->root->active.erase({ node, ticket });
+            call->root->active.erase({node, ticket});
             answer(node, call, false, refusal.reason);
         };
     }
@@ -94,10 +95,10 @@
 
 void World::runAt(size_t node, Ticket ticket, const CallPtr &call, int share)
 {
-    call->root->active[{ node, ticket }] = true;
+    call->root->active[{node, ticket}] = true;
     call->root->hasRun = true;
     const auto finish = [this, node, ticket, call](bool ok, std::optional<RefusalReason> reason) {
-        if (call->root->active.erase({ node, ticket }) == 0) {
+        if (call->root->active.erase({node, ticket}) == 0) {
             return;
         }
         apply(node, complete(nodes_[node].admission, ticket, ok ? RunOutcome::Answered : RunOutcome::Failed, now_));
@@ -128,7 +129,7 @@
     const auto &path = deployment_.routes[call->root->logical->route];
     if (scenario_.deepLevels && call->hop + 1 < path.services.size()) {
         const auto &next = deployment_.services[path.services[call->hop + 1]];
-        level = reportedLevel(level, home.upstream, { keyOf(next, path) }, now_);
+        level = reportedLevel(level, home.upstream, {keyOf(next, path)}, now_);
     }
     after(deployment_.hopLatency, [this, node, call, ok, reason, level] {
         const ServiceName service(deployment_.services[nodes_[node].service].name);
@@ -143,15 +144,14 @@
         }
         endCall(from.endpoints, service, nodes_[node].id, evidence, now_);
         const auto &observed = deployment_.routes[call->root->logical->route];
-        observeUpstream(from.admission.upstream, keyOf(deployment_.services[nodes_[node].service], observed), level,
-                        now_);
+        observeUpstream(from.admission.upstream, keyOf(deployment_.services[nodes_[node].service], observed), level, now_);
         if (ok || call->root->over) {
             call->done(ok, reason);
             return;
         }
         const auto &route = deployment_.routes[call->root->logical->route];
-        const RetriedCall retried { route.idempotent, call->root->deadline, false };
-        const FailedAttempt failed { reason, RunState::NotRun, call->number };
+        const RetriedCall retried{route.idempotent, call->root->deadline, false};
+        const FailedAttempt failed{reason, RunState::NotRun, call->number};
         const auto decision = decideRetry(*call->budget, from.ratio, retried, failed, now_, random_);
         if (decision.no) {
             call->done(false, reason);
--- a/bench/policy_cost_bench.cpp
+++ b/bench/policy_cost_bench.cpp
@@ -4,9 +4,11 @@
 
 #include <cstdio>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr int kRounds = 300'000;
 
@@ -25,14 +27,14 @@
 void measureAll()
 {
     Random random(1);
-    TimePoint now { seconds(100) };
+    TimePoint now{seconds(100)};
     AdmissionTable table;
     const TargetName target("t");
     const ServiceName service("s");
     upsertTarget(table, target, service, 150, false, now);
     const auto request = [&random, &now](int round) {
-        return AdmissionRequest { drawRequestId(random), TeamName("team-" + std::to_string(round % 8)),
-                                  static_cast<Priority>(round % 4), RouteName("route"), now + seconds(10) };
+        return AdmissionRequest{drawRequestId(random), TeamName("team-" + std::to_string(round % 8)), static_cast<Priority>(round % 4), RouteName("route"),
+                                now + seconds(10)};
     };
     std::printf("| function | mean time (ns) |\n| --- | --- |\n");
     measure("offer and complete, free slot", [&](int round) {
@@ -61,10 +63,10 @@
     EndpointTable endpoints;
     endpoints.domain = DomainName("d0");
     makeSubscription(endpoints, service, NodeName("dir"));
-    UpdateMessage update { service, NodeName("dir"), 1, 0, 1, true, {} };
+    UpdateMessage update{service, NodeName("dir"), 1, 0, 1, true, {}};
     for (int i = 0; i < 30; ++i) {
-        update.records.push_back({ EndpointId { NodeName("n" + std::to_string(i)), TargetName("t") }, service,
-                                   DomainName("d" + std::to_string(i % 3)), 100, EndpointState::Active, false, 1, 1 });
+        update.records.push_back({EndpointId{NodeName("n" + std::to_string(i)), TargetName("t")}, service, DomainName("d" + std::to_string(i % 3)), 100,
+                                  EndpointState::Active, false, 1, 1});
     }
     applyUpdate(endpoints, update, now);
     measure("chooseEndpoint, beginCall, endCall, 30 endpoints", [&](int) {
@@ -75,9 +77,8 @@
     RetryRatio ratio;
     measure("countFirstAttempt and decideRetry", [&](int) {
         countFirstAttempt(ratio, now);
-        AttemptBudget budget { 3 };
-        decideRetry(budget, ratio, { true, now + seconds(1), false },
-                    { RefusalReason::ConnectionLost, RunState::Unknown, 1 }, now, random);
+        AttemptBudget budget{3};
+        decideRetry(budget, ratio, {true, now + seconds(1), false}, {RefusalReason::ConnectionLost, RunState::Unknown, 1}, now, random);
     });
 }
 
--- a/bench/policy_model.h
+++ b/bench/policy_model.h
@@ -9,20 +9,19 @@
 #include <string>
 #include <vector>
 
-namespace snipestream::bench {
+namespace snipestream::bench
+{
 
 /// A service: a number of targets, each with slots, and the mean time that a slot is busy per call.
-struct ModelService
-{
+struct ModelService {
     std::string name;
     int targets = 1;
     int slots = 1;
-    Duration serviceTime {};
+    Duration serviceTime{};
 };
 
 /// A kind of request: the chain of services that it passes, its part of the traffic and its weight in goodput.
-struct ModelRoute
-{
+struct ModelRoute {
     std::string name;
     std::vector<size_t> services;
     double part = 0;
@@ -30,12 +29,11 @@
     double weight = 1;
     Priority priority = Priority::Normal;
     bool idempotent = true;
-    Duration timeout {};
+    Duration timeout{};
 };
 
 /// One of the deployments of the design page.
-struct Deployment
-{
+struct Deployment {
     std::string name;
     std::vector<ModelService> services;
     std::vector<ModelRoute> routes;
@@ -43,7 +41,7 @@
     std::vector<double> teams;
     /// Requests per second of normal load.
     double rate = 0;
-    Duration hopLatency {};
+    Duration hopLatency{};
     /// Service that the slow scenario slows down.
     size_t deepService = 0;
 };
@@ -52,8 +50,7 @@
 auto nairobi() -> Deployment;
 
 /// What happens between the warm-up and the recovery phase.
-struct Scenario
-{
+struct Scenario {
     std::string name;
     /// Load of all teams relative to the normal one.
     double load = 1;
@@ -84,8 +81,7 @@
 };
 
 /// Measured values of one run.
-struct PolicyResult
-{
+struct PolicyResult {
     /// Completed weight per second while the trigger lasts.
     double goodput = 0;
     /// Completed part of all critical requests.
--- a/bench/policy_world.cpp
+++ b/bench/policy_world.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <cmath>
 
-namespace snipestream::bench {
+namespace snipestream::bench
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration kWarmUp = seconds(8);
 constexpr Duration kTrigger = seconds(10);
@@ -42,7 +44,7 @@
     buildNodes();
     for (size_t team = 0; team < deployment_.teams.size(); ++team) {
         const double rate = deployment_.rate * deployment_.teams[team] * kRateRoom;
-        const Bucket bucket { rate, rate, rate, now_ };
+        const Bucket bucket{rate, rate, rate, now_};
         teamRates_.push_back(bucket);
         quota_.push_back(bucket);
         counts_.emplace_back();
@@ -57,7 +59,7 @@
             WorldNode node;
             node.service = service;
             const std::string name = model.name + "-" + std::to_string(i);
-            node.id = EndpointId { NodeName(name), TargetName(name) };
+            node.id = EndpointId{NodeName(name), TargetName(name)};
             node.endpoints.domain = DomainName("d" + std::to_string(i % 3));
             upsertTarget(node.admission, node.id.target, ServiceName(model.name), model.slots, false, now_);
             nodes_.push_back(std::move(node));
@@ -73,26 +75,24 @@
         for (size_t service = 0; service < deployment_.services.size(); ++service) {
             const ServiceName name(deployment_.services[service].name);
             makeSubscription(node.endpoints, name, NodeName("directory"));
-            UpdateMessage update { name, NodeName("directory"), 1, 0, 1, true, {} };
+            UpdateMessage update{name, NodeName("directory"), 1, 0, 1, true, {}};
             for (const auto &other : nodes_) {
                 if (other.service == service) {
-                    update.records.push_back({ other.id, name, other.endpoints.domain,
-                                               deployment_.services[service].slots, EndpointState::Active, false, 1,
-                                               1 });
+                    update.records.push_back({other.id, name, other.endpoints.domain, deployment_.services[service].slots, EndpointState::Active, false, 1, 1});
                 }
             }
             applyUpdate(node.endpoints, update, now_);
         }
         for (const double part : deployment_.teams) {
             const double rate = deployment_.rate * part * kRateRoom / static_cast<double>(nodes_.size());
-            node.buckets.push_back({ rate, std::max(1.0, rate), std::max(1.0, rate), now_ });
+            node.buckets.push_back({rate, std::max(1.0, rate), std::max(1.0, rate), now_});
         }
     }
 }
 
 void World::after(Duration delay, std::function<void()> action)
 {
-    events_.push(Event { now_ + delay, serial_++, std::move(action) });
+    events_.push(Event{now_ + delay, serial_++, std::move(action)});
 }
 
 auto World::inTrigger() const -> bool
@@ -196,8 +196,7 @@
         node.refusals.erase(key.second);
         // A run whose deadline passed ends as such, so that its latency counts.
         apply(key.first,
-              running && now_ >= root->deadline ? complete(node.admission, key.second, RunOutcome::TimedOut, now_)
-                                                : cancel(node.admission, key.second, now_));
+              running && now_ >= root->deadline ? complete(node.admission, key.second, RunOutcome::TimedOut, now_) : cancel(node.admission, key.second, now_));
     }
     auto &logical = *root->logical;
     logical.completed = logical.completed || ok;
--- a/bench/policy_world.h
+++ b/bench/policy_world.h
@@ -11,11 +11,11 @@
 #include <memory>
 #include <queue>
 
-namespace snipestream::bench {
+namespace snipestream::bench
+{
 
 /// Exact token bucket.
-struct Bucket
-{
+struct Bucket {
     double rate = 0;
     double burst = 0;
     double level = 0;
@@ -26,8 +26,7 @@
 auto takeToken(Bucket &bucket, TimePoint now, double reserve = 0) -> bool;
 
 /// A request of a caller over all its attempts.
-struct Logical
-{
+struct Logical {
     size_t route = 0;
     size_t team = 0;
     TimePoint arrivedAt;
@@ -36,8 +35,7 @@
 };
 
 /// One attempt of a caller, with everything that runs for it.
-struct Root
-{
+struct Root {
     std::shared_ptr<Logical> logical;
     RequestId id;
     TimePoint deadline;
@@ -56,8 +54,7 @@
 using Done = std::function<void(bool ok, std::optional<RefusalReason> reason)>;
 
 /// A target with its node.
-struct WorldNode
-{
+struct WorldNode {
     size_t service = 0;
     EndpointId id;
     AdmissionTable admission;
@@ -72,8 +69,7 @@
 };
 
 /// Attempts of one team while the trigger lasted.
-struct TeamCount
-{
+struct TeamCount {
     /// Attempts that an exact token bucket allows.
     double allowed = 0;
     double completed = 0;
@@ -89,8 +85,7 @@
     auto run() -> PolicyResult;
 
 private:
-    struct Event
-    {
+    struct Event {
         TimePoint at;
         uint64_t serial;
         std::function<void()> action;
@@ -99,8 +94,7 @@
             return at != other.at ? at > other.at : serial > other.serial;
         }
     };
-    struct Call
-    {
+    struct Call {
         size_t from = 0;
         RootPtr root;
         size_t hop = 0;
@@ -139,7 +133,7 @@
     const Scenario &scenario_;
     Policy policy_;
     Random random_;
-    TimePoint now_ { seconds(1000) };
+    TimePoint now_{seconds(1000)};
     TimePoint triggerAt_;
     TimePoint triggerEnd_;
     TimePoint end_;
--- a/bench/quota_bench.cpp
+++ b/bench/quota_bench.cpp
@@ -6,9 +6,11 @@
 #include <array>
 #include <cstdio>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
 constexpr size_t kDomains = 4;
 constexpr size_t kNodes = 18;
@@ -30,8 +32,7 @@
 };
 
 /// One bucket for the whole fleet that is debited for every admitted request: what a perfect enforcement would have.
-struct FleetBucket
-{
+struct FleetBucket {
     double rate = 0;
     double burst = 0;
     double level = 0;
@@ -44,8 +45,7 @@
     }
 };
 
-struct Tally
-{
+struct Tally {
     uint64_t admitted = 0;
     uint64_t refused = 0;
     uint64_t wrongful = 0;
@@ -58,25 +58,25 @@
         : mode_(mode)
         , fault_(fault)
         , team_(team)
-        , world_(20261204, kDomains, kNodes, QuotaParams {})
+        , world_(20261204, kDomains, kNodes, QuotaParams{})
         , load_(1)
         , rate_(static_cast<double>(rule.rate) / kOneToken)
         , burst_(static_cast<double>(rule.burst) / kOneToken)
     {
-        DomainWeights weights { 1, {} };
+        DomainWeights weights{1, {}};
         for (size_t d = 0; d < kDomains; ++d) {
             weights.weights[DomainName("d" + std::to_string(d))] = 1;
         }
         world_.loans = mode == Mode::HolderWithLoans;
-        world_.setRules({ { team, rule } });
+        world_.setRules({{team, rule}});
         world_.setWeights(weights);
         world_.onVerdict = [this](const TeamName &, const TokenVerdict &verdict) {
             count(verdict.state == TokenState::Admitted);
         };
         world_.run(seconds(10));
-        fleet_ = FleetBucket { rate_, burst_, burst_, now() };
+        fleet_ = FleetBucket{rate_, burst_, burst_, now()};
         for (auto &node : nodes_) {
-            node = FleetBucket { rate_ / kNodes, burst_ / kNodes, burst_ / kNodes, now() };
+            node = FleetBucket{rate_ / kNodes, burst_ / kNodes, burst_ / kNodes, now()};
         }
     }
 
@@ -91,9 +91,8 @@
         }
         world_.run(seconds(1));
         const auto requests = tally_.admitted + tally_.refused;
-        std::printf("| %-6s | %-20s | %-13s | %8lu | %8lu | %8lu | %8.2f |\n", team_.value.c_str(), modeName, faultName,
-                    requests, tally_.admitted, tally_.wrongful,
-                    static_cast<double>(world_.messages - messagesBefore) / static_cast<double>(requests));
+        std::printf("| %-6s | %-20s | %-13s | %8lu | %8lu | %8lu | %8.2f |\n", team_.value.c_str(), modeName, faultName, requests, tally_.admitted,
+                    tally_.wrongful, static_cast<double>(world_.messages - messagesBefore) / static_cast<double>(requests));
     }
 
 private:
@@ -183,15 +182,11 @@
 {
     using namespace snipestream;
     using namespace snipestream::testing;
-    const std::pair<Mode, const char *> modes[] = { { Mode::Static, "static division" },
-                                                    { Mode::HolderOnly, "holder without loans" },
-                                                    { Mode::HolderWithLoans, "holder with loans" } };
-    const std::pair<Fault, const char *> faults[] = { { Fault::None, "none" },
-                                                      { Fault::Cut, "domain cut" },
-                                                      { Fault::HolderDeath, "holder death" },
-                                                      { Fault::LogOutage, "log outage" } };
-    const std::pair<TeamName, TeamQuota> teams[]
-        = { { kSmallTeam, { 2 * kOneToken, 5 * kOneToken } }, { kLargeTeam, { 1000 * kOneToken, 200 * kOneToken } } };
+    const std::pair<Mode, const char *> modes[] = {
+        {Mode::Static, "static division"}, {Mode::HolderOnly, "holder without loans"}, {Mode::HolderWithLoans, "holder with loans"}};
+    const std::pair<Fault, const char *> faults[] = {
+        {Fault::None, "none"}, {Fault::Cut, "domain cut"}, {Fault::HolderDeath, "holder death"}, {Fault::LogOutage, "log outage"}};
+    const std::pair<TeamName, TeamQuota> teams[] = {{kSmallTeam, {2 * kOneToken, 5 * kOneToken}}, {kLargeTeam, {1000 * kOneToken, 200 * kOneToken}}};
     std::printf(
         "18 nodes, 4 failure domains, 120 s; cut of one domain for 30 s; holder death with a successor after 7 s;\n"
         "log outage: the holder dies and has no successor.\n"
--- a/config/audit_json.cpp
+++ b/config/audit_json.cpp
@@ -2,17 +2,13 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 auto auditEntryJson(const AuditEntry &entry) -> nlohmann::json
 {
-    return nlohmann::json { { "offset", entry.offset },
-                            { "change", entry.changeId },
-                            { "by", entry.by },
-                            { "verdict", verdictName(entry.verdict) },
-                            { "revision", entry.revision },
-                            { "touched", entry.touched },
-                            { "detail", entry.detail } };
+    return nlohmann::json{{"offset", entry.offset},     {"change", entry.changeId}, {"by", entry.by},        {"verdict", verdictName(entry.verdict)},
+                          {"revision", entry.revision}, {"touched", entry.touched}, {"detail", entry.detail}};
 }
 
 auto auditTrailJson(const ConfigState &state) -> nlohmann::json
@@ -23,7 +19,7 @@
         row["inForceAtMs"] = entry.inForceAtMs;
         entries.push_back(std::move(row));
     }
-    return nlohmann::json { { "entries", std::move(entries) } };
+    return nlohmann::json{{"entries", std::move(entries)}};
 }
 
 } // namespace snipestream
--- a/config/audit_json.h
+++ b/config/audit_json.h
@@ -4,7 +4,8 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Returns an audit entry as it stands in snapshots: offset, change, by, verdict, revision, touched, detail.
 auto auditEntryJson(const AuditEntry &entry) -> nlohmann::json;
--- a/config/catch_up.cpp
+++ b/config/catch_up.cpp
@@ -2,17 +2,18 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// The log may drop records while it is read; after this many restarts the read is given up.
 constexpr int kMaxScans = 3;
 
 /// Reads the log from `earliest` on until a snapshot is complete that lies above the state's offset and whose following
 /// records are kept.
-auto findSnapshot(const ConfigFold &fold, const LogClient &log, uint64_t earliest, size_t pageRecords)
-    -> Result<Snapshot>
+auto findSnapshot(const ConfigFold &fold, const LogClient &log, uint64_t earliest, size_t pageRecords) -> Result<Snapshot>
 {
     SnapshotAssembly assembly;
     for (uint64_t from = earliest;;) {
@@ -37,23 +38,20 @@
         from += page.value().records.size();
         if (page.value().records.empty()) {
             return failure(ErrorCode::Unavailable,
-                           "the log keeps records from offset " + std::to_string(earliest)
-                               + " on and no snapshot that continues there; offset "
+                           "the log keeps records from offset " + std::to_string(earliest) + " on and no snapshot that continues there; offset "
                                + std::to_string(fold.state.nextOffset) + " is needed");
         }
     }
 }
 
-void foldPage(ConfigFold &fold, const LogPage &page, int64_t nowMs, const FoldListener &listener,
-              CatchUpOutcome &result)
+void foldPage(ConfigFold &fold, const LogPage &page, int64_t nowMs, const FoldListener &listener, CatchUpOutcome &result)
 {
     for (const LogRecord &record : page.records) {
         FoldOutcome outcome = applyRecord(fold, record, nowMs);
         if (listener) {
             listener(record, outcome);
         }
-        result.withdrawnKeys.insert(result.withdrawnKeys.end(), outcome.withdrawnKeys.begin(),
-                                    outcome.withdrawnKeys.end());
+        result.withdrawnKeys.insert(result.withdrawnKeys.end(), outcome.withdrawnKeys.begin(), outcome.withdrawnKeys.end());
         result.outcomes.push_back(std::move(outcome));
     }
     result.head = page.head;
@@ -62,8 +60,7 @@
 
 } // namespace
 
-auto catchUpFromLog(ConfigFold &fold, const LogClient &log, size_t pageRecords, int64_t nowMs,
-                    const FoldListener &listener) -> Result<CatchUpOutcome>
+auto catchUpFromLog(ConfigFold &fold, const LogClient &log, size_t pageRecords, int64_t nowMs, const FoldListener &listener) -> Result<CatchUpOutcome>
 {
     CatchUpOutcome result;
     int scans = 0;
@@ -71,8 +68,8 @@
         const auto page = log.read(kConfigStream, fold.state.nextOffset, pageRecords);
         if (page && page.value().head < fold.state.nextOffset) {
             return failure(ErrorCode::ProtocolViolation,
-                           "the log ends at offset " + std::to_string(page.value().head) + ", below the offset "
-                               + std::to_string(fold.state.nextOffset) + " that was read before; it has lost records");
+                           "the log ends at offset " + std::to_string(page.value().head) + ", below the offset " + std::to_string(fold.state.nextOffset)
+                               + " that was read before; it has lost records");
         }
         if (page) {
             foldPage(fold, page.value(), nowMs, listener, result);
@@ -97,8 +94,7 @@
             return adoption.error();
         }
         result.snapshotAdopted = result.snapshotAdopted || adoption.value().adopted;
-        result.withdrawnKeys.insert(result.withdrawnKeys.end(), adoption.value().withdrawnKeys.begin(),
-                                    adoption.value().withdrawnKeys.end());
+        result.withdrawnKeys.insert(result.withdrawnKeys.end(), adoption.value().withdrawnKeys.begin(), adoption.value().withdrawnKeys.end());
     }
 }
 
--- a/config/catch_up.h
+++ b/config/catch_up.h
@@ -10,11 +10,11 @@
 #include <functional>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// What reading the log led to.
-struct CatchUpOutcome
-{
+struct CatchUpOutcome {
     std::vector<FoldOutcome> outcomes;
     bool snapshotAdopted = false;
     /// Keys that stopped authenticating through records or the snapshot.
@@ -31,12 +31,10 @@
 /// first adopts a snapshot from the log. Records folded before an error stay folded. Errors: those of the log;
 /// Unavailable if the records have expired and the log holds no complete snapshot that continues (ask a peer then);
 /// ProtocolViolation if the log ends below the state's offset, so that it has lost records.
-auto catchUpFromLog(ConfigFold &fold, const LogClient &log, size_t pageRecords, int64_t nowMs,
-                    const FoldListener &listener = {}) -> Result<CatchUpOutcome>;
+auto catchUpFromLog(ConfigFold &fold, const LogClient &log, size_t pageRecords, int64_t nowMs, const FoldListener &listener = {}) -> Result<CatchUpOutcome>;
 
 /// Appends the state as snapshot records. Errors: those of the log; a snapshot that was cut short is ignored by
 /// readers.
-auto publishSnapshot(const ConfigFold &fold, const LogClient &log, const std::string &id, int64_t nowMs)
-    -> Result<void>;
+auto publishSnapshot(const ConfigFold &fold, const LogClient &log, const std::string &id, int64_t nowMs) -> Result<void>;
 
 } // namespace snipestream
--- a/config/change.cpp
+++ b/config/change.cpp
@@ -11,9 +11,11 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 using Json = nlohmann::json;
 
@@ -23,8 +25,7 @@
 
 auto operator==(const ChangeRecord &a, const ChangeRecord &b) -> bool
 {
-    return std::tie(a.id, a.baseRevision, a.by, a.upserts, a.removals)
-        == std::tie(b.id, b.baseRevision, b.by, b.upserts, b.removals);
+    return std::tie(a.id, a.baseRevision, a.by, a.upserts, a.removals) == std::tie(b.id, b.baseRevision, b.by, b.upserts, b.removals);
 }
 
 auto encodeChange(const ChangeRecord &change) -> std::string
@@ -33,12 +34,12 @@
     for (const Rule &rule : change.upserts) {
         upserts.push_back(formatRule(rule));
     }
-    return dumpJson(Json { { "type", "change" },
-                           { "id", change.id },
-                           { "base", change.baseRevision },
-                           { "by", change.by },
-                           { "upserts", std::move(upserts) },
-                           { "removals", change.removals } });
+    return dumpJson(Json{{"type", "change"},
+                         {"id", change.id},
+                         {"base", change.baseRevision},
+                         {"by", change.by},
+                         {"upserts", std::move(upserts)},
+                         {"removals", change.removals}});
 }
 
 auto decodeChange(std::string_view payload) -> Result<ChangeRecord>
@@ -65,8 +66,7 @@
         if (rule) {
             change.upserts.push_back(std::move(rule.value()));
         } else {
-            errors.push_back(
-                JsonError { reader.pathOf("upserts") + "[" + std::to_string(index) + "]", rule.error().message });
+            errors.push_back(JsonError{reader.pathOf("upserts") + "[" + std::to_string(index) + "]", rule.error().message});
         }
         ++index;
     }
@@ -78,8 +78,8 @@
     return change;
 }
 
-auto planChange(const ConfigState &state, const std::vector<Rule> &wanted, uint64_t baseRevision, const std::string &id,
-                const std::string &by) -> Result<ChangeRecord>
+auto planChange(const ConfigState &state, const std::vector<Rule> &wanted, uint64_t baseRevision, const std::string &id, const std::string &by)
+    -> Result<ChangeRecord>
 {
     ChangeRecord change;
     change.id = id;
@@ -100,14 +100,13 @@
         }
     }
     if (change.upserts.empty() && change.removals.empty()) {
-        return failure(ErrorCode::NotFound,
-                       "the rules are in force already, at revision " + std::to_string(state.revision));
+        return failure(ErrorCode::NotFound, "the rules are in force already, at revision " + std::to_string(state.revision));
     }
     const size_t bytes = encodeChange(change).size();
     if (bytes > kMaxRecordBytes) {
         return failure(ErrorCode::TooLarge,
-                       "the change has " + std::to_string(bytes) + " bytes, more than the "
-                           + std::to_string(kMaxRecordBytes) + " of one record; publish it in several steps");
+                       "the change has " + std::to_string(bytes) + " bytes, more than the " + std::to_string(kMaxRecordBytes)
+                           + " of one record; publish it in several steps");
     }
     return change;
 }
--- a/config/change.h
+++ b/config/change.h
@@ -10,7 +10,8 @@
 #include <string_view>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Largest record on the configuration stream, in bytes. With its envelope it fits into one frame between nodes
 /// (256 KiB), even if every character needs escaping once.
@@ -21,8 +22,7 @@
 inline constexpr size_t kMaxByBytes = 200;
 
 /// A change of the configuration, as operators append it to the log.
-struct ChangeRecord
-{
+struct ChangeRecord {
     /// Random and unique; a second record with the same id is ignored.
     std::string id;
     /// Revision that the change was computed against.
@@ -44,8 +44,8 @@
 /// Computes the change from the rules in force to `wanted`: what differs is upserted, what is missing is removed. Id
 /// and operator are taken over. ErrorCode::NotFound: there is no difference. ErrorCode::TooLarge: the record would
 /// exceed kMaxRecordBytes.
-auto planChange(const ConfigState &state, const std::vector<Rule> &wanted, uint64_t baseRevision, const std::string &id,
-                const std::string &by) -> Result<ChangeRecord>;
+auto planChange(const ConfigState &state, const std::vector<Rule> &wanted, uint64_t baseRevision, const std::string &id, const std::string &by)
+    -> Result<ChangeRecord>;
 
 /// Returns a random change id.
 auto newChangeId() -> std::string;
--- a/config/change_check.cpp
+++ b/config/change_check.cpp
@@ -7,9 +7,11 @@
 #include <optional>
 #include <set>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// Adds who published a revision, as far as the audit trail still has it.
 auto winnerText(const ConfigState &state, const std::string &id, uint64_t revision, const char *action) -> std::string
@@ -26,8 +28,7 @@
 {
     const auto current = state.rules.find(id);
     if (current != state.rules.end()) {
-        return current->second.revision > base ? winnerText(state, id, current->second.revision, "changed")
-                                               : std::string();
+        return current->second.revision > base ? winnerText(state, id, current->second.revision, "changed") : std::string();
     }
     const RemovedRules &removed = removalsFor(state, id);
     const auto removal = removed.revisions.find(id);
@@ -35,8 +36,7 @@
         return removal->second > base ? winnerText(state, id, removal->second, "removed") : std::string();
     }
     if (removed.forgottenRevision > base) {
-        return "rule \"" + id + "\" may have been removed up to revision " + std::to_string(removed.forgottenRevision)
-            + ", which is no longer recorded";
+        return "rule \"" + id + "\" may have been removed up to revision " + std::to_string(removed.forgottenRevision) + ", which is no longer recorded";
     }
     return {};
 }
@@ -79,8 +79,7 @@
             + " and cannot be used again; make a key with a new id";
     }
     const auto current = state.index.keys.find(key.id);
-    if (current != state.index.keys.end()
-        && (current->second.team != key.team || current->second.salt != key.salt || current->second.hmac != key.hmac)) {
+    if (current != state.index.keys.end() && (current->second.team != key.team || current->second.salt != key.salt || current->second.hmac != key.hmac)) {
         return "key " + key.id.value + " cannot change its hash or team; make a key with a new id and remove this one";
     }
     if (after.find("team " + key.team.value) == nullptr) {
@@ -107,8 +106,7 @@
             continue;
         }
         const Rule *other = after.find("route " + current->second.name.value);
-        if (other != nullptr
-            && std::get<RouteRule>(*other).method + " " + std::get<RouteRule>(*other).pathPrefix == path) {
+        if (other != nullptr && std::get<RouteRule>(*other).method + " " + std::get<RouteRule>(*other).pathPrefix == path) {
             return "routes " + current->second.name.value + " and " + route->name.value + " both match " + path;
         }
     }
@@ -157,32 +155,30 @@
 auto checkChange(const ConfigState &state, const ChangeRecord &change) -> ChangeCheck
 {
     if (change.baseRevision > state.revision) {
-        return ChangeCheck { ChangeVerdict::Invalid,
-                             "base revision " + std::to_string(change.baseRevision) + " is above the revision "
-                                 + std::to_string(state.revision) + " in force" };
+        return ChangeCheck{ChangeVerdict::Invalid,
+                           "base revision " + std::to_string(change.baseRevision) + " is above the revision " + std::to_string(state.revision) + " in force"};
     }
     std::vector<std::string> touched = change.removals;
     for (const Rule &rule : change.upserts) {
         touched.push_back(ruleId(rule));
     }
     if (touched.empty()) {
-        return ChangeCheck { ChangeVerdict::Invalid, "the change touches no rule" };
+        return ChangeCheck{ChangeVerdict::Invalid, "the change touches no rule"};
     }
     std::set<std::string> distinct;
     for (const std::string &id : touched) {
         if (!distinct.insert(id).second) {
-            return ChangeCheck { ChangeVerdict::Invalid, "the change touches " + inQuotes(id) + " twice" };
+            return ChangeCheck{ChangeVerdict::Invalid, "the change touches " + inQuotes(id) + " twice"};
         }
     }
     for (const std::string &id : touched) {
         const std::string winner = conflictOf(state, id, change.baseRevision);
         if (!winner.empty()) {
-            return ChangeCheck { ChangeVerdict::Conflict,
-                                 winner + ", after base revision " + std::to_string(change.baseRevision) };
+            return ChangeCheck{ChangeVerdict::Conflict, winner + ", after base revision " + std::to_string(change.baseRevision)};
         }
     }
     const std::string invalid = findInvalid(state, change);
-    return ChangeCheck { invalid.empty() ? ChangeVerdict::Applied : ChangeVerdict::Invalid, invalid };
+    return ChangeCheck{invalid.empty() ? ChangeVerdict::Applied : ChangeVerdict::Invalid, invalid};
 }
 
 } // namespace snipestream
--- a/config/change_check.h
+++ b/config/change_check.h
@@ -5,11 +5,11 @@
 
 #include <string>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// What a change would meet.
-struct ChangeCheck
-{
+struct ChangeCheck {
     /// Applied, Conflict or Invalid.
     ChangeVerdict verdict = ChangeVerdict::Applied;
     /// Why not: for a conflict the rule, the revision and the operator that won.
--- a/config/config_state.cpp
+++ b/config/config_state.cpp
@@ -6,12 +6,13 @@
 #include <algorithm>
 #include <array>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
-constexpr std::array<std::string_view, 5> kVerdictNames
-    = { "applied", "duplicate", "conflict", "invalid", "unreadable" };
+constexpr std::array<std::string_view, 5> kVerdictNames = {"applied", "duplicate", "conflict", "invalid", "unreadable"};
 
 auto routeKey(std::string_view method, std::string_view path) -> std::string
 {
@@ -59,10 +60,9 @@
     if (removed.revisions.size() <= bound) {
         return;
     }
-    const auto oldest
-        = std::min_element(removed.revisions.begin(), removed.revisions.end(), [](const auto &a, const auto &b) {
-              return a.second < b.second;
-          });
+    const auto oldest = std::min_element(removed.revisions.begin(), removed.revisions.end(), [](const auto &a, const auto &b) {
+        return a.second < b.second;
+    });
     removed.forgottenRevision = std::max(removed.forgottenRevision, oldest->second);
     removed.revisions.erase(oldest);
 }
@@ -97,8 +97,7 @@
             return &found->second;
         }
         if (key.size() <= root + 1) {
-            return failure(ErrorCode::NotFound,
-                           "no route matches " + inQuotes(method) + " " + inQuotes(path.substr(0, path.find('?'))));
+            return failure(ErrorCode::NotFound, "no route matches " + inQuotes(method) + " " + inQuotes(path.substr(0, path.find('?'))));
         }
         key.resize(std::max(key.rfind('/'), root + 1));
     }
@@ -121,10 +120,9 @@
     if (offset == state.changeOffsets.end()) {
         return nullptr;
     }
-    const auto entry = std::lower_bound(state.audit.begin(), state.audit.end(), offset->second,
-                                        [](const AuditEntry &candidate, uint64_t wanted) {
-                                            return candidate.offset < wanted;
-                                        });
+    const auto entry = std::lower_bound(state.audit.begin(), state.audit.end(), offset->second, [](const AuditEntry &candidate, uint64_t wanted) {
+        return candidate.offset < wanted;
+    });
     return entry == state.audit.end() || entry->offset != offset->second ? nullptr : &*entry;
 }
 
@@ -146,10 +144,10 @@
 void putRule(ConfigState &state, const Rule &rule, uint64_t revision)
 {
     const std::string id = ruleId(rule);
-    const auto [entry, isNew] = state.rules.try_emplace(id, RuleEntry { rule, revision });
+    const auto [entry, isNew] = state.rules.try_emplace(id, RuleEntry{rule, revision});
     if (!isNew) {
         removeFromIndex(state.index, entry->second.rule);
-        entry->second = RuleEntry { rule, revision };
+        entry->second = RuleEntry{rule, revision};
     }
     state.removedRules.revisions.erase(id);
     addToIndex(state.index, rule);
--- a/config/config_state.h
+++ b/config/config_state.h
@@ -13,7 +13,8 @@
 #include <unordered_map>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Entries of the audit trail that are kept; about one day at the 4,100 changes a day of the required scale. The same
 /// entries recognise repeated change ids.
@@ -41,8 +42,7 @@
 auto parseVerdict(std::string_view name) -> std::optional<ChangeVerdict>;
 
 /// One entry of the audit trail: what became of one change record.
-struct AuditEntry
-{
+struct AuditEntry {
     uint64_t offset = 0;
     std::string changeId;
     std::string by;
@@ -62,15 +62,13 @@
 inline constexpr size_t kMaxAuditedRules = 32;
 
 /// A rule in force and the revision that last changed it.
-struct RuleEntry
-{
+struct RuleEntry {
     Rule rule;
     uint64_t revision = 0;
 };
 
 /// Lookups of the request path, derived from the rules.
-struct RequestIndex
-{
+struct RequestIndex {
     std::unordered_map<KeyId, KeyRule> keys;
     std::unordered_map<TeamName, TeamRule> teams;
     std::map<DomainName, uint32_t> domainWeights;
@@ -79,8 +77,7 @@
 };
 
 /// Rules that were removed, as far as they are kept.
-struct RemovedRules
-{
+struct RemovedRules {
     /// Rule id -> revision that removed it.
     std::map<std::string, uint64_t> revisions;
     /// Highest revision of a removal that is no longer kept. A change with a lower base is rejected if it touches a
@@ -90,8 +87,7 @@
 
 /// The configuration: the fold of all records below `nextOffset`. Nodes with the same `nextOffset` have the same state,
 /// except for the times in the audit trail.
-struct ConfigState
-{
+struct ConfigState {
     /// Offset of the next record to fold; only grows.
     uint64_t nextOffset = 0;
     /// Number of changes applied so far.
--- a/config/fold.cpp
+++ b/config/fold.cpp
@@ -11,9 +11,11 @@
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 using Json = nlohmann::json;
 
@@ -65,8 +67,7 @@
 }
 
 /// Folds a record of kind "change" and returns the rules it touches.
-auto foldChange(ConfigFold &fold, const LogRecord &record, const Json &document, FoldOutcome &outcome)
-    -> std::vector<std::string>
+auto foldChange(ConfigFold &fold, const LogRecord &record, const Json &document, FoldOutcome &outcome) -> std::vector<std::string>
 {
     outcome.changeId = textOf(document, "id");
     outcome.by = textOf(document, "by");
@@ -79,8 +80,7 @@
     const ChangeRecord &change = decoded.value();
     if (const AuditEntry *earlier = findVerdict(fold.state, change.id)) {
         outcome.verdict = ChangeVerdict::Duplicate;
-        outcome.detail = "the change was " + std::string(verdictName(earlier->verdict)) + " at offset "
-            + std::to_string(earlier->offset);
+        outcome.detail = "the change was " + std::string(verdictName(earlier->verdict)) + " at offset " + std::to_string(earlier->offset);
         return touchedRules(change);
     }
     const ChangeCheck check = checkChange(fold.state, change);
@@ -111,10 +111,9 @@
 
 void foldSection(const ConfigFold &fold, const LogRecord &record, const Json &document, FoldOutcome &outcome)
 {
-    const auto section
-        = std::find_if(fold.sections.begin(), fold.sections.end(), [&outcome](const FoldSection &candidate) {
-              return candidate.name == outcome.kind;
-          });
+    const auto section = std::find_if(fold.sections.begin(), fold.sections.end(), [&outcome](const FoldSection &candidate) {
+        return candidate.name == outcome.kind;
+    });
     if (section == fold.sections.end()) {
         outcome.verdict = ChangeVerdict::Unreadable;
         outcome.detail = "no section folds records of kind " + inQuotes(outcome.kind);
@@ -146,8 +145,7 @@
     CHECK_EQ(record.offset, fold.state.nextOffset) << "records are folded in the order of the log";
     FoldOutcome outcome;
     outcome.offset = record.offset;
-    const Json document = record.payload.size() > kMaxRecordBytes ? Json(Json::value_t::discarded)
-                                                                  : Json::parse(record.payload, nullptr, false);
+    const Json document = record.payload.size() > kMaxRecordBytes ? Json(Json::value_t::discarded) : Json::parse(record.payload, nullptr, false);
     outcome.kind = textOf(document, "type");
     fold.state.nextOffset = record.offset + 1;
     if (outcome.kind == "snapshot") {
@@ -160,8 +158,7 @@
         foldSection(fold, record, document, outcome);
     } else {
         outcome.verdict = ChangeVerdict::Unreadable;
-        outcome.detail = "the record is larger than " + std::to_string(kMaxRecordBytes)
-            + " bytes or no JSON object with a field \"kind\"";
+        outcome.detail = "the record is larger than " + std::to_string(kMaxRecordBytes) + " bytes or no JSON object with a field \"kind\"";
         ++fold.state.unreadableRecords;
         audit(fold.state, outcome, {}, nowMs);
     }
@@ -174,19 +171,17 @@
     const std::string offset = std::to_string(outcome.offset);
     const std::string revision = std::to_string(outcome.revision);
     if (outcome.verdict == ChangeVerdict::Unreadable) {
-        logEvent(EventId::ConfigRecordUnreadable, { { "offset", offset }, { "detail", outcome.detail } });
+        logEvent(EventId::ConfigRecordUnreadable, {{"offset", offset}, {"detail", outcome.detail}});
     } else if (outcome.verdict != ChangeVerdict::Applied) {
         logEvent(EventId::ConfigChangeRejected,
-                 { { "offset", offset },
-                   { "type", outcome.kind },
-                   { "change", outcome.changeId },
-                   { "by", outcome.by },
-                   { "verdict", std::string(verdictName(outcome.verdict)) },
-                   { "detail", outcome.detail } });
+                 {{"offset", offset},
+                  {"type", outcome.kind},
+                  {"change", outcome.changeId},
+                  {"by", outcome.by},
+                  {"verdict", std::string(verdictName(outcome.verdict))},
+                  {"detail", outcome.detail}});
     } else if (outcome.kind == "change") {
-        logEvent(
-            EventId::ConfigChangeApplied,
-            { { "offset", offset }, { "revision", revision }, { "change", outcome.changeId }, { "by", outcome.by } });
+        logEvent(EventId::ConfigChangeApplied, {{"offset", offset}, {"revision", revision}, {"change", outcome.changeId}, {"by", outcome.by}});
     }
 }
 
--- a/config/fold.h
+++ b/config/fold.h
@@ -13,12 +13,12 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// State of another package that is folded from the same stream in the same order. Records whose field "kind" is `name`
 /// go to it. All functions must be deterministic: no clock, no randomness.
-struct FoldSection
-{
+struct FoldSection {
     std::string name;
     /// Folds a record. An error means that the record is invalid and left the section's state as it was; it is counted
     /// by every node alike.
@@ -30,16 +30,14 @@
 };
 
 /// Everything that is folded from the configuration stream, and the cache that depends on it.
-struct ConfigFold
-{
+struct ConfigFold {
     ConfigState state;
     KeyCache keyCache;
     std::vector<FoldSection> sections;
 };
 
 /// What became of one record.
-struct FoldOutcome
-{
+struct FoldOutcome {
     uint64_t offset = 0;
     /// "change", "snapshot", the name of a section or an unknown kind; empty if the record does not parse.
     std::string kind;
--- a/config/json_reader.cpp
+++ b/config/json_reader.cpp
@@ -6,11 +6,13 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using Json = nlohmann::json;
 
-namespace {
+namespace
+{
 
 /// Returns where a text that does not parse is wrong, such as " at line 2".
 auto placeOfError(std::string_view text) -> std::string
@@ -45,7 +47,7 @@
     , errors_(errors)
 {
     if (!value_.is_object() && !value_.is_discarded()) {
-        errors_.push_back(JsonError { path_, std::string("is a ") + value_.type_name() + ", expected an object" });
+        errors_.push_back(JsonError{path_, std::string("is a ") + value_.type_name() + ", expected an object"});
     }
 }
 
@@ -56,7 +58,7 @@
 
 void JsonReader::addError(const std::string &name, std::string message)
 {
-    errors_.push_back(JsonError { pathOf(name), std::move(message) });
+    errors_.push_back(JsonError{pathOf(name), std::move(message)});
 }
 
 auto JsonReader::has(const std::string &name) const -> bool
@@ -98,17 +100,14 @@
     return field->get<std::string>();
 }
 
-auto JsonReader::number(const std::string &name, uint64_t min, uint64_t max, std::optional<uint64_t> fallback)
-    -> uint64_t
+auto JsonReader::number(const std::string &name, uint64_t min, uint64_t max, std::optional<uint64_t> fallback) -> uint64_t
 {
     const Json *field = find(name, !fallback.has_value());
     if (field == nullptr) {
         return fallback.value_or(0);
     }
     if (!field->is_number_unsigned() || field->get<uint64_t>() < min || field->get<uint64_t>() > max) {
-        addError(name,
-                 "is " + inQuotes(dumpJson(*field)) + ", expected a whole number from " + std::to_string(min) + " to "
-                     + std::to_string(max));
+        addError(name, "is " + inQuotes(dumpJson(*field)) + ", expected a whole number from " + std::to_string(min) + " to " + std::to_string(max));
         return fallback.value_or(0);
     }
     return field->get<uint64_t>();
@@ -136,7 +135,7 @@
     std::vector<std::string> found;
     for (const auto &[element, path] : list(name, required)) {
         if (!element->is_string()) {
-            errors_.push_back(JsonError { path, std::string("is a ") + element->type_name() + ", expected a string" });
+            errors_.push_back(JsonError{path, std::string("is a ") + element->type_name() + ", expected a string"});
             continue;
         }
         found.push_back(element->get<std::string>());
@@ -165,7 +164,7 @@
 {
     Json value = Json::parse(text, nullptr, false);
     if (value.is_discarded()) {
-        errors.push_back(JsonError { "$", "the text is not valid JSON" + placeOfError(text) });
+        errors.push_back(JsonError{"$", "the text is not valid JSON" + placeOfError(text)});
     }
     return value;
 }
--- a/config/json_reader.h
+++ b/config/json_reader.h
@@ -10,11 +10,11 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// An error in a JSON document.
-struct JsonError
-{
+struct JsonError {
     /// Place of the error, such as "$.limits.maxBodyBytes".
     std::string path;
     std::string message;
@@ -35,11 +35,9 @@
     /// Returns whether the field is there and a string.
     [[nodiscard]] auto hasText(const std::string &name) const -> bool;
     auto text(const std::string &name, std::optional<std::string> fallback = std::nullopt) -> std::string;
-    auto number(const std::string &name, uint64_t min, uint64_t max, std::optional<uint64_t> fallback = std::nullopt)
-        -> uint64_t;
+    auto number(const std::string &name, uint64_t min, uint64_t max, std::optional<uint64_t> fallback = std::nullopt) -> uint64_t;
     /// Returns the elements of an array with the path of each.
-    auto list(const std::string &name, bool required = true)
-        -> std::vector<std::pair<const nlohmann::json *, std::string>>;
+    auto list(const std::string &name, bool required = true) -> std::vector<std::pair<const nlohmann::json *, std::string>>;
     /// Returns the texts of an array of strings.
     auto texts(const std::string &name, bool required = true) -> std::vector<std::string>;
     /// Returns the value of a field that must be there, or null after an error.
--- a/config/keys.cpp
+++ b/config/keys.cpp
@@ -7,9 +7,11 @@
 
 #include <openssl/crypto.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr size_t kSecretBytes = 32;
 constexpr size_t kSaltBytes = 16;
@@ -17,16 +19,14 @@
 constexpr size_t kMaxSecretBytes = 256;
 constexpr std::string_view kScheme = "bearer ";
 
-struct Credentials
-{
+struct Credentials {
     KeyId id;
     std::string_view secret;
 };
 
 auto startsWithScheme(std::string_view text) -> bool
 {
-    return text.size() > kScheme.size()
-        && std::equal(kScheme.begin(), kScheme.end(), text.begin(), [](char expected, char given) {
+    return text.size() > kScheme.size() && std::equal(kScheme.begin(), kScheme.end(), text.begin(), [](char expected, char given) {
                return expected == given || (expected >= 'a' && expected <= 'z' && expected - 'a' + 'A' == given);
            });
 }
@@ -42,7 +42,7 @@
     if (dot == std::string_view::npos || !isValidKeyId(token.substr(0, dot))) {
         return {};
     }
-    return Credentials { KeyId(std::string(token.substr(0, dot))), token.substr(dot + 1) };
+    return Credentials{KeyId(std::string(token.substr(0, dot))), token.substr(dot + 1)};
 }
 
 void overwrite(std::string &secret)
@@ -60,7 +60,7 @@
         const KeyId oldest = cache.order.front();
         forgetKey(cache, oldest);
     }
-    cache.entries.emplace(rule.id, KeyCache::Entry { std::string(secret), rule.hmac });
+    cache.entries.emplace(rule.id, KeyCache::Entry{std::string(secret), rule.hmac});
     cache.order.push_back(rule.id);
 }
 
@@ -114,8 +114,7 @@
         return failure(ErrorCode::NotFound, "the key " + given.id.value + " is not known");
     }
     const auto cached = cache.entries.find(given.id);
-    if (cached != cache.entries.end() && cached->second.hmac == rule->second.hmac
-        && equalsConstantTime(cached->second.secret, given.secret)) {
+    if (cached != cache.entries.end() && cached->second.hmac == rule->second.hmac && equalsConstantTime(cached->second.secret, given.secret)) {
         return rule->second.team;
     }
     if (!equalsConstantTime(hashSecret(rule->second.salt, given.secret), rule->second.hmac)) {
--- a/config/keys.h
+++ b/config/keys.h
@@ -10,11 +10,11 @@
 #include <string_view>
 #include <unordered_map>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// A key just made. The secret exists only here; the rule holds its HMAC.
-struct NewKey
-{
+struct NewKey {
     /// What the team puts after "Bearer ": "<key id>.<secret>".
     std::string bearer;
     KeyRule rule;
@@ -27,10 +27,8 @@
 auto hashSecret(std::string_view saltHex, std::string_view secret) -> std::string;
 
 /// Keys whose secret was checked lately, so that a busy key costs one comparison and not one HMAC per request.
-struct KeyCache
-{
-    struct Entry
-    {
+struct KeyCache {
+    struct Entry {
         std::string secret;
         /// HMAC of the rule that the secret was checked against; an entry of another rule does not count.
         std::string hmac;
--- a/config/path.cpp
+++ b/config/path.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 auto hexValue(char digit) -> int
 {
--- a/config/path.h
+++ b/config/path.h
@@ -5,7 +5,8 @@
 #include <string>
 #include <string_view>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Returns the path of a request target without query, percent-decoded and without trailing slashes, for matching.
 /// ErrorCode::InvalidInput: the path could reach another route than the one it matches, since targets resolve such
--- a/config/relay.cpp
+++ b/config/relay.cpp
@@ -8,9 +8,11 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr uint64_t kMaxNumber = std::numeric_limits<uint64_t>::max();
 
@@ -61,8 +63,7 @@
     }
 }
 
-auto recordsSince(const RecordHistory &history, uint64_t nextOffset, uint64_t fromOffset, size_t maxBytes)
-    -> RecordsAnswer
+auto recordsSince(const RecordHistory &history, uint64_t nextOffset, uint64_t fromOffset, size_t maxBytes) -> RecordsAnswer
 {
     RecordsAnswer answer;
     answer.nextOffset = nextOffset;
@@ -110,9 +111,9 @@
 {
     nlohmann::json records = nlohmann::json::array();
     for (const LogRecord &record : answer.records) {
-        records.push_back({ { "offset", record.offset }, { "payload", record.payload } });
+        records.push_back({{"offset", record.offset}, {"payload", record.payload}});
     }
-    return dumpJson(nlohmann::json { { "nextOffset", answer.nextOffset }, { "records", std::move(records) } });
+    return dumpJson(nlohmann::json{{"nextOffset", answer.nextOffset}, {"records", std::move(records)}});
 }
 
 auto decodeRecordsAnswer(std::string_view text) -> Result<RecordsAnswer>
--- a/config/relay.h
+++ b/config/relay.h
@@ -13,7 +13,8 @@
 #include <string_view>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Nodes per failure domain that poll the log.
 inline constexpr size_t kRelaysPerDomain = 3;
@@ -34,21 +35,19 @@
 inline constexpr size_t kRecordsAnswerBytes = 100 * 1024;
 
 /// The last records that a node folded, for nodes that ask for them.
-struct RecordHistory
-{
+struct RecordHistory {
     /// Without gaps.
     std::deque<LogRecord> records;
     size_t bytes = 0;
     /// The oldest records leave above this.
-    size_t maxBytes = size_t { 1024 } * 1024;
+    size_t maxBytes = size_t{1024} * 1024;
 };
 
 /// Adds a folded record. A record that does not follow the last one restarts the history.
 void rememberRecord(RecordHistory &history, const LogRecord &record);
 
 /// Answer to "records since offset" (config.records).
-struct RecordsAnswer
-{
+struct RecordsAnswer {
     std::vector<LogRecord> records;
     /// Offset up to which the answering node has folded. If it is above the asked offset and there are no records, the
     /// asking node needs the state (config.state).
@@ -56,8 +55,7 @@
 };
 
 /// Returns the records from `fromOffset` on, at most `maxBytes` of payload but at least one if there is any.
-auto recordsSince(const RecordHistory &history, uint64_t nextOffset, uint64_t fromOffset, size_t maxBytes)
-    -> RecordsAnswer;
+auto recordsSince(const RecordHistory &history, uint64_t nextOffset, uint64_t fromOffset, size_t maxBytes) -> RecordsAnswer;
 
 /// What to do with an answer.
 enum class CatchUpStep {
@@ -69,8 +67,7 @@
     TakeState,
 };
 
-struct CatchUp
-{
+struct CatchUp {
     CatchUpStep step = CatchUpStep::Nothing;
     /// Records from the own offset on, without gaps.
     std::vector<LogRecord> records;
--- a/config/rule.cpp
+++ b/config/rule.cpp
@@ -5,16 +5,18 @@
 #include <algorithm>
 #include <tuple>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr size_t kMaxNameBytes = 63;
 
 auto isNameCharacter(char character) -> bool
 {
-    return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
-        || (character >= '0' && character <= '9') || character == '-' || character == '_' || character == '.';
+    return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') || (character >= '0' && character <= '9') || character == '-'
+        || character == '_' || character == '.';
 }
 
 auto formatAsked(const AskedBy &asked) -> std::string
@@ -27,8 +29,7 @@
     return value ? "yes" : "no";
 }
 
-struct IdOf
-{
+struct IdOf {
     auto operator()(const DomainRule &rule) const -> std::string
     {
         return "domain " + rule.name.value;
@@ -47,27 +48,23 @@
     }
 };
 
-struct LineOf
-{
+struct LineOf {
     auto operator()(const DomainRule &rule) const -> std::string
     {
         return "domain " + rule.name.value + " weight=" + std::to_string(rule.weight) + formatAsked(rule.asked);
     }
     auto operator()(const TeamRule &rule) const -> std::string
     {
-        return "team " + rule.name.value + " rate=" + std::to_string(rule.rate)
-            + "/s burst=" + std::to_string(rule.burst) + formatAsked(rule.asked);
+        return "team " + rule.name.value + " rate=" + std::to_string(rule.rate) + "/s burst=" + std::to_string(rule.burst) + formatAsked(rule.asked);
     }
     auto operator()(const KeyRule &rule) const -> std::string
     {
-        return "key " + rule.team.value + " " + rule.id.value + " hash=" + rule.salt + ":" + rule.hmac
-            + formatAsked(rule.asked);
+        return "key " + rule.team.value + " " + rule.id.value + " hash=" + rule.salt + ":" + rule.hmac + formatAsked(rule.asked);
     }
     auto operator()(const RouteRule &rule) const -> std::string
     {
-        return "route " + rule.name.value + " " + rule.method + " " + rule.pathPrefix + " service=" + rule.service.value
-            + " priority=" + std::string(priorityName(rule.priority)) + " idempotent=" + yesNo(rule.idempotent)
-            + " open=" + yesNo(rule.open) + formatAsked(rule.asked);
+        return "route " + rule.name.value + " " + rule.method + " " + rule.pathPrefix + " service=" + rule.service.value + " priority="
+            + std::string(priorityName(rule.priority)) + " idempotent=" + yesNo(rule.idempotent) + " open=" + yesNo(rule.open) + formatAsked(rule.asked);
     }
 };
 
@@ -101,18 +98,18 @@
 
 auto ruleId(const Rule &rule) -> std::string
 {
-    return std::visit(IdOf {}, rule);
+    return std::visit(IdOf{}, rule);
 }
 
 auto formatRule(const Rule &rule) -> std::string
 {
-    return std::visit(LineOf {}, rule);
+    return std::visit(LineOf{}, rule);
 }
 
 auto isValidName(std::string_view text) -> bool
 {
-    return !text.empty() && text.size() <= kMaxNameBytes && std::all_of(text.begin(), text.end(), isNameCharacter)
-        && text.front() != '-' && text.front() != '_' && text.front() != '.';
+    return !text.empty() && text.size() <= kMaxNameBytes && std::all_of(text.begin(), text.end(), isNameCharacter) && text.front() != '-' && text.front() != '_'
+        && text.front() != '.';
 }
 
 auto isValidKeyId(std::string_view text) -> bool
--- a/config/rule.h
+++ b/config/rule.h
@@ -7,19 +7,18 @@
 #include <string>
 #include <variant>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Who asked for a rule, and why. Every rule has one, so that a later reader can ask back.
-struct AskedBy
-{
+struct AskedBy {
     std::string who;
     std::string why;
 };
 auto operator==(const AskedBy &a, const AskedBy &b) -> bool;
 
 /// `domain <name> weight=<n>`: share of a failure domain in the rate and burst of every team.
-struct DomainRule
-{
+struct DomainRule {
     DomainName name;
     uint32_t weight = 1;
     AskedBy asked;
@@ -27,8 +26,7 @@
 auto operator==(const DomainRule &a, const DomainRule &b) -> bool;
 
 /// `team <name> rate=<n>/s burst=<n>`: what a team may use over all VMs together.
-struct TeamRule
-{
+struct TeamRule {
     TeamName name;
     /// Requests per second.
     uint64_t rate = 0;
@@ -39,8 +37,7 @@
 auto operator==(const TeamRule &a, const TeamRule &b) -> bool;
 
 /// `key <team> <key id> hash=<salt hex>:<hmac hex>`: a key of a team; the secret itself is not kept.
-struct KeyRule
-{
+struct KeyRule {
     KeyId id;
     TeamName team;
     /// Salt, 16 bytes as lower-case hexadecimal digits.
@@ -52,8 +49,7 @@
 auto operator==(const KeyRule &a, const KeyRule &b) -> bool;
 
 /// `route <name> <METHOD> <path prefix> service=<s> priority=<p> idempotent=<yes|no> open=<yes|no>`.
-struct RouteRule
-{
+struct RouteRule {
     RouteName name;
     std::string method;
     /// Matches whole path segments: "/stock" matches "/stock" and "/stock/7", not "/stocks". Without a trailing slash,
--- a/config/rule_line.cpp
+++ b/config/rule_line.cpp
@@ -5,9 +5,11 @@
 #include <algorithm>
 #include <array>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr uint32_t kMaxWeight = 1000000;
 /// Leaves room for amounts in micro-tokens in 64 bits.
@@ -18,20 +20,18 @@
 constexpr size_t kMaxAskedBytes = 500;
 constexpr const char *kNameFix = "use 1 to 63 letters, digits, '-', '_' and '.', starting with a letter or digit";
 constexpr const char *kAskedFix = "end the line with \"# asked by <who>: <why>\"";
-constexpr std::array<std::string_view, 7> kMethods = { "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS" };
+constexpr std::array<std::string_view, 7> kMethods = {"GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS"};
 
 auto isPathCharacter(char character) -> bool
 {
-    return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z')
-        || (character >= '0' && character <= '9')
+    return (character >= 'a' && character <= 'z') || (character >= 'A' && character <= 'Z') || (character >= '0' && character <= '9')
         || std::string_view("/-._~!$&'()*+,=:@").find(character) != std::string_view::npos;
 }
 
 auto hasDotOrEmptySegment(std::string_view path) -> bool
 {
     const std::string closed = std::string(path) + "/";
-    return closed.find("//") != std::string::npos || closed.find("/./") != std::string::npos
-        || closed.find("/../") != std::string::npos;
+    return closed.find("//") != std::string::npos || closed.find("/./") != std::string::npos || closed.find("/../") != std::string::npos;
 }
 
 } // namespace
@@ -45,7 +45,7 @@
 
 void RuleLineParser::addError(size_t column, std::string message, std::string fix)
 {
-    errors_.push_back(RuleError { lineNumber_, column, std::move(message), std::move(fix) });
+    errors_.push_back(RuleError{lineNumber_, column, std::move(message), std::move(fix)});
 }
 
 void RuleLineParser::split()
@@ -56,7 +56,7 @@
     static constexpr std::string_view kBlank = " \t\r";
     for (size_t begin = rule.find_first_not_of(kBlank); begin != std::string_view::npos;) {
         const size_t end = std::min(rule.find_first_of(kBlank, begin), rule.size());
-        words_.push_back(RuleToken { rule.substr(begin, end - begin), begin + 1 });
+        words_.push_back(RuleToken{rule.substr(begin, end - begin), begin + 1});
         endColumn_ = end + 1;
         begin = rule.find_first_not_of(kBlank, end);
     }
@@ -83,8 +83,7 @@
     } else if (kind == "route") {
         rule = parseRoute();
     } else {
-        addError(words_.empty() ? 1 : words_.front().column, inQuotes(kind) + " is not a rule kind",
-                 "start the line with domain, team, key or route");
+        addError(words_.empty() ? 1 : words_.front().column, inQuotes(kind) + " is not a rule kind", "start the line with domain, team, key or route");
     }
     if (errors_.size() != errorsBefore) {
         return std::nullopt;
@@ -102,12 +101,10 @@
     const std::string_view text = trimmed(comment_.substr(1));
     const size_t colon = text.find(':');
     if (text.substr(0, kIntro.size()) != kIntro || colon == std::string_view::npos) {
-        addError(commentColumn_, "the comment " + inQuotes(comment_) + " does not say who asked for the rule",
-                 kAskedFix);
+        addError(commentColumn_, "the comment " + inQuotes(comment_) + " does not say who asked for the rule", kAskedFix);
         return {};
     }
-    AskedBy asked { std::string(trimmed(text.substr(kIntro.size(), colon - kIntro.size()))),
-                    std::string(trimmed(text.substr(colon + 1))) };
+    AskedBy asked{std::string(trimmed(text.substr(kIntro.size(), colon - kIntro.size()))), std::string(trimmed(text.substr(colon + 1)))};
     if (asked.who.empty()) {
         addError(commentColumn_, "the comment names nobody who asked for the rule", kAskedFix);
     }
@@ -142,8 +139,7 @@
     return std::string(token->text);
 }
 
-auto RuleLineParser::fields(size_t position, const std::vector<std::string> &expected)
-    -> std::map<std::string, RuleToken>
+auto RuleLineParser::fields(size_t position, const std::vector<std::string> &expected) -> std::map<std::string, RuleToken>
 {
     std::map<std::string, RuleToken> found;
     for (size_t i = position; i < words_.size(); ++i) {
@@ -151,11 +147,10 @@
         const size_t equals = token.text.find('=');
         const std::string name(token.text.substr(0, equals));
         if (equals == std::string_view::npos || std::find(expected.begin(), expected.end(), name) == expected.end()) {
-            addError(token.column, inQuotes(token.text) + " is not expected here",
-                     "use the fields " + joined(expected, ", ") + " as <field>=<value>");
+            addError(token.column, inQuotes(token.text) + " is not expected here", "use the fields " + joined(expected, ", ") + " as <field>=<value>");
             continue;
         }
-        if (!found.emplace(name, RuleToken { token.text.substr(equals + 1), token.column + equals + 1 }).second) {
+        if (!found.emplace(name, RuleToken{token.text.substr(equals + 1), token.column + equals + 1}).second) {
             addError(token.column, "the field " + name + " is given twice", "remove one of them");
         }
     }
@@ -167,8 +162,8 @@
     return found;
 }
 
-auto RuleLineParser::number(const std::map<std::string, RuleToken> &fields, const std::string &name, uint64_t min,
-                            uint64_t max, std::string_view unit) -> uint64_t
+auto RuleLineParser::number(const std::map<std::string, RuleToken> &fields, const std::string &name, uint64_t min, uint64_t max, std::string_view unit)
+    -> uint64_t
 {
     const auto field = fields.find(name);
     if (field == fields.end()) {
@@ -179,8 +174,7 @@
     const auto value = hasUnit ? parseDecimal(text.substr(0, text.size() - unit.size()), max) : std::nullopt;
     if (!value || *value < min) {
         addError(field->second.column, name + "=" + inQuotes(text) + " is not valid",
-                 "write " + name + "=<n>" + std::string(unit) + " with a whole number from " + std::to_string(min)
-                     + " to " + std::to_string(max));
+                 "write " + name + "=<n>" + std::string(unit) + " with a whole number from " + std::to_string(min) + " to " + std::to_string(max));
         return 0;
     }
     return *value;
@@ -193,8 +187,7 @@
         return false;
     }
     if (field->second.text != "yes" && field->second.text != "no") {
-        addError(field->second.column, name + "=" + inQuotes(field->second.text) + " is not valid",
-                 "write " + name + "=yes or " + name + "=no");
+        addError(field->second.column, name + "=" + inQuotes(field->second.text) + " is not valid", "write " + name + "=yes or " + name + "=no");
     }
     return field->second.text == "yes";
 }
@@ -203,7 +196,7 @@
 {
     DomainRule rule;
     rule.name = DomainName(name(1, "the name of the failure domain"));
-    const auto given = fields(2, { "weight" });
+    const auto given = fields(2, {"weight"});
     rule.weight = static_cast<uint32_t>(number(given, "weight", 1, kMaxWeight, ""));
     rule.asked = asked_;
     return rule;
@@ -213,7 +206,7 @@
 {
     TeamRule rule;
     rule.name = TeamName(name(1, "the name of the team"));
-    const auto given = fields(2, { "rate", "burst" });
+    const auto given = fields(2, {"rate", "burst"});
     rule.rate = number(given, "rate", 1, kMaxRate, "/s");
     rule.burst = number(given, "burst", 1, kMaxRate, "");
     rule.asked = asked_;
@@ -231,7 +224,7 @@
                      "use 1 to 63 letters, digits, '-' and '_', starting with a letter or digit");
         }
     }
-    const auto given = fields(3, { "hash" });
+    const auto given = fields(3, {"hash"});
     const auto hash = given.find("hash");
     if (hash != given.end()) {
         const std::string_view text = hash->second.text;
@@ -254,8 +247,7 @@
         return {};
     }
     if (std::find(kMethods.begin(), kMethods.end(), token->text) == kMethods.end()) {
-        addError(token->column, inQuotes(token->text) + " is not a method",
-                 "use one of GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS in capitals");
+        addError(token->column, inQuotes(token->text) + " is not a method", "use one of GET, HEAD, POST, PUT, PATCH, DELETE, OPTIONS in capitals");
     }
     return std::string(token->text);
 }
@@ -268,8 +260,7 @@
     }
     const RuleToken &token = words_[3];
     std::string_view path = token.text;
-    if (path.front() != '/' || path.size() > kMaxPrefixBytes
-        || !std::all_of(path.begin(), path.end(), isPathCharacter)) {
+    if (path.front() != '/' || path.size() > kMaxPrefixBytes || !std::all_of(path.begin(), path.end(), isPathCharacter)) {
         addError(token.column, inQuotes(path) + " is not a path prefix",
                  "start it with '/' and use at most 256 letters, digits and -._~!$&'()*+,=:@ without encoding");
         return {};
@@ -289,7 +280,7 @@
     rule.name = RouteName(name(1, "the name of the route"));
     rule.method = parseMethod();
     rule.pathPrefix = parsePrefix();
-    const auto given = fields(4, { "service", "priority", "idempotent", "open" });
+    const auto given = fields(4, {"service", "priority", "idempotent", "open"});
     const auto service = given.find("service");
     if (service != given.end()) {
         rule.service = ServiceName(std::string(service->second.text));
@@ -301,8 +292,7 @@
     if (priority != given.end()) {
         const auto parsed = parsePriority(priority->second.text);
         if (!parsed) {
-            addError(priority->second.column, inQuotes(priority->second.text) + " is not a priority",
-                     "use critical, high, normal or low");
+            addError(priority->second.column, inQuotes(priority->second.text) + " is not a priority", "use critical, high, normal or low");
         }
         rule.priority = parsed.value_or(Priority::Normal);
     }
--- a/config/rule_line.h
+++ b/config/rule_line.h
@@ -10,11 +10,11 @@
 #include <string_view>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// A word of a rule line and its column, counted from 1.
-struct RuleToken
-{
+struct RuleToken {
     std::string_view text;
     size_t column = 0;
 };
@@ -37,8 +37,7 @@
     auto name(size_t position, const char *what) -> std::string;
     /// Reads the words from `position` on as `name=value` and checks that exactly `expected` are given.
     auto fields(size_t position, const std::vector<std::string> &expected) -> std::map<std::string, RuleToken>;
-    auto number(const std::map<std::string, RuleToken> &fields, const std::string &name, uint64_t min, uint64_t max,
-                std::string_view unit) -> uint64_t;
+    auto number(const std::map<std::string, RuleToken> &fields, const std::string &name, uint64_t min, uint64_t max, std::string_view unit) -> uint64_t;
     auto flag(const std::map<std::string, RuleToken> &fields, const std::string &name) -> bool;
 
     auto parseDomain() -> Rule;
--- a/config/rules_parser.cpp
+++ b/config/rules_parser.cpp
@@ -8,15 +8,16 @@
 #include <map>
 #include <set>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view kBaseLabel = "# base revision:";
 
 /// A rule with the number of its line, for errors between rules.
-struct PlacedRule
-{
+struct PlacedRule {
     Rule rule;
     size_t line = 0;
     size_t column = 0;
@@ -33,10 +34,8 @@
     for (const PlacedRule &entry : placed) {
         const auto *key = std::get_if<KeyRule>(&entry.rule);
         if (key != nullptr && teams.count(key->team) == 0) {
-            errors.push_back(
-                RuleError { entry.line, entry.column,
-                            "the key " + key->id.value + " names the team " + key->team.value + ", which has no rule",
-                            "add a line \"team " + key->team.value + " rate=<n>/s burst=<n>\"" });
+            errors.push_back(RuleError{entry.line, entry.column, "the key " + key->id.value + " names the team " + key->team.value + ", which has no rule",
+                                       "add a line \"team " + key->team.value + " rate=<n>/s burst=<n>\""});
         }
     }
 }
@@ -49,10 +48,8 @@
         const std::string id = ruleId(entry.rule);
         const auto [first, isNew] = lineOfId.emplace(id, entry.line);
         if (!isNew) {
-            errors.push_back(
-                RuleError { entry.line, entry.column,
-                            "the rule \"" + id + "\" already stands in line " + std::to_string(first->second),
-                            "remove or rename one of them" });
+            errors.push_back(RuleError{entry.line, entry.column, "the rule \"" + id + "\" already stands in line " + std::to_string(first->second),
+                                       "remove or rename one of them"});
         }
         const auto *route = std::get_if<RouteRule>(&entry.rule);
         if (route == nullptr || !isNew) {
@@ -60,10 +57,8 @@
         }
         const auto [same, isFree] = lineOfPath.emplace(route->method + " " + route->pathPrefix, entry.line);
         if (!isFree) {
-            errors.push_back(
-                RuleError { entry.line, entry.column,
-                            "the route in line " + std::to_string(same->second) + " also matches " + same->first,
-                            "change method or path prefix of one of them" });
+            errors.push_back(RuleError{entry.line, entry.column, "the route in line " + std::to_string(same->second) + " also matches " + same->first,
+                                       "change method or path prefix of one of them"});
         }
     }
 }
@@ -75,9 +70,8 @@
     }
     const auto revision = parseDecimal(trimmed(line.substr(kBaseLabel.size())), std::numeric_limits<uint64_t>::max());
     if (!revision || parsed.baseRevision) {
-        parsed.errors.push_back(RuleError {
-            lineNumber, 1, revision ? "the base revision is given twice" : inQuotes(line) + " has no valid revision",
-            "keep one line \"# base revision: <n>\" as exported" });
+        parsed.errors.push_back(RuleError{lineNumber, 1, revision ? "the base revision is given twice" : inQuotes(line) + " has no valid revision",
+                                          "keep one line \"# base revision: <n>\" as exported"});
         return;
     }
     parsed.baseRevision = revision;
@@ -110,7 +104,7 @@
         }
         const auto rule = RuleLineParser(line, lineNumber, parsed.errors).parse();
         if (rule) {
-            placed.push_back(PlacedRule { *rule, lineNumber, line.find(content) + 1 });
+            placed.push_back(PlacedRule{*rule, lineNumber, line.find(content) + 1});
         }
     }
     checkUniqueness(placed, parsed.errors);
--- a/config/rules_parser.h
+++ b/config/rules_parser.h
@@ -9,11 +9,11 @@
 #include <string_view>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// An error in a rules file. Line and column count from 1; the column is that of the text that has to change.
-struct RuleError
-{
+struct RuleError {
     size_t line = 0;
     size_t column = 0;
     std::string message;
@@ -25,8 +25,7 @@
 auto toString(const RuleError &error) -> std::string;
 
 /// What a rules file contains. The rules are complete only if there are no errors.
-struct ParsedRules
-{
+struct ParsedRules {
     std::vector<Rule> rules;
     /// Every error of the file, in the order of lines and columns.
     std::vector<RuleError> errors;
--- a/config/settings.cpp
+++ b/config/settings.cpp
@@ -10,9 +10,11 @@
 #include <boost/asio/ip/address.hpp>
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 using Json = nlohmann::json;
 
@@ -107,8 +109,7 @@
 
 /// Reads an object of settings that may be absent.
 template<typename Value>
-void readGroup(JsonReader &parent, const std::string &name, std::vector<JsonError> &errors, Value &value,
-               void (*read)(JsonReader &, Value &))
+void readGroup(JsonReader &parent, const std::string &name, std::vector<JsonError> &errors, Value &value, void (*read)(JsonReader &, Value &))
 {
     static const Json kNone = Json::object();
     const Json *group = parent.has(name) ? parent.value(name) : &kNone;
@@ -155,10 +156,8 @@
 
 void checkDistinctPorts(JsonReader &reader, const Settings &settings)
 {
-    const std::vector<std::pair<const char *, const Endpoint *>> listeners
-        = { { "callerListen", &settings.callerListen },
-            { "peerListen", &settings.peerListen },
-            { "targetListen", &settings.targetListen } };
+    const std::vector<std::pair<const char *, const Endpoint *>> listeners = {
+        {"callerListen", &settings.callerListen}, {"peerListen", &settings.peerListen}, {"targetListen", &settings.targetListen}};
     for (size_t i = 0; i < listeners.size(); ++i) {
         for (size_t j = 0; j < i; ++j) {
             const auto &[name, endpoint] = listeners[i];
@@ -188,7 +187,7 @@
                            + " is not <IP address>:<port> with a port from 1 to 65535, such as 127.0.0.1:7000"
                              " or [::1]:7000");
     }
-    return Endpoint { address.to_string(), static_cast<uint16_t>(*port) };
+    return Endpoint{address.to_string(), static_cast<uint16_t>(*port)};
 }
 
 auto parseSettings(std::string_view text) -> SettingsResult
--- a/config/settings.h
+++ b/config/settings.h
@@ -12,11 +12,11 @@
 #include <string_view>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// How long the node waits for others.
-struct TimeoutSettings
-{
+struct TimeoutSettings {
     /// Longest time for a request whose caller sets no deadline.
     Duration request = seconds(30);
     /// Opening a connection to a target, peer or the log.
@@ -32,16 +32,14 @@
 };
 
 /// Bounds on what callers and targets may send.
-struct LimitSettings
-{
+struct LimitSettings {
     size_t maxHeaderBytes = 16 * 1024;
     uint64_t maxBodyBytes = 64ULL * 1024 * 1024;
     size_t maxConnections = 4096;
 };
 
 /// Settings of snipestreamd.
-struct Settings
-{
+struct Settings {
     NodeName node;
     DomainName domain;
     /// Shared by all nodes of the fleet; a process without it cannot open a link to a node.
@@ -60,14 +58,13 @@
     TimeoutSettings timeouts;
     LimitSettings limits;
     /// How long the log keeps records; decides when snapshots are due.
-    Retention retention { std::chrono::hours(48), 0 };
+    Retention retention{std::chrono::hours(48), 0};
     /// Time from the stop signal until requests that still run are cut.
     Duration shutdownDeadline = seconds(30);
 };
 
 /// Settings, or every error of the file at once.
-struct SettingsResult
-{
+struct SettingsResult {
     Settings settings;
     std::vector<JsonError> errors;
 };
--- a/config/snapshot.cpp
+++ b/config/snapshot.cpp
@@ -13,9 +13,11 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 using Json = nlohmann::json;
 
@@ -32,14 +34,14 @@
 
 auto hexOf(uint64_t value) -> std::string
 {
-    std::array<char, 17> text {};
+    std::array<char, 17> text{};
     std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(value));
     return std::string(text.data());
 }
 
 auto dumpRemoved(const RemovedRules &removed) -> Json
 {
-    return Json { { "revisions", removed.revisions }, { "forgotten", removed.forgottenRevision } };
+    return Json{{"revisions", removed.revisions}, {"forgotten", removed.forgottenRevision}};
 }
 
 auto dumpAudit(const std::deque<AuditEntry> &audit) -> Json
@@ -140,8 +142,7 @@
         for (size_t back = 0; back <= i; ++back) {
             (void)sections[back].load(previous[back]);
         }
-        return failure(ErrorCode::InvalidInput,
-                       "section " + sections[i].name + " of the snapshot: " + loaded.error().message);
+        return failure(ErrorCode::InvalidInput, "section " + sections[i].name + " of the snapshot: " + loaded.error().message);
     }
     return success();
 }
@@ -153,31 +154,31 @@
     const ConfigState &state = fold.state;
     Json rules = Json::array();
     for (const auto &[id, entry] : state.rules) {
-        rules.push_back(Json { { "line", formatRule(entry.rule) }, { "revision", entry.revision } });
+        rules.push_back(Json{{"line", formatRule(entry.rule)}, {"revision", entry.revision}});
     }
     Json sections = Json::object();
     for (const FoldSection &section : fold.sections) {
         sections[section.name] = section.dump();
     }
-    const Json document = { { "version", kSnapshotVersion },
-                            { "nextOffset", state.nextOffset },
-                            { "revision", state.revision },
-                            { "rules", std::move(rules) },
-                            { "removedKeys", dumpRemoved(state.removedKeys) },
-                            { "removedRules", dumpRemoved(state.removedRules) },
-                            { "audit", dumpAudit(state.audit) },
-                            { "unreadableRecords", state.unreadableRecords },
-                            { "snapshotOffset", state.snapshotOffset },
-                            { "snapshotEnd", state.snapshotEnd },
-                            { "snapshotAtMs", state.snapshotAtMs },
-                            { "sections", std::move(sections) } };
-    return Snapshot { state.nextOffset, dumpJson(document) };
+    const Json document = {{"version", kSnapshotVersion},
+                           {"nextOffset", state.nextOffset},
+                           {"revision", state.revision},
+                           {"rules", std::move(rules)},
+                           {"removedKeys", dumpRemoved(state.removedKeys)},
+                           {"removedRules", dumpRemoved(state.removedRules)},
+                           {"audit", dumpAudit(state.audit)},
+                           {"unreadableRecords", state.unreadableRecords},
+                           {"snapshotOffset", state.snapshotOffset},
+                           {"snapshotEnd", state.snapshotEnd},
+                           {"snapshotAtMs", state.snapshotAtMs},
+                           {"sections", std::move(sections)}};
+    return Snapshot{state.nextOffset, dumpJson(document)};
 }
 
 auto adoptSnapshot(ConfigFold &fold, const Snapshot &snapshot, int64_t nowMs) -> Result<Adoption>
 {
     if (snapshot.nextOffset <= fold.state.nextOffset) {
-        return Adoption {};
+        return Adoption{};
     }
     std::vector<JsonError> errors;
     const Json document = parseJsonText(snapshot.text, errors);
@@ -241,14 +242,14 @@
 
 auto encodeSnapshotPart(const SnapshotPart &part) -> std::string
 {
-    return dumpJson(Json { { "type", "snapshot" },
-                           { "id", part.id },
-                           { "nextOffset", part.nextOffset },
-                           { "part", part.part },
-                           { "parts", part.parts },
-                           { "hash", hexOf(part.hash) },
-                           { "atMs", part.atMs },
-                           { "text", part.text } });
+    return dumpJson(Json{{"type", "snapshot"},
+                         {"id", part.id},
+                         {"nextOffset", part.nextOffset},
+                         {"part", part.part},
+                         {"parts", part.parts},
+                         {"hash", hexOf(part.hash)},
+                         {"atMs", part.atMs},
+                         {"text", part.text}});
 }
 
 auto decodeSnapshotPart(std::string_view payload) -> Result<SnapshotPart>
@@ -289,10 +290,9 @@
     parts[part.part] = std::move(part);
     if (parts.size() < kept.parts) {
         if (assembly.parts.size() > kMaxAssemblies) {
-            const auto least
-                = std::min_element(assembly.parts.begin(), assembly.parts.end(), [](const auto &a, const auto &b) {
-                      return a.second.size() < b.second.size();
-                  });
+            const auto least = std::min_element(assembly.parts.begin(), assembly.parts.end(), [](const auto &a, const auto &b) {
+                return a.second.size() < b.second.size();
+            });
             assembly.parts.erase(least);
         }
         return std::nullopt;
--- a/config/snapshot.h
+++ b/config/snapshot.h
@@ -13,11 +13,11 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// The folded state below `nextOffset` as text. Two folds with the same records have equal text.
-struct Snapshot
-{
+struct Snapshot {
     uint64_t nextOffset = 0;
     std::string text;
 };
@@ -26,8 +26,7 @@
 auto takeSnapshot(const ConfigFold &fold) -> Snapshot;
 
 /// What became of an offered snapshot.
-struct Adoption
-{
+struct Adoption {
     /// False if the snapshot's offset is not higher than the own one; nothing changed then.
     bool adopted = false;
     /// Keys that no longer authenticate.
@@ -39,8 +38,7 @@
 auto adoptSnapshot(ConfigFold &fold, const Snapshot &snapshot, int64_t nowMs) -> Result<Adoption>;
 
 /// One piece of a snapshot, small enough for one log record or one frame between nodes.
-struct SnapshotPart
-{
+struct SnapshotPart {
     /// Same in all parts of one snapshot.
     std::string id;
     uint64_t nextOffset = 0;
@@ -63,8 +61,7 @@
 auto decodeSnapshotPart(std::string_view payload) -> Result<SnapshotPart>;
 
 /// Parts received so far, by snapshot id; bounded, the least advanced snapshot leaves first.
-struct SnapshotAssembly
-{
+struct SnapshotAssembly {
     std::map<std::string, std::map<uint32_t, SnapshotPart>> parts;
 };
 
@@ -72,9 +69,8 @@
 auto addSnapshotPart(SnapshotAssembly &assembly, SnapshotPart part) -> std::optional<Snapshot>;
 
 /// How long the log keeps the configuration stream.
-struct Retention
-{
-    Duration age {};
+struct Retention {
+    Duration age{};
     /// Records that are kept; 0 if the log has no such limit.
     uint64_t records = 0;
 };
--- a/config/text.cpp
+++ b/config/text.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <charconv>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// Returns the length of the well-formed UTF-8 sequence at `at`, or 0.
 auto sequenceLength(std::string_view text, size_t at) -> size_t
--- a/config/text.h
+++ b/config/text.h
@@ -6,7 +6,8 @@
 #include <string_view>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Returns the text without spaces, tabs and carriage returns at both ends.
 auto trimmed(std::string_view text) -> std::string_view;
--- a/core/events.h
+++ b/core/events.h
@@ -6,7 +6,8 @@
 #include <utility>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Severity of an event, as glog writes it.
 enum class Severity {
@@ -53,8 +54,7 @@
 };
 
 /// One row of the catalogue in docs/EVENTS.md.
-struct EventRow
-{
+struct EventRow {
     EventId id;
     Severity severity;
     std::string_view name;
--- a/core/exchange.cpp
+++ b/core/exchange.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <cctype>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 auto equalsIgnoringCase(std::string_view a, std::string_view b) -> bool
 {
--- a/core/exchange.h
+++ b/core/exchange.h
@@ -13,7 +13,8 @@
 #include <utility>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Largest piece of a body that is handed on at once, in bytes.
 inline constexpr size_t kMaxChunkBytes = 64 * 1024;
@@ -28,8 +29,7 @@
 void removeHeader(HeaderList &headers, std::string_view name);
 
 /// Everything about a request except its body, as it travels from hop to hop.
-struct RequestHead
-{
+struct RequestHead {
     RequestId id;
     std::string method;
     /// Path with query, as received.
@@ -45,7 +45,7 @@
     Priority priority = Priority::Normal;
     bool idempotent = true;
     /// Time left to the deadline when the head was sent; each receiver turns it into a local moment.
-    Duration timeLeft {};
+    Duration timeLeft{};
     /// Further attempts that the whole remaining tree may make for this request.
     int attemptsLeft = 0;
     /// Hops since the original request, for limits and measurements.
@@ -53,8 +53,7 @@
 };
 
 /// Everything about an answer except its body.
-struct ResponseHead
-{
+struct ResponseHead {
     int status = 200;
     HeaderList headers;
     std::optional<uint64_t> bodyLength;
@@ -65,30 +64,26 @@
 };
 
 /// A piece of a body. An empty chunk with `last` set ends a body.
-struct BodyChunk
-{
+struct BodyChunk {
     std::string bytes;
     bool last = false;
 };
 
 /// Reads a body piece by piece. The call blocks the calling fiber; an error means that the body was cut.
-struct BodyReader
-{
+struct BodyReader {
     std::function<Result<BodyChunk>()> read;
 };
 
 /// Writes a body piece by piece. `write` blocks the calling fiber while the receiver is slow. Without `finish` the body
 /// is incomplete; `abort` tells the receiver so at once.
-struct BodyWriter
-{
+struct BodyWriter {
     std::function<Result<void>(std::string bytes)> write;
     std::function<Result<void>()> finish;
     std::function<void()> abort;
 };
 
 /// A request that this process received, over HTTP or from a peer node, and has to answer.
-struct Exchange
-{
+struct Exchange {
     RequestHead head;
     Endpoint remote;
     BodyReader requestBody;
@@ -102,8 +97,7 @@
 };
 
 /// A request that this process sent on, to a target or to a peer node.
-struct OutboundCall
-{
+struct OutboundCall {
     BodyWriter requestBody;
     /// Blocks the calling fiber until the head of the answer is there.
     std::function<Result<ResponseHead>()> awaitHead;
--- a/core/hash.cpp
+++ b/core/hash.cpp
@@ -9,7 +9,8 @@
 #include <openssl/hmac.h>
 #include <xxhash.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
 auto stableHash(std::string_view bytes, uint64_t seed) -> uint64_t
 {
@@ -21,8 +22,7 @@
     return static_cast<uint32_t>(stableHash(key) % kRangeCount);
 }
 
-auto rendezvousOrder(std::string_view key, const std::vector<std::string> &candidates, size_t count)
-    -> std::vector<size_t>
+auto rendezvousOrder(std::string_view key, const std::vector<std::string> &candidates, size_t count) -> std::vector<size_t>
 {
     const uint64_t seed = stableHash(key);
     std::vector<std::pair<uint64_t, size_t>> scored;
@@ -36,22 +36,21 @@
     };
     std::partial_sort(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(kept), scored.end(), isBetter);
     std::vector<size_t> order(kept);
-    std::transform(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(kept), order.begin(),
-                   [](const auto &s) {
-                       return s.second;
-                   });
+    std::transform(scored.begin(), scored.begin() + static_cast<std::ptrdiff_t>(kept), order.begin(), [](const auto &s) {
+        return s.second;
+    });
     return order;
 }
 
 auto hmacSha256Hex(std::string_view key, std::string_view message) -> std::string
 {
-    std::array<unsigned char, EVP_MAX_MD_SIZE> digest {};
+    std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
     unsigned int length = 0;
-    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
-         reinterpret_cast<const unsigned char *>(message.data()), message.size(), digest.data(), &length);
+    HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), reinterpret_cast<const unsigned char *>(message.data()), message.size(), digest.data(),
+         &length);
     static constexpr std::string_view kDigits = "0123456789abcdef";
     std::string hex;
-    hex.reserve(size_t { 2 } * length);
+    hex.reserve(size_t{2} * length);
     for (unsigned int i = 0; i < length; ++i) {
         hex.push_back(kDigits[digest[i] >> 4U]);
         hex.push_back(kDigits[digest[i] & 0x0FU]);
--- a/core/hash.h
+++ b/core/hash.h
@@ -5,7 +5,8 @@
 #include <string_view>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Number of hash ranges that teams and idempotency keys are divided into.
 inline constexpr uint32_t kRangeCount = 32;
@@ -18,8 +19,7 @@
 
 /// Returns the indexes of the `count` candidates with the highest rendezvous hash for the key, best first. A candidate
 /// that joins or leaves moves only the keys that it wins or loses.
-auto rendezvousOrder(std::string_view key, const std::vector<std::string> &candidates, size_t count)
-    -> std::vector<size_t>;
+auto rendezvousOrder(std::string_view key, const std::vector<std::string> &candidates, size_t count) -> std::vector<size_t>;
 
 /// Returns HMAC-SHA256 of the message as lower-case hexadecimal digits.
 auto hmacSha256Hex(std::string_view key, std::string_view message) -> std::string;
--- a/core/ids.cpp
+++ b/core/ids.cpp
@@ -3,11 +3,12 @@
 #include <cinttypes>
 #include <cstdio>
 
-namespace snipestream {
+namespace snipestream
+{
 
 auto toHex(const RequestId &id) -> std::string
 {
-    std::array<char, 33> text {};
+    std::array<char, 33> text{};
     std::snprintf(text.data(), text.size(), "%016" PRIx64 "%016" PRIx64, id.high, id.low);
     return std::string(text.data());
 }
--- a/core/ids.h
+++ b/core/ids.h
@@ -8,12 +8,12 @@
 #include <tuple>
 #include <utility>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// A name of one kind of entity. Different tags make different types, so a team cannot be passed as a service.
 template<typename Tag>
-struct Name
-{
+struct Name {
     std::string value;
 
     Name() = default;
@@ -53,8 +53,7 @@
 using TargetName = Name<struct TargetTag>;
 
 /// Identifies one original request in all its hops; 128 random bits.
-struct RequestId
-{
+struct RequestId {
     uint64_t high = 0;
     uint64_t low = 0;
 
@@ -76,8 +75,7 @@
 auto toHex(const RequestId &id) -> std::string;
 
 /// An IP address and TCP port, such as 127.0.0.1:7000.
-struct Endpoint
-{
+struct Endpoint {
     std::string address;
     uint16_t port = 0;
 
@@ -100,20 +98,19 @@
 
 } // namespace snipestream
 
-namespace std {
+namespace std
+{
 
 template<typename Tag>
-struct hash<snipestream::Name<Tag>>
-{
+struct hash<snipestream::Name<Tag>> {
     auto operator()(const snipestream::Name<Tag> &name) const noexcept -> size_t
     {
-        return hash<string> {}(name.value);
+        return hash<string>{}(name.value);
     }
 };
 
 template<>
-struct hash<snipestream::RequestId>
-{
+struct hash<snipestream::RequestId> {
     auto operator()(const snipestream::RequestId &id) const noexcept -> size_t
     {
         return static_cast<size_t>(id.high ^ (id.low * 0x9E3779B97F4A7C15ULL));
@@ -121,11 +118,10 @@
 };
 
 template<>
-struct hash<snipestream::Endpoint>
-{
+struct hash<snipestream::Endpoint> {
     auto operator()(const snipestream::Endpoint &endpoint) const noexcept -> size_t
     {
-        return hash<string> {}(endpoint.address) ^ (static_cast<size_t>(endpoint.port) * 0x9E3779B97F4A7C15ULL);
+        return hash<string>{}(endpoint.address) ^ (static_cast<size_t>(endpoint.port) * 0x9E3779B97F4A7C15ULL);
     }
 };
 
--- a/core/json_fields.cpp
+++ b/core/json_fields.cpp
@@ -2,7 +2,8 @@
 
 #include <limits>
 
-namespace snipestream {
+namespace snipestream
+{
 
 JsonFields::JsonFields(const nlohmann::json &json)
     : json_(json)
@@ -44,8 +45,7 @@
     }
     const bool tooLarge = found->is_number_unsigned() && found->get<uint64_t>() > static_cast<uint64_t>(INT64_MAX);
     if (!found->is_number_integer() || tooLarge || found->get<int64_t>() < least || found->get<int64_t>() > most) {
-        reject("field '" + std::string(name) + "' is not an integer from " + std::to_string(least) + " to "
-               + std::to_string(most));
+        reject("field '" + std::string(name) + "' is not an integer from " + std::to_string(least) + " to " + std::to_string(most));
         return least;
     }
     return found->get<int64_t>();
@@ -71,8 +71,7 @@
         return 0;
     }
     constexpr auto kLargest = static_cast<uint64_t>(std::numeric_limits<int64_t>::max());
-    const bool fits = found->is_number_unsigned() ? found->get<uint64_t>() <= kLargest
-                                                  : found->is_number_integer() && found->get<int64_t>() >= 0;
+    const bool fits = found->is_number_unsigned() ? found->get<uint64_t>() <= kLargest : found->is_number_integer() && found->get<int64_t>() >= 0;
     if (!fits) {
         reject("field '" + std::string(name) + "' is not an integer from 0 to 2^63 - 1");
         return 0;
@@ -121,7 +120,7 @@
 
 auto JsonFields::error() const -> Error
 {
-    return Error { ErrorCode::InvalidInput, problem_ };
+    return Error{ErrorCode::InvalidInput, problem_};
 }
 
 auto JsonFields::field(const char *name) -> const nlohmann::json *
--- a/core/json_fields.h
+++ b/core/json_fields.h
@@ -9,7 +9,8 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Reads the fields of a JSON object that came from another process. The first missing or wrong field is remembered and
 /// later reads return defaults, so that a message is checked once, after all its fields were read.
--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -9,13 +9,15 @@
 #include <boost/accumulators/statistics/stats.hpp>
 #include <boost/accumulators/statistics/sum.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 namespace ba = boost::accumulators;
 
-namespace {
+namespace
+{
 
-constexpr std::array<double, 3> kProbabilities = { 0.5, 0.9, 0.99 };
+constexpr std::array<double, 3> kProbabilities = {0.5, 0.9, 0.99};
 
 auto escapeLabel(const std::string &value) -> std::string
 {
@@ -70,11 +72,9 @@
     return value_;
 }
 
-struct Summary::Accumulators
-{
-    ba::accumulator_set<double, ba::stats<ba::tag::count, ba::tag::sum, ba::tag::extended_p_square_quantile>> set {
-        ba::extended_p_square_probabilities = kProbabilities
-    };
+struct Summary::Accumulators {
+    ba::accumulator_set<double, ba::stats<ba::tag::count, ba::tag::sum, ba::tag::extended_p_square_quantile>> set{ba::extended_p_square_probabilities =
+                                                                                                                      kProbabilities};
     double last = 0;
 };
 
@@ -112,11 +112,9 @@
     return ba::quantile(accumulators_->set, ba::quantile_probability = probability);
 }
 
-struct MetricsRegistry::Families
-{
+struct MetricsRegistry::Families {
     template<typename Metric>
-    struct Family
-    {
+    struct Family {
         std::string help;
         std::map<MetricLabels, Metric> rows;
     };
@@ -125,8 +123,7 @@
     std::map<std::string, Family<Summary>> summaries;
 
     template<typename Metric>
-    static auto row(std::map<std::string, Family<Metric>> &families, const std::string &name, const std::string &help,
-                    const MetricLabels &labels) -> Metric &
+    static auto row(std::map<std::string, Family<Metric>> &families, const std::string &name, const std::string &help, const MetricLabels &labels) -> Metric &
     {
         auto &family = families[name];
         family.help = help;
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -7,7 +7,8 @@
 #include <utility>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Labels of a metric in a fixed order, such as {{"team", "studio"}}.
 using MetricLabels = std::vector<std::pair<std::string, std::string>>;
--- a/core/priority.cpp
+++ b/core/priority.cpp
@@ -1,9 +1,11 @@
 #include "core/priority.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
-constexpr std::array<std::string_view, kPriorityCount> kNames = { "critical", "high", "normal", "low" };
+namespace
+{
+constexpr std::array<std::string_view, kPriorityCount> kNames = {"critical", "high", "normal", "low"};
 } // namespace
 
 auto priorityName(Priority priority) -> std::string_view
--- a/core/priority.h
+++ b/core/priority.h
@@ -5,7 +5,8 @@
 #include <optional>
 #include <string_view>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Importance of a route, set by operators. Lower values are shed last.
 enum class Priority : uint8_t {
--- a/core/random.cpp
+++ b/core/random.cpp
@@ -5,7 +5,8 @@
 #include <glog/logging.h>
 #include <openssl/rand.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
 auto drawBelow(Random &random, uint64_t bound) -> uint64_t
 {
@@ -18,7 +19,7 @@
 auto drawRequestId(Random &random) -> RequestId
 {
     const uint64_t high = random();
-    return RequestId { high, random() };
+    return RequestId{high, random()};
 }
 
 auto systemSeed() -> uint64_t
--- a/core/random.h
+++ b/core/random.h
@@ -6,7 +6,8 @@
 #include <random>
 #include <string>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Generator for decisions such as the choice among targets. It is passed into every system that draws, so that a run
 /// can be repeated from its seed.
--- a/core/refusal.h
+++ b/core/refusal.h
@@ -6,7 +6,8 @@
 #include <string>
 #include <string_view>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Why a request was refused. The names appear in problem documents, metrics and the share report.
 enum class RefusalReason {
@@ -42,12 +43,11 @@
 };
 
 /// A negative answer of the system itself, as opposed to an answer of a target.
-struct Refusal
-{
+struct Refusal {
     RefusalReason reason = RefusalReason::BadRequest;
     RunState run = RunState::NotRun;
     /// When the caller may try again; zero means that a retry will not help.
-    Duration retryAfter {};
+    Duration retryAfter{};
     std::string detail;
 
     friend auto operator==(const Refusal &a, const Refusal &b) -> bool
--- a/core/result.cpp
+++ b/core/result.cpp
@@ -1,6 +1,7 @@
 #include "core/result.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
 auto errorCodeName(ErrorCode code) -> const char *
 {
--- a/core/result.h
+++ b/core/result.h
@@ -5,7 +5,8 @@
 
 #include <boost/outcome.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// What kind of failure an Error reports; callers branch on it, people read the message.
 enum class ErrorCode {
@@ -26,8 +27,7 @@
 auto errorCodeName(ErrorCode code) -> const char *;
 
 /// An expected failure: a code to branch on and a message that names the bad value.
-struct Error
-{
+struct Error {
     ErrorCode code = ErrorCode::Internal;
     std::string message;
 
@@ -48,7 +48,7 @@
 /// Makes the failure side of any Result.
 inline auto failure(ErrorCode code, std::string message)
 {
-    return boost::outcome_v2::failure(Error { code, std::move(message) });
+    return boost::outcome_v2::failure(Error{code, std::move(message)});
 }
 
 /// Makes the success side of a Result<void>.
--- a/core/time.cpp
+++ b/core/time.cpp
@@ -2,11 +2,12 @@
 
 #include <ctime>
 
-namespace snipestream {
+namespace snipestream
+{
 
 auto BootClock::now() -> time_point
 {
-    timespec value {};
+    timespec value{};
     clock_gettime(CLOCK_BOOTTIME, &value);
     return time_point(seconds(value.tv_sec) + Duration(value.tv_nsec));
 }
--- a/core/time.h
+++ b/core/time.h
@@ -3,15 +3,15 @@
 #include <chrono>
 #include <cstdint>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// All durations of the project, in nanoseconds.
 using Duration = std::chrono::nanoseconds;
 
 /// Clock that counts the time a VM was suspended (CLOCK_BOOTTIME), so that a lease holder that was frozen together with
 /// its VM sees its lease as expired when it resumes.
-struct BootClock
-{
+struct BootClock {
     using rep = Duration::rep;
     using period = Duration::period;
     using duration = Duration;
