--- a/ctl/command_line.cpp
+++ b/ctl/command_line.cpp
@@ -11,9 +11,11 @@
 
 #include <absl/flags/reflection.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 // Which flags a command needs; combined with '|'.
 constexpr unsigned kNothing = 0;
@@ -22,8 +24,7 @@
 constexpr unsigned kBy = 4;
 constexpr unsigned kReason = 8;
 
-struct Command
-{
+struct Command {
     /// The fixed words, such as "drain target".
     std::vector<std::string> words;
     /// Names of the arguments that follow.
@@ -39,90 +40,90 @@
     using Context = const CtlContext &;
     using Options = const CtlOptions &;
     static const std::vector<Command> table = {
-        { { "check" },
-          { "FILE" },
-          kNothing,
-          "check a rules file",
-          [](Context, Options, Text file, Text) {
-              return checkCommand(file);
-          } },
-        { { "diff" },
-          { "FILE" },
-          kLog,
-          "show what publishing the file would change",
-          [](Context context, Options options, Text file, Text) {
-              return diffCommand(context, options, file);
-          } },
-        { { "publish" },
-          { "FILE" },
-          kLog | kBy,
-          "publish the difference to the rules in force",
-          [](Context context, Options options, Text file, Text) {
-              return publishCommand(context, options, file);
-          } },
-        { { "export" },
-          {},
-          kLog,
-          "print the rules in force as a rules file",
-          [](Context context, Options, Text, Text) {
-              return exportCommand(context);
-          } },
-        { { "withdraw-key" },
-          { "KEYID" },
-          kLog | kBy,
-          "withdraw a key for ever",
-          [](Context context, Options options, Text keyId, Text) {
-              return withdrawKeyCommand(context, options, keyId);
-          } },
-        { { "key", "new" },
-          { "TEAM", "KEYID" },
-          kBy | kReason,
-          "make a key; its secret is shown once",
-          [](Context, Options options, Text team, Text keyId) {
-              return newKeyCommand(options, team, keyId);
-          } },
-        { { "drain", "node" },
-          {},
-          kNodes,
-          "let nodes finish their work and end",
-          [](Context context, Options options, Text, Text) {
-              return drainNodesCommand(context, options);
-          } },
-        { { "drain", "target" },
-          { "NAME" },
-          kNodes,
-          "give the target of a node no new work",
-          [](Context context, Options options, Text name, Text) {
-              return drainTargetCommand(context, options, name);
-          } },
-        { { "status" },
-          {},
-          kNodes,
-          "show revision, offset and age of the configuration of nodes",
-          [](Context context, Options options, Text, Text) {
-              return statusCommand(context, options);
-          } },
-        { { "share" },
-          { "TEAM" },
-          kNodes,
-          "sum up what a team's share was spent on",
-          [](Context context, Options options, Text team, Text) {
-              return shareCommand(context, options, team);
-          } },
-        { { "audit" },
-          {},
-          kNothing,
-          "show the audit trail of the log, or of the nodes given",
-          [](Context context, Options options, Text, Text) {
-              return auditCommand(context, options);
-          } },
-        { { "events" },
-          {},
-          kNothing,
-          "list the numbered log events",
-          [](Context, Options, Text, Text) {
-              return eventsCommand();
-          } },
+        {{"check"},
+         {"FILE"},
+         kNothing,
+         "check a rules file",
+         [](Context, Options, Text file, Text) {
+             return checkCommand(file);
+         }},
+        {{"diff"},
+         {"FILE"},
+         kLog,
+         "show what publishing the file would change",
+         [](Context context, Options options, Text file, Text) {
+             return diffCommand(context, options, file);
+         }},
+        {{"publish"},
+         {"FILE"},
+         kLog | kBy,
+         "publish the difference to the rules in force",
+         [](Context context, Options options, Text file, Text) {
+             return publishCommand(context, options, file);
+         }},
+        {{"export"},
+         {},
+         kLog,
+         "print the rules in force as a rules file",
+         [](Context context, Options, Text, Text) {
+             return exportCommand(context);
+         }},
+        {{"withdraw-key"},
+         {"KEYID"},
+         kLog | kBy,
+         "withdraw a key for ever",
+         [](Context context, Options options, Text keyId, Text) {
+             return withdrawKeyCommand(context, options, keyId);
+         }},
+        {{"key", "new"},
+         {"TEAM", "KEYID"},
+         kBy | kReason,
+         "make a key; its secret is shown once",
+         [](Context, Options options, Text team, Text keyId) {
+             return newKeyCommand(options, team, keyId);
+         }},
+        {{"drain", "node"},
+         {},
+         kNodes,
+         "let nodes finish their work and end",
+         [](Context context, Options options, Text, Text) {
+             return drainNodesCommand(context, options);
+         }},
+        {{"drain", "target"},
+         {"NAME"},
+         kNodes,
+         "give the target of a node no new work",
+         [](Context context, Options options, Text name, Text) {
+             return drainTargetCommand(context, options, name);
+         }},
+        {{"status"},
+         {},
+         kNodes,
+         "show revision, offset and age of the configuration of nodes",
+         [](Context context, Options options, Text, Text) {
+             return statusCommand(context, options);
+         }},
+        {{"share"},
+         {"TEAM"},
+         kNodes,
+         "sum up what a team's share was spent on",
+         [](Context context, Options options, Text team, Text) {
+             return shareCommand(context, options, team);
+         }},
+        {{"audit"},
+         {},
+         kNothing,
+         "show the audit trail of the log, or of the nodes given",
+         [](Context context, Options options, Text, Text) {
+             return auditCommand(context, options);
+         }},
+        {{"events"},
+         {},
+         kNothing,
+         "list the numbered log events",
+         [](Context, Options, Text, Text) {
+             return eventsCommand();
+         }},
     };
     return table;
 }
@@ -145,8 +146,7 @@
 
 auto isCalledBy(const Command &command, const std::vector<std::string> &words) -> bool
 {
-    return words.size() >= command.words.size()
-        && std::equal(command.words.begin(), command.words.end(), words.begin());
+    return words.size() >= command.words.size() && std::equal(command.words.begin(), command.words.end(), words.begin());
 }
 
 auto findCommand(const std::vector<std::string> &words) -> const Command *
@@ -164,8 +164,7 @@
     if ((command.needs & kBy) != 0 && trimmed(options.by).empty()) {
         return "--by=WHO is needed: who answers for this";
     }
-    if (!isPrintableUtf8(options.by) || options.by.size() > kMaxByBytes
-        || options.changeId.size() > kMaxChangeIdBytes) {
+    if (!isPrintableUtf8(options.by) || options.by.size() > kMaxByBytes || options.changeId.size() > kMaxChangeIdBytes) {
         return "--by takes at most 200 printable bytes and --change-id at most 100";
     }
     if ((command.needs & kReason) != 0 && trimmed(options.reason).empty()) {
@@ -194,7 +193,7 @@
 {
     std::vector<std::vector<std::string>> rows;
     for (const Command &command : commands()) {
-        rows.push_back({ "  " + synopsis(command), command.help });
+        rows.push_back({"  " + synopsis(command), command.help});
     }
     return "snipestreamctl operates snipestream: rules, keys, nodes and targets.\n\n"
            "usage: snipestreamctl [FLAGS] COMMAND\n\ncommands:\n"
@@ -242,8 +241,7 @@
         }
         std::string error;
         if (!flag->ParseFrom(value, &error)) {
-            return failure(ErrorCode::InvalidInput,
-                           "the value " + inQuotes(value) + " of " + inQuotes(argument) + " is not valid");
+            return failure(ErrorCode::InvalidInput, "the value " + inQuotes(value) + " of " + inQuotes(argument) + " is not valid");
         }
     }
     return words;
@@ -264,8 +262,7 @@
     return endpoints;
 }
 
-auto runCommand(const CtlContext &context, const CtlOptions &options, const std::vector<std::string> &words)
-    -> CtlReport
+auto runCommand(const CtlContext &context, const CtlOptions &options, const std::vector<std::string> &words) -> CtlReport
 {
     const Command *command = findCommand(words);
     if (command == nullptr) {
--- a/ctl/command_line.h
+++ b/ctl/command_line.h
@@ -6,7 +6,8 @@
 #include <string>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Returns the text of --help: commands, flags and exit codes.
 auto usageText() -> std::string;
@@ -21,7 +22,6 @@
 
 /// Runs the command of the words left after the flags. Unknown commands, wrong numbers of words and missing flags give
 /// ExitCode::Usage.
-auto runCommand(const CtlContext &context, const CtlOptions &options, const std::vector<std::string> &words)
-    -> CtlReport;
+auto runCommand(const CtlContext &context, const CtlOptions &options, const std::vector<std::string> &words) -> CtlReport;
 
 } // namespace snipestream
--- a/ctl/context.cpp
+++ b/ctl/context.cpp
@@ -4,14 +4,16 @@
 #include <array>
 #include <ctime>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 auto isOutage(ErrorCode code) -> bool
 {
-    return code == ErrorCode::Unavailable || code == ErrorCode::Timeout || code == ErrorCode::Closed
-        || code == ErrorCode::Cancelled || code == ErrorCode::ProtocolViolation || code == ErrorCode::Expired;
+    return code == ErrorCode::Unavailable || code == ErrorCode::Timeout || code == ErrorCode::Closed || code == ErrorCode::Cancelled
+        || code == ErrorCode::ProtocolViolation || code == ErrorCode::Expired;
 }
 
 } // namespace
@@ -20,7 +22,7 @@
 {
     CtlReport report;
     report.exit = exit;
-    report.document = { { "error", message } };
+    report.document = {{"error", message}};
     report.text = "error: " + message + "\n";
     return report;
 }
@@ -58,9 +60,9 @@
 auto formatUtc(int64_t wallMs) -> std::string
 {
     const time_t whole = wallMs / 1000;
-    tm parts {};
+    tm parts{};
     gmtime_r(&whole, &parts);
-    std::array<char, 32> text {};
+    std::array<char, 32> text{};
     const size_t length = std::strftime(text.data(), text.size(), "%Y-%m-%dT%H:%M:%SZ", &parts);
     return std::string(text.data(), length);
 }
--- a/ctl/context.h
+++ b/ctl/context.h
@@ -12,7 +12,8 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Exit codes of snipestreamctl, as documented in docs/OPERATIONS.md.
 enum class ExitCode : int {
@@ -26,8 +27,7 @@
 };
 
 /// What a command needs from outside. Tests pass fakes.
-struct CtlContext
-{
+struct CtlContext {
     LogClient log;
     /// Makes the transport to the admin endpoint of a node.
     std::function<HttpTransport(const Endpoint &)> nodeTransport;
@@ -42,8 +42,7 @@
 };
 
 /// Flags of the command line that commands use.
-struct CtlOptions
-{
+struct CtlOptions {
     std::string by;
     std::string reason;
     std::string changeId;
@@ -58,8 +57,7 @@
 };
 
 /// What a command found: the same content as JSON and as text.
-struct CtlReport
-{
+struct CtlReport {
     ExitCode exit = ExitCode::Ok;
     nlohmann::json document = nlohmann::json::object();
     std::string text;
--- a/ctl/main.cpp
+++ b/ctl/main.cpp
@@ -24,7 +24,8 @@
 ABSL_FLAG(uint32_t, publish_timeout_s, 30, "longest time for publishing");
 ABSL_FLAG(uint32_t, call_timeout_ms, 2000, "time for one call to the log or a node");
 
-namespace {
+namespace
+{
 
 using namespace snipestream;
 
@@ -98,8 +99,7 @@
         return usageError("--output is text or json, not \"" + output + "\"");
     }
     const CtlOptions options = readOptions();
-    const CtlReport report
-        = runCommand(makeContext(log.value(), nodes.value(), options.callTimeout), options, words.value());
+    const CtlReport report = runCommand(makeContext(log.value(), nodes.value(), options.callTimeout), options, words.value());
     if (output == "json") {
         std::cout << dumpJson(report.document) << "\n";
     } else {
--- a/ctl/node_calls.cpp
+++ b/ctl/node_calls.cpp
@@ -2,10 +2,10 @@
 
 #include "config/json_reader.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
-auto callNode(const CtlContext &context, const Endpoint &node, const std::string &method, const std::string &path,
-              Duration timeout) -> Result<nlohmann::json>
+auto callNode(const CtlContext &context, const Endpoint &node, const std::string &method, const std::string &path, Duration timeout) -> Result<nlohmann::json>
 {
     const auto answer = context.nodeTransport(node)(method, path, "", timeout);
     if (!answer) {
@@ -16,20 +16,17 @@
     if (status >= 400 && status < 500) {
         const std::string detail = document.is_object() ? fieldText(document, "detail") : std::string("?");
         return failure(ErrorCode::InvalidInput,
-                       "node " + toString(node) + " refused " + method + " " + path + " with status "
-                           + std::to_string(status) + (detail == "?" ? "" : ": " + detail));
+                       "node " + toString(node) + " refused " + method + " " + path + " with status " + std::to_string(status)
+                           + (detail == "?" ? "" : ": " + detail));
     }
     if (status < 200 || status > 299) {
-        return failure(ErrorCode::Unavailable,
-                       "node " + toString(node) + " answered " + method + " " + path + " with status "
-                           + std::to_string(status));
+        return failure(ErrorCode::Unavailable, "node " + toString(node) + " answered " + method + " " + path + " with status " + std::to_string(status));
     }
     if (answer.value().body.empty()) {
         return nlohmann::json::object();
     }
     if (!document.is_object()) {
-        return failure(ErrorCode::ProtocolViolation,
-                       "node " + toString(node) + " answered " + path + " with something else than a JSON object");
+        return failure(ErrorCode::ProtocolViolation, "node " + toString(node) + " answered " + path + " with something else than a JSON object");
     }
     return document;
 }
--- a/ctl/node_calls.h
+++ b/ctl/node_calls.h
@@ -7,13 +7,13 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Sends a request to the admin endpoint of a node and reads the JSON object it answers. Errors: those of the
 /// transport; InvalidInput if the node refused (4xx), with its message; Unavailable for other statuses;
 /// ProtocolViolation if the answer is no JSON object.
-auto callNode(const CtlContext &context, const Endpoint &node, const std::string &method, const std::string &path,
-              Duration timeout) -> Result<nlohmann::json>;
+auto callNode(const CtlContext &context, const Endpoint &node, const std::string &method, const std::string &path, Duration timeout) -> Result<nlohmann::json>;
 
 /// Returns a text or number field of an answer, or "?" if it is missing.
 auto fieldText(const nlohmann::json &answer, const char *name) -> std::string;
--- a/ctl/node_commands.cpp
+++ b/ctl/node_commands.cpp
@@ -9,9 +9,11 @@
 
 #include <map>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 using Json = nlohmann::json;
 
@@ -23,7 +25,7 @@
 /// Notes a node that did not answer as wanted. An unreachable node outweighs one that refused.
 void addFailure(const Endpoint &node, const Error &error, CtlReport &report)
 {
-    report.document["failed"].push_back({ { "endpoint", toString(node) }, { "error", error.message } });
+    report.document["failed"].push_back({{"endpoint", toString(node)}, {"error", error.message}});
     report.text.append("failed: ").append(toString(node)).append(" ").append(error.message).append("\n");
     report.exit = std::max(report.exit, exitOf(error.code));
 }
@@ -31,13 +33,12 @@
 auto startReport() -> CtlReport
 {
     CtlReport report;
-    report.document = { { "failed", Json::array() } };
+    report.document = {{"failed", Json::array()}};
     return report;
 }
 
 /// Sends a POST to each node and reports which did it.
-auto postToNodes(const CtlContext &context, const CtlOptions &options, const std::string &path, const std::string &done)
-    -> CtlReport
+auto postToNodes(const CtlContext &context, const CtlOptions &options, const std::string &path, const std::string &done) -> CtlReport
 {
     CtlReport report = startReport();
     report.document["done"] = Json::array();
@@ -54,8 +55,7 @@
 }
 
 /// Sums of one team over nodes.
-struct ShareSum
-{
+struct ShareSum {
     uint64_t admitted = 0;
     uint64_t completed = 0;
     uint64_t wasted = 0;
@@ -97,7 +97,7 @@
 
 void addAuditTable(const Json &entries, bool withTimes, CtlReport &report)
 {
-    std::vector<std::vector<std::string>> rows = { { "OFFSET", "REVISION", "VERDICT", "BY", "RULES" } };
+    std::vector<std::vector<std::string>> rows = {{"OFFSET", "REVISION", "VERDICT", "BY", "RULES"}};
     if (withTimes) {
         rows.front().insert(rows.front().begin(), "IN FORCE HERE");
     }
@@ -105,8 +105,7 @@
         if (!entry.is_object()) {
             continue;
         }
-        rows.push_back({ fieldText(entry, "offset"), fieldText(entry, "revision"), fieldText(entry, "verdict"),
-                         fieldText(entry, "by"), whatText(entry) });
+        rows.push_back({fieldText(entry, "offset"), fieldText(entry, "revision"), fieldText(entry, "verdict"), fieldText(entry, "by"), whatText(entry)});
         if (withTimes) {
             rows.back().insert(rows.back().begin(), formatUtc(static_cast<int64_t>(fieldNumber(entry, "inForceAtMs"))));
         }
@@ -138,8 +137,7 @@
 {
     CtlReport report = startReport();
     report.document["nodes"] = Json::array();
-    std::vector<std::vector<std::string>> rows
-        = { { "NODE", "DOMAIN", "ENDPOINT", "REVISION", "OFFSET", "CONFIG AGE MS", "INCARNATION" } };
+    std::vector<std::vector<std::string>> rows = {{"NODE", "DOMAIN", "ENDPOINT", "REVISION", "OFFSET", "CONFIG AGE MS", "INCARNATION"}};
     for (const Endpoint &node : context.nodes) {
         const auto answer = callNode(context, node, "GET", "/snipestream/v1/status", options.callTimeout);
         if (!answer) {
@@ -150,9 +148,8 @@
         Json entry = status;
         entry["endpoint"] = toString(node);
         report.document["nodes"].push_back(std::move(entry));
-        rows.push_back({ fieldText(status, "node"), fieldText(status, "domain"), toString(node),
-                         fieldText(status, "revision"), fieldText(status, "offset"), fieldText(status, "configAgeMs"),
-                         fieldText(status, "incarnation") });
+        rows.push_back({fieldText(status, "node"), fieldText(status, "domain"), toString(node), fieldText(status, "revision"), fieldText(status, "offset"),
+                        fieldText(status, "configAgeMs"), fieldText(status, "incarnation")});
     }
     report.text.insert(0, formatTable(rows));
     return report;
@@ -176,13 +173,13 @@
     report.document["completed"] = sum.completed;
     report.document["wasted"] = sum.wasted;
     report.document["refused"] = sum.refused;
-    std::vector<std::vector<std::string>> rows = { { "TEAM", team },
-                                                   { "nodes that counted it", std::to_string(sum.nodes) },
-                                                   { "admitted", std::to_string(sum.admitted) },
-                                                   { "completed", std::to_string(sum.completed) },
-                                                   { "wasted", std::to_string(sum.wasted) } };
+    std::vector<std::vector<std::string>> rows = {{"TEAM", team},
+                                                  {"nodes that counted it", std::to_string(sum.nodes)},
+                                                  {"admitted", std::to_string(sum.admitted)},
+                                                  {"completed", std::to_string(sum.completed)},
+                                                  {"wasted", std::to_string(sum.wasted)}};
     for (const auto &[reason, count] : sum.refused) {
-        rows.push_back({ "refused: " + reason, std::to_string(count) });
+        rows.push_back({"refused: " + reason, std::to_string(count)});
     }
     report.text.insert(0, formatTable(rows));
     if (report.exit != ExitCode::Ok) {
@@ -226,11 +223,11 @@
 {
     CtlReport report;
     report.document["events"] = Json::array();
-    std::vector<std::vector<std::string>> rows = { { "EVENT", "NAME", "MEANING" } };
+    std::vector<std::vector<std::string>> rows = {{"EVENT", "NAME", "MEANING"}};
     for (const EventRow &row : eventCatalogue()) {
         const std::string number = "SNS" + std::to_string(static_cast<int>(row.id));
-        rows.push_back({ number, std::string(row.name), std::string(row.meaning) });
-        report.document["events"].push_back({ { "event", number }, { "name", row.name }, { "meaning", row.meaning } });
+        rows.push_back({number, std::string(row.name), std::string(row.meaning)});
+        report.document["events"].push_back({{"event", number}, {"name", row.name}, {"meaning", row.meaning}});
     }
     report.text = formatTable(rows);
     return report;
--- a/ctl/node_commands.h
+++ b/ctl/node_commands.h
@@ -4,7 +4,8 @@
 
 #include <string>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// `status`: what each node reports about itself.
 auto statusCommand(const CtlContext &context, const CtlOptions &options) -> CtlReport;
--- a/ctl/publisher.cpp
+++ b/ctl/publisher.cpp
@@ -4,17 +4,18 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr size_t kPageRecords = 500;
 constexpr Duration kFirstPause = milliseconds(200);
 constexpr Duration kLongestPause = seconds(2);
 
 /// Brings the fold up to date and returns the verdict on the change if its record is there.
-auto findPublished(const CtlContext &context, ConfigFold &fold, const std::string &changeId)
-    -> Result<std::optional<Published>>
+auto findPublished(const CtlContext &context, ConfigFold &fold, const std::string &changeId) -> Result<std::optional<Published>>
 {
     const auto caughtUp = catchUpFromLog(fold, context.log, kPageRecords, context.wallMs());
     if (!caughtUp) {
@@ -24,7 +25,7 @@
     if (entry == nullptr) {
         return std::optional<Published>();
     }
-    return std::optional<Published>(Published { entry->verdict, entry->offset, entry->revision, entry->detail });
+    return std::optional<Published>(Published{entry->verdict, entry->offset, entry->revision, entry->detail});
 }
 
 /// Returns whether an append that failed like this may succeed or may have succeeded.
@@ -45,8 +46,7 @@
     return fold;
 }
 
-auto publishChange(const CtlContext &context, ConfigFold &fold, const ChangeRecord &change, Duration timeout)
-    -> Result<Published>
+auto publishChange(const CtlContext &context, ConfigFold &fold, const ChangeRecord &change, Duration timeout) -> Result<Published>
 {
     const TimePoint deadline = context.now() + timeout;
     const std::string payload = encodeChange(change);
@@ -72,9 +72,8 @@
             last = published.error();
         }
         if (context.now() + pause > deadline) {
-            return Error { last.code == ErrorCode::Internal ? ErrorCode::Timeout : last.code,
-                           "the change " + change.id + " may or may not be on the log; repeat with --change-id="
-                               + change.id + " (" + last.message + ")" };
+            return Error{last.code == ErrorCode::Internal ? ErrorCode::Timeout : last.code,
+                         "the change " + change.id + " may or may not be on the log; repeat with --change-id=" + change.id + " (" + last.message + ")"};
         }
         context.progress("the log does not answer as expected (" + last.message + "); repeating change " + change.id);
         context.sleep(pause);
--- a/ctl/publisher.h
+++ b/ctl/publisher.h
@@ -8,14 +8,14 @@
 #include <cstdint>
 #include <string>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Reads the configuration in force from the log.
 auto readInForce(const CtlContext &context) -> Result<ConfigFold>;
 
 /// What the log decided about a change.
-struct Published
-{
+struct Published {
     ChangeVerdict verdict = ChangeVerdict::Applied;
     uint64_t offset = 0;
     /// Revision in force after the change's record.
@@ -27,7 +27,6 @@
 /// record with the same change id is appended again only if it is not there; a second copy would be ignored as a
 /// duplicate. `fold` is brought up to date. Errors: those of the log once `timeout` has passed; the change may then
 /// still come into force, and the message gives the change id.
-auto publishChange(const CtlContext &context, ConfigFold &fold, const ChangeRecord &change, Duration timeout)
-    -> Result<Published>;
+auto publishChange(const CtlContext &context, ConfigFold &fold, const ChangeRecord &change, Duration timeout) -> Result<Published>;
 
 } // namespace snipestream
--- a/ctl/rules_commands.cpp
+++ b/ctl/rules_commands.cpp
@@ -12,9 +12,11 @@
 #include <optional>
 #include <sstream>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 using Json = nlohmann::json;
 
@@ -22,8 +24,7 @@
 constexpr int kMaxWithdrawals = 5;
 
 /// Reads a rules file, or makes the report with all its errors.
-struct ReadRules
-{
+struct ReadRules {
     ParsedRules parsed;
     std::optional<CtlReport> failed;
 };
@@ -46,13 +47,12 @@
     report.exit = ExitCode::Refused;
     Json errors = Json::array();
     for (const RuleError &error : result.parsed.errors) {
-        errors.push_back(
-            { { "line", error.line }, { "column", error.column }, { "message", error.message }, { "fix", error.fix } });
+        errors.push_back({{"line", error.line}, {"column", error.column}, {"message", error.message}, {"fix", error.fix}});
         report.text.append(file).append(":").append(toString(error)).append("\n");
     }
     const size_t count = result.parsed.errors.size();
     report.text.append(std::to_string(count)).append(count == 1 ? " error\n" : " errors\n");
-    report.document = { { "ok", false }, { "errors", std::move(errors) } };
+    report.document = {{"ok", false}, {"errors", std::move(errors)}};
     result.failed = std::move(report);
     return result;
 }
@@ -76,7 +76,7 @@
         if (current != state.rules.end()) {
             const std::string before = formatRule(current->second.rule);
             report.text.append("- ").append(before).append("\n");
-            changed.push_back({ { "before", before }, { "after", formatRule(rule) } });
+            changed.push_back({{"before", before}, {"after", formatRule(rule)}});
         } else {
             added.push_back(formatRule(rule));
         }
@@ -118,20 +118,19 @@
 auto publishedReport(const ChangeRecord &change, const Published &published) -> CtlReport
 {
     CtlReport report;
-    report.document = { { "change", change.id },
-                        { "verdict", verdictName(published.verdict) },
-                        { "offset", published.offset },
-                        { "revision", published.revision },
-                        { "base", change.baseRevision } };
+    report.document = {{"change", change.id},
+                       {"verdict", verdictName(published.verdict)},
+                       {"offset", published.offset},
+                       {"revision", published.revision},
+                       {"base", change.baseRevision}};
     if (published.verdict == ChangeVerdict::Applied) {
-        report.text = "change " + change.id + " is in force on the log at revision "
-            + std::to_string(published.revision) + " (offset " + std::to_string(published.offset) + ")\n";
+        report.text = "change " + change.id + " is in force on the log at revision " + std::to_string(published.revision) + " (offset "
+            + std::to_string(published.offset) + ")\n";
         return report;
     }
     report.exit = ExitCode::Refused;
     report.document["detail"] = published.detail;
-    report.text = "change " + change.id + " was not applied (" + std::string(verdictName(published.verdict))
-        + "): " + published.detail + "\n";
+    report.text = "change " + change.id + " was not applied (" + std::string(verdictName(published.verdict)) + "): " + published.detail + "\n";
     return report;
 }
 
@@ -140,7 +139,7 @@
 {
     CtlReport report;
     report.exit = ExitCode::Refused;
-    report.document = { { "verdict", verdictName(check.verdict) }, { "detail", check.detail } };
+    report.document = {{"verdict", verdictName(check.verdict)}, {"detail", check.detail}};
     report.text = "nothing was published (" + std::string(verdictName(check.verdict)) + "): " + check.detail + "\n";
     if (check.verdict == ChangeVerdict::Conflict) {
         report.text.append("run \"snipestreamctl export\", repeat your edits on its output and publish that\n");
@@ -151,19 +150,18 @@
 /// Makes the report of a command that could not read what is in force, before it appended anything.
 auto unreadReport(const Error &error) -> CtlReport
 {
-    return failedReport(Error { error.code, "nothing was published: " + error.message });
+    return failedReport(Error{error.code, "nothing was published: " + error.message});
 }
 
 auto alreadyInForce(const ConfigState &state) -> CtlReport
 {
     CtlReport report;
-    report.document = { { "verdict", "unchanged" }, { "revision", state.revision } };
+    report.document = {{"verdict", "unchanged"}, {"revision", state.revision}};
     report.text = "the rules are in force already, at revision " + std::to_string(state.revision) + "\n";
     return report;
 }
 
-auto publishAndReport(const CtlContext &context, const CtlOptions &options, ConfigFold &fold,
-                      const ChangeRecord &change) -> CtlReport
+auto publishAndReport(const CtlContext &context, const CtlOptions &options, ConfigFold &fold, const ChangeRecord &change) -> CtlReport
 {
     const auto published = publishChange(context, fold, change, options.publishTimeout);
     if (!published) {
@@ -187,7 +185,7 @@
         return std::move(*rules.failed);
     }
     CtlReport report;
-    report.document = { { "ok", true }, { "rules", rules.parsed.rules.size() } };
+    report.document = {{"ok", true}, {"rules", rules.parsed.rules.size()}};
     report.text = file + ": " + std::to_string(rules.parsed.rules.size()) + " rules are valid\n";
     return report;
 }
@@ -208,18 +206,14 @@
         return change.error().code == ErrorCode::NotFound ? alreadyInForce(state) : failedReport(change.error());
     }
     CtlReport report;
-    report.document = { { "revision", state.revision }, { "base", change.value().baseRevision } };
+    report.document = {{"revision", state.revision}, {"base", change.value().baseRevision}};
     describeChange(state, change.value(), report);
     const ChangeCheck check = checkChange(state, change.value());
     report.document["verdict"] = verdictName(check.verdict);
     if (check.verdict != ChangeVerdict::Applied) {
         report.exit = ExitCode::Refused;
         report.document["detail"] = check.detail;
-        report.text.append("would not be applied (")
-            .append(verdictName(check.verdict))
-            .append("): ")
-            .append(check.detail)
-            .append("\n");
+        report.text.append("would not be applied (").append(verdictName(check.verdict)).append("): ").append(check.detail).append("\n");
     }
     return report;
 }
@@ -239,8 +233,7 @@
     ChangeRecord named;
     named.id = id;
     if (const AuditEntry *earlier = findVerdict(state, id)) {
-        CtlReport report = publishedReport(
-            named, Published { earlier->verdict, earlier->offset, earlier->revision, earlier->detail });
+        CtlReport report = publishedReport(named, Published{earlier->verdict, earlier->offset, earlier->revision, earlier->detail});
         report.document.erase("base");
         if (earlier->verdict == ChangeVerdict::Applied) {
             addWait(context, options, earlier->revision, report);
@@ -277,7 +270,7 @@
         if (withdrawn != state.removedKeys.revisions.end()) {
             const uint64_t revision = withdrawn->second;
             report = CtlReport();
-            report.document = { { "verdict", "applied" }, { "revision", revision } };
+            report.document = {{"verdict", "applied"}, {"revision", revision}};
             report.text = "key " + keyId + " is withdrawn since revision " + std::to_string(revision) + "\n";
             addWait(context, options, revision, report);
             return report;
@@ -306,17 +299,16 @@
                             "team " + inQuotes(team) + " or key id " + inQuotes(keyId)
                                 + " is not valid; use letters, digits, '-' and '_', starting with a letter or digit");
     }
-    const NewKey key = createKey(TeamName(team), KeyId(keyId), AskedBy { options.by, options.reason });
+    const NewKey key = createKey(TeamName(team), KeyId(keyId), AskedBy{options.by, options.reason});
     const std::string line = formatRule(key.rule);
     const auto readable = parseRuleLine(line);
     if (!readable || !(readable.value() == Rule(key.rule))) {
-        return failedReport(
-            ExitCode::Usage,
-            "--by or --reason does not fit into \"# asked by <who>: <why>\"; use one line and no ':' or "
-            "'#' in --by");
+        return failedReport(ExitCode::Usage,
+                            "--by or --reason does not fit into \"# asked by <who>: <why>\"; use one line and no ':' or "
+                            "'#' in --by");
     }
     CtlReport report;
-    report.document = { { "authorization", "Bearer " + key.bearer }, { "rule", line } };
+    report.document = {{"authorization", "Bearer " + key.bearer}, {"rule", line}};
     report.text = "Give this header to the team; it is shown only now:\nAuthorization: Bearer " + key.bearer
         + "\n\nAdd this line to the rules file and publish it:\n" + line + "\n";
     return report;
@@ -336,7 +328,7 @@
     for (const Rule &rule : rules) {
         lines.push_back(formatRule(rule));
     }
-    report.document = { { "revision", state.revision }, { "offset", state.nextOffset }, { "rules", std::move(lines) } };
+    report.document = {{"revision", state.revision}, {"offset", state.nextOffset}, {"rules", std::move(lines)}};
     return report;
 }
 
--- a/ctl/rules_commands.h
+++ b/ctl/rules_commands.h
@@ -4,7 +4,8 @@
 
 #include <string>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// `check FILE`: parses the rules file and reports every error.
 auto checkCommand(const std::string &file) -> CtlReport;
--- a/ctl/wait.cpp
+++ b/ctl/wait.cpp
@@ -3,15 +3,16 @@
 #include "config/text.h"
 #include "ctl/node_calls.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration kPollPause = milliseconds(200);
 
 /// Returns why the node does not have the revision yet; empty if it has.
-auto missing(const CtlContext &context, const CtlOptions &options, const Endpoint &node, uint64_t revision)
-    -> std::string
+auto missing(const CtlContext &context, const CtlOptions &options, const Endpoint &node, uint64_t revision) -> std::string
 {
     const auto status = callNode(context, node, "GET", "/snipestream/v1/status", options.callTimeout);
     if (!status) {
@@ -42,8 +43,8 @@
         open = stillOpen;
         outcome.ready = context.nodes.size() - open.size();
         outcome.elapsed = context.now() - begin;
-        const std::string line = std::to_string(outcome.ready) + " of " + std::to_string(context.nodes.size())
-            + " nodes have revision " + std::to_string(revision) + " in force";
+        const std::string line =
+            std::to_string(outcome.ready) + " of " + std::to_string(context.nodes.size()) + " nodes have revision " + std::to_string(revision) + " in force";
         if (line != shown) {
             context.progress(line);
             shown = line;
--- a/ctl/wait.h
+++ b/ctl/wait.h
@@ -6,16 +6,16 @@
 #include <string>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Nodes at the end of a wait.
-struct WaitOutcome
-{
+struct WaitOutcome {
     /// Nodes that have the revision in force.
     size_t ready = 0;
     /// The other nodes: endpoint and why, such as "at revision 41".
     std::vector<std::string> behind;
-    Duration elapsed {};
+    Duration elapsed{};
 };
 
 /// Asks the nodes until each reports at least the revision as in force or the time is over, with progress.
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -14,17 +14,18 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 namespace http = boost::beast::http;
 namespace asio = boost::asio;
 
-namespace {
+namespace
+{
 
 constexpr size_t kMaxFetchedBytes = 16 * 1024 * 1024;
 
-struct Connection
-{
+struct Connection {
     explicit Connection(asio::io_context &context)
         : socket(context)
         , idleTimer(context)
@@ -48,16 +49,14 @@
 using ConnectionPtr = std::shared_ptr<Connection>;
 
 /// A fiber that waits until a connection is free.
-struct Waiter
-{
+struct Waiter {
     FiberEvent event;
     bool served = false;
 };
 
 } // namespace
 
-struct HttpClient::State : std::enable_shared_from_this<HttpClient::State>
-{
+struct HttpClient::State : std::enable_shared_from_this<HttpClient::State> {
     State(FiberRuntime &runtimeUsed, HttpClientOptions chosen)
         : runtime(runtimeUsed)
         , options(std::move(chosen))
@@ -79,12 +78,12 @@
     bool closed = false;
 };
 
-namespace {
+namespace
+{
 
 /// One call on one connection. It gives the connection back when the answer was read whole, and closes it otherwise.
 template<typename State>
-struct ClientCall
-{
+struct ClientCall {
     ClientCall(std::shared_ptr<State> stateUsed, ConnectionPtr connectionUsed, Duration timeLeft)
         : state(std::move(stateUsed))
         , connection(std::move(connectionUsed))
@@ -113,7 +112,7 @@
     {
         const bool late = timedOut;
         end(false);
-        return late ? Error { ErrorCode::Timeout, std::string(what) + ": the deadline passed" } : ioError(error, what);
+        return late ? Error{ErrorCode::Timeout, std::string(what) + ": the deadline passed"} : ioError(error, what);
     }
 
     auto write(const std::string &bytes, bool last) -> Result<void>
@@ -180,7 +179,7 @@
     auto readBody() -> Result<BodyChunk>
     {
         if (parser && parser->is_done()) {
-            return BodyChunk { {}, true };
+            return BodyChunk{{}, true};
         }
         if (ended || !parser) {
             return failure(ErrorCode::Closed, "the call has ended");
@@ -203,7 +202,7 @@
         }
         bytes.resize(bytes.size() - body.size);
         finishIfDone();
-        return BodyChunk { std::move(bytes), parser->is_done() };
+        return BodyChunk{std::move(bytes), parser->is_done()};
     }
 
     void finishIfDone()
@@ -291,7 +290,7 @@
     const IoResult result = awaitIoFor(
         runtime.context(), timeout,
         [&](auto handler) {
-            connection->socket.async_connect({ address, options.server.port }, handler);
+            connection->socket.async_connect({address, options.server.port}, handler);
         },
         [connection] {
             boost::system::error_code ignored;
@@ -300,8 +299,7 @@
     if (result.error) {
         --open;
         wakeNext();
-        return failure(ErrorCode::Unavailable,
-                       "connect to " + toString(options.server) + ": " + result.error.message());
+        return failure(ErrorCode::Unavailable, "connect to " + toString(options.server) + ": " + result.error.message());
     }
     boost::system::error_code ignored;
     connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
@@ -445,7 +443,7 @@
     BOOST_OUTCOME_TRY(call.requestBody.finish());
     BOOST_OUTCOME_TRY(const ResponseHead answer, call.awaitHead());
     BOOST_OUTCOME_TRY(std::string whole, readWholeBody(call.responseBody, kMaxFetchedBytes));
-    return HttpAnswer { answer.status, std::move(whole) };
+    return HttpAnswer{answer.status, std::move(whole)};
 }
 
 } // namespace snipestream
--- a/http/http_client.h
+++ b/http/http_client.h
@@ -9,11 +9,11 @@
 #include <memory>
 #include <string>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Limits of the connections to one HTTP server.
-struct HttpClientOptions
-{
+struct HttpClientOptions {
     Endpoint server;
     /// Connections in use and idle together; further calls wait for one.
     size_t maxConnections = 64;
--- a/http/http_connection.cpp
+++ b/http/http_connection.cpp
@@ -10,12 +10,14 @@
 
 #include <boost/beast/http.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 namespace http = boost::beast::http;
 namespace asio = boost::asio;
 
-namespace {
+namespace
+{
 
 /// How much a caller may still send after an early answer before the connection is reset.
 constexpr size_t kLingerBytes = 1024 * 1024;
@@ -29,8 +31,7 @@
 } // namespace
 
 /// State of one request and its answer.
-struct HttpConnection::Call
-{
+struct HttpConnection::Call {
     http::request_parser<http::buffer_body> parser;
     http::response<http::buffer_body> response;
     std::optional<http::response_serializer<http::buffer_body>> serializer;
@@ -216,9 +217,9 @@
             // The rest of a small body is read so that the connection can be used again.
         }
     }
-    const bool keepAlive = call->finished && !call->aborted && !call->cancelled && call->parser.is_done()
-        && request.keep_alive() && call->response.keep_alive() && !shared_->stopping;
-    call->exchange = Exchange {};
+    const bool keepAlive = call->finished && !call->aborted && !call->cancelled && call->parser.is_done() && request.keep_alive() && call->response.keep_alive()
+        && !shared_->stopping;
+    call->exchange = Exchange{};
     boost::system::error_code ignored;
     socket_.cancel(ignored);
     if (call->aborted || call->cancelled || !call->finished) {
@@ -230,7 +231,7 @@
 auto HttpConnection::readBody(const std::shared_ptr<Call> &call) -> Result<BodyChunk>
 {
     if (call->parser.is_done()) {
-        return BodyChunk { {}, true };
+        return BodyChunk{{}, true};
     }
     if (call->cancelled || closed_) {
         return failure(ErrorCode::Closed, "the caller left before the end of the request body");
@@ -270,7 +271,7 @@
     if (call->parser.is_done()) {
         watchForDisconnect(call);
     }
-    return BodyChunk { std::move(bytes), call->parser.is_done() };
+    return BodyChunk{std::move(bytes), call->parser.is_done()};
 }
 
 auto HttpConnection::startResponse(Call &call, const ResponseHead &head) -> Result<void>
@@ -301,8 +302,7 @@
 auto HttpConnection::writeBody(Call &call, const std::string &bytes, bool last) -> Result<void>
 {
     if (!call.responded || call.finished) {
-        return call.finished && last ? Result<void>(success())
-                                     : Result<void>(failure(ErrorCode::Internal, "no answer is being sent"));
+        return call.finished && last ? Result<void>(success()) : Result<void>(failure(ErrorCode::Internal, "no answer is being sent"));
     }
     if (call.cancelled || closed_) {
         return failure(ErrorCode::Closed, "the caller left before the end of the answer");
@@ -371,12 +371,11 @@
 void HttpConnection::answerInvalid(int status, const std::string &detail)
 {
     shared_->invalidRequests.add();
-    logEvent(EventId::HttpRequestInvalid,
-             { { "server", shared_->options.name }, { "remote", toString(remote_) }, { "detail", detail } });
+    logEvent(EventId::HttpRequestInvalid, {{"server", shared_->options.name}, {"remote", toString(remote_)}, {"detail", detail}});
     http::response<http::string_body> response(static_cast<http::status>(status), 11);
     response.set(http::field::content_type, "application/problem+json");
     response.set("Snipestream-Run", "not-run");
-    response.body() = toProblemDocument(Refusal { RefusalReason::BadRequest, RunState::NotRun, {}, detail }, "");
+    response.body() = toProblemDocument(Refusal{RefusalReason::BadRequest, RunState::NotRun, {}, detail}, "");
     response.keep_alive(false);
     response.prepare_payload();
     awaitIoFor(
@@ -399,7 +398,7 @@
     // Closing with unread bytes would reset the connection and could destroy the answer on its way to the caller.
     boost::system::error_code ignored;
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    std::array<char, 4096> discarded {};
+    std::array<char, 4096> discarded{};
     const TimePoint end = BootClock::now() + kLingerTime;
     size_t total = 0;
     while (!closed_ && total < kLingerBytes && BootClock::now() < end) {
--- a/http/http_connection.h
+++ b/http/http_connection.h
@@ -9,13 +9,13 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 class HttpConnection;
 
 /// What all connections of one server share.
-struct HttpServerShared
-{
+struct HttpServerShared {
     FiberRuntime &runtime;
     HttpServerOptions options;
     HttpHandler handler;
--- a/http/http_fields.cpp
+++ b/http/http_fields.cpp
@@ -5,16 +5,16 @@
 
 #include <boost/beast/core/string.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 auto isHopByHopField(std::string_view name) -> bool
 {
     static constexpr std::array<std::string_view, 10> kFields = {
-        "Connection", "Content-Length", "Expect",  "Keep-Alive",        "Proxy-Connection",
-        "TE",         "Trailer",        "Upgrade", "Transfer-Encoding", "Proxy-Authorization",
+        "Connection", "Content-Length", "Expect", "Keep-Alive", "Proxy-Connection", "TE", "Trailer", "Upgrade", "Transfer-Encoding", "Proxy-Authorization",
     };
     return std::any_of(kFields.begin(), kFields.end(), [name](std::string_view field) {
-        return boost::beast::iequals({ field.data(), field.size() }, { name.data(), name.size() });
+        return boost::beast::iequals({field.data(), field.size()}, {name.data(), name.size()});
     });
 }
 
--- a/http/http_fields.h
+++ b/http/http_fields.h
@@ -6,7 +6,8 @@
 
 #include <boost/beast/http/fields.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Returns whether the field concerns one connection only (RFC 9110, section 7.6.1) or the framing of the body, and so
 /// is never passed on.
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -7,12 +7,12 @@
 
 #include <boost/asio/ip/tcp.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 namespace asio = boost::asio;
 
-struct HttpServer::State : HttpServerShared
-{
+struct HttpServer::State : HttpServerShared {
     State(FiberRuntime &runtimeUsed, const HttpServerOptions &chosen, MetricsRegistry &metrics, HttpHandler handlerUsed)
         : HttpServerShared {
             runtimeUsed,
@@ -34,15 +34,15 @@
     asio::ip::tcp::acceptor acceptor;
 };
 
-namespace {
+namespace
+{
 
 /// How long the server waits before it accepts again after an error such as too many open files.
 constexpr Duration kAcceptBackoff = milliseconds(50);
 
 } // namespace
 
-HttpServer::HttpServer(FiberRuntime &runtime, const HttpServerOptions &options, MetricsRegistry &metrics,
-                       HttpHandler handler)
+HttpServer::HttpServer(FiberRuntime &runtime, const HttpServerOptions &options, MetricsRegistry &metrics, HttpHandler handler)
     : state_(std::make_shared<State>(runtime, options, metrics, std::move(handler)))
 {
 }
@@ -53,7 +53,8 @@
     closeAll();
 }
 
-namespace {
+namespace
+{
 
 template<typename State>
 void acceptNext(const std::shared_ptr<State> &state)
@@ -77,7 +78,7 @@
         boost::system::error_code ignored;
         socket.set_option(asio::ip::tcp::no_delay(true), ignored);
         const auto remote = socket.remote_endpoint(ignored);
-        const Endpoint from { remote.address().to_string(), remote.port() };
+        const Endpoint from{remote.address().to_string(), remote.port()};
         const auto connection = std::make_shared<HttpConnection>(std::move(socket), from, state);
         state->connections.insert(connection);
         connection->awaitRequest();
@@ -107,13 +108,11 @@
         acceptor.listen(asio::socket_base::max_listen_connections, error);
     }
     if (error) {
-        return failure(ErrorCode::Unavailable,
-                       "cannot listen on " + toString(state_->options.listen) + ": " + error.message());
+        return failure(ErrorCode::Unavailable, "cannot listen on " + toString(state_->options.listen) + ": " + error.message());
     }
     acceptNext(state_);
     const uint16_t port = acceptor.local_endpoint().port();
-    logEvent(EventId::HttpListening,
-             { { "server", state_->options.name }, { "address", toString({ state_->options.listen.address, port }) } });
+    logEvent(EventId::HttpListening, {{"server", state_->options.name}, {"address", toString({state_->options.listen.address, port})}});
     return port;
 }
 
@@ -173,7 +172,7 @@
 {
     ResponseHead head;
     head.status = status;
-    head.headers = { { "Content-Type", contentType } };
+    head.headers = {{"Content-Type", contentType}};
     head.bodyLength = body.size();
     BOOST_OUTCOME_TRY(exchange.respond(head));
     if (!body.empty()) {
@@ -189,9 +188,9 @@
     ResponseHead head;
     head.status = refusalStatus(refusal.reason);
     head.headers = {
-        { "Content-Type", "application/problem+json" },
-        { "Snipestream-Run", std::string(runStateName(refusal.run)) },
-        { "Snipestream-Request-Id", id },
+        {"Content-Type", "application/problem+json"},
+        {"Snipestream-Run", std::string(runStateName(refusal.run))},
+        {"Snipestream-Request-Id", id},
     };
     if (refusal.retryAfter > Duration::zero()) {
         const int64_t wait = std::chrono::ceil<seconds>(refusal.retryAfter).count();
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -11,11 +11,11 @@
 #include <memory>
 #include <string>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Limits of one HTTP server; all are checked before memory is spent on a request.
-struct HttpServerOptions
-{
+struct HttpServerOptions {
     /// Name in metrics and logs, such as "caller".
     std::string name;
     Endpoint listen;
--- a/idempotency/attempt_trace.cpp
+++ b/idempotency/attempt_trace.cpp
@@ -6,24 +6,26 @@
 
 #include <glog/logging.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration kLinkRetry = seconds(1);
 
 auto ignore() -> EntryAction
 {
-    return { EntryActionKind::Ignore, std::nullopt, std::nullopt, std::nullopt };
+    return {EntryActionKind::Ignore, std::nullopt, std::nullopt, std::nullopt};
 }
 
 /// Closes the attempt with a refusal and the outcome that the owner is told.
 auto close(AttemptTrace &trace, Refusal refusal, std::optional<OutcomeKind> end) -> EntryAction
 {
     trace.closed = true;
-    EntryAction action { EntryActionKind::Refuse, std::move(refusal), std::nullopt, std::nullopt };
+    EntryAction action{EntryActionKind::Refuse, std::move(refusal), std::nullopt, std::nullopt};
     if (end) {
-        action.end = Outcome { *end, std::nullopt };
+        action.end = Outcome{*end, std::nullopt};
     }
     return action;
 }
@@ -57,7 +59,7 @@
     const bool isGrant = std::holds_alternative<Granted>(verdict);
     if (trace.closed && isGrant && trace.step < AttemptStep::Claimed) {
         EntryAction action = ignore();
-        action.end = Outcome { OutcomeKind::NotRun, std::nullopt };
+        action.end = Outcome{OutcomeKind::NotRun, std::nullopt};
         return action;
     }
     if (trace.closed || trace.step != AttemptStep::ClaimAsked) {
@@ -65,14 +67,14 @@
     }
     if (isGrant) {
         trace.step = AttemptStep::Claimed;
-        return { EntryActionKind::Dispatch, std::nullopt, std::nullopt, std::nullopt };
+        return {EntryActionKind::Dispatch, std::nullopt, std::nullopt, std::nullopt};
     }
     if (std::holds_alternative<Wait>(verdict)) {
-        return { EntryActionKind::Wait, std::nullopt, std::nullopt, std::nullopt };
+        return {EntryActionKind::Wait, std::nullopt, std::nullopt, std::nullopt};
     }
     if (const auto *replay = std::get_if<Replay>(&verdict)) {
         trace.closed = true;
-        return { EntryActionKind::RespondRecorded, std::nullopt, replay->response, std::nullopt };
+        return {EntryActionKind::RespondRecorded, std::nullopt, replay->response, std::nullopt};
     }
     const auto &refusal = std::get<Refused>(verdict).refusal;
     // A claim that an owner without a valid lease gave up may stand on the log; its successor can release it.
@@ -85,14 +87,11 @@
     if (trace.closed || trace.step != AttemptStep::ClaimAsked) {
         return ignore();
     }
-    return close(trace,
-                 Refusal { RefusalReason::ClaimUnavailable, RunState::Unknown, kLinkRetry,
-                           "the owner of the idempotency key did not answer" },
+    return close(trace, Refusal{RefusalReason::ClaimUnavailable, RunState::Unknown, kLinkRetry, "the owner of the idempotency key did not answer"},
                  OutcomeKind::NotRun);
 }
 
-auto onLocalRefusal(AttemptTrace &trace, RefusalReason reason, Duration retryAfter, OwnerKnowledge knowledge)
-    -> EntryAction
+auto onLocalRefusal(AttemptTrace &trace, RefusalReason reason, Duration retryAfter, OwnerKnowledge knowledge) -> EntryAction
 {
     if (trace.closed) {
         return ignore();
@@ -105,7 +104,7 @@
     if (trace.step != AttemptStep::Received) {
         end = isProvenNotRun(trace) ? OutcomeKind::NotRun : OutcomeKind::Unknown;
     }
-    return close(trace, Refusal { reason, run, retryAfter, {} }, end);
+    return close(trace, Refusal{reason, run, retryAfter, {}}, end);
 }
 
 auto mayDispatch(const AttemptTrace &trace) -> bool
@@ -120,8 +119,7 @@
     trace.provenNotSent = false;
 }
 
-auto onHomeReport(AttemptTrace &trace, HomeReport report, const std::optional<Refusal> &refusal,
-                  const std::optional<RecordedResponse> &response) -> EntryAction
+auto onHomeReport(AttemptTrace &trace, HomeReport report, const std::optional<Refusal> &refusal, const std::optional<RecordedResponse> &response) -> EntryAction
 {
     const bool isRunning = trace.step >= AttemptStep::Dispatched && trace.step < AttemptStep::Answered;
     if (!isRunning || trace.provenNotSent) {
@@ -134,11 +132,11 @@
         }
         trace.step = AttemptStep::Answered;
         EntryAction action = ignore();
-        action.end = Outcome { OutcomeKind::Done, response };
+        action.end = Outcome{OutcomeKind::Done, response};
         return action;
     }
     const auto lost = [&](RefusalReason reason, const char *detail) {
-        Refusal told = refusal.value_or(Refusal { reason, RunState::Unknown, {}, detail });
+        Refusal told = refusal.value_or(Refusal{reason, RunState::Unknown, {}, detail});
         told.run = RunState::Unknown;
         return close(trace, std::move(told), OutcomeKind::Unknown);
     };
@@ -149,18 +147,18 @@
             return lost(RefusalReason::BadAnswer, "the home node took back that it had sent the request");
         }
         trace.provenNotSent = true;
-        return { EntryActionKind::Wait, std::nullopt, std::nullopt, std::nullopt };
+        return {EntryActionKind::Wait, std::nullopt, std::nullopt, std::nullopt};
     case HomeReport::Admitted:
         trace.step = std::max(trace.step, AttemptStep::Admitted);
-        return { EntryActionKind::Wait, std::nullopt, std::nullopt, std::nullopt };
+        return {EntryActionKind::Wait, std::nullopt, std::nullopt, std::nullopt};
     case HomeReport::SentToTarget:
         trace.step = AttemptStep::SentToTarget;
-        return { EntryActionKind::Wait, std::nullopt, std::nullopt, std::nullopt };
+        return {EntryActionKind::Wait, std::nullopt, std::nullopt, std::nullopt};
     case HomeReport::Answered: {
         trace.step = AttemptStep::Answered;
         trace.closed = true;
-        EntryAction action { EntryActionKind::RespondAnswer, std::nullopt, std::nullopt, std::nullopt };
-        action.end = Outcome { OutcomeKind::Done, response };
+        EntryAction action{EntryActionKind::RespondAnswer, std::nullopt, std::nullopt, std::nullopt};
+        action.end = Outcome{OutcomeKind::Done, response};
         return action;
     }
     case HomeReport::RefusedUnknown:
@@ -177,8 +175,7 @@
 
 auto recordable(const RecordedResponse &response, const ClaimSettings &settings) -> std::optional<RecordedResponse>
 {
-    static constexpr std::array<std::string_view, 6> kConnectionHeaders
-        = { "connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade" };
+    static constexpr std::array<std::string_view, 6> kConnectionHeaders = {"connection", "keep-alive", "transfer-encoding", "te", "trailer", "upgrade"};
     if (response.body.size() > settings.maxRecordedBody) {
         return std::nullopt;
     }
--- a/idempotency/attempt_trace.h
+++ b/idempotency/attempt_trace.h
@@ -7,7 +7,8 @@
 #include <unordered_set>
 #include <utility>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// How far one attempt of a non-idempotent request has come, as its entry node knows.
 enum class AttemptStep : uint8_t {
@@ -32,8 +33,7 @@
 };
 
 /// One attempt at its entry node.
-struct AttemptTrace
-{
+struct AttemptTrace {
     ClaimKey key;
     RequestId attempt;
     AttemptStep step = AttemptStep::Received;
@@ -58,8 +58,7 @@
 
 /// An action and, if set, the outcome to report to the owner with `claim.end`. The caller is answered first: after a
 /// release another attempt may run, and a not-run refusal written later would be false.
-struct EntryAction
-{
+struct EntryAction {
     EntryActionKind kind = EntryActionKind::Wait;
     std::optional<Refusal> refusal;
     std::optional<RecordedResponse> recorded;
@@ -99,8 +98,7 @@
 
 /// Handles a refusal by the entry node itself: quota, no target, deadline or cancellation. `knowledge` is what a peek
 /// returned if the claim was not asked for; it is ignored after a grant.
-auto onLocalRefusal(AttemptTrace &trace, RefusalReason reason, Duration retryAfter,
-                    OwnerKnowledge knowledge = OwnerKnowledge::NotAsked) -> EntryAction;
+auto onLocalRefusal(AttemptTrace &trace, RefusalReason reason, Duration retryAfter, OwnerKnowledge knowledge = OwnerKnowledge::NotAsked) -> EntryAction;
 
 /// True if the attempt may be dispatched now: claimed, not closed, and no byte of it may have reached a target.
 auto mayDispatch(const AttemptTrace &trace) -> bool;
@@ -118,8 +116,7 @@
 auto recordable(const RecordedResponse &response, const ClaimSettings &settings) -> std::optional<RecordedResponse>;
 
 /// One attempt at its home node.
-struct HomeTrace
-{
+struct HomeTrace {
     bool admitted = false;
     /// True from the moment before the first byte is written to the target's connection.
     bool byteMayHaveReachedTarget = false;
@@ -133,8 +130,7 @@
 auto mayResendAtHome(const HomeTrace &trace) -> bool;
 
 /// Attempts that a home node has accepted lately, so that a duplicated dispatch does not run twice.
-struct HomeAttempts
-{
+struct HomeAttempts {
     std::unordered_set<RequestId> seen;
     std::deque<std::pair<TimePoint, RequestId>> order;
     /// Longer than any message can be delayed on a link: a link is closed after its ping timeout.
--- a/idempotency/claim.cpp
+++ b/idempotency/claim.cpp
@@ -3,10 +3,12 @@
 #include <algorithm>
 #include <array>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
-constexpr std::array<std::string_view, 4> kStateNames = { "claimed", "done", "unknown", "released" };
+namespace
+{
+constexpr std::array<std::string_view, 4> kStateNames = {"claimed", "done", "unknown", "released"};
 } // namespace
 
 auto requestFingerprint(std::string_view method, std::string_view path, std::optional<uint64_t> bodyLength) -> uint64_t
--- a/idempotency/claim.h
+++ b/idempotency/claim.h
@@ -14,11 +14,11 @@
 #include <variant>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Names one logical request: the same idempotency key of two teams is two keys.
-struct ClaimKey
-{
+struct ClaimKey {
     TeamName team;
     std::string idempotencyKey;
 
@@ -37,11 +37,10 @@
 };
 
 /// Hashes a ClaimKey for tables; not stable between versions.
-struct ClaimKeyHash
-{
+struct ClaimKeyHash {
     auto operator()(const ClaimKey &key) const noexcept -> size_t
     {
-        return std::hash<std::string> {}(key.team.value) * 31 + std::hash<std::string> {}(key.idempotencyKey);
+        return std::hash<std::string>{}(key.team.value) * 31 + std::hash<std::string>{}(key.idempotencyKey);
     }
 };
 
@@ -49,8 +48,7 @@
 inline constexpr size_t kMaxIdempotencyKeyBytes = 255;
 
 /// The first response to a request, kept whole so that a repeat gets the same answer.
-struct RecordedResponse
-{
+struct RecordedResponse {
     int status = 200;
     HeaderList headers;
     std::string body;
@@ -85,15 +83,13 @@
 };
 
 /// The report of an attempt's end. `response` is set for Done if the complete response is small enough to be recorded.
-struct Outcome
-{
+struct Outcome {
     OutcomeKind kind = OutcomeKind::Unknown;
     std::optional<RecordedResponse> response;
 };
 
 /// The payload of `claim.begin`.
-struct BeginRequest
-{
+struct BeginRequest {
     ClaimKey key;
     /// From requestFingerprint(); a repeat must describe the same request.
     uint64_t fingerprint = 0;
@@ -104,28 +100,24 @@
     uint32_t attemptNumber = 1;
     NodeName entryNode;
     /// Time left to the deadline of the request when it was sent.
-    Duration timeLeft {};
+    Duration timeLeft{};
 };
 
 /// The claim holds; the entry node may dispatch this attempt once.
-struct Granted
-{
+struct Granted {
 };
 
 /// The claim is not yet on the log; the verdict follows from a later call with the same attempt id.
-struct Wait
-{
+struct Wait {
 };
 
 /// The key has run; this is the first response.
-struct Replay
-{
+struct Replay {
     RecordedResponse response;
 };
 
 /// The claim is refused. `reason` is InProgress, AlreadyRun, ClaimUnavailable or BadRequest (other fingerprint).
-struct Refused
-{
+struct Refused {
     Refusal refusal;
 };
 
@@ -134,8 +126,7 @@
 
 /// What the lease package says about this node's ownership of a (home domain, range), computed at the moment of the
 /// call that it is passed to.
-struct OwnerView
-{
+struct OwnerView {
     /// True while a majority of witnesses confirms this node.
     bool valid = false;
     uint64_t epoch = 0;
@@ -147,24 +138,23 @@
 };
 
 /// Limits of the claim system; the defaults are those of the design page.
-struct ClaimSettings
-{
+struct ClaimSettings {
     Duration retention = std::chrono::hours(24);
     /// How long the log keeps records. If that is shorter than `retention`, live claims are appended again at its half.
     Duration logRetention = std::chrono::hours(48);
     double appendsPerSecond = 6;
     double appendBurst = 6;
-    size_t maxBatchBytes = size_t { 128 } * 1024;
+    size_t maxBatchBytes = size_t{128} * 1024;
     size_t maxBatchClaims = 2000;
     size_t maxClaims = 100'000;
     /// Memory that the claims of one range may take, in bytes. New claims are refused beyond it, and responses are no
     /// longer recorded; no claim is forgotten early.
-    size_t maxClaimBytes = size_t { 24 } * 1024 * 1024;
+    size_t maxClaimBytes = size_t{24} * 1024 * 1024;
     /// New claims are refused while this many wait for the log, which is about a second's worth.
     size_t maxWaiting = 3000;
-    size_t maxRecordedBody = size_t { 4 } * 1024;
+    size_t maxRecordedBody = size_t{4} * 1024;
     /// Largest sum of header names and values that is recorded with a response.
-    size_t maxRecordedHeaders = size_t { 2 } * 1024;
+    size_t maxRecordedHeaders = size_t{2} * 1024;
     /// An append that takes longer than this counts as failed for the decision to keep claims in memory.
     Duration slowAppend = milliseconds(250);
     /// How long a new home domain waits for the old one to hand the range over; a configuration change is in force
--- a/idempotency/claim_internal.cpp
+++ b/idempotency/claim_internal.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 
-namespace snipestream::claims {
+namespace snipestream::claims
+{
 
-namespace {
+namespace
+{
 
 /// Memory of a claim without the texts of its key and response, as bench/claims_bench measures it.
 constexpr size_t kClaimOverhead = 400;
@@ -30,7 +32,7 @@
 
 auto refuse(RefusalReason reason, RunState run, Duration retryAfter, std::string detail) -> Refused
 {
-    return Refused { Refusal { reason, run, retryAfter, std::move(detail) } };
+    return Refused{Refusal{reason, run, retryAfter, std::move(detail)}};
 }
 
 void markDirty(ClaimTable &table, const ClaimKey &key, Claim &claim, bool isUrgent)
@@ -97,7 +99,7 @@
         due = std::min(due, claim.loggedAt + settings.logRetention / 2);
     }
     if (due != claim.timerAt) {
-        table.timers.erase({ claim.timerAt, &key });
+        table.timers.erase({claim.timerAt, &key});
         claim.timerAt = due;
         table.timers.emplace(due, &key);
     }
@@ -109,7 +111,7 @@
     if (isNew) {
         table.claimBytes += kClaimOverhead + textBytes(key);
     }
-    return { added->first, added->second };
+    return {added->first, added->second};
 }
 
 void keepResponse(ClaimTable &table, Claim &claim, const std::optional<RecordedResponse> &response)
@@ -130,16 +132,16 @@
     }
     clearUnlogged(table, found->second);
     moveToSequence(table, found->second, 0);
-    table.timers.erase({ found->second.timerAt, &found->first });
+    table.timers.erase({found->second.timerAt, &found->first});
     table.claimBytes -= kClaimOverhead + textBytes(key) + found->second.response.size();
     table.claims.erase(found);
 }
 
-namespace {
+namespace
+{
 
 /// Handles what is due for one claim. Returns false if the claim is to be dropped.
-auto settleClaim(ClaimTable &table, const ClaimKey &key, Claim &claim, TimePoint now,
-                 std::vector<LateVerdict> &verdicts) -> bool
+auto settleClaim(ClaimTable &table, const ClaimKey &key, Claim &claim, TimePoint now, std::vector<LateVerdict> &verdicts) -> bool
 {
     const auto &settings = table.settings;
     if (claim.state == ClaimState::Claimed && now >= claim.deadline) {
@@ -147,9 +149,8 @@
             // The entry node may have died while the request ran.
             enterState(table, key, claim, ClaimState::Unknown, now);
         } else {
-            verdicts.push_back({ claim.attempt, key,
-                                 refuse(RefusalReason::DeadlinePassed, RunState::NotRun, {},
-                                        "the claim was not on the log before the deadline") });
+            verdicts.push_back(
+                {claim.attempt, key, refuse(RefusalReason::DeadlinePassed, RunState::NotRun, {}, "the claim was not on the log before the deadline")});
             enterState(table, key, claim, ClaimState::Released, now);
         }
     }
@@ -166,7 +167,7 @@
     schedule(table, key, claim);
     if (claim.timerAt <= now) {
         // A released claim whose release is not on the log yet.
-        table.timers.erase({ claim.timerAt, &key });
+        table.timers.erase({claim.timerAt, &key});
         claim.timerAt = now + seconds(1);
         table.timers.emplace(claim.timerAt, &key);
     }
@@ -174,8 +175,7 @@
 }
 
 /// Moves queued claims into the record until it is full. `limit` is the number of bytes that this queue may use.
-void fillFrom(ClaimTable &table, std::deque<ClaimKey> &queue, ClaimsRecord &record, size_t &bytes, size_t limit,
-              TimePoint now)
+void fillFrom(ClaimTable &table, std::deque<ClaimKey> &queue, ClaimsRecord &record, size_t &bytes, size_t limit, TimePoint now)
 {
     while (!queue.empty() && record.claims.size() < table.settings.maxBatchClaims) {
         const auto found = table.claims.find(queue.front());
@@ -184,8 +184,7 @@
             continue;
         }
         auto &claim = found->second;
-        ClaimEntry entry { found->first, claim.fingerprint, claim.attempt, claim.attemptNumber,
-                           claim.state,  now - claim.since, std::nullopt };
+        ClaimEntry entry{found->first, claim.fingerprint, claim.attempt, claim.attemptNumber, claim.state, now - claim.since, std::nullopt};
         if (!claim.response.empty()) {
             entry.response = unpackResponse(claim.response);
         }
--- a/idempotency/claim_internal.h
+++ b/idempotency/claim_internal.h
@@ -2,7 +2,8 @@
 
 #include "idempotency/claim_table.h"
 
-namespace snipestream::claims {
+namespace snipestream::claims
+{
 
 /// True if the owner may decide about claims at this moment.
 auto isServing(const ClaimTable &table, const OwnerView &view) -> bool;
--- a/idempotency/claim_owner.cpp
+++ b/idempotency/claim_owner.cpp
@@ -2,21 +2,23 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using claims::isServing;
 using claims::refuse;
 
-namespace {
+namespace
+{
 
 /// Refuses every claim that still waits for the log. Whether a later owner runs the key is not known here.
 void refuseWaiting(ClaimTable &table, std::vector<LateVerdict> &verdicts)
 {
     for (const auto &[key, claim] : table.claims) {
         if (claim.state == ClaimState::Claimed && !claim.granted) {
-            verdicts.push_back({ claim.attempt, key,
-                                 refuse(RefusalReason::ClaimUnavailable, RunState::Unknown, seconds(1),
-                                        "the owner lost the range before the claim was on the log") });
+            verdicts.push_back(
+                {claim.attempt, key,
+                 refuse(RefusalReason::ClaimUnavailable, RunState::Unknown, seconds(1), "the owner lost the range before the claim was on the log")});
         }
     }
 }
@@ -31,8 +33,8 @@
     fresh.handoverWanted = table.handoverWanted;
     fresh.readId = table.readId + 1;
     fresh.readingSince = now;
-    fresh.budget = table.budgetAt == TimePoint {} ? table.settings.appendBurst : table.budget;
-    fresh.budgetAt = table.budgetAt == TimePoint {} ? now : table.budgetAt;
+    fresh.budget = table.budgetAt == TimePoint{} ? table.settings.appendBurst : table.budget;
+    fresh.budgetAt = table.budgetAt == TimePoint{} ? now : table.budgetAt;
     // Numbers go on within an epoch, so that a delayed request to the witnesses stays the older one.
     fresh.bitRequest = table.bitRequest;
     fresh.wantUnloggedBit = epoch == table.epoch && table.wantUnloggedBit;
@@ -93,7 +95,7 @@
     if ((table.predecessorUnlogged && !fold.handedOver) || isHole) {
         fence.quarantineLeft = table.settings.retention;
     }
-    table.inFlight = InFlightAppend { std::move(fence), std::nullopt, false };
+    table.inFlight = InFlightAppend{std::move(fence), std::nullopt, false};
     table.phase = OwnerPhase::Fencing;
 }
 
@@ -154,7 +156,7 @@
         const auto found = table.claims.find(key);
         if (found != table.claims.end() && found->second.state == ClaimState::Claimed && !found->second.granted) {
             claims::grantUnlogged(table, found->second);
-            outputs.verdicts.push_back({ found->second.attempt, key, Granted {} });
+            outputs.verdicts.push_back({found->second.attempt, key, Granted{}});
         }
     };
     if (table.inFlight) {
@@ -173,8 +175,7 @@
 void updateMode(ClaimTable &table, const OwnerView &view, TimePoint now, OwnerOutputs &outputs)
 {
     const auto &flight = table.inFlight;
-    const bool isSlow
-        = flight && (flight->repeated || (flight->sentAt && now - *flight->sentAt > table.settings.slowAppend));
+    const bool isSlow = flight && (flight->repeated || (flight->sentAt && now - *flight->sentAt > table.settings.slowAppend));
     switch (table.mode) {
     case LogMode::Logged:
         if (isSlow) {
@@ -234,7 +235,7 @@
     }
     table.lastSequence = batch->sequence;
     setCheckpoint(table, now);
-    table.inFlight = InFlightAppend { std::move(*batch), std::nullopt, false };
+    table.inFlight = InFlightAppend{std::move(*batch), std::nullopt, false};
 }
 
 void fillOutputs(const ClaimTable &table, OwnerOutputs &outputs)
@@ -299,8 +300,8 @@
     return outputs;
 }
 
-auto onAppendResult(ClaimTable &table, uint64_t epoch, uint64_t sequence, AppendResult result, uint64_t offset,
-                    const OwnerView &view, TimePoint now) -> OwnerOutputs
+auto onAppendResult(ClaimTable &table, uint64_t epoch, uint64_t sequence, AppendResult result, uint64_t offset, const OwnerView &view, TimePoint now)
+    -> OwnerOutputs
 {
     OwnerOutputs outputs;
     followLease(table, view, now, outputs);
@@ -339,14 +340,14 @@
         }
         if (view.valid) {
             claim.granted = true;
-            outputs.verdicts.push_back({ entry.attempt, entry.key, Granted {} });
+            outputs.verdicts.push_back({entry.attempt, entry.key, Granted{}});
             continue;
         }
         // A successor may have appended its fence before this record, which makes the claim void.
         ++table.voidAppends;
-        outputs.verdicts.push_back({ entry.attempt, entry.key,
-                                     refuse(RefusalReason::ClaimUnavailable, RunState::Unknown, seconds(1),
-                                            "the owner's lease was not valid when the claim was acknowledged") });
+        outputs.verdicts.push_back(
+            {entry.attempt, entry.key,
+             refuse(RefusalReason::ClaimUnavailable, RunState::Unknown, seconds(1), "the owner's lease was not valid when the claim was acknowledged")});
         claims::enterState(table, found->first, claim, ClaimState::Released, now);
     }
     fillOutputs(table, outputs);
@@ -374,8 +375,7 @@
     for (const auto &record : read.records) {
         applyClaimsRecord(table.fold, record, table.settings.retention);
     }
-    const bool isOwn = table.fold.domain == table.domain && table.fold.epoch == table.epoch
-        && table.fold.homeRevision == table.homeRevision;
+    const bool isOwn = table.fold.domain == table.domain && table.fold.epoch == table.epoch && table.fold.homeRevision == table.homeRevision;
     table.notBefore = read.nextOffset;
     if (table.phase == OwnerPhase::Fencing && isOwn) {
         startServing(table, now, outputs);
--- a/idempotency/claim_record.cpp
+++ b/idempotency/claim_record.cpp
@@ -7,13 +7,15 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 using nlohmann::json;
 
-constexpr std::array<std::string_view, 3> kKindNames = { "fence", "claims", "handover" };
+constexpr std::array<std::string_view, 3> kKindNames = {"fence", "claims", "handover"};
 constexpr std::string_view kBase64 = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
 
 auto toBase64(std::string_view bytes) -> std::string
@@ -74,18 +76,18 @@
 
 auto hex64(uint64_t value) -> std::string
 {
-    std::array<char, 17> text {};
+    std::array<char, 17> text{};
     std::snprintf(text.data(), text.size(), "%016" PRIx64, value);
     return text.data();
 }
 
 auto entryToJson(const ClaimEntry &entry) -> json
 {
-    json row = { { "team", toBase64(entry.key.team.value) },
-                 { "key", toBase64(entry.key.idempotencyKey) },
-                 { "print", hex64(entry.fingerprint) },
-                 { "try", toHex(entry.attempt) },
-                 { "state", claimStateName(entry.state) } };
+    json row = {{"team", toBase64(entry.key.team.value)},
+                {"key", toBase64(entry.key.idempotencyKey)},
+                {"print", hex64(entry.fingerprint)},
+                {"try", toHex(entry.attempt)},
+                {"state", claimStateName(entry.state)}};
     if (entry.attemptNumber != 1) {
         row["number"] = entry.attemptNumber;
     }
@@ -95,7 +97,7 @@
     if (entry.response) {
         json headers = json::array();
         for (const auto &[name, value] : entry.response->headers) {
-            headers.push_back({ toBase64(name), toBase64(value) });
+            headers.push_back({toBase64(name), toBase64(value)});
         }
         row["status"] = entry.response->status;
         row["headers"] = std::move(headers);
@@ -105,8 +107,7 @@
 }
 
 /// Reads fields of one JSON object and remembers the first one that is missing or of the wrong kind.
-struct FieldReader
-{
+struct FieldReader {
     const json &object;
     std::string bad = {};
 
@@ -149,7 +150,7 @@
     /// Reads a duration in milliseconds of at most a year, zero if absent.
     auto duration(const char *name) -> Duration
     {
-        constexpr uint64_t kYearMs = uint64_t { 366 } * 24 * 3600 * 1000;
+        constexpr uint64_t kYearMs = uint64_t{366} * 24 * 3600 * 1000;
         return milliseconds(static_cast<int64_t>(number(name, kYearMs, true)));
     }
 };
@@ -183,9 +184,9 @@
     if (!row.is_object()) {
         return failure(ErrorCode::InvalidInput, "an entry of \"claims\" is not an object");
     }
-    FieldReader reader { row };
+    FieldReader reader{row};
     ClaimEntry entry;
-    entry.key = { TeamName(reader.bytes("team")), reader.bytes("key") };
+    entry.key = {TeamName(reader.bytes("team")), reader.bytes("key")};
     const std::string print = reader.text("print");
     const std::string attempt = reader.text("try");
     const auto fingerprint = print.size() == 16 ? fromHex(print, 0) : std::nullopt;
@@ -215,7 +216,7 @@
         return failure(ErrorCode::InvalidInput, "field \"" + reader.bad + "\" of a claim is missing or invalid");
     }
     entry.fingerprint = *fingerprint;
-    entry.attempt = { *high, *low };
+    entry.attempt = {*high, *low};
     entry.state = *state;
     return entry;
 }
@@ -228,19 +229,18 @@
     for (const auto &entry : record.claims) {
         claims.push_back(entryToJson(entry));
     }
-    return json {
-        { "type", "claims" },
-        { "kind", kKindNames[static_cast<size_t>(record.kind)] },
-        { "domain", toBase64(record.domain.value) },
-        { "range", record.range },
-        { "epoch", record.epoch },
-        { "sequence", record.sequence },
-        { "liveFrom", record.liveFrom },
-        { "notBefore", record.notBefore },
-        { "homeRevision", record.homeRevision },
-        { "quarantineMs", duration_cast<milliseconds>(record.quarantineLeft).count() },
-        { "claims", std::move(claims) }
-    }.dump();
+    return json{{"type", "claims"},
+                {"kind", kKindNames[static_cast<size_t>(record.kind)]},
+                {"domain", toBase64(record.domain.value)},
+                {"range", record.range},
+                {"epoch", record.epoch},
+                {"sequence", record.sequence},
+                {"liveFrom", record.liveFrom},
+                {"notBefore", record.notBefore},
+                {"homeRevision", record.homeRevision},
+                {"quarantineMs", duration_cast<milliseconds>(record.quarantineLeft).count()},
+                {"claims", std::move(claims)}}
+        .dump();
 }
 
 auto entryBytes(const ClaimEntry &entry) -> size_t
@@ -272,7 +272,7 @@
     if (type->get<std::string>() != "claims") {
         return failure(ErrorCode::NotFound, "the record is of type \"" + type->get<std::string>() + "\"");
     }
-    FieldReader reader { document };
+    FieldReader reader{document};
     ClaimsRecord record;
     const std::string kind = reader.text("kind");
     const auto *const found = std::find(kKindNames.begin(), kKindNames.end(), kind);
--- a/idempotency/claim_record.h
+++ b/idempotency/claim_record.h
@@ -7,11 +7,11 @@
 #include <string_view>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// The whole state of one claim as it stands on the log. A later entry of the same key replaces an earlier one.
-struct ClaimEntry
-{
+struct ClaimEntry {
     ClaimKey key;
     uint64_t fingerprint = 0;
     RequestId attempt;
@@ -19,13 +19,13 @@
     ClaimState state = ClaimState::Claimed;
     /// Age of the state when the record was made, rounded down. Moments of different VMs cannot be compared, so a
     /// reader keeps the claim for the rest of the retention from the time it reads: longer than needed, never shorter.
-    Duration age {};
+    Duration age{};
     std::optional<RecordedResponse> response;
 
     friend auto operator==(const ClaimEntry &a, const ClaimEntry &b) -> bool
     {
-        return a.key == b.key && a.fingerprint == b.fingerprint && a.attempt == b.attempt
-            && a.attemptNumber == b.attemptNumber && a.state == b.state && a.age == b.age && a.response == b.response;
+        return a.key == b.key && a.fingerprint == b.fingerprint && a.attempt == b.attempt && a.attemptNumber == b.attemptNumber && a.state == b.state
+            && a.age == b.age && a.response == b.response;
     }
 };
 
@@ -40,8 +40,7 @@
 };
 
 /// One append of an owner. (domain, epoch, sequence) identifies it; a repeated append has the same three values.
-struct ClaimsRecord
-{
+struct ClaimsRecord {
     RecordKind kind = RecordKind::Claims;
     DomainName domain;
     uint32_t range = 0;
@@ -56,14 +55,13 @@
     /// Revision of the domain list that made `domain` the home of the range.
     uint64_t homeRevision = 0;
     /// How much longer new keys of the range are refused; zero if the range is not in quarantine.
-    Duration quarantineLeft {};
+    Duration quarantineLeft{};
     std::vector<ClaimEntry> claims;
 
     friend auto operator==(const ClaimsRecord &a, const ClaimsRecord &b) -> bool
     {
-        return a.kind == b.kind && a.domain == b.domain && a.range == b.range && a.epoch == b.epoch
-            && a.sequence == b.sequence && a.liveFrom == b.liveFrom && a.notBefore == b.notBefore
-            && a.homeRevision == b.homeRevision && a.quarantineLeft == b.quarantineLeft && a.claims == b.claims;
+        return a.kind == b.kind && a.domain == b.domain && a.range == b.range && a.epoch == b.epoch && a.sequence == b.sequence && a.liveFrom == b.liveFrom
+            && a.notBefore == b.notBefore && a.homeRevision == b.homeRevision && a.quarantineLeft == b.quarantineLeft && a.claims == b.claims;
     }
 };
 
--- a/idempotency/claim_table.cpp
+++ b/idempotency/claim_table.cpp
@@ -3,13 +3,15 @@
 #include "idempotency/claim_internal.h"
 #include "idempotency/packed_response.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
 using claims::enterState;
 using claims::isServing;
 using claims::refuse;
 
-namespace {
+namespace
+{
 
 constexpr Duration kOwnerRetry = seconds(1);
 constexpr Duration kRunningRetry = seconds(1);
@@ -23,7 +25,7 @@
 auto alreadyRun(const Claim &claim) -> ClaimVerdict
 {
     if (!claim.response.empty()) {
-        return Replay { unpackResponse(claim.response) };
+        return Replay{unpackResponse(claim.response)};
     }
     const bool isDone = claim.state == ClaimState::Done;
     return refuse(RefusalReason::AlreadyRun, RunState::Unknown, {},
@@ -47,8 +49,7 @@
 
 auto movingRefusal() -> ClaimVerdict
 {
-    return refuse(RefusalReason::ClaimUnavailable, RunState::Unknown, kOwnerRetry,
-                  "the range is moving to another failure domain");
+    return refuse(RefusalReason::ClaimUnavailable, RunState::Unknown, kOwnerRetry, "the range is moving to another failure domain");
 }
 
 /// Answers a repeated begin of the attempt that holds the claim.
@@ -56,10 +57,9 @@
 {
     switch (claim.state) {
     case ClaimState::Claimed:
-        return claim.granted ? ClaimVerdict(Granted {}) : ClaimVerdict(Wait {});
+        return claim.granted ? ClaimVerdict(Granted{}) : ClaimVerdict(Wait{});
     case ClaimState::Released:
-        return refuse(RefusalReason::ClaimUnavailable, RunState::NotRun, kOwnerRetry,
-                      "this attempt was given up before it ran");
+        return refuse(RefusalReason::ClaimUnavailable, RunState::NotRun, kOwnerRetry, "this attempt was given up before it ran");
     case ClaimState::Done:
     case ClaimState::Unknown:
         break;
@@ -69,8 +69,7 @@
 
 auto quarantineRefusal() -> ClaimVerdict
 {
-    return refuse(RefusalReason::ClaimUnavailable, RunState::Unknown, {},
-                  "the previous owner of the range may have run requests that are not on the log");
+    return refuse(RefusalReason::ClaimUnavailable, RunState::Unknown, {}, "the previous owner of the range may have run requests that are not on the log");
 }
 
 /// Makes a new claim, or takes a released one again.
@@ -89,10 +88,10 @@
     const bool isUnlogged = table.mode == LogMode::Unlogged && view.unloggedConfirmed;
     claims::markDirty(table, key, claim, !isUnlogged);
     if (!isUnlogged) {
-        return Wait {};
+        return Wait{};
     }
     claims::grantUnlogged(table, claim);
-    return Granted {};
+    return Granted{};
 }
 
 } // namespace
@@ -111,8 +110,7 @@
 {
     if (request.key.idempotencyKey.empty() || request.key.idempotencyKey.size() > kMaxIdempotencyKeyBytes) {
         return refuse(RefusalReason::BadRequest, RunState::NotRun, {},
-                      "the idempotency key has " + std::to_string(request.key.idempotencyKey.size())
-                          + " bytes; 1 to 255 are allowed");
+                      "the idempotency key has " + std::to_string(request.key.idempotencyKey.size()) + " bytes; 1 to 255 are allowed");
     }
     if (!isServing(table, view)) {
         return refuse(RefusalReason::ClaimUnavailable, RunState::Unknown, kOwnerRetry,
@@ -138,26 +136,22 @@
                           "the idempotency key was used for a request with another method, path or body length");
         }
         if (claim->state == ClaimState::Claimed) {
-            return refuse(RefusalReason::InProgress, RunState::Unknown, kRunningRetry,
-                          "another attempt of this request is running");
+            return refuse(RefusalReason::InProgress, RunState::Unknown, kRunningRetry, "another attempt of this request is running");
         }
         if (!isFree) {
             return alreadyRun(*claim);
         }
         if (request.attemptNumber < claim->attemptNumber) {
-            return refuse(RefusalReason::ClaimUnavailable, RunState::Unknown, {},
-                          "a later attempt of this request was seen already");
+            return refuse(RefusalReason::ClaimUnavailable, RunState::Unknown, {}, "a later attempt of this request was seen already");
         }
     }
     if (table.handoverWanted) {
         return movingRefusal();
     }
     if (request.timeLeft <= Duration::zero()) {
-        return refuse(RefusalReason::DeadlinePassed, freeRunState(claim, request.attemptNumber), {},
-                      "no time is left for the request");
+        return refuse(RefusalReason::DeadlinePassed, freeRunState(claim, request.attemptNumber), {}, "no time is left for the request");
     }
-    const bool isFull
-        = table.claims.size() >= table.settings.maxClaims || table.claimBytes >= table.settings.maxClaimBytes;
+    const bool isFull = table.claims.size() >= table.settings.maxClaims || table.claimBytes >= table.settings.maxClaimBytes;
     if (claim == nullptr && isFull) {
         // Forgetting an old claim to make room could let its request run twice.
         ++table.refusedFull;
@@ -172,8 +166,7 @@
     return takeClaim(table, request, view, now);
 }
 
-auto endClaim(ClaimTable &table, const ClaimKey &key, const RequestId &attempt, const Outcome &outcome,
-              const OwnerView &view, TimePoint now) -> bool
+auto endClaim(ClaimTable &table, const ClaimKey &key, const RequestId &attempt, const Outcome &outcome, const OwnerView &view, TimePoint now) -> bool
 {
     if (!isServing(table, view)) {
         return false;
@@ -205,8 +198,7 @@
     return true;
 }
 
-auto peekClaim(const ClaimTable &table, const ClaimKey &key, uint32_t attemptNumber, const OwnerView &view,
-               TimePoint now) -> RunState
+auto peekClaim(const ClaimTable &table, const ClaimKey &key, uint32_t attemptNumber, const OwnerView &view, TimePoint now) -> RunState
 {
     if (!isServing(table, view) || isQuarantined(table, now)) {
         return RunState::Unknown;
--- a/idempotency/claim_table.h
+++ b/idempotency/claim_table.h
@@ -12,11 +12,11 @@
 #include <unordered_map>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// A claim in the owner's memory.
-struct Claim
-{
+struct Claim {
     uint64_t fingerprint = 0;
     RequestId attempt;
     /// Attempts with a lower number are refused.
@@ -31,12 +31,12 @@
     /// True if the attempt was granted in unlogged mode and no entry of it is known to be on the log.
     bool grantedUnlogged = false;
     /// When the state was entered; the retention counts from here.
-    TimePoint since {};
+    TimePoint since{};
     /// When a claimed key without outcome becomes unknown.
-    TimePoint deadline {};
+    TimePoint deadline{};
     /// When the newest entry was appended.
-    TimePoint loggedAt {};
-    TimePoint timerAt {};
+    TimePoint loggedAt{};
+    TimePoint timerAt{};
     /// Sequence number of the record with the newest entry; zero if there is none.
     uint64_t sequence = 0;
     /// The packed response, empty if none is recorded.
@@ -69,8 +69,7 @@
 };
 
 /// The record that is being appended.
-struct InFlightAppend
-{
+struct InFlightAppend {
     ClaimsRecord record;
     /// When the outstanding try was sent; empty if the next try waits for the append budget.
     std::optional<TimePoint> sentAt;
@@ -79,8 +78,7 @@
 };
 
 /// One range as its owner sees it. All functions below run on one table and are told the time and the lease.
-struct ClaimTable
-{
+struct ClaimTable {
     ClaimTable() = default;
     ClaimTable(ClaimTable &&) = default;
     ClaimTable(const ClaimTable &) = delete;
@@ -100,7 +98,7 @@
     /// Offset up to which this pass has read, empty before the first records.
     std::optional<uint64_t> readUpTo;
     bool predecessorUnlogged = false;
-    TimePoint readingSince {};
+    TimePoint readingSince{};
     /// Identifies one pass over the range's records; records of an earlier pass are ignored.
     uint64_t readId = 0;
 
@@ -116,14 +114,14 @@
 
     std::optional<InFlightAppend> inFlight;
     double budget = 0;
-    TimePoint budgetAt {};
+    TimePoint budgetAt{};
     uint64_t lastSequence = 0;
     /// The next record can only be stored at this offset or above.
     uint64_t notBefore = 0;
     /// How many claims have their newest entry in each record.
     std::map<uint64_t, uint32_t> liveBySequence;
     /// When to append a record even if no claim has changed.
-    TimePoint checkpointAt {};
+    TimePoint checkpointAt{};
     bool lastAppendSlow = false;
 
     /// Granted claims that are not on the log yet.
@@ -141,8 +139,7 @@
 };
 
 /// A verdict that follows on an earlier Wait.
-struct LateVerdict
-{
+struct LateVerdict {
     RequestId attempt;
     ClaimKey key;
     ClaimVerdict verdict;
@@ -158,8 +155,7 @@
 };
 
 /// What the caller of a function has to do next.
-struct OwnerOutputs
-{
+struct OwnerOutputs {
     /// Append this record and report the result with onAppendResult().
     std::optional<ClaimsRecord> append;
     std::vector<LateVerdict> verdicts;
@@ -193,23 +189,20 @@
 
 /// Records how an attempt ended. Returns false if this node is not the valid owner: the entry node reports again, to
 /// the range's next owner. An outcome of an attempt that does not hold the claim is counted and dropped.
-auto endClaim(ClaimTable &table, const ClaimKey &key, const RequestId &attempt, const Outcome &outcome,
-              const OwnerView &view, TimePoint now) -> bool;
+auto endClaim(ClaimTable &table, const ClaimKey &key, const RequestId &attempt, const Outcome &outcome, const OwnerView &view, TimePoint now) -> bool;
 
 /// Returns NotRun only if this node is the valid owner, knows all claims of the range, and no attempt of the key with a
 /// number up to `attemptNumber` has run or can still run.
-auto peekClaim(const ClaimTable &table, const ClaimKey &key, uint32_t attemptNumber, const OwnerView &view,
-               TimePoint now) -> RunState;
+auto peekClaim(const ClaimTable &table, const ClaimKey &key, uint32_t attemptNumber, const OwnerView &view, TimePoint now) -> RunState;
 
 /// Reports the end of the append of the record with this epoch and sequence number. A result for another record is
 /// ignored. `offset` is where an acknowledged record stands on the log. Every append must be reported within a few
 /// seconds, as Lost if there was no answer.
-auto onAppendResult(ClaimTable &table, uint64_t epoch, uint64_t sequence, AppendResult result, uint64_t offset,
-                    const OwnerView &view, TimePoint now) -> OwnerOutputs;
+auto onAppendResult(ClaimTable &table, uint64_t epoch, uint64_t sequence, AppendResult result, uint64_t offset, const OwnerView &view, TimePoint now)
+    -> OwnerOutputs;
 
 /// Some records of the log, in log order and without a gap to those of the read before.
-struct LogRead
-{
+struct LogRead {
     /// From the outputs that asked for the records.
     uint64_t readId = 0;
     /// The records of the range among those read; the reader leaves out other ranges and other types.
--- a/idempotency/packed_response.cpp
+++ b/idempotency/packed_response.cpp
@@ -2,9 +2,11 @@
 
 #include <glog/logging.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr size_t kNumberBytes = 4;
 
--- a/idempotency/packed_response.h
+++ b/idempotency/packed_response.h
@@ -4,7 +4,8 @@
 
 #include <string>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Returns the response as one string without spare capacity: headers as pairs of strings take several times the
 /// memory, and an owner keeps responses for the whole retention.
--- a/idempotency/range_fold.cpp
+++ b/idempotency/range_fold.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// Notes from which record on the fold is provably complete.
 void noteProof(RangeFold &fold, const ClaimsRecord &record)
@@ -60,8 +62,7 @@
         return true;
     }
     const auto highest = fold.highestEpochs.find(record.domain);
-    return record.homeRevision == fold.homeRevision && record.domain == fold.domain
-        && highest != fold.highestEpochs.end() && record.epoch > highest->second;
+    return record.homeRevision == fold.homeRevision && record.domain == fold.domain && highest != fold.highestEpochs.end() && record.epoch > highest->second;
 }
 
 } // namespace
@@ -99,7 +100,7 @@
     fold.quarantineLeft = record.quarantineLeft;
     fold.handedOver = record.kind == RecordKind::Handover;
     for (const auto &entry : record.claims) {
-        fold.claims[entry.key] = { entry, record.sequence };
+        fold.claims[entry.key] = {entry, record.sequence};
     }
     return FoldVerdict::Applied;
 }
--- a/idempotency/range_fold.h
+++ b/idempotency/range_fold.h
@@ -6,12 +6,12 @@
 #include <optional>
 #include <unordered_map>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// The state of one range as the records on the log, applied in log order, define it. Every reader of the same records
 /// comes to the same state.
-struct RangeFold
-{
+struct RangeFold {
     uint32_t range = 0;
     /// The owner whose records count, empty before the first record.
     DomainName domain;
@@ -26,10 +26,9 @@
     /// Sequence number from which on the fold provably has every record; empty if it proves nothing.
     std::optional<uint64_t> provenFrom;
     uint64_t liveFrom = 0;
-    Duration quarantineLeft {};
+    Duration quarantineLeft{};
 
-    struct FoldedClaim
-    {
+    struct FoldedClaim {
         ClaimEntry entry;
         uint64_t sequence = 0;
     };
--- a/lease/holder.cpp
+++ b/lease/holder.cpp
@@ -2,9 +2,11 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// Starts the epoch of the entry. A lease that this process held in the epoch before keeps its validity: the witnesses
 /// confirm another process only W after they last confirmed this one.
@@ -84,8 +86,7 @@
 {
     for (auto lease = holder.leases.begin(); lease != holder.leases.end();) {
         const auto *entry = findLease(leases, lease->first);
-        const bool mine = entry != nullptr && entry->record.holder == holder.self
-            && entry->record.incarnation == holder.incarnation;
+        const bool mine = entry != nullptr && entry->record.holder == holder.self && entry->record.incarnation == holder.incarnation;
         if (mine) {
             ++lease;
             continue;
@@ -107,8 +108,7 @@
 
 } // namespace
 
-auto tickLeaseHolder(LeaseHolder &holder, const LeaseTable &leases, const LeaseParams &params, TimePoint now)
-    -> HolderPings
+auto tickLeaseHolder(LeaseHolder &holder, const LeaseTable &leases, const LeaseParams &params, TimePoint now) -> HolderPings
 {
     HolderPings out;
     if (holder.stopping) {
@@ -135,13 +135,12 @@
 void applyPong(LeaseHolder &holder, const LeaseParams &params, const LeasePong &pong, TimePoint now)
 {
     const auto found = holder.leases.find(pong.key);
-    if (found == holder.leases.end() || holder.stopping || pong.incarnation != holder.incarnation
-        || pong.epoch != found->second.epoch) {
+    if (found == holder.leases.end() || holder.stopping || pong.incarnation != holder.incarnation || pong.epoch != found->second.epoch) {
         return;
     }
     auto &lease = found->second;
     const auto known = lease.views.find(pong.witness);
-    const TimePoint sentAt { Duration(pong.sentAt) };
+    const TimePoint sentAt{Duration(pong.sentAt)};
     if (known == lease.views.end() || sentAt > now) {
         return;
     }
@@ -211,8 +210,7 @@
            });
 }
 
-auto priorUnlogged(const LeaseHolder &holder, const LeaseParams &params, const LeaseKey &key, TimePoint now)
-    -> UnloggedBit
+auto priorUnlogged(const LeaseHolder &holder, const LeaseParams &params, const LeaseKey &key, TimePoint now) -> UnloggedBit
 {
     const auto *lease = findHeldLease(holder, key);
     if (lease == nullptr) {
--- a/lease/holder.h
+++ b/lease/holder.h
@@ -8,30 +8,29 @@
 #include <optional>
 #include <utility>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// What a holder knows of one witness in the current epoch.
-struct WitnessView
-{
+struct WitnessView {
     /// Send time of the newest ping that the witness answered with a confirmation.
     std::optional<TimePoint> vouchedSince;
     /// When any answer of the witness arrived last.
-    TimePoint heardAt {};
+    TimePoint heardAt{};
     uint64_t incarnation = 0;
     std::optional<uint64_t> storedNumber;
     UnloggedBit prior = UnloggedBit::Unknown;
 };
 
 /// A lease that names this process as its holder, valid or not.
-struct HeldLease
-{
+struct HeldLease {
     LeaseKey key;
     uint64_t epoch = 0;
     std::vector<std::vector<NodeName>> sets;
     std::map<NodeName, WitnessView> views;
-    TimePoint epochSeenAt {};
-    TimePoint nextPingAt {};
-    TimePoint validUntil {};
+    TimePoint epochSeenAt{};
+    TimePoint nextPingAt{};
+    TimePoint validUntil{};
     /// When this process first became valid; kept when the same process renews its lease with a new epoch.
     std::optional<TimePoint> validFrom;
     bool wasValid = false;
@@ -41,8 +40,7 @@
 };
 
 /// The holder side of a node.
-struct LeaseHolder
-{
+struct LeaseHolder {
     NodeName self;
     uint64_t incarnation = 0;
     std::map<LeaseKey, HeldLease> leases;
@@ -51,8 +49,7 @@
 };
 
 /// Messages and state changes that a tick of the holder side produces.
-struct HolderPings
-{
+struct HolderPings {
     std::vector<std::pair<NodeName, LeasePing>> pings;
     std::vector<LeaseKey> acquired;
     std::vector<LeaseKey> lost;
@@ -60,8 +57,7 @@
 
 /// Takes over new epochs from the fold of the log and returns the pings that are due. Pings to this node itself are
 /// included when it is one of its own witnesses; the caller delivers them to the local witness side.
-auto tickLeaseHolder(LeaseHolder &holder, const LeaseTable &leases, const LeaseParams &params, TimePoint now)
-    -> HolderPings;
+auto tickLeaseHolder(LeaseHolder &holder, const LeaseTable &leases, const LeaseParams &params, TimePoint now) -> HolderPings;
 
 /// Takes an answer. Answers for another epoch or incarnation are ignored.
 void applyPong(LeaseHolder &holder, const LeaseParams &params, const LeasePong &pong, TimePoint now);
@@ -83,8 +79,7 @@
 
 /// Returns what the witnesses say about earlier epochs: Set if any fresh answer says so, Clear if a majority of every
 /// set says so, otherwise Unknown, which the caller counts as set when it cannot wait longer.
-auto priorUnlogged(const LeaseHolder &holder, const LeaseParams &params, const LeaseKey &key, TimePoint now)
-    -> UnloggedBit;
+auto priorUnlogged(const LeaseHolder &holder, const LeaseParams &params, const LeaseKey &key, TimePoint now) -> UnloggedBit;
 
 /// Tells the witnesses from the next ping on that the bits of earlier epochs are dealt with on the log.
 void markPriorResolved(LeaseHolder &holder, const LeaseKey &key);
--- a/lease/lease.cpp
+++ b/lease/lease.cpp
@@ -1,9 +1,9 @@
 #include "lease/lease.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
-auto makeLeaseNode(const NodeName &self, const DomainName &domain, uint64_t incarnation, TimePoint now,
-                   const LeaseParams &params) -> LeaseNode
+auto makeLeaseNode(const NodeName &self, const DomainName &domain, uint64_t incarnation, TimePoint now, const LeaseParams &params) -> LeaseNode
 {
     LeaseNode node;
     node.params = params;
--- a/lease/messages.cpp
+++ b/lease/messages.cpp
@@ -3,9 +3,11 @@
 #include "core/hash.h"
 #include "core/json_fields.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 auto readNumber(JsonFields &fields, const char *name) -> uint64_t
 {
@@ -36,41 +38,41 @@
 auto toJson(const LeasePing &ping) -> nlohmann::json
 {
     return {
-        { "domain", ping.key.domain.value },
-        { "range", ping.key.range },
-        { "epoch", ping.epoch },
-        { "holder", ping.holder.value },
-        { "incarnation", ping.incarnation },
-        { "sentAt", ping.sentAt },
-        { "witnessIncarnation", ping.witnessIncarnation },
-        { "unloggedNumber", ping.unloggedNumber },
-        { "unlogged", ping.unlogged },
-        { "priorResolved", ping.priorResolved },
+        {"domain", ping.key.domain.value},
+        {"range", ping.key.range},
+        {"epoch", ping.epoch},
+        {"holder", ping.holder.value},
+        {"incarnation", ping.incarnation},
+        {"sentAt", ping.sentAt},
+        {"witnessIncarnation", ping.witnessIncarnation},
+        {"unloggedNumber", ping.unloggedNumber},
+        {"unlogged", ping.unlogged},
+        {"priorResolved", ping.priorResolved},
     };
 }
 
 auto toJson(const LeasePong &pong) -> nlohmann::json
 {
     return {
-        { "domain", pong.key.domain.value },
-        { "range", pong.key.range },
-        { "epoch", pong.epoch },
-        { "incarnation", pong.incarnation },
-        { "sentAt", pong.sentAt },
-        { "witness", pong.witness.value },
-        { "witnessIncarnation", pong.witnessIncarnation },
-        { "vouched", pong.vouched },
-        { "unloggedNumber", pong.unloggedNumber },
-        { "stored", pong.stored },
-        { "prior", static_cast<int>(pong.prior) },
+        {"domain", pong.key.domain.value},
+        {"range", pong.key.range},
+        {"epoch", pong.epoch},
+        {"incarnation", pong.incarnation},
+        {"sentAt", pong.sentAt},
+        {"witness", pong.witness.value},
+        {"witnessIncarnation", pong.witnessIncarnation},
+        {"vouched", pong.vouched},
+        {"unloggedNumber", pong.unloggedNumber},
+        {"stored", pong.stored},
+        {"prior", static_cast<int>(pong.prior)},
     };
 }
 
 auto toJson(const LeaseRelease &release) -> nlohmann::json
 {
     return {
-        { "domain", release.key.domain.value }, { "range", release.key.range },         { "epoch", release.epoch },
-        { "holder", release.holder.value },     { "incarnation", release.incarnation },
+        {"domain", release.key.domain.value}, {"range", release.key.range},         {"epoch", release.epoch},
+        {"holder", release.holder.value},     {"incarnation", release.incarnation},
     };
 }
 
--- a/lease/messages.h
+++ b/lease/messages.h
@@ -2,7 +2,8 @@
 
 #include "lease/record.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// What a witness knows about the claims of earlier epochs that may be missing on the log.
 enum class UnloggedBit {
@@ -14,8 +15,7 @@
 
 /// A holder asks a witness to confirm it (method lease.ping). The same message carries the unlogged bit of the epoch,
 /// so that setting the bit is a ping to all witnesses.
-struct LeasePing
-{
+struct LeasePing {
     LeaseKey key;
     uint64_t epoch = 0;
     NodeName holder;
@@ -32,8 +32,7 @@
 };
 
 /// The answer of a witness to a ping.
-struct LeasePong
-{
+struct LeasePong {
     LeaseKey key;
     uint64_t epoch = 0;
     /// Incarnation of the holder as in the ping.
@@ -50,8 +49,7 @@
 };
 
 /// A holder that stopped for good tells its witnesses, so that its successor need not wait (method lease.release).
-struct LeaseRelease
-{
+struct LeaseRelease {
     LeaseKey key;
     uint64_t epoch = 0;
     NodeName holder;
--- a/lease/params.h
+++ b/lease/params.h
@@ -2,11 +2,11 @@
 
 #include "core/time.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Constants of the lease protocol. Tests set faulty values to show that their oracle notices them.
-struct LeaseParams
-{
+struct LeaseParams {
     /// F: a holder counts on a witness for this long after it sent the ping that the witness answered.
     Duration freshFor = seconds(2);
     /// W: a witness confirms another holder only this long after it last confirmed the one before. W/F = 1.5 is more
--- a/lease/record.cpp
+++ b/lease/record.cpp
@@ -5,7 +5,8 @@
 
 #include <set>
 
-namespace snipestream {
+namespace snipestream
+{
 
 auto toJson(const LeaseRecord &record) -> nlohmann::json
 {
@@ -14,9 +15,9 @@
         witnesses.push_back(witness.value);
     }
     return {
-        { "type", "lease" },        { "domain", record.key.domain.value }, { "range", record.key.range },
-        { "epoch", record.epoch },  { "holder", record.holder.value },     { "incarnation", record.incarnation },
-        { "witnesses", witnesses }, { "settled", record.settled },
+        {"type", "lease"},        {"domain", record.key.domain.value}, {"range", record.key.range},
+        {"epoch", record.epoch},  {"holder", record.holder.value},     {"incarnation", record.incarnation},
+        {"witnesses", witnesses}, {"settled", record.settled},
     };
 }
 
--- a/lease/record.h
+++ b/lease/record.h
@@ -9,11 +9,11 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// What a lease is about: one range of teams and idempotency keys in one failure domain.
-struct LeaseKey
-{
+struct LeaseKey {
     DomainName domain;
     uint32_t range = 0;
 
@@ -29,8 +29,7 @@
 
 /// A log record that names the holder of a lease and its witnesses. The holder is one process: a restarted node has a
 /// new incarnation and is not the holder.
-struct LeaseRecord
-{
+struct LeaseRecord {
     LeaseKey key;
     uint64_t epoch = 0;
     NodeName holder;
@@ -42,8 +41,8 @@
 
     friend auto operator==(const LeaseRecord &a, const LeaseRecord &b) -> bool
     {
-        return a.key == b.key && a.epoch == b.epoch && a.holder == b.holder && a.incarnation == b.incarnation
-            && a.witnesses == b.witnesses && a.settled == b.settled;
+        return a.key == b.key && a.epoch == b.epoch && a.holder == b.holder && a.incarnation == b.incarnation && a.witnesses == b.witnesses
+            && a.settled == b.settled;
     }
 };
 
--- a/lease/table.cpp
+++ b/lease/table.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 void addSet(std::vector<std::vector<NodeName>> &sets, std::vector<NodeName> set)
 {
@@ -57,7 +59,7 @@
             }
             sets.push_back(std::move(names));
         }
-        dump.push_back({ { "record", toJson(entry.record) }, { "sets", std::move(sets) } });
+        dump.push_back({{"record", toJson(entry.record)}, {"sets", std::move(sets)}});
     }
     return dump;
 }
--- a/lease/table.h
+++ b/lease/table.h
@@ -4,11 +4,11 @@
 
 #include <map>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// The last lease of a key together with the witness sets that have to agree to it.
-struct LeaseEntry
-{
+struct LeaseEntry {
     LeaseRecord record;
     /// A holder is valid only with a majority of each of these sets. It contains the sets of all earlier epochs whose
     /// holders could still become valid.
@@ -21,8 +21,7 @@
 };
 
 /// The leases as folded from the log. Two nodes that applied the same records have equal tables.
-struct LeaseTable
-{
+struct LeaseTable {
     std::map<LeaseKey, LeaseEntry> entries;
 
     friend auto operator==(const LeaseTable &a, const LeaseTable &b) -> bool
--- a/lease/takeover.cpp
+++ b/lease/takeover.cpp
@@ -5,9 +5,11 @@
 #include <algorithm>
 #include <set>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 auto rendezvousKey(const LeaseKey &key, const char *purpose) -> std::string
 {
@@ -39,8 +41,8 @@
     return lease.validFrom && lease.priorResolved && !lease.unlogged;
 }
 
-auto renewal(const LeaseHolder &holder, const HeldLease &lease, const LeaseEntry &entry, const LeaseParams &params,
-             const LiveNodes &live, TimePoint now) -> std::optional<LeaseRecord>
+auto renewal(const LeaseHolder &holder, const HeldLease &lease, const LeaseEntry &entry, const LeaseParams &params, const LiveNodes &live, TimePoint now)
+    -> std::optional<LeaseRecord>
 {
     LeaseRecord next = entry.record;
     ++next.epoch;
@@ -86,8 +88,8 @@
     return std::nullopt;
 }
 
-auto takeover(LeaseWatch &watch, const LeaseHolder &holder, const LeaseKey &key, const LeaseEntry *entry,
-              const LeaseParams &params, const LiveNodes &live, TimePoint now) -> std::optional<LeaseRecord>
+auto takeover(LeaseWatch &watch, const LeaseHolder &holder, const LeaseKey &key, const LeaseEntry *entry, const LeaseParams &params, const LiveNodes &live,
+              TimePoint now) -> std::optional<LeaseRecord>
 {
     const uint64_t epoch = entry == nullptr ? 0 : entry->record.epoch;
     if (entry != nullptr && isLive(live, entry->record.holder, entry->record.incarnation)) {
@@ -112,15 +114,13 @@
     record.epoch = epoch + 1;
     record.holder = holder.self;
     record.incarnation = holder.incarnation;
-    record.witnesses = chooseWitnesses(key, holder.self, live,
-                                       entry == nullptr ? std::vector<NodeName> {} : entry->record.witnesses);
+    record.witnesses = chooseWitnesses(key, holder.self, live, entry == nullptr ? std::vector<NodeName>{} : entry->record.witnesses);
     return record;
 }
 
 } // namespace
 
-auto chooseWitnesses(const LeaseKey &key, const NodeName &holder, const LiveNodes &live,
-                     const std::vector<NodeName> &current) -> std::vector<NodeName>
+auto chooseWitnesses(const LeaseKey &key, const NodeName &holder, const LiveNodes &live, const std::vector<NodeName> &current) -> std::vector<NodeName>
 {
     LiveNodes usable = live;
     if (usable.size() >= 4) {
@@ -141,15 +141,15 @@
     return chosen;
 }
 
-auto tickLeaseCandidate(LeaseCandidate &candidate, const LeaseHolder &holder, const LeaseTable &leases,
-                        const LeaseParams &params, const LiveNodes &live, TimePoint now) -> std::vector<LeaseRecord>
+auto tickLeaseCandidate(LeaseCandidate &candidate, const LeaseHolder &holder, const LeaseTable &leases, const LeaseParams &params, const LiveNodes &live,
+                        TimePoint now) -> std::vector<LeaseRecord>
 {
     std::vector<LeaseRecord> records;
     if (holder.stopping) {
         return records;
     }
     for (uint32_t range = 0; range < kRangeCount; ++range) {
-        const LeaseKey key { candidate.domain, range };
+        const LeaseKey key{candidate.domain, range};
         auto &watch = candidate.watches[key];
         const auto *entry = findLease(leases, key);
         if (watch.pending && entry != nullptr && entry->record.epoch >= watch.pending->epoch) {
@@ -160,9 +160,8 @@
         }
         watch.pending.reset();
         const auto *lease = findHeldLease(holder, key);
-        auto record = lease != nullptr && entry != nullptr && lease->epoch == entry->record.epoch
-            ? renewal(holder, *lease, *entry, params, live, now)
-            : takeover(watch, holder, key, entry, params, live, now);
+        auto record = lease != nullptr && entry != nullptr && lease->epoch == entry->record.epoch ? renewal(holder, *lease, *entry, params, live, now)
+                                                                                                  : takeover(watch, holder, key, entry, params, live, now);
         if (record && !record->witnesses.empty()) {
             watch.pending = record;
             watch.appendedAt = now;
@@ -178,7 +177,7 @@
     LiveNodes others = live;
     others.erase(holder.self);
     for (const auto &[key, lease] : holder.leases) {
-        LeaseRelease release { key, lease.epoch, holder.self, holder.incarnation };
+        LeaseRelease release{key, lease.epoch, holder.self, holder.incarnation};
         for (const auto &[witness, view] : lease.views) {
             out.releases.emplace_back(witness, release);
         }
--- a/lease/witness.cpp
+++ b/lease/witness.cpp
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
-auto mayVouch(const WitnessTable &witness, const WitnessRange &range, const LeaseParams &params, const LeasePing &ping,
-              uint64_t epochOnLog, TimePoint now) -> bool
+auto mayVouch(const WitnessTable &witness, const WitnessRange &range, const LeaseParams &params, const LeasePing &ping, uint64_t epochOnLog, TimePoint now)
+    -> bool
 {
     if (!witness.logRead || now - witness.startedAt < params.restartWait) {
         return false;
@@ -32,7 +34,7 @@
     const auto found = range.bits.find(ping.epoch);
     if (found != range.bits.end()) {
         if (ping.unloggedNumber > found->second.number) {
-            found->second = StoredBit { ping.unloggedNumber, ping.unlogged };
+            found->second = StoredBit{ping.unloggedNumber, ping.unlogged};
         }
         return found->second.number == ping.unloggedNumber;
     }
@@ -40,7 +42,7 @@
     if (!ping.unlogged && ping.witnessIncarnation != witness.incarnation) {
         return false;
     }
-    range.bits[ping.epoch] = StoredBit { ping.unloggedNumber, ping.unlogged };
+    range.bits[ping.epoch] = StoredBit{ping.unloggedNumber, ping.unlogged};
     return true;
 }
 
@@ -81,8 +83,7 @@
     }
 }
 
-auto answerPing(WitnessTable &witness, const LeaseTable &leases, const LeaseParams &params, const LeasePing &ping,
-                TimePoint now) -> LeasePong
+auto answerPing(WitnessTable &witness, const LeaseTable &leases, const LeaseParams &params, const LeasePing &ping, TimePoint now) -> LeasePong
 {
     auto &range = witness.ranges[ping.key];
     const auto *entry = findLease(leases, ping.key);
--- a/net/await.h
+++ b/net/await.h
@@ -14,11 +14,11 @@
 #include <boost/asio/steady_timer.hpp>
 #include <boost/system/error_code.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// What an asio operation ended with.
-struct IoResult
-{
+struct IoResult {
     boost::system::error_code error;
     size_t bytes = 0;
 };
@@ -95,13 +95,12 @@
     ErrorCode code = ErrorCode::Unavailable;
     if (error == boost::asio::error::timed_out) {
         code = ErrorCode::Timeout;
-    } else if (error == boost::asio::error::eof || error == boost::asio::error::connection_reset
-               || error == boost::asio::error::broken_pipe) {
+    } else if (error == boost::asio::error::eof || error == boost::asio::error::connection_reset || error == boost::asio::error::broken_pipe) {
         code = ErrorCode::Closed;
     } else if (error == boost::asio::error::operation_aborted) {
         code = ErrorCode::Cancelled;
     }
-    return Error { code, what + ": " + error.message() };
+    return Error{code, what + ": " + error.message()};
 }
 
 } // namespace snipestream
--- a/net/fiber_event.h
+++ b/net/fiber_event.h
@@ -2,7 +2,8 @@
 
 #include <boost/fiber/context.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Lets one fiber wait until a handler or another fiber of the same thread notifies it. A notification before the wait
 /// is kept, so none is lost. It costs no lock, since the runtime has one thread.
--- a/net/fiber_runtime.cpp
+++ b/net/fiber_runtime.cpp
@@ -14,9 +14,11 @@
 #include <boost/fiber/scheduler.hpp>
 #include <glog/logging.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// Large enough for Beast, JSON and OpenSSL calls; only the pages that are touched count as resident memory.
 constexpr size_t kStackBytes = 128 * 1024;
@@ -51,8 +53,7 @@
         return !queue_.empty();
     }
 
-    void suspend_until(
-        const std::chrono::steady_clock::time_point &) noexcept override // NOLINT(readability-identifier-naming)
+    void suspend_until(const std::chrono::steady_clock::time_point &) noexcept override // NOLINT(readability-identifier-naming)
     {
         // The main fiber never blocks outside the io_context, so the dispatcher has no reason to sleep.
     }
@@ -90,11 +91,10 @@
 
 } // namespace
 
-struct FiberRuntime::State
-{
-    boost::asio::io_context context { 1 };
-    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> workGuard { context.get_executor() };
-    boost::fibers::pooled_fixedsize_stack stacks { kStackBytes, 32, 0 };
+struct FiberRuntime::State {
+    boost::asio::io_context context{1};
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> workGuard{context.get_executor()};
+    boost::fibers::pooled_fixedsize_stack stacks{kStackBytes, 32, 0};
     CountingRoundRobin *algorithm = threadAlgorithm();
     size_t fiberCount = 0;
     bool stopping = false;
--- a/net/fiber_runtime.h
+++ b/net/fiber_runtime.h
@@ -8,7 +8,8 @@
 
 #include <boost/asio/io_context.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Runs fibers and asio handlers of one io_context on one thread. Handlers run between fibers, so neither needs locks.
 /// Construct, use and destroy it on the same thread.
--- a/node/admin.cpp
+++ b/node/admin.cpp
@@ -9,9 +9,11 @@
 
 #include <utility>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view kPrefix = "/snipestream/v1/";
 constexpr std::string_view kTargets = "targets";
@@ -21,15 +23,13 @@
 
 void answerJson(Exchange &exchange, int status, const nlohmann::json &body)
 {
-    static_cast<void>(respondWith(exchange, status, "application/json",
-                                  body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"));
+    static_cast<void>(respondWith(exchange, status, "application/json", body.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"));
 }
 
 void answerError(Exchange &exchange, int status, const std::string &detail)
 {
-    const nlohmann::json problem = { { "type", "about:blank" }, { "status", status }, { "detail", detail } };
-    static_cast<void>(respondWith(exchange, status, "application/problem+json",
-                                  problem.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"));
+    const nlohmann::json problem = {{"type", "about:blank"}, {"status", status}, {"detail", detail}};
+    static_cast<void>(respondWith(exchange, status, "application/problem+json", problem.dump(-1, ' ', false, nlohmann::json::error_handler_t::replace) + "\n"));
 }
 
 /// Keeps connections and admission of a local target in step with its announcement.
@@ -45,18 +45,16 @@
             options.server = announcement.endpoint;
             options.maxConnections = static_cast<size_t>(announcement.connections);
             options.connectTimeout = state.settings.timeouts.connect;
-            row = { announcement.endpoint, announcement.connections,
-                    std::make_shared<HttpClient>(state.runtime, options) };
+            row = {announcement.endpoint, announcement.connections, std::make_shared<HttpClient>(state.runtime, options)};
         }
-        upsertTarget(state.admission, name, announcement.service, announcement.slots, announcement.cold,
-                     BootClock::now());
+        upsertTarget(state.admission, name, announcement.service, announcement.slots, announcement.cold, BootClock::now());
         if (effect == AnnounceEffect::Started) {
-            logEvent(EventId::TargetAnnounced, { { "target", name.value }, { "service", announcement.service.value } });
+            logEvent(EventId::TargetAnnounced, {{"target", name.value}, {"service", announcement.service.value}});
         }
         break;
     }
     case AnnounceEffect::Draining:
-        logEvent(EventId::TargetDraining, { { "target", name.value } });
+        logEvent(EventId::TargetDraining, {{"target", name.value}});
         // Requests that other nodes sent before they learnt of the drain are still taken.
         state.runtime.spawn([&state, name, instance = announcement.instance] {
             state.runtime.sleepFor(kDrainNotice);
@@ -82,7 +80,7 @@
     const auto wallMs = static_cast<uint64_t>(wallClockMs());
     const AnnounceEffect effect = announceTarget(state.localTargets, announcement, wallMs, BootClock::now());
     applyEffect(state, announcement, effect);
-    answerJson(exchange, 200, { { "renewMs", duration_cast<milliseconds>(kRenewInterval).count() } });
+    answerJson(exchange, 200, {{"renewMs", duration_cast<milliseconds>(kRenewInterval).count()}});
 }
 
 void receiveAnnouncement(NodeState &state, Exchange &exchange)
@@ -128,7 +126,7 @@
     if (rest.size() > 1 && rest.front() == '/') {
         rest.remove_prefix(1);
         const size_t slash = rest.find('/');
-        const TargetName name { std::string(rest.substr(0, slash)) };
+        const TargetName name{std::string(rest.substr(0, slash))};
         const std::string_view action = slash == std::string_view::npos ? "" : rest.substr(slash + 1);
         if (method == "POST" && action == "drain") {
             changeTarget(state, exchange, name, EndpointState::Draining);
@@ -147,8 +145,7 @@
     const TimePoint now = BootClock::now();
     nlohmann::json targets = nlohmann::json::object();
     for (const auto &[name, target] : state.localTargets.targets) {
-        nlohmann::json row = { { "service", target.announcement.service.value },
-                               { "state", endpointStateName(target.announcement.state) } };
+        nlohmann::json row = {{"service", target.announcement.service.value}, {"state", endpointStateName(target.announcement.state)}};
         if (const auto admission = admissionStatus(state.admission, name, now)) {
             row["limit"] = admission->limit;
             row["running"] = admission->running;
@@ -157,24 +154,22 @@
         }
         targets[name.value] = row;
     }
-    return { { "node", state.settings.node.value },
-             { "domain", state.settings.domain.value },
-             { "incarnation", state.incarnation },
-             { "revision", state.fold.state.revision },
-             { "offset", state.fold.state.nextOffset },
-             { "configAgeMs", toMsRoundedUp(configAge(state, now)) },
-             { "logReachable", state.freshness.logReachable },
-             { "knownNodes", state.nodes.nodes.size() },
-             { "stopping", state.stopping },
-             { "targets", targets } };
+    return {{"node", state.settings.node.value},
+            {"domain", state.settings.domain.value},
+            {"incarnation", state.incarnation},
+            {"revision", state.fold.state.revision},
+            {"offset", state.fold.state.nextOffset},
+            {"configAgeMs", toMsRoundedUp(configAge(state, now))},
+            {"logReachable", state.freshness.logReachable},
+            {"knownNodes", state.nodes.nodes.size()},
+            {"stopping", state.stopping},
+            {"targets", targets}};
 }
 
 void showTeamShare(MetricsRegistry &metrics, const TeamName &team, const TeamShare &share)
 {
     const auto show = [&](const std::string &result, uint64_t value) {
-        metrics
-            .gauge("snipestream_team_requests", "Requests of a team by result since the start",
-                   { { "team", team.value }, { "result", result } })
+        metrics.gauge("snipestream_team_requests", "Requests of a team by result since the start", {{"team", team.value}, {"result", result}})
             .set(static_cast<double>(value));
     };
     show("admitted", share.admitted);
@@ -192,20 +187,17 @@
 {
     const TimePoint now = BootClock::now();
     auto &metrics = state.metrics;
-    metrics.gauge("snipestream_config_revision", "Revision in force")
-        .set(static_cast<double>(state.fold.state.revision));
+    metrics.gauge("snipestream_config_revision", "Revision in force").set(static_cast<double>(state.fold.state.revision));
     metrics.gauge("snipestream_config_age_seconds", "How old the configuration in force may be")
         .set(std::chrono::duration<double>(configAge(state, now)).count());
-    metrics.gauge("snipestream_log_reachable", "1 if the platform's log answered the last call")
-        .set(state.freshness.logReachable ? 1 : 0);
-    metrics.gauge("snipestream_running_contexts", "Requests that run at targets of this node")
-        .set(static_cast<double>(state.contexts.rows.size()));
+    metrics.gauge("snipestream_log_reachable", "1 if the platform's log answered the last call").set(state.freshness.logReachable ? 1 : 0);
+    metrics.gauge("snipestream_running_contexts", "Requests that run at targets of this node").set(static_cast<double>(state.contexts.rows.size()));
     for (const auto &[name, target] : state.localTargets.targets) {
         const auto admission = admissionStatus(state.admission, name, now);
         if (!admission) {
             continue;
         }
-        const MetricLabels labels = { { "target", name.value } };
+        const MetricLabels labels = {{"target", name.value}};
         metrics.gauge("snipestream_target_limit", "Concurrency limit", labels).set(admission->limit);
         metrics.gauge("snipestream_target_running", "Requests in progress", labels).set(admission->running);
         metrics.gauge("snipestream_target_waiting", "Requests that wait", labels).set(admission->waiting);
@@ -240,7 +232,7 @@
     } else if (rest == "audit" && method == "GET") {
         answerJson(exchange, 200, auditTrailJson(state.fold.state));
     } else if (rest == "drain" && method == "POST") {
-        answerJson(exchange, 202, { { "stopping", true } });
+        answerJson(exchange, 202, {{"stopping", true}});
         requestStop(state);
     } else {
         answerError(exchange, 404, method + " " + path + " is not an operation of this node");
--- a/node/claim_messages.cpp
+++ b/node/claim_messages.cpp
@@ -5,9 +5,11 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// Runs a reader that uses nlohmann's checked access, and turns its exceptions into an Error.
 template<typename T, typename Read>
@@ -22,12 +24,12 @@
 
 auto keyFrom(const nlohmann::json &json) -> ClaimKey
 {
-    return ClaimKey { TeamName(json.at("team").get<std::string>()), json.at("key").get<std::string>() };
+    return ClaimKey{TeamName(json.at("team").get<std::string>()), json.at("key").get<std::string>()};
 }
 
 auto attemptFrom(const nlohmann::json &json) -> RequestId
 {
-    return RequestId { json.at("attemptHigh").get<uint64_t>(), json.at("attemptLow").get<uint64_t>() };
+    return RequestId{json.at("attemptHigh").get<uint64_t>(), json.at("attemptLow").get<uint64_t>()};
 }
 
 void putAttempt(nlohmann::json &json, const RequestId &attempt)
@@ -40,53 +42,44 @@
 {
     // The body travels as CBOR bytes, since it need not be UTF-8.
     std::vector<uint8_t> body(response.body.begin(), response.body.end());
-    return { { "status", response.status },
-             { "headers", response.headers },
-             { "body", nlohmann::json::binary(std::move(body)) } };
+    return {{"status", response.status}, {"headers", response.headers}, {"body", nlohmann::json::binary(std::move(body))}};
 }
 
 auto responseFrom(const nlohmann::json &json) -> RecordedResponse
 {
     const auto &body = json.at("body").get_binary();
-    return RecordedResponse { json.at("status").get<int>(), json.at("headers").get<HeaderList>(),
-                              std::string(body.begin(), body.end()) };
+    return RecordedResponse{json.at("status").get<int>(), json.at("headers").get<HeaderList>(), std::string(body.begin(), body.end())};
 }
 
 auto refusalToJson(const Refusal &refusal) -> nlohmann::json
 {
-    return { { "reason", refusalReasonName(refusal.reason) },
-             { "notRun", refusal.run == RunState::NotRun },
-             { "retryAfterUs", duration_cast<microseconds>(refusal.retryAfter).count() },
-             { "detail", refusal.detail } };
+    return {{"reason", refusalReasonName(refusal.reason)},
+            {"notRun", refusal.run == RunState::NotRun},
+            {"retryAfterUs", duration_cast<microseconds>(refusal.retryAfter).count()},
+            {"detail", refusal.detail}};
 }
 
 auto refusalFrom(const nlohmann::json &json) -> Refusal
 {
     const auto reason = parseRefusalReason(json.at("reason").get<std::string>());
-    return Refusal { reason.value_or(RefusalReason::ClaimUnavailable),
-                     json.at("notRun").get<bool>() ? RunState::NotRun : RunState::Unknown,
-                     microseconds(json.at("retryAfterUs").get<int64_t>()), json.at("detail").get<std::string>() };
+    return Refusal{reason.value_or(RefusalReason::ClaimUnavailable), json.at("notRun").get<bool>() ? RunState::NotRun : RunState::Unknown,
+                   microseconds(json.at("retryAfterUs").get<int64_t>()), json.at("detail").get<std::string>()};
 }
 
 } // namespace
 
 auto toJson(const BeginRequest &request) -> nlohmann::json
 {
-    nlohmann::json json = { { "team", request.key.team.value },
-                            { "key", request.key.idempotencyKey },
-                            { "fingerprint", request.fingerprint },
-                            { "attemptNumber", request.attemptNumber },
-                            { "entryNode", request.entryNode.value },
-                            { "timeLeftUs", duration_cast<microseconds>(request.timeLeft).count() } };
+    nlohmann::json json = {{"team", request.key.team.value},       {"key", request.key.idempotencyKey},
+                           {"fingerprint", request.fingerprint},   {"attemptNumber", request.attemptNumber},
+                           {"entryNode", request.entryNode.value}, {"timeLeftUs", duration_cast<microseconds>(request.timeLeft).count()}};
     putAttempt(json, request.attempt);
     return json;
 }
 
 auto toJson(const EndRequest &request) -> nlohmann::json
 {
-    nlohmann::json json = { { "team", request.key.team.value },
-                            { "key", request.key.idempotencyKey },
-                            { "kind", static_cast<int>(request.outcome.kind) } };
+    nlohmann::json json = {{"team", request.key.team.value}, {"key", request.key.idempotencyKey}, {"kind", static_cast<int>(request.outcome.kind)}};
     putAttempt(json, request.attempt);
     if (request.outcome.response) {
         json["response"] = responseToJson(*request.outcome.response);
@@ -96,23 +89,21 @@
 
 auto toJson(const PeekRequest &request) -> nlohmann::json
 {
-    return { { "team", request.key.team.value },
-             { "key", request.key.idempotencyKey },
-             { "attemptNumber", request.attemptNumber } };
+    return {{"team", request.key.team.value}, {"key", request.key.idempotencyKey}, {"attemptNumber", request.attemptNumber}};
 }
 
 auto toJson(const ClaimVerdict &verdict) -> nlohmann::json
 {
     if (std::holds_alternative<Granted>(verdict)) {
-        return { { "verdict", "granted" } };
+        return {{"verdict", "granted"}};
     }
     if (const auto *replay = std::get_if<Replay>(&verdict)) {
-        return { { "verdict", "replay" }, { "response", responseToJson(replay->response) } };
+        return {{"verdict", "replay"}, {"response", responseToJson(replay->response)}};
     }
     if (const auto *refused = std::get_if<Refused>(&verdict)) {
-        return { { "verdict", "refused" }, { "refusal", refusalToJson(refused->refusal) } };
+        return {{"verdict", "refused"}, {"refusal", refusalToJson(refused->refusal)}};
     }
-    return { { "verdict", "wait" } };
+    return {{"verdict", "wait"}};
 }
 
 auto beginRequestFromJson(const nlohmann::json &json) -> Result<BeginRequest>
@@ -136,7 +127,7 @@
         if (kind < 0 || kind > static_cast<int>(OutcomeKind::Unknown)) {
             return failure(ErrorCode::InvalidInput, "claim.end: kind " + std::to_string(kind) + " is not known");
         }
-        EndRequest request { keyFrom(fields), attemptFrom(fields), { static_cast<OutcomeKind>(kind), std::nullopt } };
+        EndRequest request{keyFrom(fields), attemptFrom(fields), {static_cast<OutcomeKind>(kind), std::nullopt}};
         if (fields.contains("response")) {
             request.outcome.response = responseFrom(fields.at("response"));
         }
@@ -147,7 +138,7 @@
 auto peekRequestFromJson(const nlohmann::json &json) -> Result<PeekRequest>
 {
     return readChecked<PeekRequest>(json, "claim.peek", [](const nlohmann::json &fields) {
-        return PeekRequest { keyFrom(fields), fields.at("attemptNumber").get<uint32_t>() };
+        return PeekRequest{keyFrom(fields), fields.at("attemptNumber").get<uint32_t>()};
     });
 }
 
@@ -156,16 +147,16 @@
     return readChecked<ClaimVerdict>(json, "claim verdict", [](const nlohmann::json &fields) -> Result<ClaimVerdict> {
         const auto name = fields.at("verdict").get<std::string>();
         if (name == "granted") {
-            return ClaimVerdict(Granted {});
+            return ClaimVerdict(Granted{});
         }
         if (name == "replay") {
-            return ClaimVerdict(Replay { responseFrom(fields.at("response")) });
+            return ClaimVerdict(Replay{responseFrom(fields.at("response"))});
         }
         if (name == "refused") {
-            return ClaimVerdict(Refused { refusalFrom(fields.at("refusal")) });
+            return ClaimVerdict(Refused{refusalFrom(fields.at("refusal"))});
         }
         if (name == "wait") {
-            return ClaimVerdict(Wait {});
+            return ClaimVerdict(Wait{});
         }
         return failure(ErrorCode::InvalidInput, "claim verdict '" + name + "' is not known");
     });
--- a/node/claim_messages.h
+++ b/node/claim_messages.h
@@ -5,19 +5,18 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Payload of `claim.end`.
-struct EndRequest
-{
+struct EndRequest {
     ClaimKey key;
     RequestId attempt;
     Outcome outcome;
 };
 
 /// Payload of `claim.peek`.
-struct PeekRequest
-{
+struct PeekRequest {
     ClaimKey key;
     uint32_t attemptNumber = 1;
 };
--- a/node/claim_service.cpp
+++ b/node/claim_service.cpp
@@ -13,9 +13,11 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr const char *kBeginMethod = "claim.begin";
 constexpr const char *kEndMethod = "claim.end";
@@ -38,7 +40,7 @@
 
 auto leaseKeyOf(const NodeState &state, uint32_t range) -> LeaseKey
 {
-    return LeaseKey { state.settings.domain, range };
+    return LeaseKey{state.settings.domain, range};
 }
 
 auto domainList(const NodeState &state) -> std::vector<DomainName>
@@ -84,19 +86,19 @@
     const std::string number = std::to_string(range);
     switch (event) {
     case OwnerEvent::UnloggedModeEntered:
-        logEvent(EventId::UnloggedModeEntered, { { "range", number } });
+        logEvent(EventId::UnloggedModeEntered, {{"range", number}});
         break;
     case OwnerEvent::UnloggedModeLeft:
-        logEvent(EventId::UnloggedModeLeft, { { "range", number } });
+        logEvent(EventId::UnloggedModeLeft, {{"range", number}});
         break;
     case OwnerEvent::RangeQuarantined:
-        logEvent(EventId::RangeQuarantined, { { "range", number } });
+        logEvent(EventId::RangeQuarantined, {{"range", number}});
         break;
     case OwnerEvent::ServingStarted:
-        logEvent(EventId::ClaimRangeServing, { { "range", number } });
+        logEvent(EventId::ClaimRangeServing, {{"range", number}});
         break;
     case OwnerEvent::OwnershipLost:
-        logEvent(EventId::ClaimRangeLost, { { "range", number } });
+        logEvent(EventId::ClaimRangeLost, {{"range", number}});
         break;
     }
 }
@@ -118,8 +120,7 @@
     }
     const TimePoint now = BootClock::now();
     const OwnerView view = ownerView(state, range->second, now);
-    applyOutputs(state, number,
-                 onAppendResult(range->second.table, record.epoch, record.sequence, result, offset, view, now));
+    applyOutputs(state, number, onAppendResult(range->second.table, record.epoch, record.sequence, result, offset, view, now));
 }
 
 /// Reads the records of a range from the earliest one to the end of its stream, for one reading pass.
@@ -214,8 +215,7 @@
             continue;
         }
         if (isHome && findHeldLease(state.leaseNode.holder, leaseKeyOf(state, number)) != nullptr) {
-            state.claimOwner.ranges.emplace(
-                number, OwnedRange { makeClaimTable(claimSettings(state), state.settings.domain, number), 0, 0 });
+            state.claimOwner.ranges.emplace(number, OwnedRange{makeClaimTable(claimSettings(state), state.settings.domain, number), 0, 0});
         }
     }
 }
@@ -224,8 +224,7 @@
 auto servesRange(const NodeState &state, const OwnedRange &range) -> bool
 {
     const OwnerView view = ownerView(state, range, BootClock::now());
-    return view.valid && view.epoch == range.table.epoch && range.table.phase == OwnerPhase::Serving
-        && !range.table.handoverWanted;
+    return view.valid && view.epoch == range.table.epoch && range.table.phase == OwnerPhase::Serving && !range.table.handoverWanted;
 }
 
 /// Serves a begin at the owner; keeps the caller's fiber until the claim is on the log.
@@ -247,8 +246,7 @@
     }
     const auto wait = std::make_shared<ClaimWait>();
     state.claimOwner.waits[request.attempt] = wait.get();
-    applyOutputs(state, number,
-                 tickClaims(range->second.table, ownerView(state, range->second, now), domainListRevision(state), now));
+    applyOutputs(state, number, tickClaims(range->second.table, ownerView(state, range->second, now), domainListRevision(state), now));
     waitFor(state.runtime.context(), wait->event, request.timeLeft, wait->isDecided);
     state.claimOwner.waits.erase(request.attempt);
     if (!wait->isDecided) {
@@ -267,8 +265,7 @@
         return false;
     }
     const TimePoint now = BootClock::now();
-    return endClaim(range->second.table, request.key, request.attempt, request.outcome,
-                    ownerView(state, range->second, now), now);
+    return endClaim(range->second.table, request.key, request.attempt, request.outcome, ownerView(state, range->second, now), now);
 }
 
 auto peekHere(const NodeState &state, const PeekRequest &request) -> RunState
@@ -278,14 +275,13 @@
         return RunState::Unknown;
     }
     const TimePoint now = BootClock::now();
-    return peekClaim(range->second.table, request.key, request.attemptNumber, ownerView(state, range->second, now),
-                     now);
+    return peekClaim(range->second.table, request.key, request.attemptNumber, ownerView(state, range->second, now), now);
 }
 
 auto ownerOf(const NodeState &state, const ClaimKey &key) -> std::optional<std::pair<NodeName, Endpoint>>
 {
     const uint32_t range = claimRange(key);
-    return holderOf(state, LeaseKey { homeDomainOf(range, domainList(state)), range });
+    return holderOf(state, LeaseKey{homeDomainOf(range, domainList(state)), range});
 }
 
 /// Asks the owner that the log names at this moment.
@@ -298,8 +294,7 @@
     if (owner->first == state.settings.node) {
         return beginHere(state, request);
     }
-    BOOST_OUTCOME_TRY(const nlohmann::json answer,
-                      state.peers->call(owner->second, kBeginMethod, toJson(request), request.timeLeft));
+    BOOST_OUTCOME_TRY(const nlohmann::json answer, state.peers->call(owner->second, kBeginMethod, toJson(request), request.timeLeft));
     return claimVerdictFromJson(answer);
 }
 
@@ -307,22 +302,19 @@
 
 void serveClaims(NodeState &state)
 {
-    state.peers->onCall(kBeginMethod,
-                        [&state](const PeerIdentity &, const nlohmann::json &payload) -> Result<nlohmann::json> {
-                            BOOST_OUTCOME_TRY(const BeginRequest request, beginRequestFromJson(payload));
-                            BOOST_OUTCOME_TRY(const ClaimVerdict verdict, beginHere(state, request));
-                            return toJson(verdict);
-                        });
-    state.peers->onCall(kEndMethod,
-                        [&state](const PeerIdentity &, const nlohmann::json &payload) -> Result<nlohmann::json> {
-                            BOOST_OUTCOME_TRY(const EndRequest request, endRequestFromJson(payload));
-                            return nlohmann::json(endHere(state, request));
-                        });
-    state.peers->onCall(kPeekMethod,
-                        [&state](const PeerIdentity &, const nlohmann::json &payload) -> Result<nlohmann::json> {
-                            BOOST_OUTCOME_TRY(const PeekRequest request, peekRequestFromJson(payload));
-                            return nlohmann::json(peekHere(state, request) == RunState::NotRun);
-                        });
+    state.peers->onCall(kBeginMethod, [&state](const PeerIdentity &, const nlohmann::json &payload) -> Result<nlohmann::json> {
+        BOOST_OUTCOME_TRY(const BeginRequest request, beginRequestFromJson(payload));
+        BOOST_OUTCOME_TRY(const ClaimVerdict verdict, beginHere(state, request));
+        return toJson(verdict);
+    });
+    state.peers->onCall(kEndMethod, [&state](const PeerIdentity &, const nlohmann::json &payload) -> Result<nlohmann::json> {
+        BOOST_OUTCOME_TRY(const EndRequest request, endRequestFromJson(payload));
+        return nlohmann::json(endHere(state, request));
+    });
+    state.peers->onCall(kPeekMethod, [&state](const PeerIdentity &, const nlohmann::json &payload) -> Result<nlohmann::json> {
+        BOOST_OUTCOME_TRY(const PeekRequest request, peekRequestFromJson(payload));
+        return nlohmann::json(peekHere(state, request) == RunState::NotRun);
+    });
 }
 
 void runClaims(NodeState &state)
@@ -346,10 +338,8 @@
     BeginRequest repeated = request;
     while (true) {
         auto verdict = askOwner(state, repeated);
-        const bool mayChangeHands
-            = !verdict && (verdict.error().code == ErrorCode::Unavailable || verdict.error().code == ErrorCode::Closed);
-        if (!mayChangeHands || state.ending || BootClock::now() + kHandOverPause >= giveUp
-            || state.claimOwner.handOverWaiters >= kMaxHandOverWaiters) {
+        const bool mayChangeHands = !verdict && (verdict.error().code == ErrorCode::Unavailable || verdict.error().code == ErrorCode::Closed);
+        if (!mayChangeHands || state.ending || BootClock::now() + kHandOverPause >= giveUp || state.claimOwner.handOverWaiters >= kMaxHandOverWaiters) {
             return verdict;
         }
         // The attempt id is the same each time, so an owner that granted it before grants it again and no other.
@@ -362,7 +352,7 @@
 
 void reportToOwner(NodeState &state, const ClaimKey &key, const RequestId &attempt, const Outcome &outcome)
 {
-    state.runtime.spawn([&state, request = EndRequest { key, attempt, outcome }] {
+    state.runtime.spawn([&state, request = EndRequest{key, attempt, outcome}] {
         const TimePoint end = BootClock::now() + kReportFor;
         while (BootClock::now() < end && !state.ending) {
             const auto owner = ownerOf(state, request.key);
@@ -371,8 +361,7 @@
                     return;
                 }
             } else if (owner) {
-                const auto taken
-                    = state.peers->call(owner->second, kEndMethod, toJson(request), state.settings.timeouts.peer);
+                const auto taken = state.peers->call(owner->second, kEndMethod, toJson(request), state.settings.timeouts.peer);
                 if (taken && taken.value() == nlohmann::json(true)) {
                     return;
                 }
@@ -388,10 +377,9 @@
     if (!owner) {
         return OwnerKnowledge::NotAsked;
     }
-    const PeekRequest request { key, attemptNumber };
+    const PeekRequest request{key, attemptNumber};
     if (owner->first == state.settings.node) {
-        return peekHere(state, request) == RunState::NotRun ? OwnerKnowledge::NoOtherAttempt
-                                                            : OwnerKnowledge::OtherMayHaveRun;
+        return peekHere(state, request) == RunState::NotRun ? OwnerKnowledge::NoOtherAttempt : OwnerKnowledge::OtherMayHaveRun;
     }
     const auto answer = state.peers->call(owner->second, kPeekMethod, toJson(request), kPeekTimeout);
     if (!answer) {
--- a/node/claim_service.h
+++ b/node/claim_service.h
@@ -10,21 +10,20 @@
 #include <set>
 #include <unordered_map>
 
-namespace snipestream {
+namespace snipestream
+{
 
 struct NodeState;
 
 /// A fiber that waits for the verdict on a claim.
-struct ClaimWait
-{
+struct ClaimWait {
     FiberEvent event;
     std::optional<ClaimVerdict> verdict;
     bool isDecided = false;
 };
 
 /// A range whose claims this node owns, or owned until its lease ended.
-struct OwnedRange
-{
+struct OwnedRange {
     ClaimTable table;
     /// Newest bit request that was passed on to the witnesses.
     uint64_t bitRequestPassed = 0;
@@ -33,8 +32,7 @@
 };
 
 /// The claims that this node owns.
-struct ClaimOwner
-{
+struct ClaimOwner {
     std::map<uint32_t, OwnedRange> ranges;
     /// By attempt id.
     std::unordered_map<RequestId, ClaimWait *> waits;
--- a/node/config_service.cpp
+++ b/node/config_service.cpp
@@ -14,9 +14,11 @@
 
 #include <malloc.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr const char *kRecordsMethod = "config.records";
 constexpr const char *kStateMethod = "config.state";
@@ -72,9 +74,9 @@
     }
     state.freshness.logReachable = reachable;
     if (reachable) {
-        logEvent(EventId::LogAvailable, { { "log", toString(state.settings.log) } });
+        logEvent(EventId::LogAvailable, {{"log", toString(state.settings.log)}});
     } else {
-        logEvent(EventId::LogUnavailable, { { "log", toString(state.settings.log) }, { "detail", detail } });
+        logEvent(EventId::LogUnavailable, {{"log", toString(state.settings.log)}, {"detail", detail}});
     }
 }
 
@@ -100,7 +102,7 @@
     }
     setLogReachable(state, true, {});
     if (outcome.value().snapshotAdopted) {
-        logEvent(EventId::ConfigSnapshotTaken, { { "offset", std::to_string(state.fold.state.nextOffset) } });
+        logEvent(EventId::ConfigSnapshotTaken, {{"offset", std::to_string(state.fold.state.nextOffset)}});
         applyTeamWeights(state);
         endLongPolls(state);
     }
@@ -138,7 +140,7 @@
     SnapshotAssembly assembly;
     uint32_t parts = 1;
     for (uint32_t part = 0; part < parts; ++part) {
-        const auto answer = state.peers->call(peer, kStateMethod, { { "part", part } }, state.settings.timeouts.peer);
+        const auto answer = state.peers->call(peer, kStateMethod, {{"part", part}}, state.settings.timeouts.peer);
         if (!answer || !answer.value().is_string()) {
             return false;
         }
@@ -149,11 +151,11 @@
         parts = decoded.value().parts;
         if (const auto snapshot = addSnapshotPart(assembly, std::move(decoded).value())) {
             const auto adopted = adoptSnapshot(state.fold, *snapshot, wallClockMs());
-            assembly = SnapshotAssembly {};
+            assembly = SnapshotAssembly{};
             malloc_trim(0);
             if (adopted && adopted.value().adopted) {
                 state.history.records.clear();
-                logEvent(EventId::ConfigSnapshotTaken, { { "offset", std::to_string(state.fold.state.nextOffset) } });
+                logEvent(EventId::ConfigSnapshotTaken, {{"offset", std::to_string(state.fold.state.nextOffset)}});
                 applyTeamWeights(state);
                 endLongPolls(state);
             }
@@ -166,15 +168,13 @@
 /// Asks a peer for what is newer. Returns whether it answered.
 auto askPeer(NodeState &state, const Endpoint &peer) -> bool
 {
-    const auto answer = state.peers->call(peer, kRecordsMethod, { { "from", state.fold.state.nextOffset } },
-                                          kLongPoll + state.settings.timeouts.peer);
+    const auto answer = state.peers->call(peer, kRecordsMethod, {{"from", state.fold.state.nextOffset}}, kLongPoll + state.settings.timeouts.peer);
     if (!answer || !answer.value().is_object()) {
         return false;
     }
     const auto text = answer.value().find("records");
     const auto fresh = answer.value().find("ageMs");
-    if (text == answer.value().end() || !text->is_string() || fresh == answer.value().end()
-        || !fresh->is_number_integer()) {
+    if (text == answer.value().end() || !text->is_string() || fresh == answer.value().end() || !fresh->is_number_integer()) {
         return false;
     }
     const auto decoded = decodeRecordsAnswer(text->get<std::string>());
@@ -228,8 +228,7 @@
     } else {
         std::vector<DomainName> domains;
         for (const auto &[name, row] : state.nodes.nodes) {
-            if (row.domain != state.settings.domain
-                && std::find(domains.begin(), domains.end(), row.domain) == domains.end()) {
+            if (row.domain != state.settings.domain && std::find(domains.begin(), domains.end(), row.domain) == domains.end()) {
                 domains.push_back(row.domain);
             }
         }
@@ -271,13 +270,12 @@
     }
     state.incarnation = std::max(static_cast<uint64_t>(wallClockMs()), row->second.incarnation + 1);
     state.leaseNode = makeLeaseNode(state.settings.node, state.settings.domain, state.incarnation, BootClock::now());
-    logEvent(EventId::NodeRejoining, { { "incarnation", std::to_string(state.incarnation) } });
+    logEvent(EventId::NodeRejoining, {{"incarnation", std::to_string(state.incarnation)}});
 }
 
 auto nodeRecord(const NodeState &state, bool join) -> std::string
 {
-    const NodeRecord record { state.settings.node, join, state.settings.domain, state.settings.peerListen,
-                              state.incarnation };
+    const NodeRecord record{state.settings.node, join, state.settings.domain, state.settings.peerListen, state.incarnation};
     return toJson(record).dump();
 }
 
@@ -296,8 +294,7 @@
         state.foldWaits.erase(&wait);
     }
     const RecordsAnswer answer = recordsSince(state.history, state.fold.state.nextOffset, offset, kMaxAnswerBytes);
-    return nlohmann::json { { "records", encodeRecordsAnswer(answer) },
-                            { "ageMs", toMsRoundedUp(configAge(state, BootClock::now())) } };
+    return nlohmann::json{{"records", encodeRecordsAnswer(answer)}, {"ageMs", toMsRoundedUp(configAge(state, BootClock::now()))}};
 }
 
 auto makeStateParts(const NodeState &state, TimePoint now) -> StateParts
@@ -323,10 +320,8 @@
     }
     const TimePoint now = BootClock::now();
     StateParts &kept = state.stateParts;
-    const bool hasRecordsSince
-        = !state.history.records.empty() && state.history.records.front().offset <= kept.nextOffset;
-    const bool isOld
-        = kept.nextOffset != state.fold.state.nextOffset && (!hasRecordsSince || now - kept.madeAt > kStatePartsFresh);
+    const bool hasRecordsSince = !state.history.records.empty() && state.history.records.front().offset <= kept.nextOffset;
+    const bool isOld = kept.nextOffset != state.fold.state.nextOffset && (!hasRecordsSince || now - kept.madeAt > kStatePartsFresh);
     if (kept.parts.empty() || (part->get<uint64_t>() == 0 && isOld)) {
         kept = makeStateParts(state, now);
     }
@@ -341,7 +336,7 @@
 void dropStateParts(NodeState &state)
 {
     if (!state.stateParts.parts.empty() && BootClock::now() - state.stateParts.usedAt > kStatePartsKept) {
-        state.stateParts = StateParts {};
+        state.stateParts = StateParts{};
         malloc_trim(0);
     }
 }
--- a/node/config_service.h
+++ b/node/config_service.h
@@ -2,7 +2,8 @@
 
 #include "node/node_state.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Adds the sections of other packages (nodes, leases) to the fold. Call before the first record is folded.
 void addFoldSections(NodeState &state);
--- a/node/directory_service.cpp
+++ b/node/directory_service.cpp
@@ -6,9 +6,11 @@
 #include <utility>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr const char *kAnnounceMethod = "directory.announce";
 constexpr const char *kSubscribeMethod = "directory.subscribe";
@@ -135,7 +137,7 @@
 void expireTargets(NodeState &state, const std::vector<TargetName> &expired)
 {
     for (const auto &name : expired) {
-        logEvent(EventId::TargetExpired, { { "target", name.value } });
+        logEvent(EventId::TargetExpired, {{"target", name.value}});
         applyDecisions(state, removeTarget(state.admission, name));
         state.targetConnections.erase(name);
     }
@@ -189,7 +191,7 @@
         sendUpdates(state, tickDirectory(state.directory, BootClock::now()));
         for (const auto &change : tickEndpoints(state.endpoints, BootClock::now())) {
             logEvent(change.ejected ? EventId::TargetEjected : EventId::TargetReturned,
-                     { { "service", change.service.value }, { "target", change.endpoint.target.value } });
+                     {{"service", change.service.value}, {"target", change.endpoint.target.value}});
         }
         state.runtime.sleepFor(kTick);
     }
--- a/node/dispatch.cpp
+++ b/node/dispatch.cpp
@@ -15,16 +15,17 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// The home node answers at the deadline; this node waits a little longer for that answer, which says more.
 constexpr Duration kDeadlineMargin = milliseconds(20);
 
 /// One attempt at one endpoint.
-struct Attempt
-{
+struct Attempt {
     EndpointId endpoint;
     std::optional<Refusal> refusal;
     ForwardResult forwarded;
@@ -61,33 +62,30 @@
 }
 
 /// Opens the call to the endpoint, through this node's own admission if the target is local.
-auto openAttempt(NodeState &state, const EndpointId &endpoint, const RequestHead &head, Exchange &exchange)
-    -> TargetCall
+auto openAttempt(NodeState &state, const EndpointId &endpoint, const RequestHead &head, Exchange &exchange) -> TargetCall
 {
     if (endpoint.node == state.settings.node) {
         return openTargetCall(state, head, exchange);
     }
     const auto node = state.nodes.nodes.find(endpoint.node);
     if (node == state.nodes.nodes.end()) {
-        return { Refusal { RefusalReason::NoTarget, RunState::NotRun, milliseconds(100),
-                           "node " + endpoint.node.value + " is not known" },
-                 std::nullopt };
+        return {Refusal{RefusalReason::NoTarget, RunState::NotRun, milliseconds(100), "node " + endpoint.node.value + " is not known"}, std::nullopt};
     }
     auto opened = state.peers->openStream(node->second.endpoint, head);
     if (!opened) {
-        return { refusalFor(opened.error(), false), std::nullopt };
+        return {refusalFor(opened.error(), false), std::nullopt};
     }
-    return { std::nullopt, std::move(opened).value() };
+    return {std::nullopt, std::move(opened).value()};
 }
 
 /// Decides whether a failed attempt is followed by another one, and waits for its time.
-auto shouldRetry(NodeState &state, Exchange &exchange, const RequestHead &head, TimePoint deadline,
-                 AttemptBudget &budget, const FailedAttempt &failed, bool cannotRepeat) -> bool
+auto shouldRetry(NodeState &state, Exchange &exchange, const RequestHead &head, TimePoint deadline, AttemptBudget &budget, const FailedAttempt &failed,
+                 bool cannotRepeat) -> bool
 {
     if (exchange.isCancelled() || state.stopping) {
         return false;
     }
-    const RetriedCall call { head.idempotent, deadline, cannotRepeat };
+    const RetriedCall call{head.idempotent, deadline, cannotRepeat};
     const RetryDecision decision = decideRetry(budget, state.retryRatio, call, failed, BootClock::now(), state.random);
     if (decision.no) {
         return false;
@@ -99,8 +97,8 @@
 }
 
 /// Runs one attempt. The answer is passed on unless it is a refusal or a server error that is tried again.
-auto runAttempt(NodeState &state, Exchange &exchange, const RequestHead &head, const RequestBodyStart &start,
-                const EndpointId &endpoint, size_t captureBytes, const HeadFilter &filter) -> Attempt
+auto runAttempt(NodeState &state, Exchange &exchange, const RequestHead &head, const RequestBodyStart &start, const EndpointId &endpoint, size_t captureBytes,
+                const HeadFilter &filter) -> Attempt
 {
     Attempt attempt;
     attempt.endpoint = endpoint;
@@ -113,18 +111,17 @@
     bool timedOut = false;
     boost::asio::steady_timer limit(state.runtime.context(), head.timeLeft + kDeadlineMargin);
     const auto cancel = std::make_shared<std::function<void()>>(opened.call->cancel);
-    limit.async_wait(
-        [&timedOut, weak = std::weak_ptr<std::function<void()>>(cancel)](const boost::system::error_code &error) {
-            const auto function = weak.lock();
-            if (!error && function) {
-                timedOut = true;
-                (*function)();
-            }
-        });
+    limit.async_wait([&timedOut, weak = std::weak_ptr<std::function<void()>>(cancel)](const boost::system::error_code &error) {
+        const auto function = weak.lock();
+        if (!error && function) {
+            timedOut = true;
+            (*function)();
+        }
+    });
     attempt.forwarded = forwardExchange(state.runtime, exchange, *opened.call, start, filter, captureBytes);
     limit.cancel();
     if (timedOut && attempt.forwarded.error) {
-        attempt.forwarded.error = Error { ErrorCode::Timeout, "the deadline passed without an answer" };
+        attempt.forwarded.error = Error{ErrorCode::Timeout, "the deadline passed without an answer"};
     }
     if (attempt.forwarded.head && attempt.forwarded.head->refusal) {
         attempt.refusal = attempt.forwarded.head->refusal;
@@ -136,19 +133,17 @@
 
 auto noTarget(const ServiceName &service) -> Refusal
 {
-    return Refusal { RefusalReason::NoTarget, RunState::NotRun, milliseconds(500),
-                     "no target of " + service.value + " can be reached" };
+    return Refusal{RefusalReason::NoTarget, RunState::NotRun, milliseconds(500), "no target of " + service.value + " can be reached"};
 }
 
 } // namespace
 
-auto dispatchRequest(NodeState &state, Exchange &exchange, RequestHead head, TimePoint deadline, AttemptBudget &budget,
-                     size_t captureBytes) -> DispatchResult
+auto dispatchRequest(NodeState &state, Exchange &exchange, RequestHead head, TimePoint deadline, AttemptBudget &budget, size_t captureBytes) -> DispatchResult
 {
     DispatchResult result;
     const auto start = readBodyStart(exchange);
     if (!start) {
-        result.refusal = Refusal { RefusalReason::Cancelled, RunState::NotRun, {}, start.error().message };
+        result.refusal = Refusal{RefusalReason::Cancelled, RunState::NotRun, {}, start.error().message};
         return result;
     }
     ensureSubscribed(state, head.service);
@@ -157,8 +152,7 @@
     for (int number = 1;; ++number) {
         const TimePoint now = BootClock::now();
         if (shouldShedUpstream(state.admission.upstream, levelKey, head.priority, head.id, now)) {
-            result.refusal = Refusal { RefusalReason::Overloaded, result.run, milliseconds(500),
-                                       head.service.value + " sheds requests of this priority" };
+            result.refusal = Refusal{RefusalReason::Overloaded, result.run, milliseconds(500), head.service.value + " sheds requests of this priority"};
             return result;
         }
         const auto selection = chooseEndpoint(state.endpoints, head.service, tried, state.random, now);
@@ -188,9 +182,8 @@
             overloadedBelow = findHeader(answer.headers, kOverloadedBelowHeader).has_value();
             removeHeader(answer.headers, kOverloadedBelowHeader);
             if (answer.status >= 500) {
-                const auto reason
-                    = overloadedBelow ? std::optional<RefusalReason>(RefusalReason::Overloaded) : std::nullopt;
-                const FailedAttempt failed { reason, RunState::Unknown, number };
+                const auto reason = overloadedBelow ? std::optional<RefusalReason>(RefusalReason::Overloaded) : std::nullopt;
+                const FailedAttempt failed{reason, RunState::Unknown, number};
                 retryServerError = shouldRetry(state, exchange, head, deadline, budget, failed, cannotRepeat);
             }
             markAnswer(answer.headers, head.id);
@@ -199,11 +192,9 @@
         beginCall(state.endpoints, head.service, selection->endpoint);
         Attempt attempt = runAttempt(state, exchange, head, start.value(), selection->endpoint, captureBytes, filter);
         attempt.overloadedBelow = overloadedBelow;
-        const CallEvidence evidence
-            = retryServerError ? CallEvidence::Failure : evidenceOf(attempt, exchange.isCancelled());
+        const CallEvidence evidence = retryServerError ? CallEvidence::Failure : evidenceOf(attempt, exchange.isCancelled());
         if (endCall(state.endpoints, head.service, selection->endpoint, evidence, BootClock::now())) {
-            logEvent(EventId::TargetEjected,
-                     { { "service", head.service.value }, { "target", selection->endpoint.target.value } });
+            logEvent(EventId::TargetEjected, {{"service", head.service.value}, {"target", selection->endpoint.target.value}});
         }
         tried.push_back(selection->endpoint);
         if (retryServerError) {
@@ -224,7 +215,7 @@
         }
         result.refusal = attempt.refusal;
         result.refusal->run = result.run;
-        const FailedAttempt failed { attempt.refusal->reason, attempt.refusal->run, number };
+        const FailedAttempt failed{attempt.refusal->reason, attempt.refusal->run, number};
         if (!shouldRetry(state, exchange, head, deadline, budget, failed, cannotRepeat)) {
             return result;
         }
--- a/node/dispatch.h
+++ b/node/dispatch.h
@@ -7,11 +7,11 @@
 #include <optional>
 #include <string>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// What became of a request that was sent to the targets of its service.
-struct DispatchResult
-{
+struct DispatchResult {
     /// Set if no target's answer was passed on.
     std::optional<Refusal> refusal;
     /// Head of the answer that was passed on.
@@ -28,7 +28,6 @@
 /// Sends the request of an exchange to a target of its service, tries again where that is allowed, and passes the
 /// answer back. `head` is what the targets' nodes get; its attempts and time left are set here. Blocks the calling
 /// fiber.
-auto dispatchRequest(NodeState &state, Exchange &exchange, RequestHead head, TimePoint deadline, AttemptBudget &budget,
-                     size_t captureBytes) -> DispatchResult;
+auto dispatchRequest(NodeState &state, Exchange &exchange, RequestHead head, TimePoint deadline, AttemptBudget &budget, size_t captureBytes) -> DispatchResult;
 
 } // namespace snipestream
--- a/node/entry.cpp
+++ b/node/entry.cpp
@@ -12,9 +12,11 @@
 #include <charconv>
 #include <utility>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr const char *kAuthorizationHeader = "Authorization";
 constexpr const char *kContextHeader = "Snipestream-Context";
@@ -27,8 +29,7 @@
 constexpr Duration kShedRetryAfter = milliseconds(500);
 
 /// A request on its way through the entry node.
-struct EntryRequest
-{
+struct EntryRequest {
     RequestHead head;
     TimePoint deadline;
     AttemptBudget budget;
@@ -44,7 +45,7 @@
 
 auto refusal(RefusalReason reason, std::string detail, Duration retryAfter = {}) -> Refusal
 {
-    return Refusal { reason, RunState::NotRun, retryAfter, std::move(detail) };
+    return Refusal{reason, RunState::NotRun, retryAfter, std::move(detail)};
 }
 
 /// Answers with the refusal, unless the caller has left.
@@ -65,8 +66,7 @@
     int64_t value = 0;
     const auto [end, error] = std::from_chars(text->data(), text->data() + text->size(), value);
     if (error != std::errc() || end != text->data() + text->size() || value < 0 || value > 86'400'000) {
-        return failure(ErrorCode::InvalidInput,
-                       std::string(kTimeoutHeader) + " '" + std::string(*text) + "' is not a time in milliseconds");
+        return failure(ErrorCode::InvalidInput, std::string(kTimeoutHeader) + " '" + std::string(*text) + "' is not a time in milliseconds");
     }
     return std::min(limit, Duration(milliseconds(value)));
 }
@@ -93,18 +93,16 @@
         return std::nullopt;
     }
     if (!key || key->empty() || key->size() > kMaxIdempotencyKeyBytes) {
-        return refusal(RefusalReason::MissingIdempotencyKey,
-                       "route " + route.name.value + " needs an Idempotency-Key of 1 to 255 bytes");
+        return refusal(RefusalReason::MissingIdempotencyKey, "route " + route.name.value + " needs an Idempotency-Key of 1 to 255 bytes");
     }
     if (const auto attempt = findHeader(request.head.headers, kAttemptHeader)) {
-        const auto [end, error]
-            = std::from_chars(attempt->data(), attempt->data() + attempt->size(), request.attemptNumber);
+        const auto [end, error] = std::from_chars(attempt->data(), attempt->data() + attempt->size(), request.attemptNumber);
         if (error != std::errc() || end != attempt->data() + attempt->size() || request.attemptNumber == 0) {
             return refusal(RefusalReason::BadRequest, std::string(kAttemptHeader) + " is not a number from 1 on");
         }
     }
     AttemptTrace trace;
-    trace.key = ClaimKey { request.head.team, std::string(*key) };
+    trace.key = ClaimKey{request.head.team, std::string(*key)};
     trace.attempt = drawRequestId(state.random);
     request.trace = trace;
     return std::nullopt;
@@ -142,8 +140,7 @@
 }
 
 /// Prepares a call that a target makes while it works on a request.
-auto prepareContextRequest(NodeState &state, Exchange &exchange, EntryRequest &request, RequestContext &context)
-    -> std::optional<Refusal>
+auto prepareContextRequest(NodeState &state, Exchange &exchange, EntryRequest &request, RequestContext &context) -> std::optional<Refusal>
 {
     request.head = exchange.head;
     request.head.id = context.id;
@@ -167,7 +164,7 @@
     request.deadline = BootClock::now() + timeLeft.value();
     // What the call gets is taken from the context, so all calls of the tree together stay within the budget.
     AttemptBudget pool = receivedBudget(context.attemptsLeft);
-    request.budget = AttemptBudget { takeCallShare(pool) };
+    request.budget = AttemptBudget{takeCallShare(pool)};
     context.attemptsLeft = pool.left;
     const ServiceName key = upstreamKey(route.value()->service, route.value()->name);
     if (std::find(context.calledKeys.begin(), context.calledKeys.end(), key) == context.calledKeys.end()) {
@@ -256,12 +253,11 @@
     AttemptTrace &trace = *request.trace;
     onDispatched(trace);
     const ClaimSettings limits;
-    const DispatchResult result
-        = dispatchRequest(state, exchange, request.head, request.deadline, request.budget, limits.maxRecordedBody);
+    const DispatchResult result = dispatchRequest(state, exchange, request.head, request.deadline, request.budget, limits.maxRecordedBody);
     account(state, request, result);
     std::optional<RecordedResponse> response;
     if (result.complete && result.capturedWhole) {
-        response = recordable(RecordedResponse { result.head->status, result.head->headers, result.captured }, limits);
+        response = recordable(RecordedResponse{result.head->status, result.head->headers, result.captured}, limits);
     }
     EntryAction action = onHomeReport(trace, homeReportOf(result), result.refusal, response);
     if (action.kind == EntryActionKind::Wait && result.refusal) {
@@ -324,11 +320,10 @@
     std::optional<Refusal> refused;
     if (request.deadline <= BootClock::now()) {
         refused = refusal(RefusalReason::DeadlinePassed, "the deadline passed before the request was sent on");
-    } else if (shouldShedUpstream(state.admission.upstream, upstreamKey(request.head.service, request.head.route),
-                                  request.head.priority, request.head.id, BootClock::now())) {
+    } else if (shouldShedUpstream(state.admission.upstream, upstreamKey(request.head.service, request.head.route), request.head.priority, request.head.id,
+                                  BootClock::now())) {
         // Checked before the token, which the request would pay for nothing.
-        refused = refusal(RefusalReason::Overloaded, request.head.service.value + " sheds requests of this priority",
-                          kShedRetryAfter);
+        refused = refusal(RefusalReason::Overloaded, request.head.service.value + " sheds requests of this priority", kShedRetryAfter);
     } else {
         refused = takeToken(state, request);
     }
@@ -394,8 +389,7 @@
     const auto outcome = runRequest(state, exchange, request);
     // The context may have ended while the call ran.
     RequestContext *const current = findContext(state.contexts, *handle, BootClock::now());
-    if (current != nullptr && outcome
-        && (*outcome == RefusalReason::Overloaded || *outcome == RefusalReason::QueueTimeout)) {
+    if (current != nullptr && outcome && (*outcome == RefusalReason::Overloaded || *outcome == RefusalReason::QueueTimeout)) {
         current->overloadedBelow = true;
     }
 }
--- a/node/entry.h
+++ b/node/entry.h
@@ -3,7 +3,8 @@
 #include "core/exchange.h"
 #include "node/node_state.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Serves a request of a caller: routes it, checks its key, quota and idempotency key, sends it to a target and
 /// accounts for the result. Runs in the request's fiber.
--- a/node/failure_detector.cpp
+++ b/node/failure_detector.cpp
@@ -8,9 +8,11 @@
 #include <set>
 #include <utility>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr const char *kCheckMethod = "node.check";
 constexpr Duration kCheckInterval = seconds(1);
@@ -20,13 +22,12 @@
 {
     const auto answer = state.peers->call(row.endpoint, kCheckMethod, nlohmann::json::object(), kCheckInterval);
     // Another process at the address means that the one on the log is gone.
-    const bool answered = answer && answer.value().is_object()
-        && answer.value().value("incarnation", uint64_t { 0 }) >= row.incarnation;
+    const bool answered = answer && answer.value().is_object() && answer.value().value("incarnation", uint64_t{0}) >= row.incarnation;
     if (!recordCheck(state.failureDetector, name, row.incarnation, answered, BootClock::now())) {
         return;
     }
-    logEvent(EventId::NodeReportedDead, { { "node", name.value }, { "incarnation", std::to_string(row.incarnation) } });
-    const NodeRecord record { name, false, row.domain, row.endpoint, row.incarnation };
+    logEvent(EventId::NodeReportedDead, {{"node", name.value}, {"incarnation", std::to_string(row.incarnation)}});
+    const NodeRecord record{name, false, row.domain, row.endpoint, row.incarnation};
     static_cast<void>(state.log.append(kConfigStream, toJson(record).dump()));
 }
 
@@ -59,12 +60,11 @@
     return names;
 }
 
-auto recordCheck(FailureDetector &detector, const NodeName &node, uint64_t incarnation, bool answered, TimePoint now)
-    -> bool
+auto recordCheck(FailureDetector &detector, const NodeName &node, uint64_t incarnation, bool answered, TimePoint now) -> bool
 {
     auto &row = detector.rows[node];
     if (answered || row.incarnation != incarnation) {
-        row = FailureDetector::Row {};
+        row = FailureDetector::Row{};
         row.incarnation = incarnation;
         row.missed = answered ? 0 : 1;
         return false;
@@ -81,7 +81,7 @@
 void serveChecks(NodeState &state)
 {
     state.peers->onCall(kCheckMethod, [&state](const PeerIdentity &, const nlohmann::json &) -> Result<nlohmann::json> {
-        return nlohmann::json { { "incarnation", state.incarnation } };
+        return nlohmann::json{{"incarnation", state.incarnation}};
     });
 }
 
--- a/node/failure_detector.h
+++ b/node/failure_detector.h
@@ -7,7 +7,8 @@
 #include <map>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 struct NodeState;
 
@@ -18,10 +19,8 @@
 inline constexpr int kMissedChecks = 3;
 
 /// What one node knows of those that it checks.
-struct FailureDetector
-{
-    struct Row
-    {
+struct FailureDetector {
+    struct Row {
         uint64_t incarnation = 0;
         int missed = 0;
         /// When the leave record was last appended.
@@ -37,8 +36,7 @@
 
 /// Takes the result of a check into account. Returns true if the node counts as dead and its leave record has to be
 /// appended, at most once in five seconds.
-auto recordCheck(FailureDetector &detector, const NodeName &node, uint64_t incarnation, bool answered, TimePoint now)
-    -> bool;
+auto recordCheck(FailureDetector &detector, const NodeName &node, uint64_t incarnation, bool answered, TimePoint now) -> bool;
 
 /// Registers the method by which nodes check each other. Call before the links listen.
 void serveChecks(NodeState &state);
--- a/node/forward.cpp
+++ b/node/forward.cpp
@@ -5,9 +5,11 @@
 #include <memory>
 #include <utility>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// Sends the rest of the request body; returns the first failure.
 auto sendBody(Exchange &exchange, OutboundCall &call, const RequestBodyStart &start) -> Result<void>
@@ -56,8 +58,7 @@
     }
 }
 
-auto passAnswer(Exchange &exchange, OutboundCall &call, const HeadFilter &filter, size_t captureBytes,
-                ForwardResult &result) -> Result<void>
+auto passAnswer(Exchange &exchange, OutboundCall &call, const HeadFilter &filter, size_t captureBytes, ForwardResult &result) -> Result<void>
 {
     BOOST_OUTCOME_TRY(ResponseHead head, call.awaitHead());
     result.head = head;
@@ -77,14 +78,14 @@
 auto readBodyStart(Exchange &exchange) -> Result<RequestBodyStart>
 {
     if (exchange.head.bodyLength && *exchange.head.bodyLength == 0) {
-        return RequestBodyStart { {}, true };
+        return RequestBodyStart{{}, true};
     }
     BOOST_OUTCOME_TRY(BodyChunk chunk, exchange.requestBody.read());
-    return RequestBodyStart { std::move(chunk.bytes), chunk.last };
+    return RequestBodyStart{std::move(chunk.bytes), chunk.last};
 }
 
-auto forwardExchange(FiberRuntime &runtime, Exchange &exchange, OutboundCall &call, const RequestBodyStart &start,
-                     const HeadFilter &filter, size_t captureBytes) -> ForwardResult
+auto forwardExchange(FiberRuntime &runtime, Exchange &exchange, OutboundCall &call, const RequestBodyStart &start, const HeadFilter &filter,
+                     size_t captureBytes) -> ForwardResult
 {
     ForwardResult result;
     // The exchange can outlive the call, so its cancel handler must not own the call's functions.
--- a/node/forward.h
+++ b/node/forward.h
@@ -9,12 +9,12 @@
 #include <optional>
 #include <string>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// The part of a request body that was read before the request was sent on. A body that fits into it whole can be sent
 /// again.
-struct RequestBodyStart
-{
+struct RequestBodyStart {
     std::string bytes;
     bool whole = false;
 };
@@ -27,8 +27,7 @@
 using HeadFilter = std::function<bool(ResponseHead &)>;
 
 /// What became of a request that was sent on.
-struct ForwardResult
-{
+struct ForwardResult {
     /// Head of the answer, as it arrived.
     std::optional<ResponseHead> head;
     /// The head was passed on, so the sender can get no other answer.
@@ -48,7 +47,7 @@
 /// Sends the request of an exchange on and passes the answer back piece by piece. Blocks the calling fiber until both
 /// bodies have ended or failed. A failure on one side cancels the other, so a cut body never looks whole. The first
 /// `captureBytes` bytes of the answer are kept.
-auto forwardExchange(FiberRuntime &runtime, Exchange &exchange, OutboundCall &call, const RequestBodyStart &start,
-                     const HeadFilter &filter, size_t captureBytes = 0) -> ForwardResult;
+auto forwardExchange(FiberRuntime &runtime, Exchange &exchange, OutboundCall &call, const RequestBodyStart &start, const HeadFilter &filter,
+                     size_t captureBytes = 0) -> ForwardResult;
 
 } // namespace snipestream
--- a/node/lease_service.cpp
+++ b/node/lease_service.cpp
@@ -6,9 +6,11 @@
 #include <optional>
 #include <utility>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr const char *kPingMethod = "lease.ping";
 constexpr const char *kReleaseMethod = "lease.release";
@@ -30,8 +32,7 @@
 void ping(NodeState &state, const NodeName &witness, const LeasePing &message)
 {
     if (witness == state.settings.node) {
-        const LeasePong pong
-            = answerPing(state.leaseNode.witness, state.leases, state.leaseNode.params, message, BootClock::now());
+        const LeasePong pong = answerPing(state.leaseNode.witness, state.leases, state.leaseNode.params, message, BootClock::now());
         applyPong(state.leaseNode.holder, state.leaseNode.params, pong, BootClock::now());
         return;
     }
@@ -61,8 +62,7 @@
 
 void append(NodeState &state, const LeaseRecord &record)
 {
-    logEvent(EventId::LeaseClaimed,
-             { { "range", std::to_string(record.key.range) }, { "epoch", std::to_string(record.epoch) } });
+    logEvent(EventId::LeaseClaimed, {{"range", std::to_string(record.key.range)}, {"epoch", std::to_string(record.epoch)}});
     state.runtime.spawn([&state, text = toJson(record).dump()] {
         static_cast<void>(state.log.append(kConfigStream, text));
     });
@@ -72,18 +72,15 @@
 
 void serveLeases(NodeState &state)
 {
-    state.peers->onCall(kPingMethod,
-                        [&state](const PeerIdentity &, const nlohmann::json &payload) -> Result<nlohmann::json> {
-                            BOOST_OUTCOME_TRY(const LeasePing message, leasePingFromJson(payload));
-                            return toJson(answerPing(state.leaseNode.witness, state.leases, state.leaseNode.params,
-                                                     message, BootClock::now()));
-                        });
-    state.peers->onCall(kReleaseMethod,
-                        [&state](const PeerIdentity &, const nlohmann::json &payload) -> Result<nlohmann::json> {
-                            BOOST_OUTCOME_TRY(const LeaseRelease message, leaseReleaseFromJson(payload));
-                            applyRelease(state.leaseNode.witness, message);
-                            return nlohmann::json(true);
-                        });
+    state.peers->onCall(kPingMethod, [&state](const PeerIdentity &, const nlohmann::json &payload) -> Result<nlohmann::json> {
+        BOOST_OUTCOME_TRY(const LeasePing message, leasePingFromJson(payload));
+        return toJson(answerPing(state.leaseNode.witness, state.leases, state.leaseNode.params, message, BootClock::now()));
+    });
+    state.peers->onCall(kReleaseMethod, [&state](const PeerIdentity &, const nlohmann::json &payload) -> Result<nlohmann::json> {
+        BOOST_OUTCOME_TRY(const LeaseRelease message, leaseReleaseFromJson(payload));
+        applyRelease(state.leaseNode.witness, message);
+        return nlohmann::json(true);
+    });
 }
 
 void runLeases(NodeState &state)
@@ -114,10 +111,10 @@
                 // No claims of this range are kept in this domain, so no predecessor can have kept any in memory.
                 markPriorResolved(state.leaseNode.holder, key);
             }
-            logEvent(EventId::LeaseAcquired, { { "range", std::to_string(key.range) } });
+            logEvent(EventId::LeaseAcquired, {{"range", std::to_string(key.range)}});
         }
         for (const auto &key : outputs.lost) {
-            logEvent(EventId::LeaseLost, { { "range", std::to_string(key.range) } });
+            logEvent(EventId::LeaseLost, {{"range", std::to_string(key.range)}});
         }
         state.runtime.sleepFor(kTick);
     }
@@ -131,8 +128,7 @@
     for (const auto &[witness, release] : handOver.releases) {
         const auto row = state.nodes.nodes.find(witness);
         if (row != state.nodes.nodes.end() && witness != state.settings.node) {
-            static_cast<void>(
-                state.peers->call(row->second.endpoint, kReleaseMethod, toJson(release), milliseconds(200)));
+            static_cast<void>(state.peers->call(row->second.endpoint, kReleaseMethod, toJson(release), milliseconds(200)));
         }
     }
     for (const auto &record : handOver.records) {
--- a/node/lease_service.h
+++ b/node/lease_service.h
@@ -2,7 +2,8 @@
 
 #include "node/node_state.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Registers the witness side with the peer links. Call before the links listen.
 void serveLeases(NodeState &state);
--- a/node/log_transport.cpp
+++ b/node/log_transport.cpp
@@ -4,9 +4,11 @@
 
 #include <memory>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// Calls to the log that may run at once: polling, appends of the node, its leases and its claims.
 constexpr size_t kLogConnections = 8;
--- a/node/log_transport.h
+++ b/node/log_transport.h
@@ -4,7 +4,8 @@
 #include "net/fiber_runtime.h"
 #include "platform/http_transport.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Makes a transport to the platform's log that blocks only the calling fiber.
 auto makeFiberTransport(FiberRuntime &runtime, const Endpoint &log) -> HttpTransport;
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -19,7 +19,8 @@
 ABSL_FLAG(std::string, settings, "", "Path of the settings file (JSON); required");
 ABSL_FLAG(bool, check, false, "Only check the settings file");
 
-namespace {
+namespace
+{
 
 constexpr int kExitSettings = 2;
 constexpr int kExitUnavailable = 3;
@@ -64,7 +65,7 @@
 
     auto settings = snipestream::loadSettings(absl::GetFlag(FLAGS_settings));
     if (!settings) {
-        snipestream::logEvent(snipestream::EventId::SettingsInvalid, { { "file", absl::GetFlag(FLAGS_settings) } });
+        snipestream::logEvent(snipestream::EventId::SettingsInvalid, {{"file", absl::GetFlag(FLAGS_settings)}});
         std::cerr << settings.error().message << "\n";
         return kExitSettings;
     }
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -21,9 +21,11 @@
 
 #include <glog/logging.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration kAdmissionTick = milliseconds(10);
 /// Callers and other nodes learn within this time that this node leaves: one renewal of the directory, with a margin.
@@ -34,7 +36,7 @@
 {
     PeerOptions options;
     options.listen = settings.peerListen;
-    options.self = { settings.node, incarnation, settings.domain };
+    options.self = {settings.node, incarnation, settings.domain};
     options.fleetSecret = settings.fleetSecret;
     options.callTimeout = settings.timeouts.peer;
     options.connectTimeout = settings.timeouts.connect;
@@ -77,20 +79,18 @@
     peers = std::make_unique<PeerNetwork>(runtime, peerOptions(settings, incarnation), metrics);
 }
 
-struct Node::Impl
-{
+struct Node::Impl {
     Impl(FiberRuntime &runtime, Settings settings)
         : state(runtime, std::move(settings))
         , callerServer(runtime, serverOptions(state.settings, "caller", state.settings.callerListen), state.metrics,
                        [this](Exchange &exchange) {
                            serveCaller(state, exchange);
                        })
-        , targetServer(runtime, serverOptions(state.settings, "target", state.settings.targetListen), state.metrics,
-                       [this](Exchange &exchange) {
-                           if (!serveAdmin(state, exchange)) {
-                               serveTargetCall(state, exchange);
-                           }
-                       })
+        , targetServer(runtime, serverOptions(state.settings, "target", state.settings.targetListen), state.metrics, [this](Exchange &exchange) {
+            if (!serveAdmin(state, exchange)) {
+                serveTargetCall(state, exchange);
+            }
+        })
     {
         state.onStopRequest = [this] {
             requestStop();
@@ -107,8 +107,7 @@
 
     [[nodiscard]] auto runningRequests() const -> size_t
     {
-        return callerServer.activeRequestCount() + targetServer.activeRequestCount() + state.contexts.rows.size()
-            + state.admissionWaits.size();
+        return callerServer.activeRequestCount() + targetServer.activeRequestCount() + state.contexts.rows.size() + state.admissionWaits.size();
     }
 
     void requestStop();
@@ -147,7 +146,7 @@
 
 void Node::Impl::shutDown()
 {
-    logEvent(EventId::NodeStopping, { { "running", std::to_string(runningRequests()) } });
+    logEvent(EventId::NodeStopping, {{"running", std::to_string(runningRequests())}});
     const TimePoint start = BootClock::now();
     const TimePoint deadline = start + state.settings.shutdownDeadline;
     leaveDirectories();
@@ -161,7 +160,7 @@
         state.runtime.sleepFor(kDrainPoll);
     }
     for (const auto &[handle, context] : state.contexts.rows) {
-        logEvent(EventId::RequestCutAtStop, { { "request", toHex(context.id) }, { "team", context.team.value } });
+        logEvent(EventId::RequestCutAtStop, {{"request", toHex(context.id)}, {"team", context.team.value}});
     }
     cutRequests = runningRequests();
     beginClaimHandover(state);
@@ -177,7 +176,7 @@
     targetServer.closeAll();
     state.targetConnections.clear();
     state.peers->shutdown();
-    logEvent(EventId::NodeStopped, { { "cut", std::to_string(cutRequests) } });
+    logEvent(EventId::NodeStopped, {{"cut", std::to_string(cutRequests)}});
     state.runtime.stop();
 }
 
@@ -218,8 +217,7 @@
             requestStop();
             return;
         }
-        logEvent(EventId::NodeStarted,
-                 { { "node", state.settings.node.value }, { "domain", state.settings.domain.value } });
+        logEvent(EventId::NodeStarted, {{"node", state.settings.node.value}, {"domain", state.settings.domain.value}});
         followConfig(state);
     });
     state.runtime.spawn([&state] {
--- a/node/node.h
+++ b/node/node.h
@@ -6,7 +6,8 @@
 
 #include <memory>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// One snipestream node: listeners, links, tables and the fibers that run the systems over them.
 class Node
--- a/node/node_state.h
+++ b/node/node_state.h
@@ -32,34 +32,31 @@
 #include <unordered_map>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// A fiber that waits for admission to a local target.
-struct AdmissionWait
-{
+struct AdmissionWait {
     FiberEvent event;
     std::optional<Decision> decision;
     bool cancelled = false;
 };
 
 /// Connections to one local target.
-struct TargetConnections
-{
+struct TargetConnections {
     Endpoint endpoint;
     int connections = 0;
     std::shared_ptr<HttpClient> client;
 };
 
 /// A fiber that waits until the configuration moves.
-struct FoldWait
-{
+struct FoldWait {
     FiberEvent event;
     bool isOver = false;
 };
 
 /// The whole state as it is sent to nodes that lack records; kept while they fetch its parts one by one.
-struct StateParts
-{
+struct StateParts {
     uint64_t nextOffset = 0;
     std::vector<std::string> parts;
     TimePoint madeAt;
@@ -67,8 +64,7 @@
 };
 
 /// How up to date this node's configuration is.
-struct ConfigFreshness
-{
+struct ConfigFreshness {
     /// When the log, or a peer that is no further behind than one poll, last confirmed that nothing newer is known.
     TimePoint confirmedAt;
     /// The log answered the last call of this node.
@@ -78,8 +74,7 @@
 };
 
 /// All state of one node. The functions of this package run on one thread and change it between two waits.
-struct NodeState
-{
+struct NodeState {
     NodeState(FiberRuntime &runtimeUsed, Settings chosen);
 
     FiberRuntime &runtime;
--- a/node/private_headers.cpp
+++ b/node/private_headers.cpp
@@ -5,9 +5,11 @@
 #include <string>
 #include <string_view>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr std::string_view kPrefix = "snipestream-";
 
--- a/node/private_headers.h
+++ b/node/private_headers.h
@@ -2,7 +2,8 @@
 
 #include "core/exchange.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Removes the fields that only snipestream sets, "Snipestream-" and whatever follows. A caller could use them to pose
 /// as a node, and a target to make its own answer look like a refusal that can be trusted.
--- a/node/quota_service.cpp
+++ b/node/quota_service.cpp
@@ -9,9 +9,11 @@
 #include <algorithm>
 #include <utility>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr const char *kAskMethod = "quota.ask";
 /// Answer to an entry node.
@@ -46,8 +48,7 @@
     quota.rulesRevision = state.fold.state.revision;
     quota.holderInputs.rules.clear();
     for (const auto &[name, rule] : state.fold.state.index.teams) {
-        quota.holderInputs.rules[name] = TeamQuota { static_cast<MicroTokens>(rule.rate) * kOneToken,
-                                                     static_cast<MicroTokens>(rule.burst) * kOneToken };
+        quota.holderInputs.rules[name] = TeamQuota{static_cast<MicroTokens>(rule.rate) * kOneToken, static_cast<MicroTokens>(rule.burst) * kOneToken};
     }
 }
 
@@ -66,7 +67,7 @@
             if (domain == state.settings.domain) {
                 continue;
             }
-            if (const auto *entry = findLease(state.leases, LeaseKey { domain, key.range })) {
+            if (const auto *entry = findLease(state.leases, LeaseKey{domain, key.range})) {
                 inputs.peers[key.range][domain] = entry->record.holder;
             }
         }
@@ -77,11 +78,11 @@
 auto holdersOf(const NodeState &state, uint32_t range) -> std::vector<NodeName>
 {
     std::vector<NodeName> holders;
-    if (const auto *own = findLease(state.leases, LeaseKey { state.settings.domain, range })) {
+    if (const auto *own = findLease(state.leases, LeaseKey{state.settings.domain, range})) {
         holders.push_back(own->record.holder);
     }
     for (const auto &[domain, weight] : domainWeights(state.fold.state)) {
-        const auto *entry = findLease(state.leases, LeaseKey { domain, range });
+        const auto *entry = findLease(state.leases, LeaseKey{domain, range});
         if (domain != state.settings.domain && entry != nullptr) {
             holders.push_back(entry->record.holder);
         }
@@ -106,7 +107,7 @@
 void takeAsk(NodeState &state, const QuotaAsk &ask)
 {
     if (ask.wanted > 0) {
-        state.quota.openAsks[{ ask.from, ask.number }] = { ask.mayBorrow, BootClock::now() };
+        state.quota.openAsks[{ask.from, ask.number}] = {ask.mayBorrow, BootClock::now()};
     }
     state.quota.holderInputs.asks.push_back(ask);
 }
@@ -114,7 +115,7 @@
 /// Sends an answer of the holder side to the side that asked.
 void sendAnswer(NodeState &state, const NodeName &to, const QuotaAnswer &answer)
 {
-    const auto open = state.quota.openAsks.find({ to, answer.ask });
+    const auto open = state.quota.openAsks.find({to, answer.ask});
     const bool toEntry = open == state.quota.openAsks.end() || open->second.first;
     if (open != state.quota.openAsks.end()) {
         state.quota.openAsks.erase(open);
@@ -194,8 +195,7 @@
     for (int round = 0; round < 4; ++round) {
         runEntry(state, now);
         runHolder(state, now);
-        if (quota.entryInputs.answers.empty() && quota.holderInputs.answers.empty()
-            && quota.holderInputs.asks.empty()) {
+        if (quota.entryInputs.answers.empty() && quota.holderInputs.answers.empty() && quota.holderInputs.asks.empty()) {
             break;
         }
     }
@@ -219,9 +219,8 @@
 auto refusalOf(const TokenVerdict &verdict, const TeamName &team) -> Refusal
 {
     const bool isShort = verdict.reason == RefusalReason::RateExceeded;
-    return Refusal { verdict.reason, RunState::NotRun, verdict.retryAfter,
-                     isShort ? "team " + team.value + " has used its rate and burst"
-                             : "no holder of the quota of team " + team.value + " can be reached" };
+    return Refusal{verdict.reason, RunState::NotRun, verdict.retryAfter,
+                   isShort ? "team " + team.value + " has used its rate and burst" : "no holder of the quota of team " + team.value + " can be reached"};
 }
 
 /// Asks once for a token of the team.
@@ -243,9 +242,7 @@
     quota.waits.erase(ticket);
     if (!wait.isDecided) {
         cancelRequest(quota.entry, team, ticket);
-        return Refusal {
-            RefusalReason::DeadlinePassed, RunState::NotRun, {}, "the deadline passed before a token came"
-        };
+        return Refusal{RefusalReason::DeadlinePassed, RunState::NotRun, {}, "the deadline passed before a token came"};
     }
     if (wait.verdict.state == TokenState::Admitted) {
         return std::nullopt;
@@ -289,7 +286,7 @@
         for (const auto &[domain, weight] : entry.weights) {
             weights[domain.value] = weight;
         }
-        history.push_back({ { "version", entry.version }, { "weights", weights } });
+        history.push_back({{"version", entry.version}, {"weights", weights}});
     }
     return history;
 }
@@ -352,8 +349,7 @@
     while (true) {
         auto refusal = askForToken(state, team, deadline);
         const bool mayChangeHands = refusal && refusal->reason == RefusalReason::QuotaUnavailable;
-        if (!mayChangeHands || state.ending || BootClock::now() + kHandOverPause >= giveUp
-            || state.quota.handOverWaiters >= kMaxHandOverWaiters) {
+        if (!mayChangeHands || state.ending || BootClock::now() + kHandOverPause >= giveUp || state.quota.handOverWaiters >= kMaxHandOverWaiters) {
             return refusal;
         }
         ++state.quota.handOverWaiters;
--- a/node/quota_service.h
+++ b/node/quota_service.h
@@ -16,21 +16,20 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 struct NodeState;
 
 /// A fiber that waits for a token.
-struct TokenWait
-{
+struct TokenWait {
     FiberEvent event;
     TokenVerdict verdict;
     bool isDecided = false;
 };
 
 /// Quota state of one node: it may hold ranges, and it is the entry of requests.
-struct QuotaState
-{
+struct QuotaState {
     QuotaParams params;
     HolderTable holder;
     HolderInputs holderInputs;
--- a/node/request_context.cpp
+++ b/node/request_context.cpp
@@ -2,9 +2,11 @@
 
 #include "core/random.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr size_t kHandleBytes = 16;
 
--- a/node/request_context.h
+++ b/node/request_context.h
@@ -11,12 +11,12 @@
 #include <unordered_map>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// For whom a running request runs. A target's calls to other services inherit it, so that they cannot act for another
 /// team, outlive the deadline or multiply the attempts.
-struct RequestContext
-{
+struct RequestContext {
     RequestId id;
     /// Empty if the original request came over an open route.
     TeamName team;
@@ -34,8 +34,7 @@
 };
 
 /// Contexts of the requests that run at the targets of this node, by handle.
-struct RequestContextTable
-{
+struct RequestContextTable {
     std::unordered_map<std::string, RequestContext> rows;
 };
 
--- a/node/share_table.cpp
+++ b/node/share_table.cpp
@@ -2,7 +2,8 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 void recordRefusal(ShareTable &table, const TeamName &team, RefusalReason reason)
 {
@@ -19,12 +20,9 @@
                 refused[std::string(refusalReasonName(static_cast<RefusalReason>(i)))] = share.refused[i];
             }
         }
-        teams[team.value] = { { "admitted", share.admitted },
-                              { "completed", share.completed },
-                              { "wasted", share.wasted },
-                              { "refused", refused } };
+        teams[team.value] = {{"admitted", share.admitted}, {"completed", share.completed}, {"wasted", share.wasted}, {"refused", refused}};
     }
-    return { { "teams", teams } };
+    return {{"teams", teams}};
 }
 
 } // namespace snipestream
