--- a/node/share_table.h
+++ b/node/share_table.h
@@ -10,23 +10,22 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// What the requests of one team that entered at this node came to.
-struct TeamShare
-{
+struct TeamShare {
     /// Requests of callers that got a token, or came over an open route.
     uint64_t admitted = 0;
     /// Admitted requests whose whole answer, or the recorded one, was sent to the caller.
     uint64_t completed = 0;
     /// Admitted requests that a target worked on without the caller getting the whole answer.
     uint64_t wasted = 0;
-    std::array<uint64_t, kRefusalReasonCount> refused {};
+    std::array<uint64_t, kRefusalReasonCount> refused{};
 };
 
 /// Shares by team; requests over open routes count under the empty name.
-struct ShareTable
-{
+struct ShareTable {
     std::map<TeamName, TeamShare> teams;
 };
 
--- a/node/shutdown.h
+++ b/node/shutdown.h
@@ -1,6 +1,7 @@
 #pragma once
 
-namespace snipestream {
+namespace snipestream
+{
 
 struct NodeState;
 
--- a/node/target_call.cpp
+++ b/node/target_call.cpp
@@ -6,16 +6,17 @@
 #include <memory>
 #include <utility>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr const char *kContextHeader = "Snipestream-Context";
 constexpr const char *kTimeoutHeader = "Snipestream-Timeout-Ms";
 
 /// A request that occupies a slot of a local target. Ends once: with an outcome, or as cancelled when it is dropped.
-struct TargetRun
-{
+struct TargetRun {
     TargetRun(NodeState &stateUsed, Ticket ticketUsed, std::string handleUsed)
         : state(stateUsed)
         , ticket(ticketUsed)
@@ -124,7 +125,7 @@
     state.admissionWaits.erase(ticket);
     if (wait->cancelled) {
         applyDecisions(state, cancel(state.admission, ticket, BootClock::now()));
-        return Refusal { RefusalReason::Cancelled, RunState::NotRun, {}, "the caller left while the request waited" };
+        return Refusal{RefusalReason::Cancelled, RunState::NotRun, {}, "the caller left while the request waited"};
     }
     if (!wait->decision->start) {
         return wait->decision->refusal;
@@ -160,13 +161,13 @@
     const RunState run = mayHaveBeenSent ? RunState::Unknown : RunState::NotRun;
     switch (error.code) {
     case ErrorCode::Timeout:
-        return Refusal { RefusalReason::DeadlinePassed, run, {}, error.message };
+        return Refusal{RefusalReason::DeadlinePassed, run, {}, error.message};
     case ErrorCode::Cancelled:
-        return Refusal { RefusalReason::Cancelled, run, {}, error.message };
+        return Refusal{RefusalReason::Cancelled, run, {}, error.message};
     case ErrorCode::ProtocolViolation:
-        return Refusal { RefusalReason::BadAnswer, run, {}, error.message };
+        return Refusal{RefusalReason::BadAnswer, run, {}, error.message};
     default:
-        return Refusal { RefusalReason::ConnectionLost, run, milliseconds(100), error.message };
+        return Refusal{RefusalReason::ConnectionLost, run, milliseconds(100), error.message};
     }
 }
 
@@ -175,39 +176,38 @@
     const TimePoint deadline = BootClock::now() + head.timeLeft;
     const LocalTarget *const target = findTargetOf(state, head.service);
     if (target == nullptr) {
-        return { Refusal { RefusalReason::NoTarget, RunState::NotRun, milliseconds(100),
-                           "node " + state.settings.node.value + " has no target of " + head.service.value },
-                 std::nullopt };
+        return {Refusal{RefusalReason::NoTarget, RunState::NotRun, milliseconds(100),
+                        "node " + state.settings.node.value + " has no target of " + head.service.value},
+                std::nullopt};
     }
     const TargetName name = target->announcement.target;
-    const AdmissionRequest request { head.id, head.team, head.priority, head.route, deadline };
+    const AdmissionRequest request{head.id, head.team, head.priority, head.route, deadline};
     const Offer answer = offer(state.admission, name, request, BootClock::now());
     applyDecisions(state, answer.decisions);
     if (answer.verdict == AdmissionVerdict::Refused) {
-        return { answer.refusal, std::nullopt };
+        return {answer.refusal, std::nullopt};
     }
     if (answer.verdict == AdmissionVerdict::Queued) {
         if (auto refusal = awaitAdmission(state, answer.ticket, exchange)) {
-            return { std::move(refusal), std::nullopt };
+            return {std::move(refusal), std::nullopt};
         }
     }
-    const RequestContext context { head.id, head.team, head.priority, deadline, head.attemptsLeft, head.depth + 1 };
+    const RequestContext context{head.id, head.team, head.priority, deadline, head.attemptsLeft, head.depth + 1};
     const auto run = std::make_shared<TargetRun>(state, answer.ticket, openContext(state.contexts, context));
     const Duration timeLeft = deadline - BootClock::now();
     const auto connections = state.targetConnections.find(name);
     if (connections == state.targetConnections.end()) {
         run->end(RunOutcome::Failed);
-        return { Refusal { RefusalReason::NoTarget, RunState::NotRun, milliseconds(100), name.value + " left" },
-                 std::nullopt };
+        return {Refusal{RefusalReason::NoTarget, RunState::NotRun, milliseconds(100), name.value + " left"}, std::nullopt};
     }
     // Kept by this copy, since the target may leave while the connection is being opened.
     const std::shared_ptr<HttpClient> client = connections->second.client;
     auto opened = client->open(targetHead(head, run->handle, timeLeft));
     if (!opened) {
         run->fail(opened.error());
-        return { refusalFor(opened.error(), false), std::nullopt };
+        return {refusalFor(opened.error(), false), std::nullopt};
     }
-    return { std::nullopt, trackCall(std::move(opened).value(), run, name) };
+    return {std::nullopt, trackCall(std::move(opened).value(), run, name)};
 }
 
 void serveStream(NodeState &state, Exchange &exchange)
@@ -222,7 +222,7 @@
         }
     };
     if (state.stopping && findTargetOf(state, exchange.head.service) == nullptr) {
-        refuse({ RefusalReason::ShuttingDown, RunState::NotRun, milliseconds(100), "the node is shutting down" });
+        refuse({RefusalReason::ShuttingDown, RunState::NotRun, milliseconds(100), "the node is shutting down"});
         return;
     }
     TargetCall target = openTargetCall(state, exchange.head, exchange);
--- a/node/target_call.h
+++ b/node/target_call.h
@@ -5,14 +5,14 @@
 
 #include <optional>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Header between nodes: the server error of a target follows from an overload of a service that it called.
 inline constexpr const char *kOverloadedBelowHeader = "Snipestream-Overloaded-Below";
 
 /// A request that runs at a local target, or the reason why it does not.
-struct TargetCall
-{
+struct TargetCall {
     /// Set if the request did not start.
     std::optional<Refusal> refusal;
     /// Set if the request may start. Dropping the call before its end cancels it and frees the slot.
--- a/peer/cbor_item.cpp
+++ b/peer/cbor_item.cpp
@@ -3,15 +3,16 @@
 #include <array>
 #include <cstdint>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr size_t kMaxDepth = 32;
 
 /// Initial byte and argument of an item (RFC 8949, section 3).
-struct ItemHead
-{
+struct ItemHead {
     unsigned major = 0;
     unsigned info = 0;
     uint64_t argument = 0;
@@ -19,7 +20,7 @@
 
 auto invalid(const char *what, size_t position) -> Error
 {
-    return Error { ErrorCode::ProtocolViolation, std::string(what) + " at byte " + std::to_string(position) };
+    return Error{ErrorCode::ProtocolViolation, std::string(what) + " at byte " + std::to_string(position)};
 }
 
 /// Reads the head at the position and moves the position behind it.
@@ -40,7 +41,7 @@
     if (head.info > 27) {
         return invalid("CBOR item has no definite length", position);
     }
-    const size_t width = size_t { 1 } << (head.info - 24);
+    const size_t width = size_t{1} << (head.info - 24);
     if (bytes.size() - position < width) {
         return invalid("CBOR item is cut", position);
     }
@@ -56,7 +57,7 @@
 
 auto measureCborItem(std::string_view bytes) -> Result<size_t>
 {
-    std::array<uint64_t, kMaxDepth> open {};
+    std::array<uint64_t, kMaxDepth> open{};
     size_t depth = 0;
     size_t position = 0;
     do {
--- a/peer/cbor_item.h
+++ b/peer/cbor_item.h
@@ -5,7 +5,8 @@
 #include <cstddef>
 #include <string_view>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Returns the length of the first CBOR item of the bytes, with everything nested in it. ProtocolViolation if the item
 /// is cut, nested more than 32 levels deep, or uses tags or lengths given by a break byte. The parser behind it
--- a/peer/field_reader.cpp
+++ b/peer/field_reader.cpp
@@ -5,20 +5,21 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 using nlohmann::json;
 
 /// Receives the parser's events; a function that returns false stops the parser. The names are the parser's.
-struct Flattener
-{
+struct Flattener {
     std::vector<Field> &fields;
 
     auto add(Field::Kind kind, uint64_t number) -> bool
     {
-        fields.push_back({ kind, number, {} });
+        fields.push_back({kind, number, {}});
         return true;
     }
     auto null() -> bool
@@ -40,7 +41,7 @@
     }
     auto string(std::string &value) -> bool
     {
-        fields.push_back({ Field::Kind::Text, 0, std::move(value) });
+        fields.push_back({Field::Kind::Text, 0, std::move(value)});
         return true;
     }
     auto start_array(size_t length) -> bool // NOLINT(readability-identifier-naming)
@@ -83,7 +84,7 @@
 auto flattenCbor(std::string_view item, std::vector<Field> &fields) -> Result<void>
 {
     fields.clear();
-    Flattener flattener { fields };
+    Flattener flattener{fields};
     if (!json::sax_parse(item.data(), item.data() + item.size(), &flattener, json::input_format_t::cbor)) {
         return failure(ErrorCode::ProtocolViolation, "CBOR item of a kind that frames do not have");
     }
@@ -125,8 +126,7 @@
 {
     const bool isNegative = next_ < fields_.size() && fields_[next_].kind == Field::Kind::Negative;
     const Field *const field = take(isNegative ? Field::Kind::Negative : Field::Kind::Unsigned);
-    const bool fits = field != nullptr
-        && (isNegative || field->number <= static_cast<uint64_t>(std::numeric_limits<int64_t>::max()));
+    const bool fits = field != nullptr && (isNegative || field->number <= static_cast<uint64_t>(std::numeric_limits<int64_t>::max()));
     const auto value = fits ? static_cast<int64_t>(field->number) : 0;
     if (!fits || value < min || value > max) {
         ok_ = false;
--- a/peer/field_reader.h
+++ b/peer/field_reader.h
@@ -8,11 +8,11 @@
 #include <string_view>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// One CBOR item of a frame, without the items inside it.
-struct Field
-{
+struct Field {
     enum class Kind : uint8_t {
         Null,
         Boolean,
--- a/peer/frame.cpp
+++ b/peer/frame.cpp
@@ -7,77 +7,75 @@
 #include <utility>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 constexpr size_t kHelloFields = 7;
 constexpr uint64_t kMaxErrorCode = static_cast<uint64_t>(ErrorCode::Internal);
 
 auto errorFields(const Error &error) -> json
 {
-    return json::array({ static_cast<uint64_t>(error.code), error.message });
+    return json::array({static_cast<uint64_t>(error.code), error.message});
 }
 
 auto readError(FieldReader &fields) -> Error
 {
     const auto code = static_cast<ErrorCode>(fields.number(kMaxErrorCode));
-    return Error { code, fields.text() };
+    return Error{code, fields.text()};
 }
 
 /// Type, id and payload of each kind of frame, as they are put into the array.
-struct Parts
-{
+struct Parts {
     FrameType type;
     uint64_t id;
     json payload;
 };
 
-struct PartsOf
-{
+struct PartsOf {
     auto operator()(const HelloFrame &frame) const -> Parts
     {
-        return { FrameType::Hello, 0,
-                 json::array({ frame.version, frame.node, frame.incarnation, frame.domain, frame.window, frame.nonce,
-                               frame.proof }) };
+        return {FrameType::Hello, 0, json::array({frame.version, frame.node, frame.incarnation, frame.domain, frame.window, frame.nonce, frame.proof})};
     }
     auto operator()(const ProofFrame &frame) const -> Parts
     {
-        return { FrameType::Proof, 0, frame.proof };
+        return {FrameType::Proof, 0, frame.proof};
     }
     auto operator()(const RefuseFrame &frame) const -> Parts
     {
-        return { FrameType::Refuse, 0, frame.reason };
+        return {FrameType::Refuse, 0, frame.reason};
     }
     auto operator()(const GoodbyeFrame &) const -> Parts
     {
-        return { FrameType::Goodbye, 0, nullptr };
+        return {FrameType::Goodbye, 0, nullptr};
     }
     auto operator()(const CallFrame &frame) const -> Parts
     {
-        return { FrameType::Call, frame.id, json::array({ frame.method, frame.payload }) };
+        return {FrameType::Call, frame.id, json::array({frame.method, frame.payload})};
     }
     auto operator()(const ReplyFrame &frame) const -> Parts
     {
-        return { FrameType::Reply, frame.id, frame.payload };
+        return {FrameType::Reply, frame.id, frame.payload};
     }
     auto operator()(const CallErrorFrame &frame) const -> Parts
     {
-        return { FrameType::CallError, frame.id, errorFields(frame.error) };
+        return {FrameType::CallError, frame.id, errorFields(frame.error)};
     }
     auto operator()(const NoticeFrame &frame) const -> Parts
     {
-        return { FrameType::Notice, 0, json::array({ frame.method, frame.payload }) };
+        return {FrameType::Notice, 0, json::array({frame.method, frame.payload})};
     }
     auto operator()(const OpenFrame &frame) const -> Parts
     {
-        return { FrameType::Open, frame.id, encodeRequestHead(frame.head) };
+        return {FrameType::Open, frame.id, encodeRequestHead(frame.head)};
     }
     auto operator()(const HeadFrame &frame) const -> Parts
     {
-        return { FrameType::Head, frame.id, encodeResponseHead(frame.head) };
+        return {FrameType::Head, frame.id, encodeResponseHead(frame.head)};
     }
     auto operator()(const ChunkFrame &frame) const -> Parts
     {
@@ -85,21 +83,21 @@
         payload.reserve(2);
         payload.emplace_back(frame.offset);
         payload.emplace_back(frame.bytes.size());
-        return { FrameType::Chunk, frame.id, std::move(payload) };
+        return {FrameType::Chunk, frame.id, std::move(payload)};
     }
     auto operator()(const CreditFrame &frame) const -> Parts
     {
-        return { FrameType::Credit, frame.id, frame.limit };
+        return {FrameType::Credit, frame.id, frame.limit};
     }
     auto operator()(const EndFrame &frame) const -> Parts
     {
-        return { FrameType::End, frame.id, frame.length };
+        return {FrameType::End, frame.id, frame.length};
     }
     auto operator()(const AbortFrame &frame) const -> Parts
     {
         json payload = errorFields(frame.error);
         payload.push_back(frame.notStarted);
-        return { FrameType::Abort, frame.id, std::move(payload) };
+        return {FrameType::Abort, frame.id, std::move(payload)};
     }
 };
 
@@ -132,37 +130,37 @@
     case FrameType::Hello:
         return decodeHello(fields);
     case FrameType::Proof:
-        return ProofFrame { fields.text() };
+        return ProofFrame{fields.text()};
     case FrameType::Refuse:
-        return RefuseFrame { fields.text() };
+        return RefuseFrame{fields.text()};
     case FrameType::Goodbye:
         if (!fields.skipNull()) {
             fields.fail();
         }
-        return GoodbyeFrame {};
+        return GoodbyeFrame{};
     case FrameType::CallError:
         fields.beginArrayOf(2);
-        return CallErrorFrame { id, readError(fields) };
+        return CallErrorFrame{id, readError(fields)};
     case FrameType::Open:
-        return OpenFrame { id, decodeRequestHead(fields) };
+        return OpenFrame{id, decodeRequestHead(fields)};
     case FrameType::Head:
-        return HeadFrame { id, decodeResponseHead(fields) };
+        return HeadFrame{id, decodeResponseHead(fields)};
     case FrameType::Chunk: {
         fields.beginArrayOf(2);
         const uint64_t offset = fields.number();
         const uint64_t length = fields.number(rest.size());
-        ChunkFrame frame { id, offset, std::string(rest.substr(0, length)) };
+        ChunkFrame frame{id, offset, std::string(rest.substr(0, length))};
         rest.remove_prefix(length);
         return frame;
     }
     case FrameType::Credit:
-        return CreditFrame { id, fields.number() };
+        return CreditFrame{id, fields.number()};
     case FrameType::End:
-        return EndFrame { id, fields.number() };
+        return EndFrame{id, fields.number()};
     case FrameType::Abort: {
         fields.beginArrayOf(3);
         Error error = readError(fields);
-        return AbortFrame { id, std::move(error), fields.flag() };
+        return AbortFrame{id, std::move(error), fields.flag()};
     }
     default:
         return std::nullopt;
@@ -193,23 +191,23 @@
     const auto id = value[1].get<uint64_t>();
     json &payload = value[2];
     if (type == FrameType::Reply) {
-        return Frame(ReplyFrame { id, std::move(payload) });
+        return Frame(ReplyFrame{id, std::move(payload)});
     }
     if (!payload.is_array() || payload.size() != 2 || !payload[0].is_string()) {
         return failure(ErrorCode::ProtocolViolation, "call or notice frame without a method and a payload");
     }
     std::string method = std::move(payload[0].get_ref<std::string &>());
     if (type == FrameType::Call) {
-        return Frame(CallFrame { id, std::move(method), std::move(payload[1]) });
+        return Frame(CallFrame{id, std::move(method), std::move(payload[1])});
     }
-    return Frame(NoticeFrame { std::move(method), std::move(payload[1]) });
+    return Frame(NoticeFrame{std::move(method), std::move(payload[1])});
 }
 
 } // namespace
 
 void encodeFrame(const Frame &frame, std::string &out)
 {
-    Parts parts = std::visit(PartsOf {}, frame);
+    Parts parts = std::visit(PartsOf{}, frame);
     json::array_t array;
     array.reserve(3);
     array.emplace_back(static_cast<uint64_t>(parts.type));
@@ -241,14 +239,12 @@
     }
     auto frame = decodeFields(type, id, fields, bytes);
     if (!frame) {
-        return failure(ErrorCode::ProtocolViolation,
-                       "unknown frame type " + std::to_string(static_cast<unsigned>(type)));
+        return failure(ErrorCode::ProtocolViolation, "unknown frame type " + std::to_string(static_cast<unsigned>(type)));
     }
     const auto *const hello = std::get_if<HelloFrame>(&*frame);
     const bool isOtherVersion = hello != nullptr && fields.isOk() && hello->version != kPeerProtocolVersion;
     if (!fields.isComplete() && !isOtherVersion) {
-        return failure(ErrorCode::ProtocolViolation,
-                       "frame of type " + std::to_string(static_cast<unsigned>(type)) + " has a wrong field");
+        return failure(ErrorCode::ProtocolViolation, "frame of type " + std::to_string(static_cast<unsigned>(type)) + " has a wrong field");
     }
     return std::move(*frame);
 }
--- a/peer/frame.h
+++ b/peer/frame.h
@@ -10,7 +10,8 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Version of the protocol between nodes; a node accepts only its own.
 inline constexpr int kPeerProtocolVersion = 1;
@@ -34,8 +35,7 @@
 };
 
 /// First frame of each side. The acceptor's hello carries its proof; the dialler's proof follows in a frame of its own.
-struct HelloFrame
-{
+struct HelloFrame {
     int version = kPeerProtocolVersion;
     std::string node;
     uint64_t incarnation = 0;
@@ -47,91 +47,78 @@
 };
 
 /// The dialler's answer to the acceptor's challenge.
-struct ProofFrame
-{
+struct ProofFrame {
     std::string proof;
 };
 
 /// The acceptor's reason for closing a link during the handshake.
-struct RefuseFrame
-{
+struct RefuseFrame {
     std::string reason;
 };
 
 /// The acceptor takes no new calls and streams on this link; running ones continue.
-struct GoodbyeFrame
-{
+struct GoodbyeFrame {
 };
 
-struct CallFrame
-{
+struct CallFrame {
     uint64_t id = 0;
     std::string method;
     nlohmann::json payload;
 };
 
-struct ReplyFrame
-{
+struct ReplyFrame {
     uint64_t id = 0;
     nlohmann::json payload;
 };
 
-struct CallErrorFrame
-{
+struct CallErrorFrame {
     uint64_t id = 0;
     Error error;
 };
 
-struct NoticeFrame
-{
+struct NoticeFrame {
     std::string method;
     nlohmann::json payload;
 };
 
-struct OpenFrame
-{
+struct OpenFrame {
     uint64_t id = 0;
     RequestHead head;
 };
 
-struct HeadFrame
-{
+struct HeadFrame {
     uint64_t id = 0;
     ResponseHead head;
 };
 
 /// A piece of a body. The offset is the number of body bytes before it, so that a repeated or reordered piece is seen.
-struct ChunkFrame
-{
+struct ChunkFrame {
     uint64_t id = 0;
     uint64_t offset = 0;
     std::string bytes;
 };
 
 /// The receiver's permission to send body bytes up to this total, which makes a repeated frame harmless.
-struct CreditFrame
-{
+struct CreditFrame {
     uint64_t id = 0;
     uint64_t limit = 0;
 };
 
 /// Regular end of a body of `length` bytes.
-struct EndFrame
-{
+struct EndFrame {
     uint64_t id = 0;
     uint64_t length = 0;
 };
 
 /// Gives a stream up. `notStarted` is set if the receiver never handed the request to its handler.
-struct AbortFrame
-{
+struct AbortFrame {
     uint64_t id = 0;
     Error error;
     bool notStarted = false;
 };
 
-using Frame = std::variant<HelloFrame, ProofFrame, RefuseFrame, GoodbyeFrame, CallFrame, ReplyFrame, CallErrorFrame,
-                           NoticeFrame, OpenFrame, HeadFrame, ChunkFrame, CreditFrame, EndFrame, AbortFrame>;
+using Frame = std::variant<HelloFrame, ProofFrame, RefuseFrame, GoodbyeFrame, CallFrame, ReplyFrame, CallErrorFrame, NoticeFrame, OpenFrame, HeadFrame,
+                           ChunkFrame, CreditFrame, EndFrame, AbortFrame>;
 
 /// Appends the frame as the CBOR array [type, id, payload]. The bytes of a chunk follow behind its array as they are,
 /// because the CBOR library reads a byte string one byte at a time.
--- a/peer/handshake.cpp
+++ b/peer/handshake.cpp
@@ -2,9 +2,11 @@
 
 #include "core/hash.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// Each field is preceded by its length, so that bytes cannot move from one field to the next.
 void appendField(std::string &message, std::string_view field)
@@ -26,8 +28,7 @@
 
 } // namespace
 
-auto peerProof(std::string_view secret, LinkRole prover, const HelloFrame &dialler, const HelloFrame &acceptor)
-    -> std::string
+auto peerProof(std::string_view secret, LinkRole prover, const HelloFrame &dialler, const HelloFrame &acceptor) -> std::string
 {
     std::string message = "snipestream-peer";
     appendField(message, prover == LinkRole::Dialler ? "dialler" : "acceptor");
@@ -39,9 +40,7 @@
 auto checkHello(const HelloFrame &hello, int ownVersion) -> Result<void>
 {
     if (hello.version != ownVersion) {
-        return failure(ErrorCode::ProtocolViolation,
-                       "protocol version " + std::to_string(hello.version) + " instead of "
-                           + std::to_string(ownVersion));
+        return failure(ErrorCode::ProtocolViolation, "protocol version " + std::to_string(hello.version) + " instead of " + std::to_string(ownVersion));
     }
     if (hello.node.empty() || hello.nonce.size() < kMinNonceDigits || hello.window == 0) {
         return failure(ErrorCode::ProtocolViolation, "hello without node name, nonce or window");
@@ -49,8 +48,7 @@
     return success();
 }
 
-auto checkProof(std::string_view secret, LinkRole prover, const HelloFrame &dialler, const HelloFrame &acceptor,
-                std::string_view proof) -> Result<void>
+auto checkProof(std::string_view secret, LinkRole prover, const HelloFrame &dialler, const HelloFrame &acceptor, std::string_view proof) -> Result<void>
 {
     if (!equalsConstantTime(peerProof(secret, prover, dialler, acceptor), proof)) {
         return failure(ErrorCode::ProtocolViolation, "the proof does not fit the fleet secret");
--- a/peer/head_codec.cpp
+++ b/peer/head_codec.cpp
@@ -3,11 +3,13 @@
 #include <limits>
 #include <utility>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 constexpr size_t kRequestFields = 14;
 constexpr size_t kResponseFields = 5;
@@ -45,8 +47,7 @@
     if (!refusal) {
         return nullptr;
     }
-    return json::array({ refusalReasonName(refusal->reason), runStateName(refusal->run), refusal->retryAfter.count(),
-                         refusal->detail });
+    return json::array({refusalReasonName(refusal->reason), runStateName(refusal->run), refusal->retryAfter.count(), refusal->detail});
 }
 
 auto decodeRefusal(FieldReader &fields) -> std::optional<Refusal>
@@ -112,8 +113,7 @@
     head.team = TeamName(fields.text());
     head.priority = static_cast<Priority>(fields.number(kPriorityCount - 1));
     head.idempotent = fields.flag();
-    head.timeLeft
-        = Duration(fields.signedNumber(std::numeric_limits<int64_t>::min(), std::numeric_limits<int64_t>::max()));
+    head.timeLeft = Duration(fields.signedNumber(std::numeric_limits<int64_t>::min(), std::numeric_limits<int64_t>::max()));
     head.attemptsLeft = static_cast<int>(fields.signedNumber(-kMaxSmallNumber, kMaxSmallNumber));
     head.depth = static_cast<int>(fields.signedNumber(-kMaxSmallNumber, kMaxSmallNumber));
     return head;
--- a/peer/head_codec.h
+++ b/peer/head_codec.h
@@ -5,7 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Returns the head as an array of its fields in a fixed order. Header fields keep their bytes, even where they are not
 /// UTF-8.
--- a/peer/link.cpp
+++ b/peer/link.cpp
@@ -6,18 +6,20 @@
 
 #include <utility>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 /// A link that sent a large message keeps at most this much of its buffer.
 constexpr size_t kKeptBufferBytes = 4096;
 
 auto closedError(const std::string &why) -> Error
 {
-    return { ErrorCode::Closed, why };
+    return {ErrorCode::Closed, why};
 }
 
 /// Counts a running handler for its lifetime.
@@ -79,8 +81,7 @@
         return;
     }
     shared_->violations.add();
-    logEvent(EventId::PeerFrameInvalid,
-             { { "node", peer_.node.value }, { "remote", toString(remote()) }, { "reason", error.message } });
+    logEvent(EventId::PeerFrameInvalid, {{"node", peer_.node.value}, {"remote", toString(remote())}, {"reason", error.message}});
     close(error);
 }
 
@@ -126,17 +127,16 @@
     if (const auto *abort = std::get_if<AbortFrame>(&frame)) {
         return onStreamEvent(receiveAbort(table_, *abort));
     }
-    return failure(ErrorCode::ProtocolViolation,
-                   "frame of kind " + std::to_string(frame.index()) + " is not for this end of the link");
+    return failure(ErrorCode::ProtocolViolation, "frame of kind " + std::to_string(frame.index()) + " is not for this end of the link");
 }
 
 auto PeerLink::inboundRefusal() const -> std::optional<Error>
 {
     if (shared_->refusesInbound) {
-        return Error { ErrorCode::Unavailable, "the node is shutting down" };
+        return Error{ErrorCode::Unavailable, "the node is shutting down"};
     }
     if (inboundCalls_ >= shared_->options.maxInboundPerLink) {
-        return Error { ErrorCode::Unavailable, "too many calls run on this link" };
+        return Error{ErrorCode::Unavailable, "too many calls run on this link"};
     }
     return std::nullopt;
 }
@@ -148,25 +148,24 @@
     }
     lastUsed_ = BootClock::now();
     if (auto refusal = inboundRefusal()) {
-        return queue(CallErrorFrame { frame.id, std::move(*refusal) });
+        return queue(CallErrorFrame{frame.id, std::move(*refusal)});
     }
     const auto handler = shared_->callHandlers.find(frame.method);
     if (handler == shared_->callHandlers.end()) {
-        return queue(CallErrorFrame { frame.id, { ErrorCode::NotFound, "no method '" + frame.method + "'" } });
+        return queue(CallErrorFrame{frame.id, {ErrorCode::NotFound, "no method '" + frame.method + "'"}});
     }
     auto running = std::make_shared<RunningHandler>(*shared_, inboundCalls_);
-    shared_->runtime.spawn([self = shared_from_this(), running = std::move(running), id = frame.id,
-                            &function = handler->second, payload = std::move(frame.payload)] {
-        auto reply = function(self->peer_, payload);
-        if (self->phase_ != Phase::Ready) {
-            return;
-        }
-        const auto queued = reply ? self->queue(ReplyFrame { id, std::move(reply.value()) })
-                                  : self->queue(CallErrorFrame { id, reply.error() });
-        if (!queued) {
-            static_cast<void>(self->queue(CallErrorFrame { id, { ErrorCode::TooLarge, "the reply is too large" } }));
-        }
-    });
+    shared_->runtime.spawn(
+        [self = shared_from_this(), running = std::move(running), id = frame.id, &function = handler->second, payload = std::move(frame.payload)] {
+            auto reply = function(self->peer_, payload);
+            if (self->phase_ != Phase::Ready) {
+                return;
+            }
+            const auto queued = reply ? self->queue(ReplyFrame{id, std::move(reply.value())}) : self->queue(CallErrorFrame{id, reply.error()});
+            if (!queued) {
+                static_cast<void>(self->queue(CallErrorFrame{id, {ErrorCode::TooLarge, "the reply is too large"}}));
+            }
+        });
     return success();
 }
 
@@ -178,16 +177,15 @@
     lastUsed_ = BootClock::now();
     auto refusal = inboundRefusal();
     if (!refusal && !shared_->streamHandler) {
-        refusal = Error { ErrorCode::NotFound, "the node serves no streams" };
+        refusal = Error{ErrorCode::NotFound, "the node serves no streams"};
     }
     if (refusal) {
-        return queue(AbortFrame { frame.id, std::move(*refusal), true });
+        return queue(AbortFrame{frame.id, std::move(*refusal), true});
     }
     auto stream = std::make_shared<LinkStream>(shared_from_this(), startStream(table_, frame.id));
     streams_.emplace(frame.id, stream);
     auto running = std::make_shared<RunningHandler>(*shared_, inboundCalls_);
-    shared_->runtime.spawn([self = shared_from_this(), running = std::move(running), stream = std::move(stream),
-                            head = std::move(frame.head)]() mutable {
+    shared_->runtime.spawn([self = shared_from_this(), running = std::move(running), stream = std::move(stream), head = std::move(frame.head)]() mutable {
         Exchange exchange = stream->makeExchange(std::move(head));
         self->shared_->streamHandler(exchange);
         stream->endHandler();
@@ -253,7 +251,7 @@
     PendingCall call;
     const uint64_t id = nextOutboundId(table_);
     lastUsed_ = BootClock::now();
-    BOOST_OUTCOME_TRY(queue(CallFrame { id, method, std::move(payload) }));
+    BOOST_OUTCOME_TRY(queue(CallFrame{id, method, std::move(payload)}));
     shared_->callsStarted.add();
     calls_.emplace(id, &call);
     if (!waitFor(shared_->runtime.context(), call.event, timeout, call.done)) {
@@ -274,7 +272,7 @@
         return false;
     }
     lastUsed_ = BootClock::now();
-    return queue(NoticeFrame { method, std::move(payload) }).has_value();
+    return queue(NoticeFrame{method, std::move(payload)}).has_value();
 }
 
 auto PeerLink::openStream(const RequestHead &head) -> Result<OutboundCall>
@@ -283,7 +281,7 @@
         return failure(ErrorCode::Unavailable, "the link to " + toString(remote()) + " takes no streams");
     }
     const uint64_t id = nextOutboundId(table_);
-    BOOST_OUTCOME_TRY(queue(OpenFrame { id, head }));
+    BOOST_OUTCOME_TRY(queue(OpenFrame{id, head}));
     lastUsed_ = BootClock::now();
     shared_->streamsOpened.add();
     auto stream = std::make_shared<LinkStream>(shared_from_this(), startStream(table_, id));
@@ -294,7 +292,7 @@
 void PeerLink::sayGoodbye()
 {
     if (isReady() && table_.role == LinkRole::Acceptor) {
-        static_cast<void>(queue(GoodbyeFrame {}));
+        static_cast<void>(queue(GoodbyeFrame{}));
     }
 }
 
@@ -394,11 +392,9 @@
     if (phase_ == Phase::Ready) {
         if (end == SocketEnd::Violation) {
             shared_->violations.add();
-            logEvent(EventId::PeerFrameInvalid,
-                     { { "node", peer_.node.value }, { "remote", toString(remote()) }, { "reason", reason } });
+            logEvent(EventId::PeerFrameInvalid, {{"node", peer_.node.value}, {"remote", toString(remote())}, {"reason", reason}});
         } else if (end == SocketEnd::Lost) {
-            logEvent(EventId::PeerLost,
-                     { { "node", peer_.node.value }, { "remote", toString(remote()) }, { "reason", reason } });
+            logEvent(EventId::PeerLost, {{"node", peer_.node.value}, {"remote", toString(remote())}, {"reason", reason}});
         }
     }
     close(closedError(reason));
@@ -420,8 +416,7 @@
     // A process that was paused wakes with old receive times and with answers that it has not read yet. The pause
     // counts as one tick, so the link must also have been silent at nearly all ticks of the time.
     if (silent >= options.deadAfter && silentTicks_ + 1 >= options.deadAfter / tickInterval(options)) {
-        logEvent(EventId::PeerLost,
-                 { { "node", peer_.node.value }, { "remote", toString(remote()) }, { "reason", "nothing received" } });
+        logEvent(EventId::PeerLost, {{"node", peer_.node.value}, {"remote", toString(remote())}, {"reason", "nothing received"}});
         close(closedError("nothing received from " + toString(remote())));
         return;
     }
--- a/peer/link.h
+++ b/peer/link.h
@@ -15,13 +15,13 @@
 
 #include <boost/asio/steady_timer.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 class LinkStream;
 
 /// What all links of a network share: settings, handlers, metrics and counts.
-struct PeerShared
-{
+struct PeerShared {
     PeerShared(FiberRuntime &runtimeToUse, PeerOptions optionsToUse, MetricsRegistry &metrics);
 
     FiberRuntime &runtime;
@@ -52,8 +52,7 @@
 auto tickInterval(const PeerOptions &options) -> Duration;
 
 /// What a link tells the network that owns it. Called between fibers.
-struct LinkObserver
-{
+struct LinkObserver {
     /// The handshake succeeded.
     std::function<void()> ready;
     /// The link carries nothing more; called once.
@@ -115,8 +114,7 @@
         Closed,
     };
 
-    struct PendingCall
-    {
+    struct PendingCall {
         FiberEvent event;
         bool done = false;
         std::optional<Error> error;
@@ -163,7 +161,7 @@
     TimePoint lastUsed_ = BootClock::now();
     /// Ticks in a row at which nothing had arrived since the tick before.
     int64_t silentTicks_ = 0;
-    TimePoint receivedAtTick_ {};
+    TimePoint receivedAtTick_{};
 };
 
 } // namespace snipestream
--- a/peer/link_handshake.cpp
+++ b/peer/link_handshake.cpp
@@ -5,9 +5,11 @@
 
 #include <utility>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr size_t kNonceBytes = 16;
 
@@ -17,31 +19,29 @@
 {
     observer_ = std::move(observer);
     const auto &self = shared_->options.self;
-    ownHello_
-        = { shared_->options.version, self.node.value, self.incarnation, self.domain.value, table_.window, {}, {} };
+    ownHello_ = {shared_->options.version, self.node.value, self.incarnation, self.domain.value, table_.window, {}, {}};
     ownHello_.nonce = secureRandomHex(kNonceBytes);
-    handshakeTimer_
-        = std::make_unique<boost::asio::steady_timer>(shared_->runtime.context(), shared_->options.connectTimeout);
+    handshakeTimer_ = std::make_unique<boost::asio::steady_timer>(shared_->runtime.context(), shared_->options.connectTimeout);
     handshakeTimer_->async_wait([weak = weak_from_this()](const boost::system::error_code &error) {
         const auto link = weak.lock();
         if (link && !error && link->phase_ != Phase::Ready) {
-            link->close({ ErrorCode::Timeout, "the handshake timed out" });
+            link->close({ErrorCode::Timeout, "the handshake timed out"});
         }
     });
     // The socket drops its handlers when it ends, which breaks the cycle.
     const auto link = shared_from_this();
-    socket_->start({ [link] {
+    socket_->start({[link] {
                         link->onOpened();
                     },
-                     [link](std::string_view message) {
-                         link->onMessage(message);
-                     },
-                     [link] {
-                         link->onDrained();
-                     },
-                     [link](SocketEnd end, const std::string &reason) {
-                         link->onSocketClosed(end, reason);
-                     } });
+                    [link](std::string_view message) {
+                        link->onMessage(message);
+                    },
+                    [link] {
+                        link->onDrained();
+                    },
+                    [link](SocketEnd end, const std::string &reason) {
+                        link->onSocketClosed(end, reason);
+                    }});
 }
 
 void PeerLink::onOpened()
@@ -61,11 +61,11 @@
         return;
     }
     shared_->linksRefused.add();
-    logEvent(EventId::PeerRefused, { { "remote", toString(remote()) }, { "reason", reason } });
+    logEvent(EventId::PeerRefused, {{"remote", toString(remote())}, {"reason", reason}});
     if (table_.role == LinkRole::Acceptor) {
-        static_cast<void>(queue(RefuseFrame { reason }));
+        static_cast<void>(queue(RefuseFrame{reason}));
     }
-    close({ ErrorCode::Unavailable, "link to " + toString(remote()) + " refused: " + reason });
+    close({ErrorCode::Unavailable, "link to " + toString(remote()) + " refused: " + reason});
 }
 
 auto PeerLink::onHandshakeFrame(const Frame &frame) -> Result<void>
@@ -74,17 +74,14 @@
         return table_.role == LinkRole::Dialler ? onAcceptorHello(*hello) : onDiallerHello(*hello);
     }
     if (const auto *proof = std::get_if<ProofFrame>(&frame); proof != nullptr && phase_ == Phase::AwaitProof) {
-        if (const auto checked
-            = checkProof(shared_->options.fleetSecret, LinkRole::Dialler, peerHello_, ownHello_, proof->proof);
-            !checked) {
+        if (const auto checked = checkProof(shared_->options.fleetSecret, LinkRole::Dialler, peerHello_, ownHello_, proof->proof); !checked) {
             refuse(checked.error().message);
             return success();
         }
         becomeReady(peerHello_);
         return success();
     }
-    if (const auto *refused = std::get_if<RefuseFrame>(&frame);
-        refused != nullptr && table_.role == LinkRole::Dialler) {
+    if (const auto *refused = std::get_if<RefuseFrame>(&frame); refused != nullptr && table_.role == LinkRole::Dialler) {
         refuse("the peer says: " + refused->reason);
         return success();
     }
@@ -115,8 +112,7 @@
         refuse(checked.error().message);
         return success();
     }
-    BOOST_OUTCOME_TRY(
-        queue(ProofFrame { peerProof(shared_->options.fleetSecret, LinkRole::Dialler, ownHello_, hello) }));
+    BOOST_OUTCOME_TRY(queue(ProofFrame{peerProof(shared_->options.fleetSecret, LinkRole::Dialler, ownHello_, hello)}));
     becomeReady(hello);
     return success();
 }
@@ -126,17 +122,17 @@
     phase_ = Phase::Ready;
     handshakeTimer_.reset();
     table_.peerWindow = peer.window;
-    peer_ = { NodeName(peer.node), peer.incarnation, DomainName(peer.domain) };
+    peer_ = {NodeName(peer.node), peer.incarnation, DomainName(peer.domain)};
     ownHello_ = {};
     peerHello_ = {};
     ++shared_->openLinks;
     shared_->linksOpen.set(static_cast<double>(shared_->openLinks));
     lastUsed_ = BootClock::now();
     logEvent(EventId::PeerConnected,
-             { { "node", peer_.node.value },
-               { "domain", peer_.domain.value },
-               { "remote", toString(remote()) },
-               { "role", table_.role == LinkRole::Dialler ? "dialler" : "acceptor" } });
+             {{"node", peer_.node.value},
+              {"domain", peer_.domain.value},
+              {"remote", toString(remote())},
+              {"role", table_.role == LinkRole::Dialler ? "dialler" : "acceptor"}});
     observer_.ready();
 }
 
--- a/peer/link_stream.cpp
+++ b/peer/link_stream.cpp
@@ -2,7 +2,8 @@
 
 #include <utility>
 
-namespace snipestream {
+namespace snipestream
+{
 
 LinkStream::LinkStream(std::shared_ptr<PeerLink> link, std::shared_ptr<StreamState> state)
     : link_(std::move(link))
@@ -53,7 +54,7 @@
 auto LinkStream::respond(const ResponseHead &head) -> Result<void>
 {
     BOOST_OUTCOME_TRY(sendHead(link_->table(), *state_));
-    auto queued = link_->queue(HeadFrame { state_->id, head });
+    auto queued = link_->queue(HeadFrame{state_->id, head});
     if (!queued) {
         abort(queued.error());
     }
@@ -86,7 +87,7 @@
     abortedHere_ = true;
     if (!link_->queue(*frame)) {
         // Only a message text of extreme length does not fit.
-        static_cast<void>(link_->queue(AbortFrame { state_->id, Error { error.code, "aborted" } }));
+        static_cast<void>(link_->queue(AbortFrame{state_->id, Error{error.code, "aborted"}}));
     }
     wake();
     link_->settle(*state_);
@@ -95,9 +96,9 @@
 void LinkStream::endHandler()
 {
     if (!state_->outboundEnded) {
-        abort({ ErrorCode::Internal, "the handler returned before the end of the response" });
+        abort({ErrorCode::Internal, "the handler returned before the end of the response"});
     } else {
-        abort({ ErrorCode::Cancelled, "the rest of the request body is not read" });
+        abort({ErrorCode::Cancelled, "the rest of the request body is not read"});
     }
     cancelFunctions_.clear();
 }
@@ -157,7 +158,7 @@
         return self->finish();
     };
     exchange.responseBody.abort = [self] {
-        self->abort({ ErrorCode::Closed, "the response was aborted by its sender" });
+        self->abort({ErrorCode::Closed, "the response was aborted by its sender"});
     };
     exchange.isCancelled = [self] {
         return self->isCancelled();
@@ -172,7 +173,7 @@
 {
     // Aborts the stream when the caller has dropped every function of the call.
     const std::shared_ptr<LinkStream> self(shared_from_this().get(), [kept = shared_from_this()](LinkStream *) {
-        kept->abort({ ErrorCode::Cancelled, "the caller gave the request up" });
+        kept->abort({ErrorCode::Cancelled, "the caller gave the request up"});
     });
     OutboundCall call;
     call.requestBody.write = [self](const std::string &bytes) {
@@ -182,7 +183,7 @@
         return self->finish();
     };
     call.requestBody.abort = [self] {
-        self->abort({ ErrorCode::Closed, "the request was aborted by its sender" });
+        self->abort({ErrorCode::Closed, "the request was aborted by its sender"});
     };
     call.awaitHead = [self] {
         return self->awaitHead();
@@ -191,7 +192,7 @@
         return self->read();
     };
     call.cancel = [self] {
-        self->abort({ ErrorCode::Cancelled, "the caller gave the request up" });
+        self->abort({ErrorCode::Cancelled, "the caller gave the request up"});
     };
     call.mayHaveBeenSent = [self] {
         return !self->state().notStarted;
--- a/peer/link_stream.h
+++ b/peer/link_stream.h
@@ -8,7 +8,8 @@
 #include <string>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// One stream as fibers see it: blocking functions over the stream's state. One fiber may read while another writes.
 class LinkStream : public std::enable_shared_from_this<LinkStream>
--- a/peer/peer_network.cpp
+++ b/peer/peer_network.cpp
@@ -12,39 +12,38 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using boost::asio::ip::tcp;
 using nlohmann::json;
 
-namespace {
+namespace
+{
 
 constexpr Duration kNoDeadline = std::chrono::hours(24 * 365);
 
 /// A fiber that waits for a link.
-struct Waiter
-{
+struct Waiter {
     FiberEvent event;
     bool done = false;
     std::optional<Error> error;
 };
 
 /// The outbound link to one endpoint.
-struct Dial
-{
+struct Dial {
     std::shared_ptr<PeerLink> link;
     std::vector<Waiter *> waiters;
     bool wasReady = false;
-    Duration backoff {};
+    Duration backoff{};
     /// No new attempt is made before this moment.
-    TimePoint notBefore {};
+    TimePoint notBefore{};
     Error lastError;
 };
 
 } // namespace
 
-struct PeerNetwork::State : public std::enable_shared_from_this<PeerNetwork::State>
-{
+struct PeerNetwork::State : public std::enable_shared_from_this<PeerNetwork::State> {
     State(FiberRuntime &runtime, PeerOptions options, MetricsRegistry &metrics)
         : shared(std::make_shared<PeerShared>(runtime, std::move(options), metrics))
         , factory(PeerSocketFactory::make(runtime.context(), shared->options.maxFrameBytes))
@@ -56,8 +55,7 @@
     auto bind() -> Result<uint16_t>;
     void accept();
     void startTicking();
-    void add(const std::shared_ptr<PeerLink> &link, std::function<void()> ready,
-             std::function<void(const Error &)> closed);
+    void add(const std::shared_ptr<PeerLink> &link, std::function<void()> ready, std::function<void(const Error &)> closed);
     /// Starts a connect unless one is under way; the error says why none may start now.
     auto dial(const Endpoint &peer) -> Result<void>;
     void dialEnded(const Endpoint &peer, const std::shared_ptr<PeerLink> &link, const std::optional<Error> &error);
@@ -116,9 +114,7 @@
         }
         if (!error) {
             self->add(
-                std::make_shared<PeerLink>(self->shared, self->factory->accepted(std::move(socket)),
-                                           LinkRole::Acceptor),
-                [] {}, [](const Error &) {});
+                std::make_shared<PeerLink>(self->shared, self->factory->accepted(std::move(socket)), LinkRole::Acceptor), [] {}, [](const Error &) {});
         }
         self->accept();
     });
@@ -138,23 +134,21 @@
             link->tick(now);
         }
         for (auto dial = self->dials.begin(); dial != self->dials.end();) {
-            const bool isForgotten = !dial->second.link && dial->second.waiters.empty()
-                && now > dial->second.notBefore + self->shared->options.idleTimeout;
+            const bool isForgotten = !dial->second.link && dial->second.waiters.empty() && now > dial->second.notBefore + self->shared->options.idleTimeout;
             dial = isForgotten ? self->dials.erase(dial) : std::next(dial);
         }
         self->startTicking();
     });
 }
 
-void PeerNetwork::State::add(const std::shared_ptr<PeerLink> &link, std::function<void()> ready,
-                             std::function<void(const Error &)> closed)
+void PeerNetwork::State::add(const std::shared_ptr<PeerLink> &link, std::function<void()> ready, std::function<void(const Error &)> closed)
 {
     links.insert(link);
-    link->start({ std::move(ready), std::move(closed), [weak = weak_from_this(), raw = link.get()] {
+    link->start({std::move(ready), std::move(closed), [weak = weak_from_this(), raw = link.get()] {
                      if (const auto self = weak.lock()) {
                          self->links.erase(raw->shared_from_this());
                      }
-                 } });
+                 }});
 }
 
 auto PeerNetwork::State::readyLink(const Endpoint &peer) const -> std::shared_ptr<PeerLink>
@@ -173,8 +167,7 @@
         return success();
     }
     if (BootClock::now() < dial.notBefore) {
-        return failure(ErrorCode::Unavailable,
-                       "connect to " + toString(peer) + " failed shortly before: " + dial.lastError.message);
+        return failure(ErrorCode::Unavailable, "connect to " + toString(peer) + " failed shortly before: " + dial.lastError.message);
     }
     const auto link = std::make_shared<PeerLink>(shared, factory->dialled(peer), LinkRole::Dialler);
     dial.link = link;
@@ -194,8 +187,7 @@
     return success();
 }
 
-void PeerNetwork::State::dialEnded(const Endpoint &peer, const std::shared_ptr<PeerLink> &link,
-                                   const std::optional<Error> &error)
+void PeerNetwork::State::dialEnded(const Endpoint &peer, const std::shared_ptr<PeerLink> &link, const std::optional<Error> &error)
 {
     Dial &dial = dials[peer];
     if (dial.link != link) {
@@ -217,7 +209,7 @@
     for (Waiter *waiter : std::exchange(dial.waiters, {})) {
         waiter->done = true;
         if (error) {
-            waiter->error = Error { ErrorCode::Unavailable, "connect to " + toString(peer) + ": " + error->message };
+            waiter->error = Error{ErrorCode::Unavailable, "connect to " + toString(peer) + ": " + error->message};
         }
         waiter->event.notify();
     }
@@ -253,7 +245,7 @@
 {
     while (!condition()) {
         const Duration left = deadline - BootClock::now();
-        if (left <= Duration {}) {
+        if (left <= Duration{}) {
             return;
         }
         boost::asio::steady_timer timer(shared->runtime.context(), left);
@@ -289,7 +281,7 @@
     state_->ticker.cancel();
     const auto links = state_->links;
     for (const auto &link : links) {
-        link->close({ ErrorCode::Closed, "the network is destroyed" });
+        link->close({ErrorCode::Closed, "the network is destroyed"});
     }
 }
 
@@ -301,8 +293,7 @@
 auto PeerNetwork::call(const Endpoint &peer, const std::string &method, json payload, Duration timeout) -> Result<json>
 {
     const auto state = state_;
-    const TimePoint deadline
-        = BootClock::now() + (timeout > Duration {} ? timeout : state->shared->options.callTimeout);
+    const TimePoint deadline = BootClock::now() + (timeout > Duration{} ? timeout : state->shared->options.callTimeout);
     BOOST_OUTCOME_TRY(const auto link, state->obtain(peer, deadline - BootClock::now()));
     return link->call(method, std::move(payload), deadline - BootClock::now());
 }
@@ -389,7 +380,7 @@
     });
     const auto links = state->links;
     for (const auto &link : links) {
-        link->close({ ErrorCode::Closed, "the node is shutting down" });
+        link->close({ErrorCode::Closed, "the node is shutting down"});
     }
     // Handlers end by themselves now that their streams fail; there is nothing to give up on.
     state->waitUntil(BootClock::now() + kNoDeadline, [&state] {
--- a/peer/peer_network.h
+++ b/peer/peer_network.h
@@ -14,11 +14,11 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Who a node says it is; proven with the fleet secret, so it can be trusted as far as the fleet's nodes are.
-struct PeerIdentity
-{
+struct PeerIdentity {
     NodeName node;
     /// Differs between two runs of the same node.
     uint64_t incarnation = 0;
@@ -35,8 +35,7 @@
 };
 
 /// Settings of the links of one node. The defaults suit a production node; tests shorten the times.
-struct PeerOptions
-{
+struct PeerOptions {
     /// Where peers connect to; port 0 takes any free port.
     Endpoint listen;
     PeerIdentity self;
@@ -92,8 +91,7 @@
     /// Calls a method of the peer and blocks the calling fiber for its answer; connects first if there is no link. The
     /// error is the peer's own, or Unavailable if the call was not sent, Timeout, or Closed if the link broke
     /// meanwhile. A timeout of zero means callTimeout.
-    auto call(const Endpoint &peer, const std::string &method, nlohmann::json payload, Duration timeout = {})
-        -> Result<nlohmann::json>;
+    auto call(const Endpoint &peer, const std::string &method, nlohmann::json payload, Duration timeout = {}) -> Result<nlohmann::json>;
 
     /// Sends a notice without an answer and never blocks. It is dropped and counted if there is no link or its queue is
     /// full; a missing link is then connected for later notices. Returns whether it was queued.
--- a/peer/peer_socket.cpp
+++ b/peer/peer_socket.cpp
@@ -15,9 +15,11 @@
 #include <websocketpp/logger/stub.hpp>
 #include <websocketpp/server.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 using boost::asio::ip::tcp;
 
@@ -29,17 +31,15 @@
 
 /// Source of masking keys. Masks protect proxies between browsers and servers; links have neither, so a fast generator
 /// will do. The nonces of the handshake do not come from here.
-struct MaskGenerator
-{
+struct MaskGenerator {
     auto operator()() -> uint32_t
     {
         return static_cast<uint32_t>(engine());
     }
-    std::mt19937 engine { std::random_device {}() };
+    std::mt19937 engine{std::random_device{}()};
 };
 
-struct LinkConfig : public websocketpp::config::core
-{
+struct LinkConfig : public websocketpp::config::core {
     using concurrency_type = websocketpp::concurrency::none; // NOLINT(readability-identifier-naming)
     using elog_type = websocketpp::log::stub; // NOLINT(readability-identifier-naming)
     using alog_type = websocketpp::log::stub; // NOLINT(readability-identifier-naming)
@@ -69,8 +69,8 @@
 class WebSocket : public PeerSocket, public std::enable_shared_from_this<WebSocket>
 {
 public:
-    WebSocket(std::shared_ptr<PeerSocketFactory> factory, boost::asio::io_context &context, tcp::socket socket,
-              Endpoint remote, Client *client, ConnectionPtr serverConnection, uint32_t maxMessageBytes)
+    WebSocket(std::shared_ptr<PeerSocketFactory> factory, boost::asio::io_context &context, tcp::socket socket, Endpoint remote, Client *client,
+              ConnectionPtr serverConnection, uint32_t maxMessageBytes)
         : factory_(std::move(factory))
         , context_(context)
         , socket_(std::move(socket))
@@ -94,14 +94,13 @@
             finish("'" + remote_.address + "' is not an IP address", SocketEnd::Lost);
             return;
         }
-        socket_.async_connect(tcp::endpoint(address, remote_.port),
-                              [self = shared_from_this()](const boost::system::error_code &connectError) {
-                                  if (connectError) {
-                                      self->finish("connect: " + connectError.message(), SocketEnd::Lost);
-                                  } else if (!self->finished_) {
-                                      self->begin();
-                                  }
-                              });
+        socket_.async_connect(tcp::endpoint(address, remote_.port), [self = shared_from_this()](const boost::system::error_code &connectError) {
+            if (connectError) {
+                self->finish("connect: " + connectError.message(), SocketEnd::Lost);
+            } else if (!self->finished_) {
+                self->begin();
+            }
+        });
     }
 
     void send(std::string_view message) override
@@ -181,14 +180,13 @@
         // The connection lives no longer than this object's part in it: finish() ends it. The library sends the opening
         // handshake through the plain write handler and messages through the other.
         connection_->set_write_handler([this](const auto &, const char *bytes, size_t length) {
-            write({ { bytes, length } });
+            write({{bytes, length}});
+            return websocketpp::lib::error_code();
+        });
+        connection_->set_vector_write_handler([this](const auto &, const std::vector<websocketpp::transport::buffer> &buffers) {
+            write(buffers);
             return websocketpp::lib::error_code();
         });
-        connection_->set_vector_write_handler(
-            [this](const auto &, const std::vector<websocketpp::transport::buffer> &buffers) {
-                write(buffers);
-                return websocketpp::lib::error_code();
-            });
         connection_->set_open_handler([this](const auto &) {
             opened_ = true;
             handlers_.opened();
@@ -295,13 +293,12 @@
             return;
         }
         waitingToWrite_ = true;
-        socket_.async_wait(tcp::socket::wait_write,
-                           [self = shared_from_this()](const boost::system::error_code &error) {
-                               self->waitingToWrite_ = false;
-                               if (!error && !self->finished_) {
-                                   self->writePending();
-                               }
-                           });
+        socket_.async_wait(tcp::socket::wait_write, [self = shared_from_this()](const boost::system::error_code &error) {
+            self->waitingToWrite_ = false;
+            if (!error && !self->finished_) {
+                self->writePending();
+            }
+        });
     }
 
     void writePending()
@@ -382,8 +379,7 @@
 
 } // namespace
 
-struct PeerSocketFactory::State
-{
+struct PeerSocketFactory::State {
     State(boost::asio::io_context &contextToUse, uint32_t maxBytes)
         : context(contextToUse)
         , maxMessageBytes(maxBytes)
@@ -405,8 +401,7 @@
 
 PeerSocketFactory::~PeerSocketFactory() = default;
 
-auto PeerSocketFactory::make(boost::asio::io_context &context, uint32_t maxMessageBytes)
-    -> std::shared_ptr<PeerSocketFactory>
+auto PeerSocketFactory::make(boost::asio::io_context &context, uint32_t maxMessageBytes) -> std::shared_ptr<PeerSocketFactory>
 {
     return std::shared_ptr<PeerSocketFactory>(new PeerSocketFactory(context, maxMessageBytes));
 }
@@ -415,15 +410,15 @@
 {
     boost::system::error_code ignored;
     const auto endpoint = socket.remote_endpoint(ignored);
-    Endpoint remote { endpoint.address().to_string(), endpoint.port() };
-    return std::make_shared<WebSocket>(shared_from_this(), state_->context, std::move(socket), std::move(remote),
-                                       nullptr, state_->server.get_connection(), state_->maxMessageBytes);
+    Endpoint remote{endpoint.address().to_string(), endpoint.port()};
+    return std::make_shared<WebSocket>(shared_from_this(), state_->context, std::move(socket), std::move(remote), nullptr, state_->server.get_connection(),
+                                       state_->maxMessageBytes);
 }
 
 auto PeerSocketFactory::dialled(const Endpoint &peer) -> std::shared_ptr<PeerSocket>
 {
-    return std::make_shared<WebSocket>(shared_from_this(), state_->context, tcp::socket(state_->context), peer,
-                                       &state_->client, nullptr, state_->maxMessageBytes);
+    return std::make_shared<WebSocket>(shared_from_this(), state_->context, tcp::socket(state_->context), peer, &state_->client, nullptr,
+                                       state_->maxMessageBytes);
 }
 
 } // namespace snipestream
--- a/peer/peer_socket.h
+++ b/peer/peer_socket.h
@@ -12,7 +12,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// How a socket came to its end.
 enum class SocketEnd {
@@ -25,8 +26,7 @@
 };
 
 /// What a socket reports. All functions run between fibers and must not block.
-struct PeerSocketHandlers
-{
+struct PeerSocketHandlers {
     /// The websocket handshake is done; messages may be sent.
     std::function<void()> opened;
     /// A whole binary message arrived. The bytes are valid only during the call.
--- a/peer/stream_table.cpp
+++ b/peer/stream_table.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <utility>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// Smaller pieces are appended to the piece before them, so that a body of tiny chunks takes no more memory than its
 /// bytes.
@@ -13,7 +15,7 @@
 
 auto violation(uint64_t id, const std::string &what) -> StreamEvent
 {
-    return { FrameVerdict::Violation, nullptr, what + " in stream " + std::to_string(id) };
+    return {FrameVerdict::Violation, nullptr, what + " in stream " + std::to_string(id)};
 }
 
 /// Finds the stream of a frame. Without one, the frame is late if the id was in use before, and otherwise a violation.
@@ -21,12 +23,12 @@
 {
     const auto found = table.live.find(id);
     if (found != table.live.end()) {
-        return { FrameVerdict::Accepted, found->second, {} };
+        return {FrameVerdict::Accepted, found->second, {}};
     }
     if (id == 0 || id > table.lastId) {
         return violation(id, "frame before the open frame");
     }
-    return { FrameVerdict::Dropped, nullptr, {} };
+    return {FrameVerdict::Dropped, nullptr, {}};
 }
 
 void endIfDone(StreamTable &table, StreamState &stream)
@@ -41,13 +43,13 @@
 auto outboundError(const StreamTable &table, const StreamState &stream) -> std::optional<Error>
 {
     if (stream.outboundEnded) {
-        return Error { ErrorCode::Conflict, "the body has ended" };
+        return Error{ErrorCode::Conflict, "the body has ended"};
     }
     if (stream.cut) {
         return stream.cut;
     }
     if (table.role == LinkRole::Acceptor && !stream.headDone) {
-        return Error { ErrorCode::Conflict, "the response has a body before its head" };
+        return Error{ErrorCode::Conflict, "the response has a body before its head"};
     }
     return std::nullopt;
 }
@@ -109,17 +111,14 @@
         return violation(frame.id, "chunk of " + std::to_string(frame.bytes.size()) + " bytes");
     }
     if (frame.offset != stream.received) {
-        return violation(frame.id,
-                         "chunk at offset " + std::to_string(frame.offset) + " after " + std::to_string(stream.received)
-                             + " bytes");
+        return violation(frame.id, "chunk at offset " + std::to_string(frame.offset) + " after " + std::to_string(stream.received) + " bytes");
     }
     if (frame.bytes.size() > stream.receiveLimit - stream.received) {
         return violation(frame.id, "chunk beyond the credit");
     }
     stream.received += frame.bytes.size();
     stream.unreadBytes += frame.bytes.size();
-    if (frame.bytes.size() < kMergeBelowBytes && !stream.unread.empty()
-        && stream.unread.back().size() + frame.bytes.size() <= kMaxChunkBytes) {
+    if (frame.bytes.size() < kMergeBelowBytes && !stream.unread.empty() && stream.unread.back().size() + frame.bytes.size() <= kMaxChunkBytes) {
         stream.unread.back().append(frame.bytes);
     } else {
         stream.unread.push_back(std::move(frame.bytes));
@@ -156,8 +155,7 @@
         return violation(frame.id, "end before the response head");
     }
     if (frame.length != stream.received) {
-        return violation(frame.id,
-                         "end at " + std::to_string(frame.length) + " bytes after " + std::to_string(stream.received));
+        return violation(frame.id, "end at " + std::to_string(frame.length) + " bytes after " + std::to_string(stream.received));
     }
     stream.inboundEnded = true;
     endIfDone(table, stream);
@@ -191,18 +189,17 @@
     return success();
 }
 
-auto sendChunk(StreamTable &table, StreamState &stream, std::string_view bytes, size_t &position)
-    -> Result<std::optional<ChunkFrame>>
+auto sendChunk(StreamTable &table, StreamState &stream, std::string_view bytes, size_t &position) -> Result<std::optional<ChunkFrame>>
 {
     if (auto error = outboundError(table, stream)) {
         return std::move(*error);
     }
     const size_t credit = stream.sendLimit - stream.sent;
-    const size_t size = std::min({ bytes.size() - position, kMaxChunkBytes, credit });
+    const size_t size = std::min({bytes.size() - position, kMaxChunkBytes, credit});
     if (size == 0) {
         return std::optional<ChunkFrame>();
     }
-    ChunkFrame frame { stream.id, stream.sent, std::string(bytes.substr(position, size)) };
+    ChunkFrame frame{stream.id, stream.sent, std::string(bytes.substr(position, size))};
     stream.sent += size;
     position += size;
     return std::optional<ChunkFrame>(std::move(frame));
@@ -214,27 +211,26 @@
         return std::move(*error);
     }
     stream.outboundEnded = true;
-    const EndFrame frame { stream.id, stream.sent };
+    const EndFrame frame{stream.id, stream.sent};
     endIfDone(table, stream);
     return frame;
 }
 
-auto sendAbort(StreamTable &table, StreamState &stream, const Error &error, bool notStarted)
-    -> std::optional<AbortFrame>
+auto sendAbort(StreamTable &table, StreamState &stream, const Error &error, bool notStarted) -> std::optional<AbortFrame>
 {
     if (!stream.live) {
         return std::nullopt;
     }
     stream.cut = error;
     endIfDone(table, stream);
-    return AbortFrame { stream.id, error, notStarted };
+    return AbortFrame{stream.id, error, notStarted};
 }
 
 auto readBody(StreamTable &table, StreamState &stream) -> Result<std::optional<ReadStep>>
 {
     if (stream.unread.empty()) {
         if (stream.inboundEnded) {
-            return std::optional<ReadStep>(ReadStep { BodyChunk { {}, true }, std::nullopt });
+            return std::optional<ReadStep>(ReadStep{BodyChunk{{}, true}, std::nullopt});
         }
         if (stream.cut) {
             return *stream.cut;
@@ -250,7 +246,7 @@
     const uint64_t limit = stream.received - stream.unreadBytes + table.window;
     if (stream.live && !stream.inboundEnded && limit - stream.receiveLimit >= table.window / 2) {
         stream.receiveLimit = limit;
-        step.credit = CreditFrame { stream.id, limit };
+        step.credit = CreditFrame{stream.id, limit};
     }
     return std::optional<ReadStep>(std::move(step));
 }
--- a/peer/stream_table.h
+++ b/peer/stream_table.h
@@ -10,7 +10,8 @@
 #include <variant>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Which end of a link this is. The dialler opens calls and streams, the acceptor serves them.
 enum class LinkRole {
@@ -19,8 +20,7 @@
 };
 
 /// One stream at one end of a link: a body in each direction, and one response head from acceptor to dialler.
-struct StreamState
-{
+struct StreamState {
     uint64_t id = 0;
 
     /// Body pieces received and not yet read.
@@ -49,8 +49,7 @@
 };
 
 /// The streams of one end of one link.
-struct StreamTable
-{
+struct StreamTable {
     LinkRole role = LinkRole::Dialler;
     /// Bytes of one body that may be under way to this end or unread, and to the peer; each side names its own.
     uint64_t window = 256 * 1024;
@@ -70,8 +69,7 @@
     Violation,
 };
 
-struct StreamEvent
-{
+struct StreamEvent {
     FrameVerdict verdict = FrameVerdict::Accepted;
     std::shared_ptr<StreamState> stream;
     /// Set with Violation: what is wrong.
@@ -100,19 +98,16 @@
 
 /// Returns the next piece of `bytes` from `position` that credit and chunk size allow, and moves the position; empty
 /// while there is no credit. Closed, Conflict or the reason of the cut if the body cannot be continued.
-auto sendChunk(StreamTable &table, StreamState &stream, std::string_view bytes, size_t &position)
-    -> Result<std::optional<ChunkFrame>>;
+auto sendChunk(StreamTable &table, StreamState &stream, std::string_view bytes, size_t &position) -> Result<std::optional<ChunkFrame>>;
 
 /// Ends the outbound body.
 auto sendEnd(StreamTable &table, StreamState &stream) -> Result<EndFrame>;
 
 /// Gives the stream up at this end; returns the frame for the peer, or nothing if the stream is over already.
-auto sendAbort(StreamTable &table, StreamState &stream, const Error &error, bool notStarted = false)
-    -> std::optional<AbortFrame>;
+auto sendAbort(StreamTable &table, StreamState &stream, const Error &error, bool notStarted = false) -> std::optional<AbortFrame>;
 
 /// A step of reading a body: the chunk, and the credit that reading it gave to the peer.
-struct ReadStep
-{
+struct ReadStep {
     BodyChunk chunk;
     std::optional<CreditFrame> credit;
 };
--- a/quota/accounts.cpp
+++ b/quota/accounts.cpp
@@ -4,9 +4,11 @@
 
 #include <glog/logging.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// Loans are remembered longer than their lender counts them, so that a late duplicate cannot be returned as unused.
 constexpr Duration kRememberLoans = seconds(5);
@@ -60,8 +62,8 @@
     return sum;
 }
 
-auto issueGrant(HolderTable &table, const QuotaParams &params, const TeamName &name, MicroTokens amount, bool fromLoans,
-                TimePoint now) -> std::pair<uint64_t, Duration>
+auto issueGrant(HolderTable &table, const QuotaParams &params, const TeamName &name, MicroTokens amount, bool fromLoans, TimePoint now)
+    -> std::pair<uint64_t, Duration>
 {
     auto &team = table.teams.at(name);
     Grant grant;
@@ -73,7 +75,7 @@
         if (taken > 0) {
             loan.left -= taken;
             amount -= taken;
-            grant.parts.push_back(GrantPart { number, taken });
+            grant.parts.push_back(GrantPart{number, taken});
             lifetime = std::min(lifetime, loan.expiresAt - now);
         }
     }
@@ -81,11 +83,11 @@
     if (amount > 0) {
         team.level -= amount;
         team.outstanding += amount;
-        grant.parts.push_back(GrantPart { 0, amount });
+        grant.parts.push_back(GrantPart{0, amount});
     }
     const uint64_t number = table.nextNumber++;
     table.grants[number] = std::move(grant);
-    return { number, lifetime };
+    return {number, lifetime};
 }
 
 void applyReport(HolderTable &table, const SpentReport &report)
@@ -118,17 +120,16 @@
             });
         }
     });
-    takeFromParts(grant, std::max<MicroTokens>(0, report.returned - grant.returned),
-                  [&](uint64_t number, MicroTokens taken) {
-                      if (number == 0) {
-                          team.outstanding -= taken;
-                          team.level += taken;
-                      } else {
-                          onLoan(number, [taken](Loan &loan) {
-                              loan.left += taken;
-                          });
-                      }
-                  });
+    takeFromParts(grant, std::max<MicroTokens>(0, report.returned - grant.returned), [&](uint64_t number, MicroTokens taken) {
+        if (number == 0) {
+            team.outstanding -= taken;
+            team.level += taken;
+        } else {
+            onLoan(number, [taken](Loan &loan) {
+                loan.left += taken;
+            });
+        }
+    });
     grant.spent = std::max(grant.spent, report.spent);
     grant.returned = std::max(grant.returned, report.returned);
     const bool closed = std::all_of(grant.parts.begin(), grant.parts.end(), [](const GrantPart &part) {
@@ -163,8 +164,7 @@
     }
 }
 
-void takeLoan(HolderTable &table, const QuotaParams &params, const QuotaAnswer &answer, TimePoint now,
-              HolderOutputs &out)
+void takeLoan(HolderTable &table, const QuotaParams &params, const QuotaAnswer &answer, TimePoint now, HolderOutputs &out)
 {
     const auto found = table.teams.find(answer.team);
     PeerLevel *peer = nullptr;
@@ -198,12 +198,11 @@
         giveBack.from = table.self;
         giveBack.number = table.nextNumber++;
         giveBack.mayBorrow = false;
-        giveBack.reports.push_back(SpentReport { answer.grant, 0, answer.amount });
+        giveBack.reports.push_back(SpentReport{answer.grant, 0, answer.amount});
         out.borrows.emplace_back(answer.from, std::move(giveBack));
         return;
     }
-    found->second.loans[table.nextNumber++]
-        = Loan { answer.from, answer.grant, answer.amount, 0, 0, now, expiresAt, false };
+    found->second.loans[table.nextNumber++] = Loan{answer.from, answer.grant, answer.amount, 0, 0, now, expiresAt, false};
 }
 
 void absorbLoans(TeamLevel &team, const TeamQuota &rule, const Share &share, TimePoint now)
@@ -234,7 +233,7 @@
             }
             if (loan.mustReport) {
                 loan.mustReport = false;
-                messages[loan.lender].reports.push_back(SpentReport { loan.number, loan.spent, loan.returned });
+                messages[loan.lender].reports.push_back(SpentReport{loan.number, loan.spent, loan.returned});
             }
         }
         for (auto &[lender, message] : messages) {
--- a/quota/accounts.h
+++ b/quota/accounts.h
@@ -2,7 +2,8 @@
 
 #include "quota/holder.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Adds the tokens minted since the last call, up to the domain's share of the burst less what is outstanding.
 void mint(TeamLevel &team, const TeamQuota &rule, const Share &share, TimePoint now);
@@ -12,8 +13,8 @@
 
 /// Debits the amount, loans first, and records it as a grant. The lifetime is that of the loan that expires first if it
 /// is shorter. The amount must be available.
-auto issueGrant(HolderTable &table, const QuotaParams &params, const TeamName &name, MicroTokens amount, bool fromLoans,
-                TimePoint now) -> std::pair<uint64_t, Duration>;
+auto issueGrant(HolderTable &table, const QuotaParams &params, const TeamName &name, MicroTokens amount, bool fromLoans, TimePoint now)
+    -> std::pair<uint64_t, Duration>;
 
 /// Applies a report of a receiver. Unknown and expired grants are ignored.
 void applyReport(HolderTable &table, const SpentReport &report);
@@ -22,8 +23,7 @@
 void expireGrants(HolderTable &table, TimePoint now);
 
 /// Takes the answer to a borrow. A loan that was not expected is returned, a repeated one is ignored.
-void takeLoan(HolderTable &table, const QuotaParams &params, const QuotaAnswer &answer, TimePoint now,
-              HolderOutputs &out);
+void takeLoan(HolderTable &table, const QuotaParams &params, const QuotaAnswer &answer, TimePoint now, HolderOutputs &out);
 
 /// Turns unused loans into own level, as far as the domain's share has room. The lender is told that they were spent,
 /// so that the tokens in existence stay within the burst.
--- a/quota/borrowing.cpp
+++ b/quota/borrowing.cpp
@@ -4,26 +4,25 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// Estimates the level of another holder: what it had left when it answered plus what it minted since. A holder not
 /// heard from lately is expected to have its whole share.
-auto estimateLevel(const PeerLevel &peer, const QuotaParams &params, const TeamQuota &rule, const Share &share,
-                   TimePoint now) -> MicroTokens
+auto estimateLevel(const PeerLevel &peer, const QuotaParams &params, const TeamQuota &rule, const Share &share, TimePoint now) -> MicroTokens
 {
     const MicroTokens full = shareOf(rule.burst, share);
     if (!peer.knownAt || now - *peer.knownAt >= params.peerLevelFor) {
         return full;
     }
-    const double minted
-        = static_cast<double>(shareOf(rule.rate, share)) * 1e-9 * static_cast<double>((now - *peer.knownAt).count());
+    const double minted = static_cast<double>(shareOf(rule.rate, share)) * 1e-9 * static_cast<double>((now - *peer.knownAt).count());
     return std::min(full, peer.level + static_cast<MicroTokens>(minted));
 }
 
-struct Lender
-{
+struct Lender {
     MicroTokens estimate = 0;
     MicroTokens full = 0;
     NodeName node;
@@ -31,14 +30,12 @@
 };
 
 /// The holders that can be asked now, fullest first, and what was asked of others before.
-struct Lenders
-{
+struct Lenders {
     std::vector<Lender> free;
     MicroTokens pending = 0;
 };
 
-auto findLenders(TeamLevel &team, const QuotaParams &params, const TeamQuota &rule, const HolderInputs &inputs,
-                 TimePoint now) -> Lenders
+auto findLenders(TeamLevel &team, const QuotaParams &params, const TeamQuota &rule, const HolderInputs &inputs, TimePoint now) -> Lenders
 {
     Lenders lenders;
     const auto holders = inputs.peers.find(team.range);
@@ -58,7 +55,7 @@
         const Share share = domainShare(inputs.weights.back(), domain);
         const auto estimate = estimateLevel(peer, params, rule, share, now);
         if (now >= peer.retryAt && estimate > 0) {
-            lenders.free.push_back(Lender { estimate, shareOf(rule.burst, share), node, &peer });
+            lenders.free.push_back(Lender{estimate, shareOf(rule.burst, share), node, &peer});
         }
     }
     std::sort(lenders.free.begin(), lenders.free.end(), [](const Lender &a, const Lender &b) {
@@ -67,8 +64,7 @@
     return lenders;
 }
 
-void askLender(HolderTable &table, const TeamName &name, const Lender &lender, MicroTokens wanted, TimePoint now,
-               HolderOutputs &out)
+void askLender(HolderTable &table, const TeamName &name, const Lender &lender, MicroTokens wanted, TimePoint now, HolderOutputs &out)
 {
     QuotaAsk ask;
     ask.team = name;
@@ -84,8 +80,8 @@
 
 } // namespace
 
-auto borrowTokens(HolderTable &table, const QuotaParams &params, const TeamName &name, const TeamQuota &rule,
-                  const HolderInputs &inputs, TimePoint now, HolderOutputs &out) -> MicroTokens
+auto borrowTokens(HolderTable &table, const QuotaParams &params, const TeamName &name, const TeamQuota &rule, const HolderInputs &inputs, TimePoint now,
+                  HolderOutputs &out) -> MicroTokens
 {
     auto &team = table.teams.at(name);
     const auto lenders = findLenders(team, params, rule, inputs, now);
@@ -111,8 +107,8 @@
     return expected;
 }
 
-void levelTokens(HolderTable &table, const QuotaParams &params, const TeamName &name, const TeamQuota &rule,
-                 const Share &share, const HolderInputs &inputs, TimePoint now, HolderOutputs &out)
+void levelTokens(HolderTable &table, const QuotaParams &params, const TeamName &name, const TeamQuota &rule, const Share &share, const HolderInputs &inputs,
+                 TimePoint now, HolderOutputs &out)
 {
     auto &team = table.teams.at(name);
     const MicroTokens full = shareOf(rule.burst, share);
--- a/quota/entry.cpp
+++ b/quota/entry.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// Longer than a holder counts a grant, so that a late duplicate cannot be returned as unused.
 constexpr Duration kRememberGrants = seconds(5);
@@ -57,11 +59,10 @@
 
 auto refusal(uint64_t ticket, RefusalReason reason, Duration retryAfter) -> TokenVerdict
 {
-    return TokenVerdict { ticket, TokenState::Refused, reason, std::max<Duration>(retryAfter, milliseconds(1)) };
+    return TokenVerdict{ticket, TokenState::Refused, reason, std::max<Duration>(retryAfter, milliseconds(1))};
 }
 
-void takeAnswer(EntryTable &table, const QuotaParams &params, const QuotaAnswer &answer, TimePoint now,
-                EntryOutputs &out)
+void takeAnswer(EntryTable &table, const QuotaParams &params, const QuotaAnswer &answer, TimePoint now, EntryOutputs &out)
 {
     auto &team = table.teams[answer.team];
     const bool expected = team.pending && team.pending->number == answer.ask && team.pending->holder == answer.from;
@@ -70,7 +71,7 @@
         expiresAt = (params.lifetimeFromReceipt ? now : team.pending->sentAt) + answer.lifetime;
         team.pending.reset();
         team.tokenInterval = answer.tokenInterval;
-        team.shortUntil = answer.outcome == QuotaOutcome::Short ? now + answer.retryAfter : TimePoint {};
+        team.shortUntil = answer.outcome == QuotaOutcome::Short ? now + answer.retryAfter : TimePoint{};
         if (answer.outcome == QuotaOutcome::Unavailable) {
             table.avoided[answer.from] = now + params.holderBackoff;
             team.nextAskAt = now;
@@ -91,7 +92,7 @@
         giveBack.team = answer.team;
         giveBack.from = table.self;
         giveBack.number = table.nextNumber++;
-        giveBack.reports.push_back(SpentReport { answer.grant, 0, answer.amount });
+        giveBack.reports.push_back(SpentReport{answer.grant, 0, answer.amount});
         out.asks.emplace_back(answer.from, std::move(giveBack));
         return;
     }
@@ -121,7 +122,7 @@
 {
     for (auto &grant : team.grants) {
         if (grant.holder == holder && grant.unreportedSince) {
-            ask.reports.push_back(SpentReport { grant.number, grant.spent, grant.returned });
+            ask.reports.push_back(SpentReport{grant.number, grant.spent, grant.returned});
             grant.unreportedSince.reset();
         }
     }
@@ -132,8 +133,7 @@
                       team.grants.end());
 }
 
-void sendReports(EntryTable &table, const QuotaParams &params, const TeamName &name, EntryTeam &team, bool large,
-                 TimePoint now, EntryOutputs &out)
+void sendReports(EntryTable &table, const QuotaParams &params, const TeamName &name, EntryTeam &team, bool large, TimePoint now, EntryOutputs &out)
 {
     if (now < team.nextReportAt) {
         return;
@@ -188,8 +188,8 @@
     team.waiting = std::move(kept);
 }
 
-void sendAsk(EntryTable &table, const QuotaParams &params, const TeamName &name, EntryTeam &team, int64_t demand,
-             TimePoint now, const EntryInputs &inputs, EntryOutputs &out)
+void sendAsk(EntryTable &table, const QuotaParams &params, const TeamName &name, EntryTeam &team, int64_t demand, TimePoint now, const EntryInputs &inputs,
+             EntryOutputs &out)
 {
     const MicroTokens cached = cachedTokens(team, now);
     const MicroTokens prefetch = demand >= params.largeDemand ? demand * kOneToken : 0;
@@ -213,7 +213,7 @@
     ask.minimum = kOneToken;
     ask.wanted = std::max(needed, needed + prefetch - cached);
     fillReports(team, *holder, ask);
-    team.pending = PendingAsk { ask.number, *holder, now };
+    team.pending = PendingAsk{ask.number, *holder, now};
     team.nextAskAt = now + params.askGap;
     out.asks.emplace_back(*holder, std::move(ask));
 }
@@ -229,8 +229,8 @@
     drop(table.seenGrants);
     for (auto item = table.teams.begin(); item != table.teams.end();) {
         const auto &team = item->second;
-        const bool idle = team.grants.empty() && team.waiting.empty() && !team.pending && team.demand.empty()
-            && now >= team.shortUntil && now >= team.nextAskAt;
+        const bool idle =
+            team.grants.empty() && team.waiting.empty() && !team.pending && team.demand.empty() && now >= team.shortUntil && now >= team.nextAskAt;
         item = idle ? table.teams.erase(item) : std::next(item);
     }
 }
@@ -245,21 +245,20 @@
     return table;
 }
 
-auto requestToken(EntryTable &table, const QuotaParams &params, const TeamName &team, uint64_t ticket, TimePoint now,
-                  TimePoint deadline) -> TokenVerdict
+auto requestToken(EntryTable &table, const QuotaParams &params, const TeamName &team, uint64_t ticket, TimePoint now, TimePoint deadline) -> TokenVerdict
 {
     auto &entry = table.teams[team];
     entry.demand.push_back(now);
     recentDemand(entry, params, now);
     if (entry.waiting.empty() && spendToken(entry, now)) {
-        return TokenVerdict { ticket, TokenState::Admitted };
+        return TokenVerdict{ticket, TokenState::Admitted};
     }
     const Duration wait = entry.shortUntil - now + entry.tokenInterval * static_cast<int64_t>(entry.waiting.size());
     if (entry.shortUntil > now && (wait > params.mintPatience || now + wait > deadline)) {
         return refusal(ticket, RefusalReason::RateExceeded, wait);
     }
-    entry.waiting.push_back(TokenWaiter { ticket, std::min(deadline, now + params.answerPatience) });
-    return TokenVerdict { ticket, TokenState::Waiting };
+    entry.waiting.push_back(TokenWaiter{ticket, std::min(deadline, now + params.answerPatience)});
+    return TokenVerdict{ticket, TokenState::Waiting};
 }
 
 void cancelRequest(EntryTable &table, const TeamName &team, uint64_t ticket)
@@ -285,7 +284,7 @@
     }
     for (auto &[name, team] : table.teams) {
         while (!team.waiting.empty() && now < team.waiting.front().giveUpAt && spendToken(team, now)) {
-            out.verdicts.push_back(TokenVerdict { team.waiting.front().ticket, TokenState::Admitted });
+            out.verdicts.push_back(TokenVerdict{team.waiting.front().ticket, TokenState::Admitted});
             team.waiting.pop_front();
         }
         if (team.pending && now - team.pending->sentAt >= params.askTimeout) {
--- a/quota/entry.h
+++ b/quota/entry.h
@@ -11,54 +11,50 @@
 #include <utility>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Tokens of one grant at an entry node.
-struct CachedGrant
-{
+struct CachedGrant {
     NodeName holder;
     uint64_t number = 0;
     MicroTokens left = 0;
     MicroTokens spent = 0;
     MicroTokens returned = 0;
-    TimePoint takenAt {};
-    TimePoint expiresAt {};
+    TimePoint takenAt{};
+    TimePoint expiresAt{};
     std::optional<TimePoint> unreportedSince;
 };
 
 /// A request that waits for a token.
-struct TokenWaiter
-{
+struct TokenWaiter {
     uint64_t ticket = 0;
-    TimePoint giveUpAt {};
+    TimePoint giveUpAt{};
 };
 
 /// The ask that is under way for a team.
-struct PendingAsk
-{
+struct PendingAsk {
     uint64_t number = 0;
     NodeName holder;
-    TimePoint sentAt {};
+    TimePoint sentAt{};
 };
 
 /// The tokens and waiting requests of one team at an entry node.
-struct EntryTeam
-{
+struct EntryTeam {
     std::vector<CachedGrant> grants;
     std::deque<TokenWaiter> waiting;
     std::optional<PendingAsk> pending;
     /// Times of the requests in the last demand window.
     std::deque<TimePoint> demand;
-    TimePoint nextAskAt {};
+    TimePoint nextAskAt{};
     /// The holder said that no token is minted before this moment.
-    TimePoint shortUntil {};
-    Duration tokenInterval {};
-    TimePoint nextReportAt {};
+    TimePoint shortUntil{};
+    Duration tokenInterval{};
+    TimePoint nextReportAt{};
 };
 
 /// The entry side of a node: which teams' tokens it has and which requests wait for one.
-struct EntryTable
-{
+struct EntryTable {
     NodeName self;
     uint64_t nextNumber = 1;
     std::map<TeamName, EntryTeam> teams;
@@ -77,24 +73,21 @@
 };
 
 /// The decision about one request.
-struct TokenVerdict
-{
+struct TokenVerdict {
     uint64_t ticket = 0;
     TokenState state = TokenState::Waiting;
     RefusalReason reason = RefusalReason::RateExceeded;
     /// For refusals: when enough tokens will have been minted.
-    Duration retryAfter {};
+    Duration retryAfter{};
 };
 
-struct EntryInputs
-{
+struct EntryInputs {
     std::vector<QuotaAnswer> answers;
     /// Returns the holders of a range, that of the own domain first, then those of the other domains.
     std::function<std::vector<NodeName>(uint32_t range)> holders;
 };
 
-struct EntryOutputs
-{
+struct EntryOutputs {
     std::vector<std::pair<NodeName, QuotaAsk>> asks;
     std::vector<TokenVerdict> verdicts;
 };
@@ -104,8 +97,7 @@
 
 /// Asks for one token for a request. The ticket names the request in later verdicts. `deadline` is that of the request:
 /// it waits no longer. After Waiting the caller runs tickEntry at once, so that the ask goes out without delay.
-auto requestToken(EntryTable &table, const QuotaParams &params, const TeamName &team, uint64_t ticket, TimePoint now,
-                  TimePoint deadline) -> TokenVerdict;
+auto requestToken(EntryTable &table, const QuotaParams &params, const TeamName &team, uint64_t ticket, TimePoint now, TimePoint deadline) -> TokenVerdict;
 
 /// Withdraws a waiting request whose caller left.
 void cancelRequest(EntryTable &table, const TeamName &team, uint64_t ticket);
--- a/quota/holder.cpp
+++ b/quota/holder.cpp
@@ -7,12 +7,13 @@
 
 #include <algorithm>
 
-namespace snipestream {
-
-namespace {
+namespace snipestream
+{
 
-struct Tick
+namespace
 {
+
+struct Tick {
     HolderTable &table;
     const QuotaParams &params;
     TimePoint now;
@@ -50,7 +51,7 @@
         const auto found = tick.table.ranges.find(range);
         if (found == tick.table.ranges.end() || found->second.validFrom != validFrom) {
             forgetRange(tick.table, range);
-            tick.table.ranges[range] = HolderRange { validFrom, startShare(tick.inputs.weights, tick.table.domain) };
+            tick.table.ranges[range] = HolderRange{validFrom, startShare(tick.inputs.weights, tick.table.domain)};
         } else {
             updateShare(found->second.share, tick.inputs.weights, tick.table.domain);
         }
@@ -92,8 +93,7 @@
     answer.tokenInterval = mintingTime(kOneToken, rule.rate);
     answer.outcome = amount > 0 ? QuotaOutcome::Granted : QuotaOutcome::Short;
     if (amount > 0) {
-        std::tie(answer.grant, answer.lifetime)
-            = issueGrant(tick.table, tick.params, ask.team, amount, fromLoans, tick.now);
+        std::tie(answer.grant, answer.lifetime) = issueGrant(tick.table, tick.params, ask.team, amount, fromLoans, tick.now);
         answer.amount = amount;
         team.levelingDue = team.levelingDue || ask.mayBorrow;
     }
@@ -128,7 +128,7 @@
         return;
     }
     if (ask.mayBorrow) {
-        team->waiting.push_back(WaitingAsk { ask, tick.now + tick.params.askPatience });
+        team->waiting.push_back(WaitingAsk{ask, tick.now + tick.params.askPatience});
         return;
     }
     const auto lendable = std::min(ask.wanted, lendableTokens(*team, tick.table.self, ask.from));
@@ -179,8 +179,7 @@
     if (team.waiting.empty()) {
         return;
     }
-    const auto elsewhere
-        = borrowTokens(tick.table, tick.params, name, tick.inputs.rules.at(name), tick.inputs, tick.now, tick.out);
+    const auto elsewhere = borrowTokens(tick.table, tick.params, name, tick.inputs.rules.at(name), tick.inputs, tick.now, tick.out);
     const auto &first = team.waiting.front();
     if (availableTokens(team, tick.now) + elsewhere < first.ask.minimum || tick.now >= first.giveUpAt) {
         refuseAll(tick, team, elsewhere);
@@ -214,8 +213,7 @@
         const auto &team = item->second;
         const auto rule = tick.inputs.rules.find(item->first);
         const bool idle = team.outstanding == 0 && team.waiting.empty() && team.loans.empty() && !team.levelingDue;
-        const bool full = rule == tick.inputs.rules.end()
-            || team.level >= shareOf(rule->second.burst, tick.table.ranges.at(team.range).share.used);
+        const bool full = rule == tick.inputs.rules.end() || team.level >= shareOf(rule->second.burst, tick.table.ranges.at(team.range).share.used);
         item = idle && full ? teams.erase(item) : std::next(item);
     }
 }
@@ -251,21 +249,19 @@
         const auto found = tick.table.ranges.find(ask.range);
         if (found != tick.table.ranges.end() && isValid(tick, ask.range) && found->second.share.version == ask.version
             && keepsToTarget(tick, ask.range, found->second.share)) {
-            tick.out.weightsAcks.emplace_back(ask.from, WeightsAck { ask.range, ask.version, tick.table.domain });
+            tick.out.weightsAcks.emplace_back(ask.from, WeightsAck{ask.range, ask.version, tick.table.domain});
         }
     }
     for (auto &[range, held] : tick.table.ranges) {
         const auto peers = tick.inputs.peers.find(range);
-        if (!isValid(tick, range) || held.share.awaited.empty() || tick.now < held.share.nextAskAt
-            || peers == tick.inputs.peers.end()) {
+        if (!isValid(tick, range) || held.share.awaited.empty() || tick.now < held.share.nextAskAt || peers == tick.inputs.peers.end()) {
             continue;
         }
         held.share.nextAskAt = tick.now + milliseconds(500);
         for (const auto &domain : held.share.awaited) {
             const auto node = peers->second.find(domain);
             if (node != peers->second.end()) {
-                tick.out.weightsAsks.emplace_back(node->second,
-                                                  WeightsAsk { range, held.share.version, tick.table.self });
+                tick.out.weightsAsks.emplace_back(node->second, WeightsAsk{range, held.share.version, tick.table.self});
             }
         }
     }
@@ -282,11 +278,10 @@
     return table;
 }
 
-auto tickHolder(HolderTable &table, const QuotaParams &params, TimePoint now, const HolderInputs &inputs)
-    -> HolderOutputs
+auto tickHolder(HolderTable &table, const QuotaParams &params, TimePoint now, const HolderInputs &inputs) -> HolderOutputs
 {
     HolderOutputs out;
-    Tick tick { table, params, now, inputs, out };
+    Tick tick{table, params, now, inputs, out};
     followLeases(tick);
     for (const auto &[name, team] : table.teams) {
         mintedTeam(tick, name);
@@ -311,8 +306,7 @@
 auto holderLevel(const HolderTable &table, const TeamName &team) -> std::pair<MicroTokens, MicroTokens>
 {
     const auto found = table.teams.find(team);
-    return found == table.teams.end() ? std::make_pair(MicroTokens { 0 }, MicroTokens { 0 })
-                                      : std::make_pair(found->second.level, found->second.outstanding);
+    return found == table.teams.end() ? std::make_pair(MicroTokens{0}, MicroTokens{0}) : std::make_pair(found->second.level, found->second.outstanding);
 }
 
 } // namespace snipestream
--- a/quota/messages.cpp
+++ b/quota/messages.cpp
@@ -3,9 +3,11 @@
 #include "core/hash.h"
 #include "core/json_fields.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 template<typename T>
 auto checked(const JsonFields &fields, T message) -> Result<T>
@@ -37,39 +39,38 @@
 {
     nlohmann::json reports = nlohmann::json::array();
     for (const auto &report : ask.reports) {
-        reports.push_back({ { "grant", report.grant }, { "spent", report.spent }, { "returned", report.returned } });
+        reports.push_back({{"grant", report.grant}, {"spent", report.spent}, {"returned", report.returned}});
     }
     return {
-        { "team", ask.team.value },        { "from", ask.from.value }, { "number", ask.number },
-        { "minimum", ask.minimum },        { "wanted", ask.wanted },   { "mayBorrow", ask.mayBorrow },
-        { "reports", std::move(reports) },
+        {"team", ask.team.value}, {"from", ask.from.value},     {"number", ask.number},          {"minimum", ask.minimum},
+        {"wanted", ask.wanted},   {"mayBorrow", ask.mayBorrow}, {"reports", std::move(reports)},
     };
 }
 
 auto toJson(const QuotaAnswer &answer) -> nlohmann::json
 {
     return {
-        { "team", answer.team.value },
-        { "from", answer.from.value },
-        { "ask", answer.ask },
-        { "outcome", static_cast<int>(answer.outcome) },
-        { "grant", answer.grant },
-        { "amount", answer.amount },
-        { "lifetime", answer.lifetime.count() },
-        { "retryAfter", answer.retryAfter.count() },
-        { "tokenInterval", answer.tokenInterval.count() },
-        { "level", answer.level },
+        {"team", answer.team.value},
+        {"from", answer.from.value},
+        {"ask", answer.ask},
+        {"outcome", static_cast<int>(answer.outcome)},
+        {"grant", answer.grant},
+        {"amount", answer.amount},
+        {"lifetime", answer.lifetime.count()},
+        {"retryAfter", answer.retryAfter.count()},
+        {"tokenInterval", answer.tokenInterval.count()},
+        {"level", answer.level},
     };
 }
 
 auto toJson(const WeightsAsk &ask) -> nlohmann::json
 {
-    return { { "range", ask.range }, { "version", ask.version }, { "from", ask.from.value } };
+    return {{"range", ask.range}, {"version", ask.version}, {"from", ask.from.value}};
 }
 
 auto toJson(const WeightsAck &ack) -> nlohmann::json
 {
-    return { { "range", ack.range }, { "version", ack.version }, { "domain", ack.domain.value } };
+    return {{"range", ack.range}, {"version", ack.version}, {"domain", ack.domain.value}};
 }
 
 auto quotaAskFromJson(const nlohmann::json &json) -> Result<QuotaAsk>
@@ -84,8 +85,7 @@
     ask.mayBorrow = fields.flag("mayBorrow");
     for (const auto &item : fields.array("reports")) {
         JsonFields report(item);
-        ask.reports.push_back(
-            SpentReport { readNumber(report, "grant"), report.count("spent"), report.count("returned") });
+        ask.reports.push_back(SpentReport{readNumber(report, "grant"), report.count("spent"), report.count("returned")});
         if (report.failed()) {
             fields.reject("a report is malformed: " + report.error().message);
             break;
--- a/quota/messages.h
+++ b/quota/messages.h
@@ -9,11 +9,11 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// What became of a grant or loan so far. Both amounts are totals, so that repeated and reordered reports are harmless.
-struct SpentReport
-{
+struct SpentReport {
     uint64_t grant = 0;
     MicroTokens spent = 0;
     /// Given back; the receiver will never use this part.
@@ -21,8 +21,7 @@
 };
 
 /// An entry node asks a holder for tokens (quota.ask), or a holder asks the holder of another domain (quota.borrow).
-struct QuotaAsk
-{
+struct QuotaAsk {
     TeamName team;
     NodeName from;
     uint64_t number = 0;
@@ -43,8 +42,7 @@
 };
 
 /// The answer to an ask. Ask and grant numbers contain the incarnation of their node and never repeat.
-struct QuotaAnswer
-{
+struct QuotaAnswer {
     TeamName team;
     NodeName from;
     uint64_t ask = 0;
@@ -52,26 +50,24 @@
     uint64_t grant = 0;
     MicroTokens amount = 0;
     /// Counted by the receiver from the moment it sent the ask.
-    Duration lifetime {};
-    Duration retryAfter {};
+    Duration lifetime{};
+    Duration retryAfter{};
     /// Time in which the whole fleet mints one token of the team.
-    Duration tokenInterval {};
+    Duration tokenInterval{};
     /// What the holder had left.
     MicroTokens level = 0;
 };
 
 /// A holder whose domain's weight was raised asks another domain's holder whether it uses these weights
 /// (quota.weights).
-struct WeightsAsk
-{
+struct WeightsAsk {
     uint32_t range = 0;
     uint64_t version = 0;
     NodeName from;
 };
 
 /// The holder of `domain` keeps to its share under these weights and has no more tokens out than that.
-struct WeightsAck
-{
+struct WeightsAck {
     uint32_t range = 0;
     uint64_t version = 0;
     DomainName domain;
--- a/quota/params.h
+++ b/quota/params.h
@@ -4,15 +4,15 @@
 
 #include <cstdint>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Amounts of tokens are integers in millionths of a token, so that the fractions of a small burst add up exactly.
 using MicroTokens = int64_t;
 inline constexpr MicroTokens kOneToken = 1'000'000;
 
 /// Constants of the quota protocol. Tests set faulty values to show that their oracle notices them.
-struct QuotaParams
-{
+struct QuotaParams {
     /// How long a grant or loan may be used after its receiver sent the ask for it.
     Duration grantLifetime = seconds(1);
     /// How long a holder counts an unreported grant as outstanding, and how long a new holder waits before it mints:
--- a/quota/shares.cpp
+++ b/quota/shares.cpp
@@ -3,9 +3,11 @@
 #include <algorithm>
 #include <numeric>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 void awaitOthers(ShareState &state, const std::vector<DomainWeights> &history, const DomainName &domain)
 {
@@ -39,13 +41,12 @@
 {
     const auto found = weights.weights.find(domain);
     if (found == weights.weights.end() || found->second <= 0) {
-        return Share {};
+        return Share{};
     }
-    const int64_t sum = std::accumulate(weights.weights.begin(), weights.weights.end(), int64_t { 0 },
-                                        [](int64_t total, const auto &w) {
-                                            return total + std::max<int64_t>(w.second, 0);
-                                        });
-    return Share { found->second, sum };
+    const int64_t sum = std::accumulate(weights.weights.begin(), weights.weights.end(), int64_t{0}, [](int64_t total, const auto &w) {
+        return total + std::max<int64_t>(w.second, 0);
+    });
+    return Share{found->second, sum};
 }
 
 auto startShare(const std::vector<DomainWeights> &history, const DomainName &domain) -> ShareState
--- a/quota/shares.h
+++ b/quota/shares.h
@@ -8,18 +8,17 @@
 #include <set>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// The weights of the failure domains as of one revision of the configuration.
-struct DomainWeights
-{
+struct DomainWeights {
     uint64_t version = 0;
     std::map<DomainName, int64_t> weights;
 };
 
 /// A fraction of rate and burst.
-struct Share
-{
+struct Share {
     int64_t numerator = 0;
     int64_t denominator = 1;
 
@@ -41,15 +40,14 @@
 
 /// The share that a holder uses. A raise waits until every other domain has confirmed the same weights, so that the
 /// shares in use never add up to more than one.
-struct ShareState
-{
+struct ShareState {
     uint64_t version = 0;
     /// In use now.
     Share used;
     /// Due under the newest weights.
     Share target;
     std::set<DomainName> awaited;
-    TimePoint nextAskAt {};
+    TimePoint nextAskAt{};
 };
 
 /// Starts with the smallest share of the history: a new holder does not know which raises had been confirmed. The
--- a/retry/budget.cpp
+++ b/retry/budget.cpp
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
 auto receivedBudget(int attemptsLeft) -> AttemptBudget
 {
-    return AttemptBudget { std::clamp(attemptsLeft, 0, kAttemptsPerRequest) };
+    return AttemptBudget{std::clamp(attemptsLeft, 0, kAttemptsPerRequest)};
 }
 
 auto takeCallShare(AttemptBudget &budget) -> int
--- a/retry/budget.h
+++ b/retry/budget.h
@@ -1,14 +1,14 @@
 #pragma once
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Attempts beyond the first that an original request may make in its whole call tree.
 inline constexpr int kAttemptsPerRequest = 3;
 
 /// Further attempts that this node may spend for one request, itself or by passing them on. Shares that were passed on
 /// never come back, so the shares of a call tree always sum up to at most the budget of the original request.
-struct AttemptBudget
-{
+struct AttemptBudget {
     int left = 0;
 };
 
--- a/retry/ratio.cpp
+++ b/retry/ratio.cpp
@@ -1,8 +1,10 @@
 #include "retry/ratio.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 auto secondNumber(TimePoint now) -> int64_t
 {
@@ -14,7 +16,7 @@
     const int64_t number = secondNumber(now);
     auto &second = ratio.seconds[static_cast<size_t>(number) % ratio.seconds.size()];
     if (second.number != number) {
-        second = RetryRatio::Second { number, 0, 0 };
+        second = RetryRatio::Second{number, 0, 0};
     }
     return second;
 }
--- a/retry/ratio.h
+++ b/retry/ratio.h
@@ -5,11 +5,11 @@
 #include <array>
 #include <cstdint>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Constants of the retry ratio.
-struct RetryRatioSettings
-{
+struct RetryRatioSettings {
     /// Retries per first attempt over the last ten seconds.
     double ratio = 0.1;
     /// Retries per ten seconds that are allowed in any case. A node with little traffic could otherwise never retry;
@@ -18,16 +18,14 @@
 };
 
 /// Counts of first attempts and retries of this node in each of the last ten seconds.
-struct RetryRatio
-{
-    struct Second
-    {
+struct RetryRatio {
+    struct Second {
         int64_t number = -1;
         uint32_t firstAttempts = 0;
         uint32_t retries = 0;
     };
     RetryRatioSettings settings;
-    std::array<Second, 10> seconds {};
+    std::array<Second, 10> seconds{};
 };
 
 /// Counts a first attempt.
--- a/retry/retry.cpp
+++ b/retry/retry.cpp
@@ -2,16 +2,18 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr Duration kBackoffBase = milliseconds(5);
 constexpr Duration kBackoffMost = milliseconds(250);
 
 auto refuse(NoRetry why) -> RetryDecision
 {
-    return RetryDecision { why, {} };
+    return RetryDecision{why, {}};
 }
 
 auto isOverload(const FailedAttempt &failed) -> bool
@@ -65,8 +67,7 @@
     return Duration(static_cast<Duration::rep>(drawBelow(random, static_cast<uint64_t>(most.count()) + 1)));
 }
 
-auto decideRetry(AttemptBudget &budget, RetryRatio &ratio, const RetriedCall &call, const FailedAttempt &failed,
-                 TimePoint now, Random &random) -> RetryDecision
+auto decideRetry(AttemptBudget &budget, RetryRatio &ratio, const RetriedCall &call, const FailedAttempt &failed, TimePoint now, Random &random) -> RetryDecision
 {
     if (isOverload(failed)) {
         return refuse(NoRetry::Overload);
@@ -95,7 +96,7 @@
     }
     takeRetry(budget);
     countRetry(ratio, now);
-    return RetryDecision { std::nullopt, backoff };
+    return RetryDecision{std::nullopt, backoff};
 }
 
 } // namespace snipestream
--- a/retry/retry.h
+++ b/retry/retry.h
@@ -8,11 +8,11 @@
 
 #include <optional>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// How an attempt of an onward call failed.
-struct FailedAttempt
-{
+struct FailedAttempt {
     /// Set if the receiver or this node refused; empty if the target itself answered with an error (5xx).
     std::optional<RefusalReason> reason;
     /// Whether the attempt may have had an effect.
@@ -22,8 +22,7 @@
 };
 
 /// The call that failed.
-struct RetriedCall
-{
+struct RetriedCall {
     bool idempotent = false;
     TimePoint deadline;
     /// Part of the body has been sent and was not kept, or part of the response has been passed on.
@@ -52,12 +51,11 @@
 auto noRetryName(NoRetry why) -> const char *;
 
 /// Whether and when to try again.
-struct RetryDecision
-{
+struct RetryDecision {
     /// Empty if the attempt is retried.
     std::optional<NoRetry> no;
     /// Wait before the retry.
-    Duration backoff {};
+    Duration backoff{};
 };
 
 /// Returns whether a repeat of this failure may succeed at another target.
@@ -68,7 +66,7 @@
 auto drawBackoff(int number, Random &random) -> Duration;
 
 /// Decides about a failed attempt. If it is retried, one attempt is taken from the budget and counted in the ratio.
-auto decideRetry(AttemptBudget &budget, RetryRatio &ratio, const RetriedCall &call, const FailedAttempt &failed,
-                 TimePoint now, Random &random) -> RetryDecision;
+auto decideRetry(AttemptBudget &budget, RetryRatio &ratio, const RetriedCall &call, const FailedAttempt &failed, TimePoint now, Random &random)
+    -> RetryDecision;
 
 } // namespace snipestream
--- a/routing/directory.cpp
+++ b/routing/directory.cpp
@@ -4,17 +4,18 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 void markChanged(DirectoryService &service, DirectoryRow &row)
 {
     row.changedAt = ++service.version;
 }
 
-auto changesSince(const DirectoryTable &table, const ServiceName &name, const DirectoryService &service, uint64_t from,
-                  TimePoint now) -> UpdateMessage
+auto changesSince(const DirectoryTable &table, const ServiceName &name, const DirectoryService &service, uint64_t from, TimePoint now) -> UpdateMessage
 {
     UpdateMessage message;
     message.service = name;
@@ -64,7 +65,7 @@
 {
     auto &service = table.services[message.service];
     const bool isKnown = message.directoryIncarnation == table.incarnation && message.knownVersion <= service.version;
-    service.subscribers[message.subscriber] = Subscriber { now + kSubscriptionLease, service.version };
+    service.subscribers[message.subscriber] = Subscriber{now + kSubscriptionLease, service.version};
     return changesSince(table, message.service, service, isKnown ? message.knownVersion : 0, now);
 }
 
@@ -92,16 +93,13 @@
                 continue;
             }
             if (subscriber->second.sentVersion < service.version) {
-                updates.push_back({ subscriber->first,
-                                    changesSince(table, entry->first, service, subscriber->second.sentVersion, now) });
+                updates.push_back({subscriber->first, changesSince(table, entry->first, service, subscriber->second.sentVersion, now)});
                 subscriber->second.sentVersion = service.version;
             }
             ++subscriber;
         }
         // An empty service keeps its version while anyone listens, so that versions never fall for a subscriber.
-        entry = service.rows.empty() && service.subscribers.empty() && service.version == 0
-            ? table.services.erase(entry)
-            : std::next(entry);
+        entry = service.rows.empty() && service.subscribers.empty() && service.version == 0 ? table.services.erase(entry) : std::next(entry);
     }
     return updates;
 }
--- a/routing/directory.h
+++ b/routing/directory.h
@@ -5,21 +5,20 @@
 #include <map>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Time after which a subscription that is not repeated ends. Subscribers repeat theirs every second.
 inline constexpr Duration kSubscriptionLease = seconds(3);
 
 /// Payload of `directory.announce`: records of one node's targets.
-struct AnnounceMessage
-{
+struct AnnounceMessage {
     std::vector<EndpointRecord> records;
 };
 
 /// Payload of `directory.subscribe`, sent every second by each node that calls the service. The reply is an
 /// UpdateMessage with everything since `knownVersion`, so a lost update is made good within a second.
-struct SubscribeMessage
-{
+struct SubscribeMessage {
     ServiceName service;
     NodeName subscriber;
     /// Incarnation and version of the directory that the subscriber has seen; zero if none.
@@ -28,8 +27,7 @@
 };
 
 /// Payload of `directory.update` and of the reply to `directory.subscribe`.
-struct UpdateMessage
-{
+struct UpdateMessage {
     ServiceName service;
     NodeName directory;
     uint64_t directoryIncarnation = 0;
@@ -52,8 +50,7 @@
 auto updateMessageFromJson(const nlohmann::json &json) -> Result<UpdateMessage>;
 
 /// A target as a directory node knows it.
-struct DirectoryRow
-{
+struct DirectoryRow {
     EndpointRecord record;
     /// Version of the service's directory at the last change that callers have to learn of.
     uint64_t changedAt = 0;
@@ -61,24 +58,21 @@
 };
 
 /// A node that receives the updates of a service.
-struct Subscriber
-{
+struct Subscriber {
     TimePoint until;
     /// Version up to which updates were sent to it.
     uint64_t sentVersion = 0;
 };
 
 /// All targets of one service.
-struct DirectoryService
-{
+struct DirectoryService {
     uint64_t version = 0;
     std::map<EndpointId, DirectoryRow> rows;
     std::map<NodeName, Subscriber> subscribers;
 };
 
 /// Soft state of a directory node.
-struct DirectoryTable
-{
+struct DirectoryTable {
     NodeName node;
     /// Incarnation of this node's process; a new one makes subscribers fetch everything.
     uint64_t incarnation = 0;
@@ -87,8 +81,7 @@
 };
 
 /// An update and the node that it goes to.
-struct DirectoryUpdate
-{
+struct DirectoryUpdate {
     NodeName subscriber;
     UpdateMessage message;
 };
--- a/routing/directory_messages.cpp
+++ b/routing/directory_messages.cpp
@@ -1,9 +1,11 @@
 #include "core/json_fields.h"
 #include "routing/directory.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 /// More records than any service has targets; a longer list is an error of the sender.
 constexpr size_t kMaxRecords = 10'000;
@@ -40,32 +42,26 @@
 
 auto toJson(const AnnounceMessage &message) -> nlohmann::json
 {
-    return { { "records", recordsToJson(message.records) } };
+    return {{"records", recordsToJson(message.records)}};
 }
 
 auto toJson(const SubscribeMessage &message) -> nlohmann::json
 {
-    return { { "service", message.service.value },
-             { "subscriber", message.subscriber.value },
-             { "inc", message.directoryIncarnation },
-             { "known", message.knownVersion } };
+    return {
+        {"service", message.service.value}, {"subscriber", message.subscriber.value}, {"inc", message.directoryIncarnation}, {"known", message.knownVersion}};
 }
 
 auto toJson(const UpdateMessage &message) -> nlohmann::json
 {
-    return { { "service", message.service.value },
-             { "directory", message.directory.value },
-             { "inc", message.directoryIncarnation },
-             { "from", message.fromVersion },
-             { "to", message.toVersion },
-             { "complete", message.complete },
-             { "records", recordsToJson(message.records) } };
+    return {
+        {"service", message.service.value}, {"directory", message.directory.value}, {"inc", message.directoryIncarnation},      {"from", message.fromVersion},
+        {"to", message.toVersion},          {"complete", message.complete},         {"records", recordsToJson(message.records)}};
 }
 
 auto announceMessageFromJson(const nlohmann::json &json) -> Result<AnnounceMessage>
 {
     JsonFields fields(json);
-    AnnounceMessage message { recordsFromJson(fields) };
+    AnnounceMessage message{recordsFromJson(fields)};
     if (fields.failed()) {
         return fields.error();
     }
--- a/routing/endpoint.cpp
+++ b/routing/endpoint.cpp
@@ -4,7 +4,8 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 auto endpointStateName(EndpointState state) -> std::string_view
 {
@@ -26,28 +27,22 @@
 
 auto differsForCallers(const EndpointRecord &a, const EndpointRecord &b) -> bool
 {
-    return a.service != b.service || a.domain != b.domain || a.slots != b.slots || a.state != b.state
-        || a.suspect != b.suspect || a.incarnation != b.incarnation;
+    return a.service != b.service || a.domain != b.domain || a.slots != b.slots || a.state != b.state || a.suspect != b.suspect
+        || a.incarnation != b.incarnation;
 }
 
 auto toJson(const EndpointRecord &record) -> nlohmann::json
 {
-    return { { "node", record.id.node.value },
-             { "target", record.id.target.value },
-             { "service", record.service.value },
-             { "domain", record.domain.value },
-             { "slots", record.slots },
-             { "state", endpointStateName(record.state) },
-             { "suspect", record.suspect },
-             { "inc", record.incarnation },
-             { "ver", record.version } };
+    return {{"node", record.id.node.value}, {"target", record.id.target.value},         {"service", record.service.value}, {"domain", record.domain.value},
+            {"slots", record.slots},        {"state", endpointStateName(record.state)}, {"suspect", record.suspect},       {"inc", record.incarnation},
+            {"ver", record.version}};
 }
 
 auto endpointRecordFromJson(const nlohmann::json &json) -> Result<EndpointRecord>
 {
     JsonFields fields(json);
     EndpointRecord record;
-    record.id = EndpointId { NodeName(fields.shortText("node")), TargetName(fields.shortText("target")) };
+    record.id = EndpointId{NodeName(fields.shortText("node")), TargetName(fields.shortText("target"))};
     record.service = ServiceName(fields.shortText("service"));
     record.domain = DomainName(fields.shortText("domain"));
     record.slots = static_cast<int>(fields.integer("slots", 1, 1'000'000));
@@ -56,7 +51,7 @@
     record.version = fields.unsignedInteger("ver");
     const std::string state = fields.shortText("state");
     bool known = false;
-    for (const auto candidate : { EndpointState::Active, EndpointState::Draining, EndpointState::Left }) {
+    for (const auto candidate : {EndpointState::Active, EndpointState::Draining, EndpointState::Left}) {
         if (endpointStateName(candidate) == state) {
             record.state = candidate;
             known = true;
--- a/routing/endpoint.h
+++ b/routing/endpoint.h
@@ -11,11 +11,11 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Identifies a target in the whole fleet: its node and its name there.
-struct EndpointId
-{
+struct EndpointId {
     NodeName node;
     TargetName target;
 
@@ -49,8 +49,7 @@
 auto endpointStateName(EndpointState state) -> std::string_view;
 
 /// What the fleet knows of one target.
-struct EndpointRecord
-{
+struct EndpointRecord {
     EndpointId id;
     ServiceName service;
     DomainName domain;
@@ -65,8 +64,8 @@
 
     friend auto operator==(const EndpointRecord &a, const EndpointRecord &b) -> bool
     {
-        return a.id == b.id && a.service == b.service && a.domain == b.domain && a.slots == b.slots
-            && a.state == b.state && a.suspect == b.suspect && a.incarnation == b.incarnation && a.version == b.version;
+        return a.id == b.id && a.service == b.service && a.domain == b.domain && a.slots == b.slots && a.state == b.state && a.suspect == b.suspect
+            && a.incarnation == b.incarnation && a.version == b.version;
     }
 };
 
--- a/routing/endpoint_table.cpp
+++ b/routing/endpoint_table.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 auto findRow(ServiceEndpoints &service, const EndpointId &id) -> EndpointRow *
 {
@@ -46,7 +48,7 @@
 
 void returnToService(EndpointRow &row, const RoutingSettings &settings, TimePoint now)
 {
-    row.ejectedUntil = TimePoint {};
+    row.ejectedUntil = TimePoint{};
     row.returnedAt = now;
     // One more failure is enough: the endpoint has to prove itself.
     row.failuresInRow = settings.ejectAfter - 1;
@@ -90,7 +92,7 @@
     if (isRestart) {
         row->failuresInRow = 0;
         row->ejections = 0;
-        row->ejectedUntil = TimePoint {};
+        row->ejectedUntil = TimePoint{};
     }
     if (record.state != row->record.state || record.suspect != row->record.suspect) {
         row->stateSince = now;
@@ -120,7 +122,7 @@
         row.directoryIncarnation = 0;
         row.knownVersion = 0;
     }
-    return SubscribeMessage { service, table.node, row.directoryIncarnation, row.knownVersion };
+    return SubscribeMessage{service, table.node, row.directoryIncarnation, row.knownVersion};
 }
 
 void applyUpdate(EndpointTable &table, const UpdateMessage &update, TimePoint now)
@@ -148,10 +150,9 @@
         }
         if (update.complete && !isStale) {
             for (auto &row : service.rows) {
-                const bool listed
-                    = std::any_of(update.records.begin(), update.records.end(), [&row](const EndpointRecord &record) {
-                          return record.id == row.record.id;
-                      });
+                const bool listed = std::any_of(update.records.begin(), update.records.end(), [&row](const EndpointRecord &record) {
+                    return record.id == row.record.id;
+                });
                 if (!listed && !row.unlisted) {
                     row.unlistedSince = now;
                 }
@@ -160,10 +161,9 @@
         }
     }
     for (auto &row : service.rows) {
-        const bool listed
-            = std::any_of(update.records.begin(), update.records.end(), [&row](const EndpointRecord &record) {
-                  return record == row.record;
-              });
+        const bool listed = std::any_of(update.records.begin(), update.records.end(), [&row](const EndpointRecord &record) {
+            return record == row.record;
+        });
         row.unlisted = row.unlisted && !listed;
     }
     enforceEjectionBound(service, table.settings, now);
@@ -177,8 +177,7 @@
     }
 }
 
-auto endCall(EndpointTable &table, const ServiceName &service, const EndpointId &endpoint, CallEvidence evidence,
-             TimePoint now) -> bool
+auto endCall(EndpointTable &table, const ServiceName &service, const EndpointId &endpoint, CallEvidence evidence, TimePoint now) -> bool
 {
     const auto found = table.services.find(service);
     EndpointRow *row = found == table.services.end() ? nullptr : findRow(found->second, endpoint);
@@ -224,16 +223,15 @@
     std::vector<EjectionChange> changes;
     const auto isOver = [&](const EndpointRow &row) {
         const bool isGone = row.record.state == EndpointState::Left || row.record.suspect;
-        return (row.unlisted && now - row.unlistedSince >= table.settings.rowLifetime)
-            || (isGone && now - row.stateSince >= table.settings.rowLifetime);
+        return (row.unlisted && now - row.unlistedSince >= table.settings.rowLifetime) || (isGone && now - row.stateSince >= table.settings.rowLifetime);
     };
     for (auto &[name, service] : table.services) {
         service.rows.erase(std::remove_if(service.rows.begin(), service.rows.end(), isOver), service.rows.end());
         enforceEjectionBound(service, table.settings, now);
         for (auto &row : service.rows) {
-            if (row.ejectedUntil != TimePoint {} && !isEjected(row, now)) {
+            if (row.ejectedUntil != TimePoint{} && !isEjected(row, now)) {
                 returnToService(row, table.settings, now);
-                changes.push_back({ name, row.record.id, false });
+                changes.push_back({name, row.record.id, false});
             }
         }
     }
--- a/routing/endpoint_table.h
+++ b/routing/endpoint_table.h
@@ -7,11 +7,11 @@
 #include <unordered_map>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Constants of endpoint selection and ejection.
-struct RoutingSettings
-{
+struct RoutingSettings {
     /// Failures in a row that eject an endpoint.
     int ejectAfter = 5;
     Duration ejectFirst = seconds(5);
@@ -24,8 +24,7 @@
 };
 
 /// A target in the table of a node that calls its service.
-struct EndpointRow
-{
+struct EndpointRow {
     EndpointRecord record;
     /// Requests of this node that are in flight there.
     int inFlight = 0;
@@ -45,8 +44,7 @@
 };
 
 /// Endpoints of one service.
-struct ServiceEndpoints
-{
+struct ServiceEndpoints {
     std::vector<EndpointRow> rows;
     /// Directory node whose updates are followed, and how far.
     NodeName directory;
@@ -55,8 +53,7 @@
 };
 
 /// Endpoints of the services that this node calls.
-struct EndpointTable
-{
+struct EndpointTable {
     RoutingSettings settings;
     NodeName node;
     DomainName domain;
@@ -72,8 +69,7 @@
 void applyUpdate(EndpointTable &table, const UpdateMessage &update, TimePoint now);
 
 /// An ejection or its end, for the log.
-struct EjectionChange
-{
+struct EjectionChange {
     ServiceName service;
     EndpointId endpoint;
     bool ejected = false;
@@ -97,8 +93,7 @@
 void beginCall(EndpointTable &table, const ServiceName &service, const EndpointId &endpoint);
 
 /// Counts the end of a call. Returns true if the endpoint was ejected because of it.
-auto endCall(EndpointTable &table, const ServiceName &service, const EndpointId &endpoint, CallEvidence evidence,
-             TimePoint now) -> bool;
+auto endCall(EndpointTable &table, const ServiceName &service, const EndpointId &endpoint, CallEvidence evidence, TimePoint now) -> bool;
 
 /// Ends ejections whose time is over or that exceed half of a service, and drops endpoints that left or stay unlisted.
 auto tickEndpoints(EndpointTable &table, TimePoint now) -> std::vector<EjectionChange>;
--- a/routing/local_targets.cpp
+++ b/routing/local_targets.cpp
@@ -4,9 +4,11 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 auto makeRow(const TargetAnnouncement &announcement, uint64_t incarnation, TimePoint now) -> LocalTarget
 {
@@ -22,15 +24,15 @@
 
 auto toJson(const TargetAnnouncement &announcement) -> nlohmann::json
 {
-    return { { "target", announcement.target.value },
-             { "service", announcement.service.value },
-             { "address", announcement.endpoint.address },
-             { "port", announcement.endpoint.port },
-             { "slots", announcement.slots },
-             { "connections", announcement.connections },
-             { "cold", announcement.cold },
-             { "state", endpointStateName(announcement.state) },
-             { "instance", announcement.instance } };
+    return {{"target", announcement.target.value},
+            {"service", announcement.service.value},
+            {"address", announcement.endpoint.address},
+            {"port", announcement.endpoint.port},
+            {"slots", announcement.slots},
+            {"connections", announcement.connections},
+            {"cold", announcement.cold},
+            {"state", endpointStateName(announcement.state)},
+            {"instance", announcement.instance}};
 }
 
 auto targetAnnouncementFromJson(const nlohmann::json &json) -> Result<TargetAnnouncement>
@@ -65,8 +67,7 @@
     return announcement;
 }
 
-auto announceTarget(LocalTargetTable &table, const TargetAnnouncement &announcement, uint64_t wallMs, TimePoint now)
-    -> AnnounceEffect
+auto announceTarget(LocalTargetTable &table, const TargetAnnouncement &announcement, uint64_t wallMs, TimePoint now) -> AnnounceEffect
 {
     const auto found = table.targets.find(announcement.target);
     const bool isActive = announcement.state == EndpointState::Active;
@@ -87,8 +88,7 @@
     if (announcement.instance < known.instance) {
         return AnnounceEffect::Ignored;
     }
-    const bool moved = known.endpoint != announcement.endpoint || known.service != announcement.service
-        || known.instance != announcement.instance;
+    const bool moved = known.endpoint != announcement.endpoint || known.service != announcement.service || known.instance != announcement.instance;
     const bool isActiveNow = known.state == EndpointState::Active;
     if (isActive && (moved || !isActiveNow)) {
         // A late renewal of the same process does not bring a target back that drained or left. Without an instance
@@ -128,18 +128,17 @@
         return std::nullopt;
     }
     const auto &row = found->second;
-    return EndpointRecord { EndpointId { table.node, target },
-                            row.announcement.service,
-                            table.domain,
-                            row.announcement.slots,
-                            row.announcement.state,
-                            false,
-                            row.incarnation,
-                            row.version };
+    return EndpointRecord{EndpointId{table.node, target},
+                          row.announcement.service,
+                          table.domain,
+                          row.announcement.slots,
+                          row.announcement.state,
+                          false,
+                          row.incarnation,
+                          row.version};
 }
 
-auto tickLocalTargets(LocalTargetTable &table, TimePoint now, std::vector<TargetName> &expired)
-    -> std::vector<EndpointRecord>
+auto tickLocalTargets(LocalTargetTable &table, TimePoint now, std::vector<TargetName> &expired) -> std::vector<EndpointRecord>
 {
     std::vector<EndpointRecord> records;
     for (auto row = table.targets.begin(); row != table.targets.end();) {
--- a/routing/local_targets.h
+++ b/routing/local_targets.h
@@ -7,7 +7,8 @@
 #include <string>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// Time after its last renewal at which a target counts as gone.
 inline constexpr Duration kTargetLease = seconds(3);
@@ -20,8 +21,7 @@
 inline constexpr Duration kSuspectLifetime = seconds(600);
 
 /// Body of `POST /snipestream/v1/targets`. The same body renews, drains and leaves.
-struct TargetAnnouncement
-{
+struct TargetAnnouncement {
     TargetName target;
     ServiceName service;
     Endpoint endpoint;
@@ -41,8 +41,7 @@
 auto targetAnnouncementFromJson(const nlohmann::json &json) -> Result<TargetAnnouncement>;
 
 /// A target on this VM.
-struct LocalTarget
-{
+struct LocalTarget {
     TargetAnnouncement announcement;
     uint64_t incarnation = 0;
     uint64_t version = 0;
@@ -54,8 +53,7 @@
 };
 
 /// Targets on this VM.
-struct LocalTargetTable
-{
+struct LocalTargetTable {
     NodeName node;
     DomainName domain;
     std::map<TargetName, LocalTarget> targets;
@@ -76,15 +74,13 @@
 
 /// Takes an announcement from a target. `wallMs` is the wall-clock time; a new incarnation takes it, or the last one
 /// plus one if that is higher, so that it grows over restarts of the node too.
-auto announceTarget(LocalTargetTable &table, const TargetAnnouncement &announcement, uint64_t wallMs, TimePoint now)
-    -> AnnounceEffect;
+auto announceTarget(LocalTargetTable &table, const TargetAnnouncement &announcement, uint64_t wallMs, TimePoint now) -> AnnounceEffect;
 
 /// Returns the record that the directory nodes are told; empty for an unknown target.
 auto localRecord(const LocalTargetTable &table, const TargetName &target) -> std::optional<EndpointRecord>;
 
 /// Returns the records of all targets, for the announcement every second. Targets whose lease ended become Left and
 /// are named in `expired`; rows that left long ago are removed.
-auto tickLocalTargets(LocalTargetTable &table, TimePoint now, std::vector<TargetName> &expired)
-    -> std::vector<EndpointRecord>;
+auto tickLocalTargets(LocalTargetTable &table, TimePoint now, std::vector<TargetName> &expired) -> std::vector<EndpointRecord>;
 
 } // namespace snipestream
--- a/routing/node_table.cpp
+++ b/routing/node_table.cpp
@@ -3,17 +3,18 @@
 #include "core/hash.h"
 #include "core/json_fields.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
 auto toJson(const NodeRecord &record) -> nlohmann::json
 {
-    return { { "type", "node" },
-             { "action", record.join ? "join" : "leave" },
-             { "node", record.name.value },
-             { "domain", record.domain.value },
-             { "address", record.endpoint.address },
-             { "port", record.endpoint.port },
-             { "incarnation", record.incarnation } };
+    return {{"type", "node"},
+            {"action", record.join ? "join" : "leave"},
+            {"node", record.name.value},
+            {"domain", record.domain.value},
+            {"address", record.endpoint.address},
+            {"port", record.endpoint.port},
+            {"incarnation", record.incarnation}};
 }
 
 auto nodeRecordFromJson(const nlohmann::json &json) -> Result<NodeRecord>
@@ -50,7 +51,7 @@
             return false;
         }
     }
-    table.nodes[record.name] = NodeRow { record.domain, record.endpoint, record.incarnation, record.join };
+    table.nodes[record.name] = NodeRow{record.domain, record.endpoint, record.incarnation, record.join};
     ++table.revision;
     return true;
 }
@@ -59,9 +60,9 @@
 {
     nlohmann::json rows = nlohmann::json::array();
     for (const auto &[name, row] : table.nodes) {
-        rows.push_back(toJson(NodeRecord { name, row.joined, row.domain, row.endpoint, row.incarnation }));
+        rows.push_back(toJson(NodeRecord{name, row.joined, row.domain, row.endpoint, row.incarnation}));
     }
-    return { { "nodes", std::move(rows) } };
+    return {{"nodes", std::move(rows)}};
 }
 
 auto loadNodeTable(const nlohmann::json &json) -> Result<NodeTable>
@@ -81,11 +82,10 @@
     return table;
 }
 
-auto directoryNodes(const NodeTable &table, DirectoryCache &cache, const ServiceName &service)
-    -> const std::map<DomainName, std::vector<NodeName>> &
+auto directoryNodes(const NodeTable &table, DirectoryCache &cache, const ServiceName &service) -> const std::map<DomainName, std::vector<NodeName>> &
 {
     if (!cache.filled || cache.revision != table.revision) {
-        cache = DirectoryCache { table.revision, true, {}, {} };
+        cache = DirectoryCache{table.revision, true, {}, {}};
         for (const auto &[name, row] : table.nodes) {
             if (row.joined) {
                 cache.nodesByDomain[row.domain].push_back(name.value);
--- a/routing/node_table.h
+++ b/routing/node_table.h
@@ -10,11 +10,11 @@
 
 #include <nlohmann/json_fwd.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// A node of the fleet as the log knows it.
-struct NodeRow
-{
+struct NodeRow {
     DomainName domain;
     Endpoint endpoint;
     /// Grows with each start of the node.
@@ -24,22 +24,19 @@
 
     friend auto operator==(const NodeRow &a, const NodeRow &b) -> bool
     {
-        return a.domain == b.domain && a.endpoint == b.endpoint && a.incarnation == b.incarnation
-            && a.joined == b.joined;
+        return a.domain == b.domain && a.endpoint == b.endpoint && a.incarnation == b.incarnation && a.joined == b.joined;
     }
 };
 
 /// All nodes, folded from the node records of the log in log order.
-struct NodeTable
-{
+struct NodeTable {
     std::map<NodeName, NodeRow> nodes;
     /// Grows with each change; caches compare it.
     uint64_t revision = 0;
 };
 
 /// A join or leave record.
-struct NodeRecord
-{
+struct NodeRecord {
     NodeName name;
     bool join = true;
     DomainName domain;
@@ -63,8 +60,7 @@
 auto loadNodeTable(const nlohmann::json &json) -> Result<NodeTable>;
 
 /// Directory nodes of services, kept until the node table changes.
-struct DirectoryCache
-{
+struct DirectoryCache {
     uint64_t revision = 0;
     bool filled = false;
     std::map<DomainName, std::vector<std::string>> nodesByDomain;
@@ -75,7 +71,6 @@
 inline constexpr size_t kDirectoryNodesPerDomain = 2;
 
 /// Returns the directory nodes of the service in each failure domain, best first.
-auto directoryNodes(const NodeTable &table, DirectoryCache &cache, const ServiceName &service)
-    -> const std::map<DomainName, std::vector<NodeName>> &;
+auto directoryNodes(const NodeTable &table, DirectoryCache &cache, const ServiceName &service) -> const std::map<DomainName, std::vector<NodeName>> &;
 
 } // namespace snipestream
--- a/routing/selection.cpp
+++ b/routing/selection.cpp
@@ -3,17 +3,18 @@
 #include <algorithm>
 #include <array>
 
-namespace snipestream {
+namespace snipestream
+{
 
-namespace {
+namespace
+{
 
 constexpr int kTierCount = static_cast<int>(SelectionTier::Suspect) + 1;
 
 /// Two rows drawn evenly from a stream of rows of one tier (reservoir sampling).
-struct Draw
-{
+struct Draw {
     uint64_t seen = 0;
-    std::array<const EndpointRow *, 2> rows {};
+    std::array<const EndpointRow *, 2> rows{};
 };
 
 void consider(Draw &draw, const EndpointRow &row, Random &random)
@@ -50,8 +51,8 @@
 
 } // namespace
 
-auto chooseEndpoint(const EndpointTable &table, const ServiceName &service, const std::vector<EndpointId> &tried,
-                    Random &random, TimePoint now) -> std::optional<Selection>
+auto chooseEndpoint(const EndpointTable &table, const ServiceName &service, const std::vector<EndpointId> &tried, Random &random, TimePoint now)
+    -> std::optional<Selection>
 {
     const auto found = table.services.find(service);
     if (found == table.services.end()) {
@@ -75,10 +76,9 @@
     }
     const auto &rows = draws[static_cast<size_t>(best)].rows;
     // Equal load keeps the first of the two, which reservoir sampling would favour by its place in the table.
-    const bool second = rows[1] != nullptr
-        && (loadOf(*rows[1]) < loadOf(*rows[0]) || (loadOf(*rows[1]) == loadOf(*rows[0]) && drawBelow(random, 2) == 1));
+    const bool second = rows[1] != nullptr && (loadOf(*rows[1]) < loadOf(*rows[0]) || (loadOf(*rows[1]) == loadOf(*rows[0]) && drawBelow(random, 2) == 1));
     const auto &row = *rows[second ? 1 : 0];
-    return Selection { row.record.id, row.record.domain, static_cast<SelectionTier>(best) };
+    return Selection{row.record.id, row.record.domain, static_cast<SelectionTier>(best)};
 }
 
 } // namespace snipestream
--- a/routing/selection.h
+++ b/routing/selection.h
@@ -6,7 +6,8 @@
 #include <optional>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 /// How far selection had to go.
 enum class SelectionTier {
@@ -21,8 +22,7 @@
 };
 
 /// A chosen endpoint.
-struct Selection
-{
+struct Selection {
     EndpointId endpoint;
     DomainName domain;
     SelectionTier tier = SelectionTier::OwnDomain;
@@ -30,7 +30,7 @@
 
 /// Chooses an endpoint that was not tried yet: of two random ones of the best tier, the one with the lower ratio of
 /// calls in flight to limit. Empty if no endpoint is left.
-auto chooseEndpoint(const EndpointTable &table, const ServiceName &service, const std::vector<EndpointId> &tried,
-                    Random &random, TimePoint now) -> std::optional<Selection>;
+auto chooseEndpoint(const EndpointTable &table, const ServiceName &service, const std::vector<EndpointId> &tried, Random &random, TimePoint now)
+    -> std::optional<Selection>;
 
 } // namespace snipestream
--- a/tests/admission/admission_fuzz_test.cpp
+++ b/tests/admission/admission_fuzz_test.cpp
@@ -4,7 +4,8 @@
 
 #include <set>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::AdmissionApi;
 using testing::AdmissionCommand;
@@ -12,7 +13,8 @@
 using testing::runAdmission;
 using testing::section;
 
-namespace {
+namespace
+{
 
 /// Returns the violations that the oracle reports in runs with fixed seeds; stops early once `rule` is among them.
 auto violations(const AdmissionApi &api, uint64_t runs, const std::string &rule = {}) -> std::set<std::string>
@@ -49,8 +51,7 @@
     {
         const auto api = realAdmission();
         CPPUNIT_ASSERT(rc::check("admission keeps its rules", [&api]() {
-            const auto commands
-                = *rc::gen::resize(300, rc::gen::arbitrary<std::vector<AdmissionCommand>>()).as("commands");
+            const auto commands = *rc::gen::resize(300, rc::gen::arbitrary<std::vector<AdmissionCommand>>()).as("commands");
             const std::string violation = runAdmission(api, commands);
             RC_LOG() << violation;
             RC_ASSERT(violation.empty());
@@ -82,22 +83,20 @@
         });
         section("a start that is not reported", [] {
             auto api = realAdmission();
-            api.complete
-                = [real = api.complete](AdmissionTable &table, Ticket ticket, RunOutcome outcome, TimePoint now) {
-                      auto decisions = real(table, ticket, outcome, now);
-                      if (!decisions.empty()) {
-                          decisions.pop_back();
-                      }
-                      return decisions;
-                  };
-            CPPUNIT_ASSERT(oracleFinds(api, "requests wait while nothing runs")
-                           || oracleFinds(api, "a request did not end"));
+            api.complete = [real = api.complete](AdmissionTable &table, Ticket ticket, RunOutcome outcome, TimePoint now) {
+                auto decisions = real(table, ticket, outcome, now);
+                if (!decisions.empty()) {
+                    decisions.pop_back();
+                }
+                return decisions;
+            };
+            CPPUNIT_ASSERT(oracleFinds(api, "requests wait while nothing runs") || oracleFinds(api, "a request did not end"));
         });
         section("a cancelled request that is refused as well", [] {
             auto api = realAdmission();
             api.cancel = [real = api.cancel](AdmissionTable &table, Ticket ticket, TimePoint now) {
                 auto decisions = real(table, ticket, now);
-                decisions.push_back({ ticket, false, {} });
+                decisions.push_back({ticket, false, {}});
                 return decisions;
             };
             CPPUNIT_ASSERT(oracleFinds(api, "a request that does not wait was refused"));
@@ -126,10 +125,9 @@
         section("a cancelled run that keeps its slot", [] {
             auto api = realAdmission();
             api.cancel = [](AdmissionTable &table, Ticket ticket, TimePoint now) {
-                return std::vector<Decision> {};
+                return std::vector<Decision>{};
             };
-            CPPUNIT_ASSERT(oracleFinds(api, "the table keeps requests that ended")
-                           || oracleFinds(api, "requests wait while nothing runs"));
+            CPPUNIT_ASSERT(oracleFinds(api, "the table keeps requests that ended") || oracleFinds(api, "requests wait while nothing runs"));
         });
         section("a refusal that does not say not-run", [] {
             auto api = realAdmission();
--- a/tests/admission/admission_oracle.cpp
+++ b/tests/admission/admission_oracle.cpp
@@ -3,15 +3,16 @@
 #include <algorithm>
 #include <set>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
 const TargetName kTarget("t");
 
 /// What the oracle knows of a request.
-struct Seen
-{
+struct Seen {
     Priority priority = Priority::Normal;
     TimePoint deadline;
 };
@@ -62,7 +63,7 @@
     void offerOne(const AdmissionCommand &command)
     {
         AdmissionRequest request;
-        request.id = RequestId { static_cast<uint64_t>(command.a), static_cast<uint64_t>(command.b) };
+        request.id = RequestId{static_cast<uint64_t>(command.a), static_cast<uint64_t>(command.b)};
         request.team = TeamName("team-" + std::to_string(command.b % 3));
         request.priority = static_cast<Priority>(command.a % 4);
         request.route = RouteName("route-" + std::to_string(command.c % 2));
@@ -81,11 +82,11 @@
             apply(result.decisions);
             return;
         }
-        seen_[result.ticket] = Seen { request.priority, request.deadline };
+        seen_[result.ticket] = Seen{request.priority, request.deadline};
         waiting_.insert(result.ticket);
         if (result.verdict == AdmissionVerdict::Run) {
             // The order of starts within one call is not reported; all happen at the same moment.
-            result.decisions.push_back({ result.ticket, true, {} });
+            result.decisions.push_back({result.ticket, true, {}});
             std::stable_sort(result.decisions.begin(), result.decisions.end(), [this](const auto &a, const auto &b) {
                 return seen_[a.ticket].priority < seen_[b.ticket].priority;
             });
@@ -200,7 +201,7 @@
     const AdmissionApi &api_;
     AdmissionTable table_;
     int slots_ = 4;
-    TimePoint now_ { seconds(1000) };
+    TimePoint now_{seconds(1000)};
     bool draining_ = false;
     TimePoint drainedAt_;
     int mostWaiting_ = 0;
--- a/tests/admission/admission_oracle.h
+++ b/tests/admission/admission_oracle.h
@@ -9,11 +9,11 @@
 
 #include <rapidcheck.h>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 /// The functions under test, so that a test double can replace any of them.
-struct AdmissionApi
-{
+struct AdmissionApi {
     std::function<void(AdmissionTable &, int slots, TimePoint)> announce;
     std::function<Offer(AdmissionTable &, const AdmissionRequest &, TimePoint)> offer;
     std::function<std::vector<Decision>(AdmissionTable &, Ticket, RunOutcome, TimePoint)> complete;
@@ -26,8 +26,7 @@
 auto realAdmission() -> AdmissionApi;
 
 /// One step of a fuzzing run. `kind` selects the action, the other fields its parameters.
-struct AdmissionCommand
-{
+struct AdmissionCommand {
     int kind = 0;
     int a = 0;
     int b = 0;
@@ -45,15 +44,14 @@
 
 } // namespace snipestream::testing
 
-namespace rc {
+namespace rc
+{
 
 template<>
-struct Arbitrary<snipestream::testing::AdmissionCommand>
-{
+struct Arbitrary<snipestream::testing::AdmissionCommand> {
     static auto arbitrary() -> Gen<snipestream::testing::AdmissionCommand>
     {
-        return gen::construct<snipestream::testing::AdmissionCommand>(gen::inRange(0, 20), gen::inRange(0, 1000),
-                                                                      gen::inRange(0, 1000), gen::inRange(0, 1000));
+        return gen::construct<snipestream::testing::AdmissionCommand>(gen::inRange(0, 20), gen::inRange(0, 1000), gen::inRange(0, 1000), gen::inRange(0, 1000));
     }
 };
 
--- a/tests/admission/fairness_test.cpp
+++ b/tests/admission/fairness_test.cpp
@@ -5,31 +5,32 @@
 
 #include <map>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::section;
 
-namespace {
+namespace
+{
 
 const TargetName kTarget("t");
 const TeamName kLarge("large");
 const TeamName kSmall("small");
 
 /// A target of 20 slots that takes 20 ms per request: 1,000 requests per second.
-struct TwoTeams
-{
+struct TwoTeams {
     AdmissionTable table;
-    TimePoint now { seconds(100) };
+    TimePoint now{seconds(100)};
     std::multimap<TimePoint, Ticket> ends;
     std::map<Ticket, TeamName> open;
     std::map<TeamName, int> offered;
     std::map<TeamName, int> completed;
-    Random random { 11 };
+    Random random{11};
 
     TwoTeams()
     {
         upsertTarget(table, kTarget, ServiceName("s"), 20, false, now);
-        setTeamWeights(table, { { kLarge, 9 }, { kSmall, 1 } });
+        setTeamWeights(table, {{kLarge, 9}, {kSmall, 1}});
     }
 
     void apply(const std::vector<Decision> &decisions)
@@ -46,8 +47,7 @@
     void arrive(const TeamName &team)
     {
         ++offered[team];
-        const AdmissionRequest request { drawRequestId(random), team, Priority::Normal, RouteName("r"),
-                                         now + milliseconds(200) };
+        const AdmissionRequest request{drawRequestId(random), team, Priority::Normal, RouteName("r"), now + milliseconds(200)};
         const Offer result = offer(table, kTarget, request, now);
         if (result.verdict != AdmissionVerdict::Refused) {
             open[result.ticket] = team;
--- a/tests/admission/overload_test.cpp
+++ b/tests/admission/overload_test.cpp
@@ -6,28 +6,29 @@
 #include <map>
 #include <random>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::section;
 
-namespace {
+namespace
+{
 
 const TargetName kTarget("t");
 
 /// A target in steps of one millisecond. `realSlots` requests run at full speed; more share them.
-struct Simulation
-{
+struct Simulation {
     AdmissionTable table;
-    TimePoint now { seconds(100) };
+    TimePoint now{seconds(100)};
     int realSlots = 20;
     double serviceMs = 20;
     std::map<Ticket, double> left;
     std::map<Ticket, std::pair<Priority, TimePoint>> open;
-    std::array<int, kPriorityCount> offered {};
-    std::array<int, kPriorityCount> good {};
+    std::array<int, kPriorityCount> offered{};
+    std::array<int, kPriorityCount> good{};
     int late = 0;
     double arrivals = 0;
-    Random random { 7 };
+    Random random{7};
 
     explicit Simulation(int announcedSlots, bool cold = false)
     {
@@ -54,9 +55,7 @@
     {
         for (const TimePoint end = now + time; now < end;) {
             now += milliseconds(1);
-            const double speed = left.size() > static_cast<size_t>(realSlots)
-                ? static_cast<double>(realSlots) / static_cast<double>(left.size())
-                : 1;
+            const double speed = left.size() > static_cast<size_t>(realSlots) ? static_cast<double>(realSlots) / static_cast<double>(left.size()) : 1;
             std::vector<Ticket> done;
             for (auto &[ticket, rest] : left) {
                 rest -= speed;
@@ -84,8 +83,7 @@
     {
         const auto priority = static_cast<Priority>(drawBelow(random, 4));
         ++offered[static_cast<size_t>(priority)];
-        const AdmissionRequest request { drawRequestId(random), TeamName("a"), priority, RouteName("r"),
-                                         now + timeout };
+        const AdmissionRequest request{drawRequestId(random), TeamName("a"), priority, RouteName("r"), now + timeout};
         const Offer result = offer(table, kTarget, request, now);
         if (result.verdict != AdmissionVerdict::Refused) {
             open[result.ticket] = std::make_pair(priority, request.deadline);
--- a/tests/admission/shedding_test.cpp
+++ b/tests/admission/shedding_test.cpp
@@ -3,7 +3,8 @@
 
 #include "tests/support/section.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::section;
 
@@ -27,8 +28,7 @@
             section("a request shed at a priority is shed at each lower one", [&] {
                 for (int priority = 1; priority < kPriorityCount; ++priority) {
                     const int higher = rankOf(static_cast<Priority>(priority - 1), id);
-                    CPPUNIT_ASSERT(!isShed(level, higher)
-                                   || isShed(level, rankOf(static_cast<Priority>(priority), id)));
+                    CPPUNIT_ASSERT(!isShed(level, higher) || isShed(level, rankOf(static_cast<Priority>(priority), id)));
                 }
             });
             section("a request that passes a level passes every lower one, at any hop", [&] {
@@ -47,7 +47,7 @@
     {
         SheddingState state;
         const SheddingSettings settings;
-        TimePoint now { seconds(100) };
+        TimePoint now{seconds(100)};
         state.windowStart = now;
         const auto window = [&](bool overloaded) {
             for (int rank = 0; rank < kRankCount; ++rank) {
@@ -80,7 +80,7 @@
     {
         Random random(2);
         UpstreamTable table;
-        const TimePoint now { seconds(100) };
+        const TimePoint now{seconds(100)};
         const ServiceName key = upstreamKey(ServiceName("bookings"), RouteName("deposit"));
         const auto shedPart = [&](Priority priority, TimePoint at) {
             int shed = 0;
@@ -104,7 +104,7 @@
         });
         section("the level reported upwards is the highest on the way down", [&] {
             CPPUNIT_ASSERT_EQUAL(7, reportedLevel(7, table, {}, now));
-            CPPUNIT_ASSERT_GREATER(200, reportedLevel(7, table, { key }, now));
+            CPPUNIT_ASSERT_GREATER(200, reportedLevel(7, table, {key}, now));
         });
         section("without answers it is forgotten", [&] {
             CPPUNIT_ASSERT_EQUAL(0, shedPart(Priority::Low, now + seconds(2)));
@@ -116,7 +116,7 @@
             for (int i = 0; i < 200; ++i) {
                 at += milliseconds(20);
                 observeUpstream(middle, key, 460, at);
-                observeUpstream(entry, key, reportedLevel(0, middle, { key }, at + milliseconds(10)), at);
+                observeUpstream(entry, key, reportedLevel(0, middle, {key}, at + milliseconds(10)), at);
             }
             CPPUNIT_ASSERT_GREATEREQUAL(455, upstreamLevel(entry, key, at + milliseconds(20)));
         });
--- a/tests/config/decoders_test.cpp
+++ b/tests/config/decoders_test.cpp
@@ -13,11 +13,13 @@
 
 #include <rapidcheck.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::section;
 
-namespace {
+namespace
+{
 
 auto validChange() -> std::string
 {
@@ -46,9 +48,7 @@
             text.insert(at, text.substr(*rc::gen::inRange<size_t>(0, text.size()), 20));
             break;
         default:
-            text.insert(at,
-                        *rc::gen::element<std::string>("0", "-1", "1e9", "null", "{}", "[", "\"", "\\u0000",
-                                                       "99999999999999999999"));
+            text.insert(at, *rc::gen::element<std::string>("0", "-1", "1e9", "null", "{}", "[", "\"", "\\u0000", "99999999999999999999"));
         }
     }
     return text;
@@ -86,12 +86,9 @@
     void testDamagedTexts()
     {
         fuzz("change", validChange(), decodeChange);
-        fuzz("snapshot part", encodeSnapshotPart(splitSnapshot(Snapshot { 3, "{}" }, "s", 5).front()),
-             decodeSnapshotPart);
-        fuzz("records of a peer", encodeRecordsAnswer(RecordsAnswer { { { 1, "a" }, { 2, "b" } }, 3 }),
-             decodeRecordsAnswer);
-        fuzz("rule line", "route r GET /a service=s priority=high idempotent=yes open=no # asked by a: b",
-             parseRuleLine);
+        fuzz("snapshot part", encodeSnapshotPart(splitSnapshot(Snapshot{3, "{}"}, "s", 5).front()), decodeSnapshotPart);
+        fuzz("records of a peer", encodeRecordsAnswer(RecordsAnswer{{{1, "a"}, {2, "b"}}, 3}), decodeRecordsAnswer);
+        fuzz("rule line", "route r GET /a service=s priority=high idempotent=yes open=no # asked by a: b", parseRuleLine);
     }
 
     void testDamagedRecordsInTheFold()
@@ -99,7 +96,7 @@
         const std::string valid = validChange();
         CPPUNIT_ASSERT(rc::check("a record that is not applied leaves the rules and says why", [&] {
             ConfigFold node;
-            const auto outcome = applyRecord(node, LogRecord { 0, damage(valid) }, 0);
+            const auto outcome = applyRecord(node, LogRecord{0, damage(valid)}, 0);
             RC_ASSERT(node.state.nextOffset == 1U);
             if (outcome.verdict != ChangeVerdict::Applied) {
                 RC_ASSERT(node.state.rules.empty() && node.state.revision == 0U);
@@ -111,15 +108,15 @@
     void testDamagedSnapshots()
     {
         ConfigFold writer;
-        ChangeRecord change { "c1", 0, "ann", {}, {} };
+        ChangeRecord change{"c1", 0, "ann", {}, {}};
         change.upserts.push_back(parseRuleLine("team a rate=5/s burst=5 # asked by ops: test").value());
-        applyRecord(writer, LogRecord { 0, encodeChange(change) }, 0);
-        applyRecord(writer, LogRecord { 1, encodeChange(ChangeRecord { "c2", 1, "ann", {}, { "team a" } }) }, 0);
-        applyRecord(writer, LogRecord { 2, encodeChange(ChangeRecord { "c3", 2, "ann", change.upserts, {} }) }, 0);
+        applyRecord(writer, LogRecord{0, encodeChange(change)}, 0);
+        applyRecord(writer, LogRecord{1, encodeChange(ChangeRecord{"c2", 1, "ann", {}, {"team a"}})}, 0);
+        applyRecord(writer, LogRecord{2, encodeChange(ChangeRecord{"c3", 2, "ann", change.upserts, {}})}, 0);
         const Snapshot valid = takeSnapshot(writer);
         CPPUNIT_ASSERT(rc::check("a snapshot that is not adopted changes nothing", [&] {
             ConfigFold node;
-            const auto adopted = adoptSnapshot(node, Snapshot { 3, damage(valid.text) }, 0);
+            const auto adopted = adoptSnapshot(node, Snapshot{3, damage(valid.text)}, 0);
             if (!adopted) {
                 RC_ASSERT(!adopted.error().message.empty());
                 RC_ASSERT(node.state.nextOffset == 0U && node.state.rules.empty());
@@ -133,16 +130,16 @@
     {
         ConfigFold node;
         const std::vector<std::pair<std::string, std::string>> payloads = {
-            { "deep nesting", std::string(100000, '[') },
-            { "deep nesting of objects", "{\"kind\":" + std::string(50000, '{') },
-            { "no UTF-8", "{\"kind\":\"change\",\"id\":\"\xff\xfe\"}" },
-            { "kind of another type", R"({"type":7})" },
-            { "empty", "" },
-            { "a huge number", R"({"type":"change","id":"a","base":1e400,"by":"b","upserts":[],"removals":[]})" },
+            {"deep nesting", std::string(100000, '[')},
+            {"deep nesting of objects", "{\"kind\":" + std::string(50000, '{')},
+            {"no UTF-8", "{\"kind\":\"change\",\"id\":\"\xff\xfe\"}"},
+            {"kind of another type", R"({"type":7})"},
+            {"empty", ""},
+            {"a huge number", R"({"type":"change","id":"a","base":1e400,"by":"b","upserts":[],"removals":[]})"},
         };
         for (const auto &[title, payload] : payloads) {
             section(title, [&, text = payload] {
-                const auto outcome = applyRecord(node, LogRecord { node.state.nextOffset, text }, 0);
+                const auto outcome = applyRecord(node, LogRecord{node.state.nextOffset, text}, 0);
                 CPPUNIT_ASSERT(outcome.verdict != ChangeVerdict::Applied);
                 CPPUNIT_ASSERT(!outcome.detail.empty());
             });
@@ -152,14 +149,12 @@
             CPPUNIT_ASSERT(decodeSnapshotPart(huge).has_error());
             CPPUNIT_ASSERT(decodeChange(huge).has_error());
             CPPUNIT_ASSERT(decodeRecordsAnswer(huge).has_error());
-            CPPUNIT_ASSERT(adoptSnapshot(node, Snapshot { 1000, huge }, 0).has_error());
+            CPPUNIT_ASSERT(adoptSnapshot(node, Snapshot{1000, huge}, 0).has_error());
             CPPUNIT_ASSERT(!parseSettings(huge).errors.empty());
         });
         section("valid JSON that nests deeply is refused without exhausting the stack", [&] {
-            const std::string deep
-                = "{\"kind\":\"change\",\"id\":" + std::string(50000, '[') + std::string(50000, ']') + "}";
-            CPPUNIT_ASSERT(applyRecord(node, LogRecord { node.state.nextOffset, deep }, 0).verdict
-                           != ChangeVerdict::Applied);
+            const std::string deep = "{\"kind\":\"change\",\"id\":" + std::string(50000, '[') + std::string(50000, ']') + "}";
+            CPPUNIT_ASSERT(applyRecord(node, LogRecord{node.state.nextOffset, deep}, 0).verdict != ChangeVerdict::Applied);
         });
     }
 
@@ -173,7 +168,7 @@
         const auto relays = relaysOf(DomainName("a"), nodes);
         section("three relays, the same whatever the order of the node list", [&] {
             std::reverse(nodes.begin(), nodes.end());
-            CPPUNIT_ASSERT_EQUAL(size_t { 3 }, relays.size());
+            CPPUNIT_ASSERT_EQUAL(size_t{3}, relays.size());
             CPPUNIT_ASSERT(relaysOf(DomainName("a"), nodes) == relays);
         });
         section("five nodes take turns with snapshots, one at a time", [&] {
@@ -182,20 +177,20 @@
                 const auto turn = snapshotTurn(node, nodes);
                 CPPUNIT_ASSERT(!turn || turns.insert(*turn).second);
             }
-            CPPUNIT_ASSERT_EQUAL(size_t { 5 }, turns.size());
+            CPPUNIT_ASSERT_EQUAL(size_t{5}, turns.size());
             CPPUNIT_ASSERT(*turns.begin() == Duration::zero());
         });
         section("the history is bounded and answers from any kept offset", [&] {
             RecordHistory history;
             history.maxBytes = 50;
             for (uint64_t offset = 10; offset < 30; ++offset) {
-                rememberRecord(history, LogRecord { offset, "0123456789" });
+                rememberRecord(history, LogRecord{offset, "0123456789"});
             }
-            CPPUNIT_ASSERT_EQUAL(size_t { 5 }, history.records.size());
+            CPPUNIT_ASSERT_EQUAL(size_t{5}, history.records.size());
             CPPUNIT_ASSERT(recordsSince(history, 30, 10, 1000).records.empty());
             CPPUNIT_ASSERT(planCatchUp(10, recordsSince(history, 30, 10, 1000)).step == CatchUpStep::TakeState);
-            CPPUNIT_ASSERT_EQUAL(size_t { 2 }, recordsSince(history, 30, 26, 25).records.size());
-            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, recordsSince(history, 30, 26, 1).records.size());
+            CPPUNIT_ASSERT_EQUAL(size_t{2}, recordsSince(history, 30, 26, 25).records.size());
+            CPPUNIT_ASSERT_EQUAL(size_t{1}, recordsSince(history, 30, 26, 1).records.size());
             CPPUNIT_ASSERT(recordsSince(history, 30, 30, 1000).records.empty());
             CPPUNIT_ASSERT(planCatchUp(30, recordsSince(history, 30, 30, 1000)).step == CatchUpStep::Nothing);
             CPPUNIT_ASSERT(planCatchUp(40, recordsSince(history, 30, 26, 1000)).step == CatchUpStep::Nothing);
--- a/tests/config/fold_fuzz_test.cpp
+++ b/tests/config/fold_fuzz_test.cpp
@@ -10,7 +10,8 @@
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::FoldWorld;
 using testing::productHooks;
@@ -18,16 +19,16 @@
 using testing::WorldHooks;
 using testing::WorldStep;
 
-namespace {
+namespace
+{
 
 auto genSteps(int length) -> rc::Gen<std::vector<WorldStep>>
 {
     const auto number = rc::gen::inRange<uint32_t>(0, 1000);
-    return rc::gen::container<std::vector<WorldStep>>(
-        static_cast<size_t>(length),
-        rc::gen::build<WorldStep>(rc::gen::set(&WorldStep::kind, rc::gen::inRange<uint8_t>(0, 14)),
-                                  rc::gen::set(&WorldStep::a, number), rc::gen::set(&WorldStep::b, number),
-                                  rc::gen::set(&WorldStep::c, number)));
+    return rc::gen::container<std::vector<WorldStep>>(static_cast<size_t>(length),
+                                                      rc::gen::build<WorldStep>(rc::gen::set(&WorldStep::kind, rc::gen::inRange<uint8_t>(0, 14)),
+                                                                                rc::gen::set(&WorldStep::a, number), rc::gen::set(&WorldStep::b, number),
+                                                                                rc::gen::set(&WorldStep::c, number)));
 }
 
 auto drawSteps(uint32_t seed) -> std::vector<WorldStep>
@@ -47,7 +48,7 @@
 auto findFailure(const WorldHooks &hooks, const char *check) -> bool
 {
     for (uint32_t seed = 1; seed <= 200; ++seed) {
-        if (FoldWorld(hooks, { check }).run(drawSteps(seed))) {
+        if (FoldWorld(hooks, {check}).run(drawSteps(seed))) {
             return true;
         }
     }
@@ -101,9 +102,8 @@
                 seen[name] += count;
             }
         }
-        for (const char *name : { "change applied", "change duplicate", "change conflict", "change invalid",
-                                  " unreadable", "number applied", "snapshot applied", "snapshot from the log",
-                                  "records from a peer", "newer state from a peer", "stale state from a peer" }) {
+        for (const char *name : {"change applied", "change duplicate", "change conflict", "change invalid", " unreadable", "number applied", "snapshot applied",
+                                 "snapshot from the log", "records from a peer", "newer state from a peer", "stale state from a peer"}) {
             section(name, [&] {
                 CPPUNIT_ASSERT_MESSAGE(std::to_string(seen[name]), seen[name] >= 20);
             });
@@ -119,7 +119,7 @@
                 const auto payload = rewritten(record.payload, [revision](nlohmann::json &document) {
                     document["base"] = revision;
                 });
-                return applyRecord(fold, LogRecord { record.offset, payload }, 0);
+                return applyRecord(fold, LogRecord{record.offset, payload}, 0);
             };
             CPPUNIT_ASSERT(findFailure(hooks, testing::kStateCheck));
             CPPUNIT_ASSERT(findFailure(hooks, testing::kRaceCheck));
@@ -130,7 +130,7 @@
                 const auto payload = rewritten(record.payload, [&](nlohmann::json &document) {
                     document["id"] = "unique-" + std::to_string(record.offset);
                 });
-                return applyRecord(fold, LogRecord { record.offset, payload }, 0);
+                return applyRecord(fold, LogRecord{record.offset, payload}, 0);
             };
             CPPUNIT_ASSERT(findFailure(hooks, testing::kStateCheck));
         });
@@ -145,7 +145,7 @@
         section("a node that folds records behind a gap is caught", [&] {
             WorldHooks hooks = productHooks();
             hooks.plan = [](uint64_t nextOffset, const RecordsAnswer &answer) {
-                CatchUp plan { CatchUpStep::ApplyRecords, answer.records };
+                CatchUp plan{CatchUpStep::ApplyRecords, answer.records};
                 return plan;
             };
             CPPUNIT_ASSERT(findFailure(hooks, testing::kStateCheck));
@@ -155,7 +155,7 @@
             hooks.adopt = [](ConfigFold &fold, const Snapshot &snapshot) {
                 auto document = nlohmann::json::parse(snapshot.text);
                 document["audit"] = nlohmann::json::array();
-                (void)adoptSnapshot(fold, Snapshot { snapshot.nextOffset, document.dump() }, 0);
+                (void)adoptSnapshot(fold, Snapshot{snapshot.nextOffset, document.dump()}, 0);
             };
             CPPUNIT_ASSERT(findFailure(hooks, testing::kSameTextCheck));
         });
@@ -163,7 +163,7 @@
             WorldHooks hooks = productHooks();
             auto accepted = std::make_shared<std::map<std::pair<ConfigFold *, std::string>, TeamName>>();
             hooks.authenticate = [accepted](ConfigFold &fold, const std::string &header) -> Result<TeamName> {
-                const auto known = accepted->find({ &fold, header });
+                const auto known = accepted->find({&fold, header});
                 if (known != accepted->end()) {
                     return known->second;
                 }
--- a/tests/config/fold_oracle.cpp
+++ b/tests/config/fold_oracle.cpp
@@ -1,8 +1,10 @@
 #include "tests/config/fold_oracle.h"
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
 auto isApplied(const OracleState &state, const OracleRecord &record) -> bool
 {
@@ -30,8 +32,7 @@
     for (const auto &[id, rule] : record.upserts) {
         const auto before = state.rules.find(id);
         if (state.withdrawn.count(id) != 0
-            || (before != state.rules.end() && !rule.hash.empty()
-                && (before->second.hash != rule.hash || before->second.team != rule.team))) {
+            || (before != state.rules.end() && !rule.hash.empty() && (before->second.hash != rule.hash || before->second.team != rule.team))) {
             return false;
         }
         after[id] = rule;
--- a/tests/config/fold_oracle.h
+++ b/tests/config/fold_oracle.h
@@ -6,11 +6,11 @@
 #include <string>
 #include <vector>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 /// A rule as the oracle sees it: its line and what validity depends on.
-struct OracleRule
-{
+struct OracleRule {
     std::string line;
     /// Team of a key.
     std::string team;
@@ -21,8 +21,7 @@
 };
 
 /// A record of the log as its writer meant it. Records that are not changes have an empty id.
-struct OracleRecord
-{
+struct OracleRecord {
     std::string id;
     uint64_t base = 0;
     std::map<std::string, OracleRule> upserts;
@@ -32,8 +31,7 @@
 };
 
 /// What must be in force at one offset.
-struct OracleState
-{
+struct OracleState {
     std::map<std::string, OracleRule> rules;
     uint64_t revision = 0;
     /// Keys whose withdrawal was applied.
--- a/tests/config/fold_test.cpp
+++ b/tests/config/fold_test.cpp
@@ -9,27 +9,28 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::FakeLog;
 using testing::section;
 
-namespace {
+namespace
+{
 
 auto rule(const std::string &line) -> Rule
 {
     return parseRuleLine(line + " # asked by ops: test").value();
 }
 
-auto change(const std::string &id, uint64_t base, std::vector<Rule> upserts, std::vector<std::string> removals = {})
-    -> std::string
+auto change(const std::string &id, uint64_t base, std::vector<Rule> upserts, std::vector<std::string> removals = {}) -> std::string
 {
-    return encodeChange(ChangeRecord { id, base, "ann", std::move(upserts), std::move(removals) });
+    return encodeChange(ChangeRecord{id, base, "ann", std::move(upserts), std::move(removals)});
 }
 
 auto fold(ConfigFold &node, const std::string &payload) -> FoldOutcome
 {
-    return applyRecord(node, LogRecord { node.state.nextOffset, payload }, 1000);
+    return applyRecord(node, LogRecord{node.state.nextOffset, payload}, 1000);
 }
 
 auto verdictOf(ConfigFold &node, const std::string &payload) -> std::string
@@ -85,46 +86,44 @@
         ConfigFold node;
         const Rule team = rule("team a rate=5/s burst=5");
         section("the first change is applied", [&] {
-            CPPUNIT_ASSERT_EQUAL(std::string("applied"), verdictOf(node, change("c1", 0, { team })));
-            CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, node.state.revision);
-            CPPUNIT_ASSERT_EQUAL(uint64_t { 5 }, findTeam(node.state, TeamName("a"))->rate);
+            CPPUNIT_ASSERT_EQUAL(std::string("applied"), verdictOf(node, change("c1", 0, {team})));
+            CPPUNIT_ASSERT_EQUAL(uint64_t{1}, node.state.revision);
+            CPPUNIT_ASSERT_EQUAL(uint64_t{5}, findTeam(node.state, TeamName("a"))->rate);
         });
         section("its repetition is a duplicate", [&] {
-            CPPUNIT_ASSERT_EQUAL(std::string("duplicate"), verdictOf(node, change("c1", 0, { team })));
-            CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, node.state.revision);
+            CPPUNIT_ASSERT_EQUAL(std::string("duplicate"), verdictOf(node, change("c1", 0, {team})));
+            CPPUNIT_ASSERT_EQUAL(uint64_t{1}, node.state.revision);
         });
         section("a change of the same rule with an older base loses and names the winner", [&] {
-            const auto lost = fold(node, change("c2", 0, { rule("team a rate=9/s burst=5") }));
+            const auto lost = fold(node, change("c2", 0, {rule("team a rate=9/s burst=5")}));
             CPPUNIT_ASSERT(lost.verdict == ChangeVerdict::Conflict);
-            CPPUNIT_ASSERT_EQUAL(std::string("rule \"team a\" was changed at revision 1 by ann, after base revision 0"),
-                                 lost.detail);
+            CPPUNIT_ASSERT_EQUAL(std::string("rule \"team a\" was changed at revision 1 by ann, after base revision 0"), lost.detail);
         });
         section("a change of another rule with the same base is applied", [&] {
-            CPPUNIT_ASSERT_EQUAL(std::string("applied"),
-                                 verdictOf(node, change("c3", 0, { rule("team b rate=1/s burst=1") })));
+            CPPUNIT_ASSERT_EQUAL(std::string("applied"), verdictOf(node, change("c3", 0, {rule("team b rate=1/s burst=1")})));
         });
         section("invalid changes leave everything as it was", [&] {
             const std::vector<std::string> invalid = {
-                change("i1", 9, { rule("team c rate=1/s burst=1") }),
+                change("i1", 9, {rule("team c rate=1/s burst=1")}),
                 change("i2", 2, {}),
-                change("i3", 2, {}, { "team zzz" }),
-                change("i4", 2, { team }, { "team a" }),
-                change("i5", 2, { rule("key zzz k1 hash=" + std::string(32, '0') + ":" + std::string(64, '0')) }),
+                change("i3", 2, {}, {"team zzz"}),
+                change("i4", 2, {team}, {"team a"}),
+                change("i5", 2, {rule("key zzz k1 hash=" + std::string(32, '0') + ":" + std::string(64, '0'))}),
                 R"({"type":"change","id":"i6","base":2,"by":"ann","upserts":["team a rate=0/s"],"removals":[]})",
             };
             for (const std::string &payload : invalid) {
                 CPPUNIT_ASSERT_EQUAL_MESSAGE(payload, std::string("invalid"), verdictOf(node, payload));
             }
-            CPPUNIT_ASSERT_EQUAL(uint64_t { 2 }, node.state.revision);
+            CPPUNIT_ASSERT_EQUAL(uint64_t{2}, node.state.revision);
         });
         section("records that do not parse are counted", [&] {
             CPPUNIT_ASSERT_EQUAL(std::string("unreadable"), verdictOf(node, "{"));
             CPPUNIT_ASSERT_EQUAL(std::string("unreadable"), verdictOf(node, R"({"type":"change"})"));
             CPPUNIT_ASSERT_EQUAL(std::string("unreadable"), verdictOf(node, std::string(kMaxRecordBytes + 1, ' ')));
-            CPPUNIT_ASSERT_EQUAL(uint64_t { 3 }, node.state.unreadableRecords);
+            CPPUNIT_ASSERT_EQUAL(uint64_t{3}, node.state.unreadableRecords);
         });
         section("the audit trail has every verdict", [&] {
-            CPPUNIT_ASSERT_EQUAL(size_t { 13 }, node.state.audit.size());
+            CPPUNIT_ASSERT_EQUAL(size_t{13}, node.state.audit.size());
             CPPUNIT_ASSERT_EQUAL(std::string("ann"), node.state.audit.front().by);
             CPPUNIT_ASSERT(findVerdict(node.state, "c2")->verdict == ChangeVerdict::Conflict);
             CPPUNIT_ASSERT(findVerdict(node.state, "c1")->verdict == ChangeVerdict::Applied);
@@ -134,33 +133,33 @@
     void testKeysStayWithdrawn()
     {
         ConfigFold node;
-        const NewKey key = createKey(TeamName("a"), KeyId("k1"), AskedBy { "ops", "test" });
-        const NewKey other = createKey(TeamName("a"), KeyId("k1"), AskedBy { "ops", "test" });
+        const NewKey key = createKey(TeamName("a"), KeyId("k1"), AskedBy{"ops", "test"});
+        const NewKey other = createKey(TeamName("a"), KeyId("k1"), AskedBy{"ops", "test"});
         const std::string header = "Bearer " + key.bearer;
-        fold(node, change("c1", 0, { rule("team a rate=5/s burst=5"), key.rule }));
+        fold(node, change("c1", 0, {rule("team a rate=5/s burst=5"), key.rule}));
         section("the key authenticates, also from the cache", [&] {
             CPPUNIT_ASSERT(authenticate(node.state, node.keyCache, header).value() == TeamName("a"));
             CPPUNIT_ASSERT(authenticate(node.state, node.keyCache, header).value() == TeamName("a"));
-            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, node.keyCache.entries.size());
+            CPPUNIT_ASSERT_EQUAL(size_t{1}, node.keyCache.entries.size());
         });
         section("the secret under an id cannot be exchanged", [&] {
-            CPPUNIT_ASSERT_EQUAL(std::string("invalid"), verdictOf(node, change("c2", 1, { other.rule })));
+            CPPUNIT_ASSERT_EQUAL(std::string("invalid"), verdictOf(node, change("c2", 1, {other.rule})));
         });
         section("a withdrawal clears the cache and is reported", [&] {
-            const auto outcome = fold(node, change("c3", 1, {}, { "key k1" }));
-            CPPUNIT_ASSERT(outcome.withdrawnKeys == std::vector<KeyId> { KeyId("k1") });
+            const auto outcome = fold(node, change("c3", 1, {}, {"key k1"}));
+            CPPUNIT_ASSERT(outcome.withdrawnKeys == std::vector<KeyId>{KeyId("k1")});
             CPPUNIT_ASSERT(node.keyCache.entries.empty());
             CPPUNIT_ASSERT(authenticate(node.state, node.keyCache, header).error().code == ErrorCode::Expired);
         });
         section("an old file cannot bring the key back", [&] {
-            const auto outcome = fold(node, change("c4", 2, { key.rule }));
+            const auto outcome = fold(node, change("c4", 2, {key.rule}));
             CPPUNIT_ASSERT(outcome.verdict == ChangeVerdict::Invalid);
             CPPUNIT_ASSERT(outcome.detail.find("withdrawn at revision 2") != std::string::npos);
         });
         section("neither can it after a snapshot", [&] {
             ConfigFold fresh;
             CPPUNIT_ASSERT(adoptSnapshot(fresh, takeSnapshot(node), 0).value().adopted);
-            CPPUNIT_ASSERT_EQUAL(std::string("invalid"), verdictOf(fresh, change("c5", 2, { key.rule })));
+            CPPUNIT_ASSERT_EQUAL(std::string("invalid"), verdictOf(fresh, change("c5", 2, {key.rule})));
         });
     }
 
@@ -168,20 +167,17 @@
     {
         ConfigFold node;
         const std::string fields = " service=s priority=high idempotent=yes open=no";
-        fold(node, change("c1", 0, { rule("route a GET /a" + fields), rule("route b GET /b" + fields) }));
+        fold(node, change("c1", 0, {rule("route a GET /a" + fields), rule("route b GET /b" + fields)}));
         section("two routes on one path are invalid", [&] {
-            CPPUNIT_ASSERT_EQUAL(std::string("invalid"),
-                                 verdictOf(node, change("c2", 1, { rule("route c GET /a/" + fields) })));
+            CPPUNIT_ASSERT_EQUAL(std::string("invalid"), verdictOf(node, change("c2", 1, {rule("route c GET /a/" + fields)})));
         });
         section("two routes exchange their paths", [&] {
-            CPPUNIT_ASSERT_EQUAL(
-                std::string("applied"),
-                verdictOf(node, change("c3", 1, { rule("route a GET /b" + fields), rule("route b GET /a" + fields) })));
+            CPPUNIT_ASSERT_EQUAL(std::string("applied"), verdictOf(node, change("c3", 1, {rule("route a GET /b" + fields), rule("route b GET /a" + fields)})));
             CPPUNIT_ASSERT(matchRoute(node.state, "GET", "/a/1").value()->name == RouteName("b"));
             CPPUNIT_ASSERT(matchRoute(node.state, "GET", "/b").value()->name == RouteName("a"));
         });
         section("a removed route matches no longer", [&] {
-            fold(node, change("c4", 2, {}, { "route b" }));
+            fold(node, change("c4", 2, {}, {"route b"}));
             CPPUNIT_ASSERT(matchRoute(node.state, "GET", "/a").error().code == ErrorCode::NotFound);
         });
     }
@@ -189,14 +185,14 @@
     void testBoundsKeepRejecting()
     {
         ConfigFold node;
-        fold(node, change("first", 0, { rule("team old rate=1/s burst=1") }));
-        fold(node, change("second", 1, {}, { "team old" }));
+        fold(node, change("first", 0, {rule("team old rate=1/s burst=1")}));
+        fold(node, change("second", 1, {}, {"team old"}));
         const size_t turns = std::max(kMaxAuditEntries, kMaxRemovedRules) + 10;
         for (size_t i = 0; i < turns; ++i) {
             const std::string name = "team t" + std::to_string(i);
             const uint64_t base = node.state.revision;
-            fold(node, change("a" + std::to_string(i), base, { rule(name + " rate=1/s burst=1") }));
-            fold(node, change("b" + std::to_string(i), base + 1, {}, { name }));
+            fold(node, change("a" + std::to_string(i), base, {rule(name + " rate=1/s burst=1")}));
+            fold(node, change("b" + std::to_string(i), base + 1, {}, {name}));
         }
         section("audit trail and removals are bounded", [&] {
             CPPUNIT_ASSERT_EQUAL(kMaxAuditEntries, node.state.audit.size());
@@ -204,8 +200,7 @@
             CPPUNIT_ASSERT_EQUAL(kMaxRemovedRules, node.state.removedRules.revisions.size());
         });
         section("a repetition whose id is forgotten still changes nothing", [&] {
-            CPPUNIT_ASSERT_EQUAL(std::string("conflict"),
-                                 verdictOf(node, change("first", 0, { rule("team old rate=1/s burst=1") })));
+            CPPUNIT_ASSERT_EQUAL(std::string("conflict"), verdictOf(node, change("first", 0, {rule("team old rate=1/s burst=1")})));
         });
     }
 
@@ -218,11 +213,11 @@
             CPPUNIT_ASSERT_EQUAL(std::string("applied"), verdictOf(node, R"({"type":"number","value":7})"));
             CPPUNIT_ASSERT_EQUAL(std::string("invalid"), verdictOf(node, R"({"type":"number"})"));
             CPPUNIT_ASSERT_EQUAL(std::string("unreadable"), verdictOf(node, R"({"type":"else"})"));
-            CPPUNIT_ASSERT_EQUAL(uint64_t { 3 }, node.state.nextOffset);
+            CPPUNIT_ASSERT_EQUAL(uint64_t{3}, node.state.nextOffset);
         });
         const Snapshot snapshot = takeSnapshot(node);
         section("a snapshot carries the section", [&] {
-            std::vector<int> copy = { 1 };
+            std::vector<int> copy = {1};
             ConfigFold fresh;
             fresh.sections.push_back(numbersSection(copy));
             CPPUNIT_ASSERT(adoptSnapshot(fresh, snapshot, 0).value().adopted);
@@ -230,14 +225,14 @@
             CPPUNIT_ASSERT_EQUAL(snapshot.text, takeSnapshot(fresh).text);
         });
         section("a snapshot that fails to load changes nothing", [&] {
-            std::vector<int> copy = { 1 };
+            std::vector<int> copy = {1};
             ConfigFold fresh;
             fresh.sections.push_back(numbersSection(copy));
             Snapshot damaged = snapshot;
             damaged.text.replace(damaged.text.find("[7]"), 3, "{}");
             CPPUNIT_ASSERT(adoptSnapshot(fresh, damaged, 0).has_error());
-            CPPUNIT_ASSERT(copy == std::vector<int> { 1 });
-            CPPUNIT_ASSERT_EQUAL(uint64_t { 0 }, fresh.state.nextOffset);
+            CPPUNIT_ASSERT(copy == std::vector<int>{1});
+            CPPUNIT_ASSERT_EQUAL(uint64_t{0}, fresh.state.nextOffset);
         });
         section("an older or equal snapshot is not taken", [&] {
             CPPUNIT_ASSERT(!adoptSnapshot(node, snapshot, 0).value().adopted);
@@ -250,20 +245,18 @@
         const LogClient client = log.client();
         ConfigFold writer;
         for (int i = 0; i < 5; ++i) {
-            CPPUNIT_ASSERT(client.append(
-                kConfigStream,
-                change("c" + std::to_string(i), i, { rule("team a rate=" + std::to_string(i + 1) + "/s burst=1") })));
+            CPPUNIT_ASSERT(client.append(kConfigStream, change("c" + std::to_string(i), i, {rule("team a rate=" + std::to_string(i + 1) + "/s burst=1")})));
         }
         CPPUNIT_ASSERT(catchUpFromLog(writer, client, 2, 0));
         section("without snapshot a new node does not guess", [&] {
             log.expireBefore(kConfigStream, 3);
             ConfigFold fresh;
             CPPUNIT_ASSERT(catchUpFromLog(fresh, client, 2, 0).error().code == ErrorCode::Unavailable);
-            CPPUNIT_ASSERT_EQUAL(uint64_t { 0 }, fresh.state.nextOffset);
+            CPPUNIT_ASSERT_EQUAL(uint64_t{0}, fresh.state.nextOffset);
         });
         section("with a snapshot it reaches the same state", [&] {
             CPPUNIT_ASSERT(publishSnapshot(writer, client, "s1", 5000));
-            CPPUNIT_ASSERT(client.append(kConfigStream, change("c9", 5, { rule("team b rate=1/s burst=1") })));
+            CPPUNIT_ASSERT(client.append(kConfigStream, change("c9", 5, {rule("team b rate=1/s burst=1")})));
             CPPUNIT_ASSERT(catchUpFromLog(writer, client, 2, 0));
             ConfigFold fresh;
             CPPUNIT_ASSERT(catchUpFromLog(fresh, client, 2, 0).value().snapshotAdopted);
@@ -282,9 +275,9 @@
             std::vector<Rule> rules;
             rules.reserve(100);
             for (int i = 0; i < 100; ++i) {
-                rules.push_back(parseRuleLine("team b" + std::to_string(batch) + "-" + std::to_string(i)
-                                              + " rate=1/s burst=1 # asked by \"f\u00fcnf\": \\ \"quotes\"")
-                                    .value());
+                rules.push_back(
+                    parseRuleLine("team b" + std::to_string(batch) + "-" + std::to_string(i) + " rate=1/s burst=1 # asked by \"f\u00fcnf\": \\ \"quotes\"")
+                        .value());
             }
             fold(node, change("c" + std::to_string(batch), batch, rules));
         }
@@ -319,9 +312,9 @@
     void testSnapshotDue()
     {
         ConfigFold node;
-        const Retention retention { seconds(100), 200 };
+        const Retention retention{seconds(100), 200};
         CPPUNIT_ASSERT(!isSnapshotDue(node.state, retention, 1000));
-        fold(node, change("c1", 0, { rule("team a rate=5/s burst=5") }));
+        fold(node, change("c1", 0, {rule("team a rate=5/s burst=5")}));
         CPPUNIT_ASSERT(isSnapshotDue(node.state, retention, 1000));
         for (const SnapshotPart &part : splitSnapshot(takeSnapshot(node), "s", 100000)) {
             fold(node, encodeSnapshotPart(part));
@@ -350,12 +343,11 @@
         ConfigFold relay;
         size_t snapshots = 0;
         for (int i = 0; i < 1000; ++i) {
-            CPPUNIT_ASSERT(client.append(kConfigStream,
-                                         change("c" + std::to_string(i), relay.state.revision,
-                                                { rule("team t" + std::to_string(i % 50) + " rate=1/s burst=1") })));
+            CPPUNIT_ASSERT(client.append(
+                kConfigStream, change("c" + std::to_string(i), relay.state.revision, {rule("team t" + std::to_string(i % 50) + " rate=1/s burst=1")})));
             if (i % 10 == 0) {
                 CPPUNIT_ASSERT(catchUpFromLog(relay, client, 7, 0));
-                if (isSnapshotDue(relay.state, Retention { std::chrono::hours(1), kKept }, 1000)) {
+                if (isSnapshotDue(relay.state, Retention{std::chrono::hours(1), kKept}, 1000)) {
                     CPPUNIT_ASSERT(publishSnapshot(relay, client, "s" + std::to_string(i), 1000));
                     ++snapshots;
                 }
--- a/tests/config/fold_world.cpp
+++ b/tests/config/fold_world.cpp
@@ -4,9 +4,11 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
 constexpr size_t kNodes = 4;
 constexpr size_t kKeys = 4;
@@ -19,8 +21,7 @@
         std::vector<NewKey> keys;
         for (size_t i = 0; i < kKeys * 2; ++i) {
             // Two secrets under each id: a second one must never replace the first.
-            keys.push_back(createKey(TeamName("t" + std::to_string(i % 2)), KeyId("k" + std::to_string(i % kKeys)),
-                                     AskedBy { "ops", "fuzz" }));
+            keys.push_back(createKey(TeamName("t" + std::to_string(i % 2)), KeyId("k" + std::to_string(i % kKeys)), AskedBy{"ops", "fuzz"}));
         }
         return keys;
     }();
@@ -35,24 +36,24 @@
     if (choice % 11 < 3) {
         const std::string name = "team t" + std::to_string(choice % 11);
         rule.line = name + " rate=" + number + "/s burst=3" + kAsked;
-        return { name, rule };
+        return {name, rule};
     }
     if (choice % 11 < 5) {
         const std::string name = "domain d" + std::to_string(choice % 11 - 3);
         rule.line = name + " weight=" + number + kAsked;
-        return { name, rule };
+        return {name, rule};
     }
     if (choice % 11 < 7) {
         const std::string name = "route r" + std::to_string(choice % 11 - 5);
         rule.path = "GET /p" + std::to_string(value % 3);
         rule.line = name + " " + rule.path + " service=s priority=high idempotent=yes open=no" + kAsked;
-        return { name, rule };
+        return {name, rule};
     }
     const NewKey &key = keyPool()[choice % 11 - 7 + (value % 4 == 0 ? kKeys : 0)];
     rule.team = key.rule.team.value;
     rule.hash = key.rule.salt + ":" + key.rule.hmac;
     rule.line = "key " + rule.team + " " + key.rule.id.value + " hash=" + rule.hash + kAsked;
-    return { "key " + key.rule.id.value, rule };
+    return {"key " + key.rule.id.value, rule};
 }
 
 auto encode(const OracleRecord &record) -> std::string
@@ -61,26 +62,23 @@
     for (const auto &[id, rule] : record.upserts) {
         lines.push_back(rule.line);
     }
-    return nlohmann::json {
-        { "type", "change" }, { "id", record.id },  { "base", record.base },
-        { "by", "op" },       { "upserts", lines }, { "removals", record.removals }
-    }.dump();
+    return nlohmann::json{{"type", "change"}, {"id", record.id}, {"base", record.base}, {"by", "op"}, {"upserts", lines}, {"removals", record.removals}}.dump();
 }
 
 auto numbersSection(std::vector<int> &numbers) -> FoldSection
 {
-    return FoldSection { "number",
-                         [&numbers](uint64_t offset, const nlohmann::json &record) -> Result<void> {
-                             numbers.push_back(record["value"].get<int>());
-                             return success();
-                         },
-                         [&numbers] {
-                             return nlohmann::json(numbers);
-                         },
-                         [&numbers](const nlohmann::json &dumped) -> Result<void> {
-                             numbers = dumped.get<std::vector<int>>();
-                             return success();
-                         } };
+    return FoldSection{"number",
+                       [&numbers](uint64_t offset, const nlohmann::json &record) -> Result<void> {
+                           numbers.push_back(record["value"].get<int>());
+                           return success();
+                       },
+                       [&numbers] {
+                           return nlohmann::json(numbers);
+                       },
+                       [&numbers](const nlohmann::json &dumped) -> Result<void> {
+                           numbers = dumped.get<std::vector<int>>();
+                           return success();
+                       }};
 }
 
 } // namespace
@@ -89,7 +87,7 @@
 {
     WorldHooks hooks;
     // Each call has another time: the folded state must not depend on it.
-    hooks.apply = [now = int64_t { 0 }](ConfigFold &fold, const LogRecord &record) mutable {
+    hooks.apply = [now = int64_t{0}](ConfigFold &fold, const LogRecord &record) mutable {
         return applyRecord(fold, record, ++now);
     };
     hooks.adopt = [](ConfigFold &fold, const Snapshot &snapshot) {
@@ -186,9 +184,7 @@
         OracleRecord record;
         record.isNumber = step.b % 2 == 0;
         record.number = static_cast<int>(step.c % 100);
-        append(record.isNumber ? R"({"type":"number","value":)" + std::to_string(record.number) + "}"
-                               : R"({"type":"change","id":)",
-               record);
+        append(record.isNumber ? R"({"type":"number","value":)" + std::to_string(record.number) + "}" : R"({"type":"change","id":)", record);
         return;
     }
     }
@@ -251,8 +247,7 @@
         if (!earliest || !catchUpFromLog(scratch, log_.client(), 5, 0)) {
             return;
         }
-        expect(scratch.state.revision == oracle_.at(scratch.state.nextOffset).revision, kStateCheck,
-               "catching up from the log");
+        expect(scratch.state.revision == oracle_.at(scratch.state.nextOffset).revision, kStateCheck, "catching up from the log");
         // What catchUpFromLog found is adopted through the hook, so that a faulty adoption is seen here as well.
         SnapshotAssembly assembly;
         const auto kept = log_.read(kConfigStream, *earliest, 100000);
@@ -272,9 +267,7 @@
 {
     const uint64_t mine = node.fold.state.nextOffset;
     const uint64_t asked = step.c % 5 == 0 ? mine - std::min<uint64_t>(mine, 2) : mine;
-    auto answer
-        = decodeRecordsAnswer(encodeRecordsAnswer(recordsSince(peer.history, peer.fold.state.nextOffset, asked, 500)))
-              .value();
+    auto answer = decodeRecordsAnswer(encodeRecordsAnswer(recordsSince(peer.history, peer.fold.state.nextOffset, asked, 500))).value();
     // A stray or faulty peer leaves out records.
     if (step.c % 7 == 0 && answer.records.size() > 1) {
         answer.records.erase(answer.records.begin() + static_cast<std::ptrdiff_t>(step.b % answer.records.size()));
@@ -297,8 +290,7 @@
     SnapshotAssembly assembly;
     for (const SnapshotPart &part : splitSnapshot(takeSnapshot(peer.fold), "peer", 1)) {
         if (const auto snapshot = addSnapshotPart(assembly, part)) {
-            ++situations_[snapshot->nextOffset > node.fold.state.nextOffset ? "newer state from a peer"
-                                                                            : "stale state from a peer"];
+            ++situations_[snapshot->nextOffset > node.fold.state.nextOffset ? "newer state from a peer" : "stale state from a peer"];
             hooks_.adopt(node.fold, *snapshot);
         }
     }
@@ -307,7 +299,7 @@
 void FoldWorld::publishState(const Node &node, uint32_t seed)
 {
     for (const SnapshotPart &part : splitSnapshot(takeSnapshot(node.fold), "s" + std::to_string(seed), 1)) {
-        append(encodeSnapshotPart(part), OracleRecord {});
+        append(encodeSnapshotPart(part), OracleRecord{});
     }
 }
 
@@ -340,8 +332,7 @@
         return;
     }
     const OracleState &expected = oracle_.at(state.nextOffset);
-    bool same = state.revision == expected.revision && state.rules.size() == expected.rules.size()
-        && node.numbers == expected.numbers;
+    bool same = state.revision == expected.revision && state.rules.size() == expected.rules.size() && node.numbers == expected.numbers;
     for (const auto &[id, entry] : state.rules) {
         const auto wanted = expected.rules.find(id);
         same = same && wanted != expected.rules.end() && wanted->second.line == formatRule(entry.rule);
@@ -388,8 +379,7 @@
                 const auto verdict = verdicts_.find(offset);
                 return verdict != verdicts_.end() && verdict->second == ChangeVerdict::Applied;
             };
-            expect(!(touchSame && wins(i) && wins(j)), kRaceCheck,
-                   "offsets " + std::to_string(i) + " and " + std::to_string(j));
+            expect(!(touchSame && wins(i) && wins(j)), kRaceCheck, "offsets " + std::to_string(i) + " and " + std::to_string(j));
         }
     }
 }
--- a/tests/config/fold_world.h
+++ b/tests/config/fold_world.h
@@ -15,12 +15,12 @@
 #include <string>
 #include <vector>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 /// One step of a run. The numbers choose among what is possible, so that every value is a valid step and a failing run
 /// can be shrunk.
-struct WorldStep
-{
+struct WorldStep {
     uint8_t kind = 0;
     uint32_t a = 0;
     uint32_t b = 0;
@@ -28,8 +28,7 @@
 };
 
 /// The functions under test. A test double replaces one by a faulty one.
-struct WorldHooks
-{
+struct WorldHooks {
     std::function<FoldOutcome(ConfigFold &, const LogRecord &)> apply;
     std::function<void(ConfigFold &, const Snapshot &)> adopt;
     std::function<CatchUp(uint64_t, const RecordsAnswer &)> plan;
@@ -61,8 +60,7 @@
     [[nodiscard]] auto situations() const -> const std::map<std::string, uint64_t> &;
 
 private:
-    struct Node
-    {
+    struct Node {
         ConfigFold fold;
         RecordHistory history;
         std::vector<int> numbers;
--- a/tests/core/events_test.cpp
+++ b/tests/core/events_test.cpp
@@ -6,7 +6,8 @@
 #include <set>
 #include <sstream>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::section;
 
--- a/tests/core/hash_test.cpp
+++ b/tests/core/hash_test.cpp
@@ -5,7 +5,8 @@
 #include <string>
 #include <vector>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::section;
 
@@ -20,8 +21,8 @@
 public:
     void testRendezvousMovesFewKeys()
     {
-        const std::vector<std::string> before = { "a", "b", "c", "d" };
-        const std::vector<std::string> after = { "a", "b", "c", "d", "e" };
+        const std::vector<std::string> before = {"a", "b", "c", "d"};
+        const std::vector<std::string> after = {"a", "b", "c", "d", "e"};
         section("a node that joins takes keys only for itself", [&] {
             for (int i = 0; i < 200; ++i) {
                 const std::string key = "service-" + std::to_string(i);
@@ -31,13 +32,13 @@
             }
         });
         section("no more nodes are named than exist", [&] {
-            CPPUNIT_ASSERT_EQUAL(size_t { 4 }, rendezvousOrder("key", before, 9).size());
+            CPPUNIT_ASSERT_EQUAL(size_t{4}, rendezvousOrder("key", before, 9).size());
         });
     }
 
     void testStableValues()
     {
-        CPPUNIT_ASSERT_EQUAL(uint64_t { 0xef46db3751d8e999ULL }, stableHash(""));
+        CPPUNIT_ASSERT_EQUAL(uint64_t{0xef46db3751d8e999ULL}, stableHash(""));
         CPPUNIT_ASSERT_EQUAL(std::string("f7bc83f430538424b13298e6aa6fb143ef4d59a14946175997479dbc2d1a3cd8"),
                              hmacSha256Hex("key", "The quick brown fox jumps over the lazy dog"));
     }
--- a/tests/core/metrics_page_test.cpp
+++ b/tests/core/metrics_page_test.cpp
@@ -8,11 +8,13 @@
 #include <string_view>
 #include <utility>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::section;
 
-namespace {
+namespace
+{
 
 using NameAndType = std::pair<std::string, std::string>;
 
@@ -29,8 +31,8 @@
 auto metricsOfSource(const std::string &text) -> std::set<NameAndType>
 {
     std::set<NameAndType> found;
-    for (const std::string type : { "counter", "gauge", "summary" }) {
-        for (const std::string &member : { "." + type + "(", "->" + type + "(" }) {
+    for (const std::string type : {"counter", "gauge", "summary"}) {
+        for (const std::string &member : {"." + type + "(", "->" + type + "("}) {
             for (size_t at = text.find(member); at != std::string::npos; at = text.find(member, at + 1)) {
                 const size_t argument = text.find_first_not_of(" \n", at + member.size());
                 if (argument == std::string::npos || text[argument] != '"') {
@@ -51,8 +53,8 @@
     std::set<NameAndType> found;
     for (const auto &folder : std::filesystem::directory_iterator(".")) {
         const std::string name = folder.path().filename().string();
-        const bool isPackage = folder.is_directory() && name.front() != '.' && name.rfind("build", 0) != 0
-            && name != "tests" && name != "bench" && name != "docs";
+        const bool isPackage =
+            folder.is_directory() && name.front() != '.' && name.rfind("build", 0) != 0 && name != "tests" && name != "bench" && name != "docs";
         if (!isPackage) {
             continue;
         }
@@ -87,7 +89,7 @@
 {
     std::string text;
     for (const auto &[name, type] : all) {
-        if (known.count({ name, type }) == 0) {
+        if (known.count({name, type}) == 0) {
             text.append(name).append(" (").append(type).append(")\n");
         }
     }
@@ -124,20 +126,19 @@
     {
         section("a name in the line after the call", [] {
             const auto found = metricsOfSource("metrics\n    .gauge(\n        \"snipestream_a\", \"help\")");
-            CPPUNIT_ASSERT(found == std::set<NameAndType>({ { "snipestream_a", "gauge" } }));
+            CPPUNIT_ASSERT(found == std::set<NameAndType>({{"snipestream_a", "gauge"}}));
         });
         section("a call over a pointer", [] {
             const auto found = metricsOfSource("registry->summary(\"snipestream_b\", \"help\")");
-            CPPUNIT_ASSERT(found == std::set<NameAndType>({ { "snipestream_b", "summary" } }));
+            CPPUNIT_ASSERT(found == std::set<NameAndType>({{"snipestream_b", "summary"}}));
         });
         section("a computed name is not overlooked", [] {
             const auto found = metricsOfSource("metrics.counter(prefix + \"_total\", \"help\")");
-            CPPUNIT_ASSERT(found == std::set<NameAndType>({ { "(not a literal)", "counter" } }));
+            CPPUNIT_ASSERT(found == std::set<NameAndType>({{"(not a literal)", "counter"}}));
         });
         section("a metric of the wrong type is missing", [] {
             const auto page = metricsOfPage("| `snipestream_a` | counter | | help |\n");
-            CPPUNIT_ASSERT_EQUAL(std::string("snipestream_a (gauge)\n"),
-                                 missingFrom({ { "snipestream_a", "gauge" } }, page));
+            CPPUNIT_ASSERT_EQUAL(std::string("snipestream_a (gauge)\n"), missingFrom({{"snipestream_a", "gauge"}}, page));
         });
     }
 };
