--- a/tests/core/metrics_test.cpp
+++ b/tests/core/metrics_test.cpp
@@ -5,7 +5,8 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::section;
 
@@ -23,9 +24,8 @@
     {
         MetricsRegistry registry;
         section("a counter with a label that needs escaping", [&] {
-            registry.counter("requests_total", "Requests", { { "team", "a\"b" } }).add(3);
-            CPPUNIT_ASSERT(registry.renderPrometheus().find("requests_total{team=\"a\\\"b\"} 3\n")
-                           != std::string::npos);
+            registry.counter("requests_total", "Requests", {{"team", "a\"b"}}).add(3);
+            CPPUNIT_ASSERT(registry.renderPrometheus().find("requests_total{team=\"a\\\"b\"} 3\n") != std::string::npos);
         });
         section("a summary has quantiles near the truth", [&] {
             auto &summary = registry.summary("latency_seconds", "Latency");
@@ -41,7 +41,7 @@
     /// A header value with stray bytes once ended the process through an exception of the JSON writer.
     void testDetailThatIsNotUtf8()
     {
-        const Refusal refusal { RefusalReason::BadRequest, RunState::NotRun, {}, "value '\xff\xfe' is not a time" };
+        const Refusal refusal{RefusalReason::BadRequest, RunState::NotRun, {}, "value '\xff\xfe' is not a time"};
         CPPUNIT_ASSERT(nlohmann::json::accept(toProblemDocument(refusal, "id")));
     }
 
@@ -51,8 +51,7 @@
             const auto reason = static_cast<RefusalReason>(i);
             section(std::string(refusalReasonName(reason)), [&] {
                 CPPUNIT_ASSERT(parseRefusalReason(refusalReasonName(reason)) == reason);
-                const auto document = nlohmann::json::parse(
-                    toProblemDocument(Refusal { reason, RunState::Unknown, milliseconds(5), "why" }, "id"));
+                const auto document = nlohmann::json::parse(toProblemDocument(Refusal{reason, RunState::Unknown, milliseconds(5), "why"}, "id"));
                 CPPUNIT_ASSERT_EQUAL(std::string("unknown"), document["run"].get<std::string>());
                 CPPUNIT_ASSERT_EQUAL(refusalStatus(reason), document["status"].get<int>());
                 CPPUNIT_ASSERT_EQUAL(5, document["retryAfterMs"].get<int>());
--- a/tests/ctl/ctl_test.cpp
+++ b/tests/ctl/ctl_test.cpp
@@ -16,26 +16,26 @@
 #include <rapidcheck.h>
 #include <unistd.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::FakeLog;
 using testing::LogFaults;
 using testing::section;
 using Json = nlohmann::json;
 
-namespace {
+namespace
+{
 
 const std::string kAsked = " # asked by ops: test\n";
 
 /// The operator tool around a fake log, fake nodes and a clock that only sleeping moves.
-struct Bench
-{
+struct Bench {
     Bench()
     {
         context.log = log.client();
         context.nodeTransport = [this](const Endpoint &node) -> HttpTransport {
-            return [this, node](const std::string &method, const std::string &path, const std::string &,
-                                Duration) -> Result<HttpAnswer> {
+            return [this, node](const std::string &method, const std::string &path, const std::string &, Duration) -> Result<HttpAnswer> {
                 calls.push_back(method + " " + std::to_string(node.port) + path);
                 return answer(node, method + " " + path);
             };
@@ -51,7 +51,7 @@
             }
         };
         context.wallMs = [] {
-            return int64_t { 1000 };
+            return int64_t{1000};
         };
         context.newId = [this] {
             return "id-" + std::to_string(++ids);
@@ -77,7 +77,7 @@
     auto withRules(const std::string &command, const std::string &text) -> CtlReport
     {
         std::ofstream(file) << text;
-        return runCommand(context, options, { command, file });
+        return runCommand(context, options, {command, file});
     }
 
     auto run(const std::vector<std::string> &words) -> CtlReport
@@ -93,7 +93,7 @@
     FakeLog log;
     CtlContext context;
     CtlOptions options;
-    TimePoint now {};
+    TimePoint now{};
     int sleeps = 0;
     int ids = 0;
     std::function<void()> onSleep;
@@ -111,7 +111,7 @@
 /// Appends a rival's change, as another operator does between this operator's read and append.
 void appendRival(FakeLog &log, uint64_t base, const std::string &line)
 {
-    ChangeRecord change { "rival-" + std::to_string(base), base, "Rhian", {}, {} };
+    ChangeRecord change{"rival-" + std::to_string(base), base, "Rhian", {}, {}};
     change.upserts.push_back(parseRuleLine(line.substr(0, line.find('\n'))).value());
     CPPUNIT_ASSERT(log.append(kConfigStream, encodeChange(change)));
 }
@@ -150,19 +150,19 @@
             const auto report = bench.withRules("check", "team a rate=x burst=1\n");
             assertExit(ExitCode::Refused, report);
             CPPUNIT_ASSERT(report.text.find(bench.file + ":1:13: ") == 0);
-            CPPUNIT_ASSERT_EQUAL(size_t { 2 }, report.document["errors"].size());
+            CPPUNIT_ASSERT_EQUAL(size_t{2}, report.document["errors"].size());
         });
         section("a file that does not exist", [&] {
-            assertExit(ExitCode::Refused, bench.run({ "check", "/nonexistent" }));
+            assertExit(ExitCode::Refused, bench.run({"check", "/nonexistent"}));
         });
         section("diff shows additions, changes and removals and appends nothing", [&] {
             assertExit(ExitCode::Ok, bench.withRules("publish", team("a", 1) + team("b", 1)));
             const auto report = bench.withRules("diff", team("a", 2) + team("c", 1));
             assertExit(ExitCode::Ok, report);
-            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, report.document["added"].size());
-            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, report.document["changed"].size());
-            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, report.document["removed"].size());
-            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, bench.records());
+            CPPUNIT_ASSERT_EQUAL(size_t{1}, report.document["added"].size());
+            CPPUNIT_ASSERT_EQUAL(size_t{1}, report.document["changed"].size());
+            CPPUNIT_ASSERT_EQUAL(size_t{1}, report.document["removed"].size());
+            CPPUNIT_ASSERT_EQUAL(size_t{1}, bench.records());
         });
     }
 
@@ -175,10 +175,10 @@
         CPPUNIT_ASSERT_EQUAL(1, first.document["revision"].get<int>());
         section("publishing the same file again appends nothing", [&] {
             assertExit(ExitCode::Ok, bench.withRules("publish", team("a", 1)));
-            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, bench.records());
+            CPPUNIT_ASSERT_EQUAL(size_t{1}, bench.records());
         });
         section("a log that is down", [&] {
-            bench.log.setFaults(LogFaults { true, {}, 0 });
+            bench.log.setFaults(LogFaults{true, {}, 0});
             assertExit(ExitCode::Unavailable, bench.withRules("publish", team("a", 2)));
             bench.log.setFaults({});
         });
@@ -188,8 +188,7 @@
             };
             const auto report = bench.withRules("publish", team("a", 2));
             assertExit(ExitCode::Unavailable, report);
-            CPPUNIT_ASSERT(report.text.find("--change-id=" + report.document["change"].get<std::string>())
-                           != std::string::npos);
+            CPPUNIT_ASSERT(report.text.find("--change-id=" + report.document["change"].get<std::string>()) != std::string::npos);
             CPPUNIT_ASSERT(bench.now - TimePoint() <= bench.options.publishTimeout);
         });
     }
@@ -198,11 +197,11 @@
     {
         section("the change is appended once although its answer was lost", [&] {
             Bench bench;
-            bench.log.setFaults(LogFaults { false, {}, 1 });
+            bench.log.setFaults(LogFaults{false, {}, 1});
             const auto report = bench.withRules("publish", team("a", 1));
             assertExit(ExitCode::Ok, report);
             CPPUNIT_ASSERT_EQUAL(std::string("applied"), report.document["verdict"].get<std::string>());
-            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, bench.records());
+            CPPUNIT_ASSERT_EQUAL(size_t{1}, bench.records());
         });
         section("the append is repeated when it had no effect, with the same id", [&] {
             Bench bench;
@@ -230,7 +229,7 @@
             };
             const auto report = bench.withRules("publish", team("a", 1));
             assertExit(ExitCode::Ok, report);
-            CPPUNIT_ASSERT_EQUAL(size_t { 2 }, bench.records());
+            CPPUNIT_ASSERT_EQUAL(size_t{2}, bench.records());
             CPPUNIT_ASSERT_EQUAL(0, report.document["offset"].get<int>());
         });
         section("a later run with the change id reports what became of it", [&] {
@@ -240,7 +239,7 @@
             const auto report = bench.withRules("publish", team("a", 1));
             assertExit(ExitCode::Ok, report);
             CPPUNIT_ASSERT_EQUAL(std::string("applied"), report.document["verdict"].get<std::string>());
-            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, bench.records());
+            CPPUNIT_ASSERT_EQUAL(size_t{1}, bench.records());
         });
     }
 
@@ -267,16 +266,16 @@
     {
         Bench bench;
         assertExit(ExitCode::Ok, bench.withRules("publish", team("a", 1) + team("b", 1)));
-        const std::string exported = bench.run({ "export" }).text;
+        const std::string exported = bench.run({"export"}).text;
         assertExit(ExitCode::Ok, bench.withRules("publish", team("a", 7) + team("b", 1)));
         section("an export made before another change is refused where both differ", [&] {
             const auto report = bench.withRules("publish", exported);
             assertExit(ExitCode::Refused, report);
             CPPUNIT_ASSERT(report.text.find("was changed at revision 2") != std::string::npos);
-            CPPUNIT_ASSERT_EQUAL(size_t { 2 }, bench.records());
+            CPPUNIT_ASSERT_EQUAL(size_t{2}, bench.records());
         });
         section("a fresh export publishes", [&] {
-            assertExit(ExitCode::Ok, bench.withRules("publish", bench.run({ "export" }).text + team("c", 1)));
+            assertExit(ExitCode::Ok, bench.withRules("publish", bench.run({"export"}).text + team("c", 1)));
         });
     }
 
@@ -284,9 +283,9 @@
     {
         Bench bench;
         bench.options.reason = "test";
-        const std::string line = bench.run({ "key", "new", "a", "k1" }).document["rule"];
+        const std::string line = bench.run({"key", "new", "a", "k1"}).document["rule"];
         assertExit(ExitCode::Ok, bench.withRules("publish", team("a", 1) + line + "\n"));
-        assertExit(ExitCode::Refused, bench.run({ "withdraw-key", "k2" }));
+        assertExit(ExitCode::Refused, bench.run({"withdraw-key", "k2"}));
         section("a withdrawal wins although the rule is changed meanwhile", [&] {
             bool raced = false;
             bench.context.log.append = [&](const std::string &stream, const std::string &payload) {
@@ -296,12 +295,12 @@
                 }
                 return bench.log.append(stream, payload);
             };
-            assertExit(ExitCode::Ok, bench.run({ "withdraw-key", "k1" }));
+            assertExit(ExitCode::Ok, bench.run({"withdraw-key", "k1"}));
             CPPUNIT_ASSERT(readInForce(bench.context).value().state.index.keys.empty());
         });
         section("withdrawing it again succeeds and appends nothing", [&] {
             const size_t before = bench.records();
-            const auto report = bench.run({ "withdraw-key", "k1" });
+            const auto report = bench.run({"withdraw-key", "k1"});
             assertExit(ExitCode::Ok, report);
             CPPUNIT_ASSERT_EQUAL(3, report.document["revision"].get<int>());
             CPPUNIT_ASSERT_EQUAL(before, bench.records());
@@ -316,31 +315,29 @@
     void testNewKey()
     {
         Bench bench;
-        assertExit(ExitCode::Usage, bench.run({ "key", "new", "a", "k1" }));
+        assertExit(ExitCode::Usage, bench.run({"key", "new", "a", "k1"}));
         bench.options.reason = "first key";
-        const auto report = bench.run({ "key", "new", "a", "k1" });
+        const auto report = bench.run({"key", "new", "a", "k1"});
         assertExit(ExitCode::Ok, report);
         const auto rule = parseRuleLine(report.document["rule"].get<std::string>()).value();
         ConfigFold fold;
         putRule(fold.state, rule, 1);
-        CPPUNIT_ASSERT(
-            authenticate(fold.state, fold.keyCache, report.document["authorization"].get<std::string>()).value()
-            == TeamName("a"));
-        assertExit(ExitCode::Usage, bench.run({ "key", "new", "a", "k.1" }));
+        CPPUNIT_ASSERT(authenticate(fold.state, fold.keyCache, report.document["authorization"].get<std::string>()).value() == TeamName("a"));
+        assertExit(ExitCode::Usage, bench.run({"key", "new", "a", "k.1"}));
         bench.options.by = "Mair: Bala";
         section("a name that the rule line cannot carry is refused", [&] {
-            assertExit(ExitCode::Usage, bench.run({ "key", "new", "a", "k1" }));
+            assertExit(ExitCode::Usage, bench.run({"key", "new", "a", "k1"}));
         });
     }
 
     void testWait()
     {
         Bench bench;
-        bench.context.nodes = { { "127.0.0.1", 1 }, { "127.0.0.1", 2 } };
+        bench.context.nodes = {{"127.0.0.1", 1}, {"127.0.0.1", 2}};
         bench.options.wait = true;
         bench.answer = [&](const Endpoint &node, const std::string &) -> Result<HttpAnswer> {
             const bool ready = node.port == 1 || bench.sleeps >= 3;
-            return HttpAnswer { 200, Json { { "revision", ready ? 1 : 0 } }.dump() };
+            return HttpAnswer{200, Json{{"revision", ready ? 1 : 0}}.dump()};
         };
         section("all nodes report the revision after a while, with progress", [&] {
             const auto report = bench.withRules("publish", team("a", 1));
@@ -352,11 +349,11 @@
         });
         section("a node that stays behind is named", [&] {
             bench.answer = [](const Endpoint &node, const std::string &) -> Result<HttpAnswer> {
-                return HttpAnswer { node.port == 1 ? 200 : 500, R"({"revision":1})" };
+                return HttpAnswer{node.port == 1 ? 200 : 500, R"({"revision":1})"};
             };
             const auto report = bench.withRules("publish", team("a", 2));
             assertExit(ExitCode::Unavailable, report);
-            CPPUNIT_ASSERT_EQUAL(size_t { 2 }, report.document["nodesBehind"].size());
+            CPPUNIT_ASSERT_EQUAL(size_t{2}, report.document["nodesBehind"].size());
             CPPUNIT_ASSERT(report.text.find("127.0.0.1:1 at revision 1") != std::string::npos);
         });
     }
@@ -364,35 +361,31 @@
     void testNodes()
     {
         Bench bench;
-        bench.context.nodes = { { "127.0.0.1", 1 }, { "127.0.0.1", 2 }, { "127.0.0.1", 3 } };
+        bench.context.nodes = {{"127.0.0.1", 1}, {"127.0.0.1", 2}, {"127.0.0.1", 3}};
         bench.answer = [](const Endpoint &node, const std::string &) -> Result<HttpAnswer> {
             if (node.port == 3) {
                 return failure(ErrorCode::Timeout, "no answer");
             }
-            const Json counted = { { "admitted", 10 * node.port },
-                                   { "completed", 9 },
-                                   { "wasted", 1 },
-                                   { "refused", { { "rate-exceeded", node.port } } } };
-            return HttpAnswer { 200,
-                                Json { { "node", "n" + std::to_string(node.port) },
-                                       { "domain", "d" },
-                                       { "incarnation", 5 },
-                                       { "revision", 7 },
-                                       { "offset", 8 },
-                                       { "configAgeMs", 250 },
-                                       { "teams", { { "a", counted } } } }
-                                    .dump() };
+            const Json counted = {{"admitted", 10 * node.port}, {"completed", 9}, {"wasted", 1}, {"refused", {{"rate-exceeded", node.port}}}};
+            return HttpAnswer{200,
+                              Json{{"node", "n" + std::to_string(node.port)},
+                                   {"domain", "d"},
+                                   {"incarnation", 5},
+                                   {"revision", 7},
+                                   {"offset", 8},
+                                   {"configAgeMs", 250},
+                                   {"teams", {{"a", counted}}}}
+                                  .dump()};
         };
         section("status lists the nodes that answer and fails for the others", [&] {
-            const auto report = bench.run({ "status" });
+            const auto report = bench.run({"status"});
             assertExit(ExitCode::Unavailable, report);
-            CPPUNIT_ASSERT(report.text.find("n1    d       127.0.0.1:1  7         8       250            5")
-                           != std::string::npos);
+            CPPUNIT_ASSERT(report.text.find("n1    d       127.0.0.1:1  7         8       250            5") != std::string::npos);
             CPPUNIT_ASSERT(report.text.find("failed: 127.0.0.1:3 no answer") != std::string::npos);
         });
         bench.context.nodes.pop_back();
         section("share sums the nodes up", [&] {
-            const auto report = bench.run({ "share", "a" });
+            const auto report = bench.run({"share", "a"});
             assertExit(ExitCode::Ok, report);
             CPPUNIT_ASSERT_EQUAL(30, report.document["admitted"].get<int>());
             CPPUNIT_ASSERT_EQUAL(18, report.document["completed"].get<int>());
@@ -400,21 +393,21 @@
             CPPUNIT_ASSERT_EQUAL(3, report.document["refused"]["rate-exceeded"].get<int>());
         });
         section("a team that no node has counted", [&] {
-            CPPUNIT_ASSERT_EQUAL(0, bench.run({ "share", "zzz" }).document["nodes"].get<int>());
+            CPPUNIT_ASSERT_EQUAL(0, bench.run({"share", "zzz"}).document["nodes"].get<int>());
         });
         section("drains go to the admin paths", [&] {
             bench.calls.clear();
-            assertExit(ExitCode::Ok, bench.run({ "drain", "node" }));
-            assertExit(ExitCode::Ok, bench.run({ "drain", "target", "stock-1" }));
+            assertExit(ExitCode::Ok, bench.run({"drain", "node"}));
+            assertExit(ExitCode::Ok, bench.run({"drain", "target", "stock-1"}));
             CPPUNIT_ASSERT_EQUAL(std::string("POST 1/snipestream/v1/drain"), bench.calls.front());
             CPPUNIT_ASSERT_EQUAL(std::string("POST 2/snipestream/v1/targets/stock-1/drain"), bench.calls.back());
-            assertExit(ExitCode::Usage, bench.run({ "drain", "target", "../drain" }));
+            assertExit(ExitCode::Usage, bench.run({"drain", "target", "../drain"}));
         });
         section("a node that refuses gives its reason", [&] {
             bench.answer = [](const Endpoint &, const std::string &) -> Result<HttpAnswer> {
-                return HttpAnswer { 404, R"({"detail":"there is no target x"})" };
+                return HttpAnswer{404, R"({"detail":"there is no target x"})"};
             };
-            const auto report = bench.run({ "drain", "target", "x" });
+            const auto report = bench.run({"drain", "target", "x"});
             assertExit(ExitCode::Refused, report);
             CPPUNIT_ASSERT(report.text.find("there is no target x") != std::string::npos);
         });
@@ -425,52 +418,48 @@
         Bench bench;
         assertExit(ExitCode::Ok, bench.withRules("publish", team("a", 1)));
         appendRival(bench.log, 0, team("a", 7));
-        const auto report = bench.run({ "audit" });
-        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, report.document["entries"].size());
-        CPPUNIT_ASSERT(report.text.find("conflict  Rhian  team a (rule \"team a\" was changed at revision 1 by Mair")
-                       != std::string::npos);
-        CPPUNIT_ASSERT(bench.run({ "export" }).text.find("# base revision: 1\n\n" + team("a", 1)) == 0);
-        CPPUNIT_ASSERT(bench.run({ "events" }).text.find("SNS2001") != std::string::npos);
+        const auto report = bench.run({"audit"});
+        CPPUNIT_ASSERT_EQUAL(size_t{2}, report.document["entries"].size());
+        CPPUNIT_ASSERT(report.text.find("conflict  Rhian  team a (rule \"team a\" was changed at revision 1 by Mair") != std::string::npos);
+        CPPUNIT_ASSERT(bench.run({"export"}).text.find("# base revision: 1\n\n" + team("a", 1)) == 0);
+        CPPUNIT_ASSERT(bench.run({"events"}).text.find("SNS2001") != std::string::npos);
     }
 
     void testUsage()
     {
         Bench bench;
-        const std::vector<std::vector<std::string>> wrong
-            = { {}, { "frob" }, { "check" }, { "check", "a", "b" }, { "key" }, { "status" }, { "drain", "node" } };
+        const std::vector<std::vector<std::string>> wrong = {{}, {"frob"}, {"check"}, {"check", "a", "b"}, {"key"}, {"status"}, {"drain", "node"}};
         for (const auto &words : wrong) {
             section("words " + std::to_string(words.size()), [&] {
                 assertExit(ExitCode::Usage, bench.run(words));
             });
         }
         bench.options.by = " ";
-        assertExit(ExitCode::Usage, bench.run({ "publish", "x" }));
-        CPPUNIT_ASSERT(parseFlags({ "check", "--frob=1" }).error().code == ErrorCode::InvalidInput);
-        CPPUNIT_ASSERT(parseFlags({ "check", "file" }).value() == (std::vector<std::string> { "check", "file" }));
-        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, parseEndpoints("127.0.0.1:1, [::1]:2").value().size());
+        assertExit(ExitCode::Usage, bench.run({"publish", "x"}));
+        CPPUNIT_ASSERT(parseFlags({"check", "--frob=1"}).error().code == ErrorCode::InvalidInput);
+        CPPUNIT_ASSERT(parseFlags({"check", "file"}).value() == (std::vector<std::string>{"check", "file"}));
+        CPPUNIT_ASSERT_EQUAL(size_t{2}, parseEndpoints("127.0.0.1:1, [::1]:2").value().size());
         CPPUNIT_ASSERT(parseEndpoints("127.0.0.1").has_error());
-        for (const char *word : { "publish FILE", "withdraw-key KEYID", "--change-id", "exit codes" }) {
+        for (const char *word : {"publish FILE", "withdraw-key KEYID", "--change-id", "exit codes"}) {
             CPPUNIT_ASSERT(usageText().find(word) != std::string::npos);
         }
     }
 
     void testAnyNodeAnswer()
     {
-        const std::string valid
-            = R"({"teams":{"a":{"admitted":1,"refused":{"x":2}}},"entries":[{"offset":1,"touched":["r"]}],"node":"n"})";
+        const std::string valid = R"({"teams":{"a":{"admitted":1,"refused":{"x":2}}},"entries":[{"offset":1,"touched":["r"]}],"node":"n"})";
         CPPUNIT_ASSERT(rc::check("a damaged node answer gives a report, never a crash", [&] {
             Bench bench;
-            bench.context.nodes = { { "127.0.0.1", 1 } };
+            bench.context.nodes = {{"127.0.0.1", 1}};
             std::string body = valid;
             const auto count = *rc::gen::inRange(1, 6);
             for (int i = 0; i < count; ++i) {
                 body[*rc::gen::inRange<size_t>(0, body.size())] = *rc::gen::elementOf(std::string("{}[]\":,1-an\xff"));
             }
             bench.answer = [&](const Endpoint &, const std::string &) -> Result<HttpAnswer> {
-                return HttpAnswer { 200, body };
+                return HttpAnswer{200, body};
             };
-            for (const auto &words :
-                 std::vector<std::vector<std::string>> { { "status" }, { "share", "a" }, { "audit" } }) {
+            for (const auto &words : std::vector<std::vector<std::string>>{{"status"}, {"share", "a"}, {"audit"}}) {
                 RC_ASSERT(!bench.run(words).text.empty());
             }
         }));
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -6,13 +6,15 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::makeRequest;
 using testing::RawClient;
 using testing::section;
 
-namespace {
+namespace
+{
 
 /// Echoes the request body; "/slow" answers after 50 ms, "/cut" ends in the middle of its answer, "/none" does not
 /// answer.
@@ -29,7 +31,7 @@
         runtime.sleepFor(milliseconds(50));
     }
     ResponseHead head;
-    head.headers = { { "X-Method", exchange.head.method } };
+    head.headers = {{"X-Method", exchange.head.method}};
     if (path == "/cut") {
         head.bodyLength = 100;
         static_cast<void>(exchange.respond(head));
@@ -59,22 +61,21 @@
 }
 
 /// A server on a free port and a client for it, on one runtime.
-struct Fixture
-{
+struct Fixture {
     explicit Fixture(HttpServerOptions options = {})
         : server(runtime, withAddress(std::move(options)), metrics,
                  [this](Exchange &exchange) {
                      echo(runtime, exchange, cancelled);
                  })
         , port(server.listen().value())
-        , client(runtime, HttpClientOptions { { "127.0.0.1", port }, 2 })
+        , client(runtime, HttpClientOptions{{"127.0.0.1", port}, 2})
     {
     }
 
     static auto withAddress(HttpServerOptions options) -> HttpServerOptions
     {
         options.name = "test";
-        options.listen = { "127.0.0.1", 0 };
+        options.listen = {"127.0.0.1", 0};
         return options;
     }
 
@@ -122,7 +123,7 @@
                     CPPUNIT_ASSERT(answer.has_value());
                     CPPUNIT_ASSERT_EQUAL(std::string("hello"), answer.value().body);
                 }
-                CPPUNIT_ASSERT_EQUAL(size_t { 1 }, fixture.server.connectionCount());
+                CPPUNIT_ASSERT_EQUAL(size_t{1}, fixture.server.connectionCount());
             });
             section("calls over the connection limit wait for a free one", [&] {
                 int done = 0;
@@ -156,8 +157,7 @@
             constexpr int kChunks = 480;
             fixture.runtime.spawn([&] {
                 for (int i = 0; i < kChunks; ++i) {
-                    CPPUNIT_ASSERT(
-                        call.requestBody.write(std::string(kMaxChunkBytes, static_cast<char>('a' + i % 26))));
+                    CPPUNIT_ASSERT(call.requestBody.write(std::string(kMaxChunkBytes, static_cast<char>('a' + i % 26))));
                 }
                 CPPUNIT_ASSERT(call.requestBody.finish());
             });
@@ -175,7 +175,7 @@
                     break;
                 }
             }
-            CPPUNIT_ASSERT_EQUAL(uint64_t { kChunks } * kMaxChunkBytes, total);
+            CPPUNIT_ASSERT_EQUAL(uint64_t{kChunks} * kMaxChunkBytes, total);
             CPPUNIT_ASSERT(inOrder);
         });
     }
@@ -194,7 +194,7 @@
                 raw.close();
                 fixture.runtime.sleepFor(milliseconds(20));
                 CPPUNIT_ASSERT_EQUAL(1, fixture.cancelled);
-                CPPUNIT_ASSERT_EQUAL(size_t { 0 }, fixture.server.activeRequestCount());
+                CPPUNIT_ASSERT_EQUAL(size_t{0}, fixture.server.activeRequestCount());
             });
         });
     }
--- a/tests/idempotency/claim_record_test.cpp
+++ b/tests/idempotency/claim_record_test.cpp
@@ -4,17 +4,18 @@
 
 #include <rapidcheck.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::section;
 
-namespace {
+namespace
+{
 
 auto anyResponse() -> rc::Gen<RecordedResponse>
 {
     const auto text = rc::gen::arbitrary<std::string>();
-    return rc::gen::construct<RecordedResponse>(rc::gen::inRange(100, 600),
-                                                rc::gen::container<HeaderList>(rc::gen::pair(text, text)), text);
+    return rc::gen::construct<RecordedResponse>(rc::gen::inRange(100, 600), rc::gen::container<HeaderList>(rc::gen::pair(text, text)), text);
 }
 
 auto anyRecord() -> ClaimsRecord
@@ -30,9 +31,9 @@
     const int count = *rc::gen::inRange(0, 4);
     for (int i = 0; i < count; ++i) {
         ClaimEntry entry;
-        entry.key = { TeamName(*rc::gen::arbitrary<std::string>()), *rc::gen::arbitrary<std::string>() };
+        entry.key = {TeamName(*rc::gen::arbitrary<std::string>()), *rc::gen::arbitrary<std::string>()};
         entry.fingerprint = *rc::gen::arbitrary<uint64_t>();
-        entry.attempt = { *rc::gen::arbitrary<uint64_t>(), *rc::gen::arbitrary<uint64_t>() };
+        entry.attempt = {*rc::gen::arbitrary<uint64_t>(), *rc::gen::arbitrary<uint64_t>()};
         entry.attemptNumber = *rc::gen::inRange<uint32_t>(0, 9);
         entry.state = static_cast<ClaimState>(*rc::gen::inRange(0, 4));
         entry.age = milliseconds(*rc::gen::inRange(0, 86'400'000));
@@ -90,8 +91,7 @@
             const bool isExplained = parsed.has_value() || !parsed.error().message.empty();
             RC_ASSERT(isExplained);
         }));
-        for (const char *text : { "", "[]", "7", "{}", R"({"type":7})", R"({"type":"claims"})",
-                                  R"({"type":"claims","kind":"claims","claims":7})" }) {
+        for (const char *text : {"", "[]", "7", "{}", R"({"type":7})", R"({"type":"claims"})", R"({"type":"claims","kind":"claims","claims":7})"}) {
             section(text, [text] {
                 CPPUNIT_ASSERT(claimsRecordFromJson(text).error().code == ErrorCode::InvalidInput);
             });
--- a/tests/idempotency/claim_table_test.cpp
+++ b/tests/idempotency/claim_table_test.cpp
@@ -2,20 +2,21 @@
 #include "idempotency/claim_table.h"
 #include "tests/support/section.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::section;
 
-namespace {
+namespace
+{
 
-const ClaimKey kKey { TeamName("studio"), "deposit-1" };
+const ClaimKey kKey{TeamName("studio"), "deposit-1"};
 
 /// One owner and a log that takes every append at once.
-struct Bench
-{
+struct Bench {
     ClaimSettings settings;
-    TimePoint now { seconds(100) };
-    OwnerView view { true, 1, false, false };
+    TimePoint now{seconds(100)};
+    OwnerView view{true, 1, false, false};
     std::vector<ClaimsRecord> log;
     ClaimTable table;
     size_t appends = 0;
@@ -31,7 +32,7 @@
     {
         auto outputs = tickClaims(table, view, homeRevision, now);
         if (outputs.wantRead) {
-            const LogRead read { outputs.readId, log, 0, log.size(), true };
+            const LogRead read{outputs.readId, log, 0, log.size(), true};
             auto after = onLogRecords(table, read, view, now);
             if (after.append) {
                 outputs.append = after.append;
@@ -40,15 +41,12 @@
         if (outputs.append) {
             ++appends;
             log.push_back(*outputs.append);
-            onAppendResult(table, view.epoch, outputs.append->sequence, AppendResult::Acknowledged, log.size() - 1,
-                           view, now);
+            onAppendResult(table, view.epoch, outputs.append->sequence, AppendResult::Acknowledged, log.size() - 1, view, now);
         }
     }
     auto begin(uint64_t attempt, uint64_t fingerprint = 1, const ClaimKey &key = kKey) -> ClaimVerdict
     {
-        const BeginRequest request {
-            key, fingerprint, RequestId { 0, attempt }, static_cast<uint32_t>(attempt), NodeName("e"), seconds(10)
-        };
+        const BeginRequest request{key, fingerprint, RequestId{0, attempt}, static_cast<uint32_t>(attempt), NodeName("e"), seconds(10)};
         beginClaim(table, request, view, now);
         now += milliseconds(200);
         step();
@@ -56,19 +54,16 @@
     }
     void end(uint64_t attempt, OutcomeKind kind, const std::optional<RecordedResponse> &response = std::nullopt)
     {
-        CPPUNIT_ASSERT(endClaim(table, kKey, RequestId { 0, attempt }, { kind, response }, view, now));
+        CPPUNIT_ASSERT(endClaim(table, kKey, RequestId{0, attempt}, {kind, response}, view, now));
     }
 };
 
 auto reasonOf(const ClaimVerdict &verdict) -> std::string
 {
     if (const auto *refused = std::get_if<Refused>(&verdict)) {
-        return std::string(refusalReasonName(refused->refusal.reason)) + " "
-            + std::string(runStateName(refused->refusal.run));
+        return std::string(refusalReasonName(refused->refusal.reason)) + " " + std::string(runStateName(refused->refusal.run));
     }
-    return std::holds_alternative<Granted>(verdict) ? "granted"
-        : std::holds_alternative<Replay>(verdict)   ? "replay"
-                                                    : "wait";
+    return std::holds_alternative<Granted>(verdict) ? "granted" : std::holds_alternative<Replay>(verdict) ? "replay" : "wait";
 }
 
 } // namespace
@@ -104,7 +99,7 @@
             CPPUNIT_ASSERT_EQUAL(std::string("already-run unknown"), reasonOf(bench.begin(5)));
         });
         section("a late outcome is still recorded, and the first one stays", [&] {
-            bench.end(4, OutcomeKind::Done, RecordedResponse { 201, {}, "receipt" });
+            bench.end(4, OutcomeKind::Done, RecordedResponse{201, {}, "receipt"});
             bench.end(4, OutcomeKind::NotRun);
             CPPUNIT_ASSERT_EQUAL(std::string("receipt"), std::get<Replay>(bench.begin(6)).response.body);
             CPPUNIT_ASSERT_EQUAL(std::string("bad-request unknown"), reasonOf(bench.begin(6, 9)));
@@ -124,20 +119,18 @@
         bench.settings.maxClaims = 2;
         bench.take("a", 1);
         section("a full table refuses new keys and keeps the old ones", [&] {
-            for (const char *name : { "x", "y" }) {
-                CPPUNIT_ASSERT_EQUAL(std::string("granted"), reasonOf(bench.begin(1, 1, { kKey.team, name })));
+            for (const char *name : {"x", "y"}) {
+                CPPUNIT_ASSERT_EQUAL(std::string("granted"), reasonOf(bench.begin(1, 1, {kKey.team, name})));
             }
             CPPUNIT_ASSERT_EQUAL(std::string("claim-unavailable not-run"), reasonOf(bench.begin(1)));
             CPPUNIT_ASSERT_EQUAL(std::string("claim-unavailable unknown"), reasonOf(bench.begin(2)));
-            CPPUNIT_ASSERT_EQUAL(std::string("in-progress unknown"), reasonOf(bench.begin(2, 1, { kKey.team, "x" })));
+            CPPUNIT_ASSERT_EQUAL(std::string("in-progress unknown"), reasonOf(bench.begin(2, 1, {kKey.team, "x"})));
         });
         section("appends stay within the budget", [&] {
             Bench busy;
             busy.take("a", 1);
             for (int i = 0; i < 1000; ++i) {
-                const BeginRequest request {
-                    { kKey.team, std::to_string(i) }, 1, RequestId { 1, 1 }, 1, {}, seconds(9)
-                };
+                const BeginRequest request{{kKey.team, std::to_string(i)}, 1, RequestId{1, 1}, 1, {}, seconds(9)};
                 beginClaim(busy.table, request, busy.view, busy.now);
                 busy.now += milliseconds(10);
                 busy.step();
@@ -146,15 +139,14 @@
         });
         section("a response over the limit is not recorded", [&] {
             const ClaimSettings settings;
-            CPPUNIT_ASSERT(
-                recordable({ 200, { { "Connection", "close" } }, std::string(4096, 'x') }, settings)->headers.empty());
-            CPPUNIT_ASSERT(!recordable({ 200, {}, std::string(4097, 'x') }, settings));
+            CPPUNIT_ASSERT(recordable({200, {{"Connection", "close"}}, std::string(4096, 'x')}, settings)->headers.empty());
+            CPPUNIT_ASSERT(!recordable({200, {}, std::string(4097, 'x')}, settings));
         });
     }
 
     void testHandover()
     {
-        for (const bool isHandedOver : { true, false }) {
+        for (const bool isHandedOver : {true, false}) {
             section(isHandedOver ? "the old home hands over" : "the old home is partitioned", [&] {
                 Bench bench;
                 bench.take("a", 1);
@@ -172,8 +164,7 @@
                 bench.step(2);
                 CPPUNIT_ASSERT(bench.table.phase == OwnerPhase::Serving);
                 CPPUNIT_ASSERT_EQUAL(std::string("already-run unknown"), reasonOf(bench.begin(2)));
-                CPPUNIT_ASSERT_EQUAL(std::string(isHandedOver ? "granted" : "claim-unavailable unknown"),
-                                     reasonOf(bench.begin(1, 1, { kKey.team, "other" })));
+                CPPUNIT_ASSERT_EQUAL(std::string(isHandedOver ? "granted" : "claim-unavailable unknown"), reasonOf(bench.begin(1, 1, {kKey.team, "other"})));
             });
         }
     }
@@ -182,7 +173,7 @@
     /// quarantined for a day although its owner had stopped as planned.
     void testPlannedStopLeavesNoQuarantine()
     {
-        for (const bool isPlanned : { true, false }) {
+        for (const bool isPlanned : {true, false}) {
             section(isPlanned ? "the owner stops as planned" : "the owner dies", [&] {
                 Bench bench;
                 bench.take("a", 1);
@@ -193,15 +184,14 @@
                     bench.step();
                     CPPUNIT_ASSERT(bench.table.phase == OwnerPhase::HandedOver);
                 }
-                bench.view = OwnerView { true, 2, true, false };
+                bench.view = OwnerView{true, 2, true, false};
                 bench.take("a", 1);
                 bench.now += seconds(1);
                 bench.step();
                 bench.step();
                 CPPUNIT_ASSERT(bench.table.phase == OwnerPhase::Serving);
                 CPPUNIT_ASSERT_EQUAL(std::string("already-run unknown"), reasonOf(bench.begin(2)));
-                CPPUNIT_ASSERT_EQUAL(std::string(isPlanned ? "granted" : "claim-unavailable unknown"),
-                                     reasonOf(bench.begin(1, 1, { kKey.team, "other" })));
+                CPPUNIT_ASSERT_EQUAL(std::string(isPlanned ? "granted" : "claim-unavailable unknown"), reasonOf(bench.begin(1, 1, {kKey.team, "other"})));
             });
         }
     }
@@ -215,15 +205,14 @@
                 const bool isClaimed = trace.step == AttemptStep::Claimed;
                 const bool isBefore = trace.step < AttemptStep::Claimed;
                 CPPUNIT_ASSERT_EQUAL(isClaimed, truthfulRunState(trace, OwnerKnowledge::NotAsked) == RunState::NotRun);
-                CPPUNIT_ASSERT_EQUAL(isClaimed || isBefore,
-                                     truthfulRunState(trace, OwnerKnowledge::NoOtherAttempt) == RunState::NotRun);
+                CPPUNIT_ASSERT_EQUAL(isClaimed || isBefore, truthfulRunState(trace, OwnerKnowledge::NoOtherAttempt) == RunState::NotRun);
             }
         });
         section("a grant after the attempt was given up is returned, and a second one starts nothing", [] {
             AttemptTrace trace;
             onClaimAsked(trace);
             CPPUNIT_ASSERT(onClaimLost(trace).refusal->run == RunState::Unknown);
-            const auto action = onVerdict(trace, Granted {});
+            const auto action = onVerdict(trace, Granted{});
             CPPUNIT_ASSERT(action.kind == EntryActionKind::Ignore && action.end->kind == OutcomeKind::NotRun);
             CPPUNIT_ASSERT(!mayDispatch(trace));
         });
--- a/tests/idempotency/claims_fuzz_test.cpp
+++ b/tests/idempotency/claims_fuzz_test.cpp
@@ -7,18 +7,19 @@
 
 #include <rapidcheck.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::Defect;
 using testing::Fault;
 using testing::section;
 using testing::World;
 
-namespace {
+namespace
+{
 
 /// One step of a run: a request, a refusal after a peek, a wait or a fault.
-struct Command
-{
+struct Command {
     int kind;
     int value;
 };
@@ -93,8 +94,7 @@
         size_t unlogged = 0;
         size_t takeovers = 0;
         // inRange() narrows its range with the size, so the commands are drawn at the full size.
-        const auto command = rc::gen::resize(
-            rc::kNominalSize, rc::gen::construct<Command>(rc::gen::inRange(0, 6), rc::gen::inRange(0, 16 * 24)));
+        const auto command = rc::gen::resize(rc::kNominalSize, rc::gen::construct<Command>(rc::gen::inRange(0, 6), rc::gen::inRange(0, 16 * 24)));
         const auto commands = rc::gen::container<std::vector<Command>>(command);
         const bool holds = rc::check("claims", [&] {
             const auto sequence = *rc::gen::resize(60, commands);
@@ -114,8 +114,8 @@
             }
         });
         CPPUNIT_ASSERT(holds);
-        std::cout << "runs " << runs << ", answers " << answers << ", not-run refusals " << notRun << ", takeovers "
-                  << takeovers << ", quarantines " << quarantines << ", unlogged modes " << unlogged << "\n";
+        std::cout << "runs " << runs << ", answers " << answers << ", not-run refusals " << notRun << ", takeovers " << takeovers << ", quarantines "
+                  << quarantines << ", unlogged modes " << unlogged << "\n";
         section("the runs reached the states that matter", [&] {
             CPPUNIT_ASSERT(runs > 50 && answers > runs && notRun > 10);
             CPPUNIT_ASSERT(takeovers > 20 && quarantines > 5 && unlogged > 5);
--- a/tests/idempotency/fault_matrix_test.cpp
+++ b/tests/idempotency/fault_matrix_test.cpp
@@ -5,7 +5,8 @@
 #include <iostream>
 #include <sstream>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::Defect;
 using testing::Fault;
@@ -13,10 +14,10 @@
 using testing::Step;
 using testing::World;
 
-namespace {
-
-struct CellResult
+namespace
 {
+
+struct CellResult {
     std::string text;
     std::vector<std::string> violations;
 };
@@ -40,16 +41,14 @@
 }
 
 /// A fault that follows on the first one.
-struct SecondFault
-{
+struct SecondFault {
     Fault fault;
     Duration delay;
 };
 
 /// Lets one request meet the fault when it reaches the step. The caller repeats the request every 3 s at the other
 /// entry node until it is answered, and once more after all faults have ended.
-auto playCell(Defect defect, Step step, Fault fault, const std::optional<SecondFault> &second, Duration requestTime)
-    -> CellResult
+auto playCell(Defect defect, Step step, Fault fault, const std::optional<SecondFault> &second, Duration requestTime) -> CellResult
 {
     World world(defect);
     world.requestTime = requestTime;
@@ -80,8 +79,7 @@
     world.advance(seconds(3));
     ++attempts;
     CellResult result;
-    result.text = letterOf(world.oracle, "key", 1) + "→" + letterOf(world.oracle, "key", attempts) + " "
-        + std::to_string(world.oracle.runsOf("key"));
+    result.text = letterOf(world.oracle, "key", 1) + "→" + letterOf(world.oracle, "key", attempts) + " " + std::to_string(world.oracle.runsOf("key"));
     result.violations = world.oracle.violations();
     return result;
 }
@@ -101,8 +99,7 @@
     for (int fault = 0; fault < testing::kFaultCount; ++fault) {
         table << "| " << testing::faultName(static_cast<Fault>(fault)) << " |";
         for (int step = 0; step < testing::kStepCount; ++step) {
-            const auto cell
-                = playCell(Defect::None, static_cast<Step>(step), static_cast<Fault>(fault), std::nullopt, seconds(2));
+            const auto cell = playCell(Defect::None, static_cast<Step>(step), static_cast<Fault>(fault), std::nullopt, seconds(2));
             table << " " << cell.text << " |";
             violations.insert(violations.end(), cell.violations.begin(), cell.violations.end());
         }
@@ -115,10 +112,10 @@
 /// long deadline are still waiting when a successor has taken over.
 auto firstViolation(Defect defect) -> std::string
 {
-    std::vector<std::optional<SecondFault>> followers = { std::nullopt };
+    std::vector<std::optional<SecondFault>> followers = {std::nullopt};
     for (int fault = 0; fault < testing::kFaultCount; ++fault) {
-        for (const Duration delay : { Duration::zero(), Duration(milliseconds(500)) }) {
-            followers.emplace_back(SecondFault { static_cast<Fault>(fault), delay });
+        for (const Duration delay : {Duration::zero(), Duration(milliseconds(500))}) {
+            followers.emplace_back(SecondFault{static_cast<Fault>(fault), delay});
         }
     }
     for (int cell = 0; cell < testing::kStepCount * testing::kFaultCount * 2; ++cell) {
@@ -187,8 +184,7 @@
         std::ifstream file("docs/idempotency.md");
         std::stringstream page;
         page << file.rdbuf();
-        CPPUNIT_ASSERT_MESSAGE("docs/idempotency.md lacks the table printed above",
-                               page.str().find(table) != std::string::npos);
+        CPPUNIT_ASSERT_MESSAGE("docs/idempotency.md lacks the table printed above", page.str().find(table) != std::string::npos);
     }
 
     void testPairsOfFaults()
@@ -200,20 +196,13 @@
     void testOraclesNoticeEveryDefect()
     {
         const std::vector<std::pair<Defect, std::string>> expected = {
-            { Defect::RunBeforeAcknowledged, "I9" },
-            { Defect::GrantWithoutLease, "I9" },
-            { Defect::NoFence, "I9" },
-            { Defect::ForgetOnTakeover, "I9" },
-            { Defect::ResendAfterByte, "I9" },
-            { Defect::NotRunWhileUnknown, "I8" },
-            { Defect::QuarantineSkipped, "I9" },
-            { Defect::UnloggedWithoutWitnesses, "I9" },
-            { Defect::ReplayCut, "I7" },
+            {Defect::RunBeforeAcknowledged, "I9"}, {Defect::GrantWithoutLease, "I9"},        {Defect::NoFence, "I9"},
+            {Defect::ForgetOnTakeover, "I9"},      {Defect::ResendAfterByte, "I9"},          {Defect::NotRunWhileUnknown, "I8"},
+            {Defect::QuarantineSkipped, "I9"},     {Defect::UnloggedWithoutWitnesses, "I9"}, {Defect::ReplayCut, "I7"},
         };
         for (const auto &[defect, invariant] : expected) {
             section(testing::defectName(defect), [defect = defect, invariant = invariant] {
-                const std::string violation
-                    = defect == Defect::NoFence ? playLateRelease(defect) : firstViolation(defect);
+                const std::string violation = defect == Defect::NoFence ? playLateRelease(defect) : firstViolation(defect);
                 std::cout << testing::defectName(defect) << ": " << violation << "\n";
                 CPPUNIT_ASSERT_EQUAL(invariant, violation.substr(0, 2));
             });
--- a/tests/idempotency/oracle.h
+++ b/tests/idempotency/oracle.h
@@ -4,27 +4,24 @@
 #include <string>
 #include <vector>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 /// The truth about every key as seen from outside: what the target ran and what callers were told. It shares no code
 /// with the system under test.
-struct Oracle
-{
-    struct Run
-    {
+struct Oracle {
+    struct Run {
         std::string key;
         unsigned number;
         std::string body;
     };
-    struct Refusal
-    {
+    struct Refusal {
         std::string key;
         unsigned number;
         std::string reason;
         bool notRun;
     };
-    struct Answer
-    {
+    struct Answer {
         std::string key;
         unsigned number;
         std::string body;
@@ -55,16 +52,14 @@
         for (const auto &refusal : refusals) {
             for (const auto &run : runs) {
                 if (refusal.notRun && run.key == refusal.key && run.number <= refusal.number) {
-                    found.push_back("I8 attempt " + std::to_string(refusal.number) + " of " + refusal.key
-                                    + " was refused with not-run (" + refusal.reason + ") but attempt "
-                                    + std::to_string(run.number) + " ran");
+                    found.push_back("I8 attempt " + std::to_string(refusal.number) + " of " + refusal.key + " was refused with not-run (" + refusal.reason
+                                    + ") but attempt " + std::to_string(run.number) + " ran");
                 }
             }
         }
         for (const auto &answer : answers) {
             if (first.count(answer.key) == 0 || first.at(answer.key).body != answer.body) {
-                found.push_back("I7 attempt " + std::to_string(answer.number) + " of " + answer.key
-                                + " got an answer that is not the first one");
+                found.push_back("I7 attempt " + std::to_string(answer.number) + " of " + answer.key + " got an answer that is not the first one");
             }
         }
         return found;
--- a/tests/idempotency/world.cpp
+++ b/tests/idempotency/world.cpp
@@ -2,12 +2,14 @@
 
 #include <glog/logging.h>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 constexpr Duration kTick = milliseconds(10);
 
-const TeamName kTeam { "studio" };
+const TeamName kTeam{"studio"};
 } // namespace
 
 World::World(Defect defect)
@@ -73,8 +75,7 @@
     view.valid = isHolder && now_ < lease_.validUntil;
     if (isHolder) {
         view.predecessorMayBeUnlogged = lease_.bitAtStart && defect_ != Defect::QuarantineSkipped;
-        view.unloggedConfirmed
-            = lease_.bit && lease_.lastBitRequest == node.table.bitRequest && node.table.wantUnloggedBit;
+        view.unloggedConfirmed = lease_.bit && lease_.lastBitRequest == node.table.bitRequest && node.table.wantUnloggedBit;
     }
     if (defect_ == Defect::UnloggedWithoutWitnesses) {
         view.unloggedConfirmed = node.table.wantUnloggedBit;
@@ -97,7 +98,7 @@
     for (size_t i = 1; i <= owners_.size(); ++i) {
         const size_t candidate = (lease_.holder + i) % owners_.size();
         if (owners_[candidate].isAlive && !isPaused(owners_[candidate])) {
-            lease_ = Lease { candidate, lease_.epoch + 1, true, now_ + seconds(2), lease_.bit, lease_.bit, 0 };
+            lease_ = Lease{candidate, lease_.epoch + 1, true, now_ + seconds(2), lease_.bit, lease_.bit, 0};
             owners_[candidate].epoch = lease_.epoch;
             ++takeovers;
             return;
@@ -119,7 +120,7 @@
             node.waiting.erase(waiting);
         }
     }
-    const std::pair<uint64_t, uint64_t> request { node.epoch, outputs.bitRequest };
+    const std::pair<uint64_t, uint64_t> request{node.epoch, outputs.bitRequest};
     if (request != node.lastBitRequest && node.table.epoch == node.epoch) {
         node.lastBitRequest = request;
         after(milliseconds(30), [this, request, want = outputs.wantUnloggedBit] {
@@ -200,8 +201,7 @@
         CHECK(parsed) << parsed.error().message;
         records.push_back(std::move(parsed.value()));
     }
-    const bool isOwnFence
-        = !records.empty() && records.back().kind == RecordKind::Fence && records.back().epoch == table.epoch;
+    const bool isOwnFence = !records.empty() && records.back().kind == RecordKind::Fence && records.back().epoch == table.epoch;
     if (defect_ == Defect::ForgetOnTakeover && !isOwnFence) {
         records.clear();
     }
@@ -218,7 +218,7 @@
         }
     }
     const bool isAtEnd = node.readOffset == end;
-    const LogRead read { table.readId, records, log_.earliest, node.readOffset, isAtEnd };
+    const LogRead read{table.readId, records, log_.earliest, node.readOffset, isAtEnd};
     handle(index, onLogRecords(table, read, view(index), now_));
 }
 
@@ -262,15 +262,13 @@
 
 void World::request(const std::string &key, size_t entry)
 {
-    const RequestId id { entry, nextAttempt_++ };
+    const RequestId id{entry, nextAttempt_++};
     const unsigned number = ++numbers_[key];
     Attempt attempt;
-    attempt.trace.key = { kTeam, key };
+    attempt.trace.key = {kTeam, key};
     attempt.trace.attempt = id;
     attempt.deadline = now_ + requestTime;
-    attempt.begin
-        = BeginRequest { attempt.trace.key, requestFingerprint("POST", "/" + key, 3), id, number, NodeName("e"),
-                         requestTime };
+    attempt.begin = BeginRequest{attempt.trace.key, requestFingerprint("POST", "/" + key, 3), id, number, NodeName("e"), requestTime};
     onClaimAsked(attempt.trace);
     const BeginRequest begin = attempt.begin;
     entries_[entry].attempts.emplace(id, std::move(attempt));
@@ -288,7 +286,7 @@
             }
             node.waiting[begin.attempt] = entry;
             if (defect_ == Defect::RunBeforeAcknowledged) {
-                reply(entry, begin.attempt, Granted {});
+                reply(entry, begin.attempt, Granted{});
             }
         });
     });
@@ -298,15 +296,13 @@
 {
     const unsigned number = ++numbers_[key];
     AttemptTrace trace;
-    trace.key = { kTeam, key };
+    trace.key = {kTeam, key};
     const auto &node = owners_[lease_.holder];
     const bool canAnswer = node.isAlive && !isPaused(node);
-    const RunState run
-        = canAnswer ? peekClaim(node.table, trace.key, number, view(lease_.holder), now_) : RunState::Unknown;
-    const auto action
-        = onLocalRefusal(trace, RefusalReason::DeadlinePassed, {},
-                         run == RunState::NotRun ? OwnerKnowledge::NoOtherAttempt : OwnerKnowledge::OtherMayHaveRun);
-    oracle.refusals.push_back({ key, number, "peek", action.refusal->run == RunState::NotRun });
+    const RunState run = canAnswer ? peekClaim(node.table, trace.key, number, view(lease_.holder), now_) : RunState::Unknown;
+    const auto action =
+        onLocalRefusal(trace, RefusalReason::DeadlinePassed, {}, run == RunState::NotRun ? OwnerKnowledge::NoOtherAttempt : OwnerKnowledge::OtherMayHaveRun);
+    oracle.refusals.push_back({key, number, "peek", action.refusal->run == RunState::NotRun});
 }
 
 void World::reply(size_t entry, const RequestId &attempt, const ClaimVerdict &verdict)
@@ -329,16 +325,16 @@
     const unsigned number = attempt.begin.attemptNumber;
     if (action.kind == EntryActionKind::Refuse) {
         const bool notRun = action.refusal->run == RunState::NotRun || defect_ == Defect::NotRunWhileUnknown;
-        oracle.refusals.push_back({ key, number, std::string(refusalReasonName(action.refusal->reason)), notRun });
+        oracle.refusals.push_back({key, number, std::string(refusalReasonName(action.refusal->reason)), notRun});
     } else if (action.kind == EntryActionKind::RespondRecorded) {
         std::string body = action.recorded->body;
         body.resize(body.size() - (defect_ == Defect::ReplayCut ? 1 : 0));
-        oracle.answers.push_back({ key, number, body });
+        oracle.answers.push_back({key, number, body});
     } else if (action.kind == EntryActionKind::Dispatch) {
         dispatch(entry, id);
     }
     if (action.end) {
-        entries_[entry].ends[id] = { attempt.trace.key, *action.end, now_, now_ + seconds(15) };
+        entries_[entry].ends[id] = {attempt.trace.key, *action.end, now_, now_ + seconds(15)};
     }
 }
 
@@ -367,7 +363,7 @@
     }
     const std::string &name = key.idempotencyKey;
     const std::string body = "answer " + std::to_string(oracle.runs.size()) + " to " + name;
-    oracle.runs.push_back({ name, number, body });
+    oracle.runs.push_back({name, number, body});
     onStep(Step::Running);
     after(milliseconds(100), [=] {
         if (std::exchange(closeHomeLink_, false)) {
@@ -391,10 +387,10 @@
             dispatch(entry, id);
             return;
         }
-        const RecordedResponse response { 201, {}, body };
+        const RecordedResponse response{201, {}, body};
         const auto action = onHomeReport(attempt.trace, report, std::nullopt, recordable(response, settings_));
         if (action.kind == EntryActionKind::RespondAnswer) {
-            oracle.answers.push_back({ attempt.trace.key.idempotencyKey, attempt.begin.attemptNumber, body });
+            oracle.answers.push_back({attempt.trace.key.idempotencyKey, attempt.begin.attemptNumber, body});
         }
         act(entry, id, action);
         if (report == HomeReport::RefusedNotRun && mayDispatch(attempt.trace)) {
--- a/tests/idempotency/world.h
+++ b/tests/idempotency/world.h
@@ -11,7 +11,8 @@
 #include <string>
 #include <vector>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 /// A fault put back into the glue around the system, to show that the oracle notices it.
 enum class Defect {
@@ -63,8 +64,7 @@
 constexpr int kFaultCount = 16;
 
 /// Two candidate owners of one range, two entry nodes, two home nodes, a target, a log and a lease, in virtual time.
-struct World
-{
+struct World {
     explicit World(Defect defect);
     /// Lets virtual time pass in steps of 10 ms.
     void advance(Duration duration);
@@ -87,11 +87,10 @@
     size_t takeovers = 0;
 
 private:
-    struct OwnerNode
-    {
+    struct OwnerNode {
         ClaimTable table;
         bool isAlive = true;
-        TimePoint pausedUntil {};
+        TimePoint pausedUntil{};
         uint64_t epoch = 0;
         uint64_t incarnation = 0;
         uint64_t readId = 0;
@@ -99,41 +98,36 @@
         std::pair<uint64_t, uint64_t> lastBitRequest;
         std::map<RequestId, size_t> waiting;
     };
-    struct Attempt
-    {
+    struct Attempt {
         AttemptTrace trace;
         BeginRequest begin;
         TimePoint deadline;
         int dispatches = 0;
     };
-    struct PendingEnd
-    {
+    struct PendingEnd {
         ClaimKey key;
         Outcome outcome;
         TimePoint nextTry;
         TimePoint until;
     };
-    struct EntryNode
-    {
+    struct EntryNode {
         std::map<RequestId, Attempt> attempts;
         std::map<RequestId, PendingEnd> ends;
     };
-    struct Log
-    {
+    struct Log {
         std::deque<std::pair<TimePoint, std::string>> records;
         size_t earliest = 0;
-        TimePoint downUntil {};
-        TimePoint slowUntil {};
+        TimePoint downUntil{};
+        TimePoint slowUntil{};
         bool loseAnswer = false;
         bool delayAppend = false;
         bool delayAnswer = false;
     };
-    struct Lease
-    {
+    struct Lease {
         size_t holder = 0;
         uint64_t epoch = 1;
         bool isHeld = true;
-        TimePoint validUntil {};
+        TimePoint validUntil{};
         bool bit = false;
         bool bitAtStart = false;
         uint64_t lastBitRequest = 0;
@@ -160,7 +154,7 @@
 
     ClaimSettings settings_;
     Defect defect_;
-    TimePoint now_ { seconds(1000) };
+    TimePoint now_{seconds(1000)};
     std::multimap<TimePoint, std::function<void()>> actions_;
     std::array<OwnerNode, 2> owners_;
     std::array<EntryNode, 2> entries_;
--- a/tests/idempotency/world_faults.cpp
+++ b/tests/idempotency/world_faults.cpp
@@ -1,6 +1,7 @@
 #include "tests/idempotency/world.h"
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 void World::killOwner(bool restarts)
 {
@@ -91,9 +92,8 @@
     for (const auto &node : owners_) {
         active += !node.isAlive || isPaused(node) ? 1 : 0;
     }
-    for (const bool isSet :
-         { loseMessage_, duplicateMessage_, delayMessage_, closeHomeLink_, refusedAdmissions_ > 0, log_.loseAnswer,
-           log_.delayAppend, log_.delayAnswer, now_ < log_.downUntil, now_ < log_.slowUntil }) {
+    for (const bool isSet : {loseMessage_, duplicateMessage_, delayMessage_, closeHomeLink_, refusedAdmissions_ > 0, log_.loseAnswer, log_.delayAppend,
+                             log_.delayAnswer, now_ < log_.downUntil, now_ < log_.slowUntil}) {
         active += isSet ? 1 : 0;
     }
     return active;
--- a/tests/lease/lease_fuzz_test.cpp
+++ b/tests/lease/lease_fuzz_test.cpp
@@ -6,15 +6,15 @@
 
 #include <rapidcheck.h>
 
-namespace rc {
+namespace rc
+{
 
 using snipestream::Duration;
 using snipestream::milliseconds;
 using snipestream::testing::LeaseCommand;
 
 template<>
-struct Arbitrary<LeaseCommand>
-{
+struct Arbitrary<LeaseCommand> {
     static auto arbitrary() -> Gen<LeaseCommand>
     {
         const auto ms = [](int low, int high) {
@@ -22,22 +22,23 @@
                 return Duration(milliseconds(value));
             });
         };
-        return gen::build<LeaseCommand>(
-            gen::set(&LeaseCommand::kind, gen::inRange<int>(0, LeaseCommand::KindCount)),
-            gen::set(&LeaseCommand::a, gen::inRange(0, 5)), gen::set(&LeaseCommand::b, gen::inRange(0, 5)),
-            gen::set(&LeaseCommand::length, ms(100, 9000)), gen::set(&LeaseCommand::wait, ms(50, 1500)));
+        return gen::build<LeaseCommand>(gen::set(&LeaseCommand::kind, gen::inRange<int>(0, LeaseCommand::KindCount)),
+                                        gen::set(&LeaseCommand::a, gen::inRange(0, 5)), gen::set(&LeaseCommand::b, gen::inRange(0, 5)),
+                                        gen::set(&LeaseCommand::length, ms(100, 9000)), gen::set(&LeaseCommand::wait, ms(50, 1500)));
     }
 };
 
 } // namespace rc
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::LeaseCommand;
 using testing::LeaseWorld;
 using testing::section;
 
-namespace {
+namespace
+{
 
 /// Candidates that append early put more strain on the witness rules than the real pace would.
 auto hastyParams() -> LeaseParams
@@ -48,8 +49,7 @@
     return params;
 }
 
-auto runCommands(uint64_t seed, const LeaseParams &params, const std::vector<LeaseCommand> &commands)
-    -> std::optional<std::string>
+auto runCommands(uint64_t seed, const LeaseParams &params, const std::vector<LeaseCommand> &commands) -> std::optional<std::string>
 {
     LeaseWorld world(seed, params);
     world.run(seconds(8));
--- a/tests/lease/lease_test.cpp
+++ b/tests/lease/lease_test.cpp
@@ -7,15 +7,17 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::LeaseCommand;
 using testing::LeaseWorld;
 using testing::section;
 
-namespace {
+namespace
+{
 
-const LeaseKey kKey { DomainName("d"), 3 };
+const LeaseKey kKey{DomainName("d"), 3};
 
 auto at(int64_t ms) -> TimePoint
 {
@@ -24,7 +26,7 @@
 
 auto makeRecord(uint64_t epoch, const std::string &holder, std::vector<std::string> witnesses) -> LeaseRecord
 {
-    LeaseRecord record { kKey, epoch, NodeName(holder), 1, {}, false };
+    LeaseRecord record{kKey, epoch, NodeName(holder), 1, {}, false};
     for (auto &witness : witnesses) {
         record.witnesses.emplace_back(std::move(witness));
     }
@@ -41,8 +43,7 @@
 }
 
 /// A holder and three witnesses that exchange messages without delay.
-struct SmallWorld
-{
+struct SmallWorld {
     LeaseTable table;
     LeaseNode a = makeLeaseNode(NodeName("a"), kKey.domain, 1, at(0));
     LeaseNode b = makeLeaseNode(NodeName("b"), kKey.domain, 1, at(0));
@@ -50,10 +51,10 @@
 
     SmallWorld()
     {
-        for (const char *name : { "x", "y", "z" }) {
+        for (const char *name : {"x", "y", "z"}) {
             start(name, 1, 0);
         }
-        applyLeaseRecord(table, makeRecord(1, "a", { "x", "y", "z" }));
+        applyLeaseRecord(table, makeRecord(1, "a", {"x", "y", "z"}));
     }
 
     void start(const std::string &name, uint64_t incarnation, int64_t ms)
@@ -94,18 +95,18 @@
     {
         LeaseTable table;
         section("the first record of an epoch wins and a repeat loses", [&] {
-            CPPUNIT_ASSERT(applyLeaseRecord(table, makeRecord(1, "a", { "x", "y", "z" })));
-            CPPUNIT_ASSERT(!applyLeaseRecord(table, makeRecord(1, "b", { "x", "y", "z" })));
-            CPPUNIT_ASSERT(!applyLeaseRecord(table, makeRecord(3, "b", { "x", "y", "z" })));
-            CPPUNIT_ASSERT(applyLeaseRecord(table, makeRecord(2, "b", { "x", "y", "w" })));
-            CPPUNIT_ASSERT(applyLeaseRecord(table, makeRecord(3, "c", { "x", "w", "v" })));
-            CPPUNIT_ASSERT_EQUAL(size_t { 3 }, findLease(table, kKey)->sets.size());
+            CPPUNIT_ASSERT(applyLeaseRecord(table, makeRecord(1, "a", {"x", "y", "z"})));
+            CPPUNIT_ASSERT(!applyLeaseRecord(table, makeRecord(1, "b", {"x", "y", "z"})));
+            CPPUNIT_ASSERT(!applyLeaseRecord(table, makeRecord(3, "b", {"x", "y", "z"})));
+            CPPUNIT_ASSERT(applyLeaseRecord(table, makeRecord(2, "b", {"x", "y", "w"})));
+            CPPUNIT_ASSERT(applyLeaseRecord(table, makeRecord(3, "c", {"x", "w", "v"})));
+            CPPUNIT_ASSERT_EQUAL(size_t{3}, findLease(table, kKey)->sets.size());
         });
         section("a settled record drops all sets but the last one", [&] {
-            auto settled = makeRecord(4, "c", { "v", "w", "u" });
+            auto settled = makeRecord(4, "c", {"v", "w", "u"});
             settled.settled = true;
             CPPUNIT_ASSERT(applyLeaseRecord(table, settled));
-            CPPUNIT_ASSERT_EQUAL(size_t { 2 }, findLease(table, kKey)->sets.size());
+            CPPUNIT_ASSERT_EQUAL(size_t{2}, findLease(table, kKey)->sets.size());
         });
         section("a snapshot restores the same table", [&] {
             const auto loaded = loadLeaseTable(dumpLeaseTable(table));
@@ -117,13 +118,13 @@
 
     void testMessages()
     {
-        const auto record = makeRecord(7, "a", { "x", "y" });
+        const auto record = makeRecord(7, "a", {"x", "y"});
         CPPUNIT_ASSERT(leaseRecordFromJson(toJson(record)).value() == record);
-        LeasePing ping { kKey, 7, NodeName("a"), 1, 5000, 4, 2, true, true };
+        LeasePing ping{kKey, 7, NodeName("a"), 1, 5000, 4, 2, true, true};
         CPPUNIT_ASSERT(toJson(leasePingFromJson(toJson(ping)).value()) == toJson(ping));
-        LeasePong pong { kKey, 7, 1, 5000, NodeName("x"), 4, true, 2, true, UnloggedBit::Set };
+        LeasePong pong{kKey, 7, 1, 5000, NodeName("x"), 4, true, 2, true, UnloggedBit::Set};
         CPPUNIT_ASSERT(toJson(leasePongFromJson(toJson(pong)).value()) == toJson(pong));
-        LeaseRelease release { kKey, 7, NodeName("a"), 1 };
+        LeaseRelease release{kKey, 7, NodeName("a"), 1};
         CPPUNIT_ASSERT(toJson(leaseReleaseFromJson(toJson(release)).value()) == toJson(release));
         section("every missing or mistyped field is an error", [&] {
             const auto whole = toJson(record);
@@ -149,19 +150,19 @@
         LeaseWorld world(1, {});
         section("every range gets a holder after the start", [&] {
             world.run(seconds(15));
-            CPPUNIT_ASSERT_EQUAL(size_t { kRangeCount }, world.heldRanges());
-            CPPUNIT_ASSERT_MESSAGE("candidates race", world.appended() <= size_t { kRangeCount } + 4);
+            CPPUNIT_ASSERT_EQUAL(size_t{kRangeCount}, world.heldRanges());
+            CPPUNIT_ASSERT_MESSAGE("candidates race", world.appended() <= size_t{kRangeCount} + 4);
         });
         section("a dead holder is replaced", [&] {
             const auto dead = world.validHolder(0);
-            world.apply(LeaseCommand { LeaseCommand::Kill, static_cast<int>(*dead), 0, seconds(60), {} });
+            world.apply(LeaseCommand{LeaseCommand::Kill, static_cast<int>(*dead), 0, seconds(60), {}});
             world.run(seconds(12));
-            CPPUNIT_ASSERT_EQUAL(size_t { kRangeCount }, world.heldRanges());
+            CPPUNIT_ASSERT_EQUAL(size_t{kRangeCount}, world.heldRanges());
             CPPUNIT_ASSERT(world.validHolder(0) != dead);
         });
         section("a holder that shuts down leaves no gap of W", [&] {
             const auto leaving = world.validHolder(0);
-            world.apply(LeaseCommand { LeaseCommand::ShutDown, static_cast<int>(*leaving), 0, {}, {} });
+            world.apply(LeaseCommand{LeaseCommand::ShutDown, static_cast<int>(*leaving), 0, {}, {}});
             world.run(milliseconds(1900));
             CPPUNIT_ASSERT(world.validHolder(0) && world.validHolder(0) != leaving);
         });
@@ -172,15 +173,15 @@
     {
         LeaseWorld world(2, {});
         world.run(seconds(15));
-        world.apply(LeaseCommand { LeaseCommand::LogDown, 0, 0, seconds(600), {} });
+        world.apply(LeaseCommand{LeaseCommand::LogDown, 0, 0, seconds(600), {}});
         section("holders continue", [&] {
             world.run(seconds(120));
-            CPPUNIT_ASSERT_EQUAL(size_t { kRangeCount }, world.heldRanges());
+            CPPUNIT_ASSERT_EQUAL(size_t{kRangeCount}, world.heldRanges());
         });
         section("a holder that restarts is not replaced", [&] {
             const auto before = world.appended();
             const auto holder = world.validHolder(0);
-            world.apply(LeaseCommand { LeaseCommand::Restart, static_cast<int>(*holder), 0, {}, {} });
+            world.apply(LeaseCommand{LeaseCommand::Restart, static_cast<int>(*holder), 0, {}, {}});
             world.run(seconds(20));
             CPPUNIT_ASSERT(!world.validHolder(0));
             CPPUNIT_ASSERT_EQUAL(before, world.appended());
@@ -190,22 +191,22 @@
     void testWitnessSets()
     {
         section("five witnesses in a large domain, three in a small one, without the holder", [&] {
-            const auto large = nodesNamed({ "a", "b", "c", "d", "e", "f", "g" });
-            const auto five = chooseWitnesses(kKey, NodeName("a"), large, { NodeName("b"), NodeName("gone") });
-            CPPUNIT_ASSERT_EQUAL(size_t { 5 }, five.size());
+            const auto large = nodesNamed({"a", "b", "c", "d", "e", "f", "g"});
+            const auto five = chooseWitnesses(kKey, NodeName("a"), large, {NodeName("b"), NodeName("gone")});
+            CPPUNIT_ASSERT_EQUAL(size_t{5}, five.size());
             CPPUNIT_ASSERT(std::count(five.begin(), five.end(), NodeName("a")) == 0);
             CPPUNIT_ASSERT(std::count(five.begin(), five.end(), NodeName("b")) == 1);
-            const auto small = nodesNamed({ "a", "b", "c", "d" });
-            CPPUNIT_ASSERT_EQUAL(size_t { 3 }, chooseWitnesses(kKey, NodeName("a"), small, {}).size());
+            const auto small = nodesNamed({"a", "b", "c", "d"});
+            CPPUNIT_ASSERT_EQUAL(size_t{3}, chooseWitnesses(kKey, NodeName("a"), small, {}).size());
         });
         section("the sets of all epochs that were never valid have to agree", [&] {
             SmallWorld world;
-            applyLeaseRecord(world.table, makeRecord(2, "b", { "u", "v", "w" }));
-            applyLeaseRecord(world.table, makeRecord(3, "b", { "u", "v", "w" }));
-            for (const char *name : { "u", "v", "w" }) {
+            applyLeaseRecord(world.table, makeRecord(2, "b", {"u", "v", "w"}));
+            applyLeaseRecord(world.table, makeRecord(3, "b", {"u", "v", "w"}));
+            for (const char *name : {"u", "v", "w"}) {
                 world.start(name, 1, 0);
             }
-            for (const char *name : { "x", "y", "z" }) {
+            for (const char *name : {"x", "y", "z"}) {
                 world.start(name, 2, 3500);
             }
             world.exchange(world.b, 4000);
@@ -215,7 +216,7 @@
         });
         section("a holder replaces a witness that is gone and stays valid", [&] {
             SmallWorld world;
-            const LeaseInputs inputs { true, nodesNamed({ "a", "b", "x", "y", "z" }) };
+            const LeaseInputs inputs{true, nodesNamed({"a", "b", "x", "y", "z"})};
             std::vector<LeaseRecord> renewals;
             for (int64_t ms = 3000; ms < 20000 && renewals.empty(); ms += 100) {
                 world.exchange(world.a, ms);
@@ -228,8 +229,8 @@
                                renewals.end());
                 CPPUNIT_ASSERT(ms < 4000 || isLeaseValid(world.a.holder, kKey, at(ms)));
             }
-            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, renewals.size());
-            CPPUNIT_ASSERT_EQUAL(uint64_t { 2 }, renewals[0].epoch);
+            CPPUNIT_ASSERT_EQUAL(size_t{1}, renewals.size());
+            CPPUNIT_ASSERT_EQUAL(uint64_t{2}, renewals[0].epoch);
             CPPUNIT_ASSERT(std::count(renewals[0].witnesses.begin(), renewals[0].witnesses.end(), NodeName("z")) == 0);
         });
     }
@@ -247,20 +248,20 @@
         });
         section("the successor sees the bit, even if one witness restarted", [&] {
             world.start("x", 2, 4200);
-            applyLeaseRecord(world.table, makeRecord(2, "b", { "x", "y", "z" }));
+            applyLeaseRecord(world.table, makeRecord(2, "b", {"x", "y", "z"}));
             world.exchange(world.b, 8000);
             CPPUNIT_ASSERT(isLeaseValid(world.b.holder, kKey, at(8000)));
             CPPUNIT_ASSERT(priorUnlogged(world.b.holder, world.b.params, kKey, at(8000)) == UnloggedBit::Set);
         });
         section("a bit that arrives after the successor was confirmed is not stored", [&] {
-            LeasePing late { kKey, 1, NodeName("a"), 1, 0, 1, 9, true, false };
+            LeasePing late{kKey, 1, NodeName("a"), 1, 0, 1, 9, true, false};
             CPPUNIT_ASSERT(!answerPing(world.witnesses[NodeName("y")], {}, world.a.params, late, at(8100)).stored);
         });
         section("if all witnesses restarted, the bit is unknown until the holder has dealt with it", [&] {
-            for (const char *name : { "x", "y", "z" }) {
+            for (const char *name : {"x", "y", "z"}) {
                 world.start(name, 3, 8200);
             }
-            applyLeaseRecord(world.table, makeRecord(3, "a", { "x", "y", "z" }));
+            applyLeaseRecord(world.table, makeRecord(3, "a", {"x", "y", "z"}));
             world.exchange(world.a, 12000);
             CPPUNIT_ASSERT(priorUnlogged(world.a.holder, world.a.params, kKey, at(12000)) == UnloggedBit::Unknown);
             markPriorResolved(world.a.holder, kKey);
--- a/tests/lease/lease_world.cpp
+++ b/tests/lease/lease_world.cpp
@@ -4,9 +4,11 @@
 
 #include <utility>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
 auto nodeName(size_t index) -> NodeName
 {
@@ -20,7 +22,7 @@
     , random_(seed)
 {
     // The fastest clock gains 1.15/0.85 = 1.35 on the slowest, less than W/F = 1.5.
-    constexpr std::array<double, 3> kRates = { 0.85, 1.0, 1.15 };
+    constexpr std::array<double, 3> kRates = {0.85, 1.0, 1.15};
     for (size_t i = 0; i < kNodes; ++i) {
         machines_[i].rate = kRates[drawBelow(random_, kRates.size())];
         start(machines_[i], i);
@@ -128,8 +130,7 @@
 {
     for (size_t i = 0; i < kNodes; ++i) {
         const auto &machine = machines_[i];
-        if (!machine.down
-            && isLeaseValid(machine.node.holder, LeaseKey { DomainName("d"), range }, localTime(machine))) {
+        if (!machine.down && isLeaseValid(machine.node.holder, LeaseKey{DomainName("d"), range}, localTime(machine))) {
             return i;
         }
     }
@@ -166,9 +167,9 @@
         return milliseconds(drawBelow(random_, ms));
     };
     const Duration delay = jitter(20) + (sender.slowUntil > now_ ? jitter(3000) : milliseconds(0));
-    packets_.push_back(Packet { now_ + delay, from, target, payload });
+    packets_.push_back(Packet{now_ + delay, from, target, payload});
     if (duplicateUntil_ > now_) {
-        packets_.push_back(Packet { now_ + delay + jitter(4000), from, target, payload });
+        packets_.push_back(Packet{now_ + delay + jitter(4000), from, target, payload});
     }
 }
 
@@ -211,9 +212,8 @@
     LiveNodes live;
     for (size_t i = 0; i < kNodes; ++i) {
         const auto &machine = machines_[i];
-        const bool reachable = !machine.down && machine.pausedUntil <= now_ && machine.cutInUntil <= now_
-            && machine.cutOutUntil <= now_ && machine.suspectedUntil <= now_ && machine.linkCutUntil[viewer] <= now_
-            && machines_[viewer].linkCutUntil[i] <= now_;
+        const bool reachable = !machine.down && machine.pausedUntil <= now_ && machine.cutInUntil <= now_ && machine.cutOutUntil <= now_
+            && machine.suspectedUntil <= now_ && machine.linkCutUntil[viewer] <= now_ && machines_[viewer].linkCutUntil[i] <= now_;
         if (i == viewer || reachable) {
             live[nodeName(i)] = machine.incarnation;
         }
@@ -246,8 +246,7 @@
         }
         readLog(machine);
         const bool canAppend = logDownUntil_ <= now_;
-        const auto out
-            = tickLease(machine.node, machine.fold, localTime(machine), LeaseInputs { canAppend, liveNodes(i) });
+        const auto out = tickLease(machine.node, machine.fold, localTime(machine), LeaseInputs{canAppend, liveNodes(i)});
         for (const auto &[to, ping] : out.pings) {
             send(i, to, ping);
         }
@@ -268,16 +267,15 @@
         int count = 0;
         for (size_t i = 0; i < kNodes; ++i) {
             const auto &machine = machines_[i];
-            const LeaseKey key { DomainName("d"), range };
+            const LeaseKey key{DomainName("d"), range};
             if (!machine.down && isLeaseValid(machine.node.holder, key, localTime(machine))) {
                 ++count;
-                holders += " n" + std::to_string(i) + " in epoch "
-                    + std::to_string(findHeldLease(machine.node.holder, key)->epoch);
+                holders += " n" + std::to_string(i) + " in epoch " + std::to_string(findHeldLease(machine.node.holder, key)->epoch);
             }
         }
         if (count > 1) {
-            violation_ = "range " + std::to_string(range) + " has two valid holders at "
-                + std::to_string(duration_cast<milliseconds>(now_).count()) + " ms:" + holders;
+            violation_ =
+                "range " + std::to_string(range) + " has two valid holders at " + std::to_string(duration_cast<milliseconds>(now_).count()) + " ms:" + holders;
         }
     }
 }
--- a/tests/lease/lease_world.h
+++ b/tests/lease/lease_world.h
@@ -10,11 +10,11 @@
 #include <variant>
 #include <vector>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 /// A fault or an operator action in a run. `a` and `b` are node indexes, `length` says how long it lasts.
-struct LeaseCommand
-{
+struct LeaseCommand {
     enum Kind {
         Kill,
         Restart,
@@ -36,9 +36,9 @@
     int kind = Kill;
     int a = 0;
     int b = 0;
-    Duration length {};
+    Duration length{};
     /// Time that passes after the command.
-    Duration wait {};
+    Duration wait{};
 };
 
 /// Nodes of one failure domain, the links among them and the log, under virtual time with clocks of different rates. It
@@ -64,30 +64,28 @@
 
 private:
     using Payload = std::variant<LeasePing, LeasePong, LeaseRelease>;
-    struct Packet
-    {
-        Duration due {};
+    struct Packet {
+        Duration due{};
         size_t from = 0;
         size_t to = 0;
         Payload payload;
     };
-    struct Machine
-    {
+    struct Machine {
         LeaseNode node;
         LeaseTable fold;
         size_t applied = 0;
         uint64_t incarnation = 0;
         double rate = 1;
-        Duration downUntil {};
-        Duration pausedUntil {};
-        Duration cutInUntil {};
-        Duration cutOutUntil {};
-        Duration stalledUntil {};
-        Duration suspectedUntil {};
-        Duration slowUntil {};
-        Duration nextReadAt {};
+        Duration downUntil{};
+        Duration pausedUntil{};
+        Duration cutInUntil{};
+        Duration cutOutUntil{};
+        Duration stalledUntil{};
+        Duration suspectedUntil{};
+        Duration slowUntil{};
+        Duration nextReadAt{};
         bool down = false;
-        std::array<Duration, kNodes> linkCutUntil {};
+        std::array<Duration, kNodes> linkCutUntil{};
     };
 
     [[nodiscard]] auto localTime(const Machine &machine) const -> TimePoint;
@@ -106,9 +104,9 @@
     std::array<Machine, kNodes> machines_;
     std::vector<Packet> packets_;
     std::vector<LeaseRecord> log_;
-    Duration logDownUntil_ {};
-    Duration duplicateUntil_ {};
-    Duration loseAnswerUntil_ {};
+    Duration logDownUntil_{};
+    Duration duplicateUntil_{};
+    Duration loseAnswerUntil_{};
     std::optional<std::string> violation_;
 };
 
--- a/tests/net/fiber_runtime_test.cpp
+++ b/tests/net/fiber_runtime_test.cpp
@@ -10,15 +10,17 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::section;
 
-namespace {
+namespace
+{
 
 auto cpuTime() -> Duration
 {
-    timespec value {};
+    timespec value{};
     clock_gettime(CLOCK_THREAD_CPUTIME_ID, &value);
     return seconds(value.tv_sec) + Duration(value.tv_nsec);
 }
@@ -64,7 +66,7 @@
             });
         });
         CPPUNIT_ASSERT_EQUAL(502, steps);
-        CPPUNIT_ASSERT_EQUAL(size_t { 0 }, runtime.fiberCount());
+        CPPUNIT_ASSERT_EQUAL(size_t{0}, runtime.fiberCount());
     }
 
     void testIdleCostsNoProcessorTime()
@@ -81,8 +83,7 @@
     {
         FiberRuntime runtime;
         runtime.runToEnd([&] {
-            boost::asio::ip::tcp::acceptor acceptor(runtime.context(),
-                                                    { boost::asio::ip::make_address("127.0.0.1"), 0 });
+            boost::asio::ip::tcp::acceptor acceptor(runtime.context(), {boost::asio::ip::make_address("127.0.0.1"), 0});
             boost::asio::ip::tcp::socket socket(runtime.context());
             const IoResult result = awaitIoFor(
                 runtime.context(), milliseconds(5),
--- a/tests/node/claim_messages_test.cpp
+++ b/tests/node/claim_messages_test.cpp
@@ -8,18 +8,20 @@
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
 auto anyAttempt() -> RequestId
 {
-    return RequestId { *rc::gen::arbitrary<uint64_t>(), *rc::gen::arbitrary<uint64_t>() };
+    return RequestId{*rc::gen::arbitrary<uint64_t>(), *rc::gen::arbitrary<uint64_t>()};
 }
 
 auto anyKey() -> ClaimKey
 {
-    return ClaimKey { TeamName(*rc::gen::string<std::string>()), *rc::gen::string<std::string>() };
+    return ClaimKey{TeamName(*rc::gen::string<std::string>()), *rc::gen::string<std::string>()};
 }
 
 /// Any bytes in the body, as targets may answer; header names and values are plain text.
@@ -53,11 +55,11 @@
     case 4:
         return *rc::gen::string<std::string>();
     case 5:
-        return nlohmann::json::array({ 1, "two" });
+        return nlohmann::json::array({1, "two"});
     case 6:
-        return nlohmann::json::binary({ 1, 2, 3 });
+        return nlohmann::json::binary({1, 2, 3});
     case 7:
-        return nlohmann::json { { "status", 200 } };
+        return nlohmann::json{{"status", 200}};
     default:
         return std::numeric_limits<uint64_t>::max();
     }
@@ -131,7 +133,7 @@
             RC_ASSERT(read.value().timeLeft == request.timeLeft);
         });
         assertHolds("claim.end", [] {
-            EndRequest request { anyKey(), anyAttempt(), { OutcomeKind::Done, std::nullopt } };
+            EndRequest request{anyKey(), anyAttempt(), {OutcomeKind::Done, std::nullopt}};
             request.outcome.kind = static_cast<OutcomeKind>(*rc::gen::inRange(0, 3));
             if (*rc::gen::arbitrary<bool>()) {
                 request.outcome.response = anyResponse();
@@ -144,7 +146,7 @@
             RC_ASSERT(read.value().outcome.response == request.outcome.response);
         });
         assertHolds("claim.peek", [] {
-            const PeekRequest request { anyKey(), *rc::gen::arbitrary<uint32_t>() };
+            const PeekRequest request{anyKey(), *rc::gen::arbitrary<uint32_t>()};
             const auto read = peekRequestFromJson(throughCbor(toJson(request)));
             RC_ASSERT(read.has_value());
             RC_ASSERT(read.value().key == request.key);
@@ -156,15 +158,15 @@
             refusal.run = *rc::gen::arbitrary<bool>() ? RunState::NotRun : RunState::Unknown;
             refusal.retryAfter = microseconds(*rc::gen::inRange<int64_t>(0, 1'000'000'000));
             refusal.detail = *rc::gen::string<std::string>();
-            const auto refused = claimVerdictFromJson(throughCbor(toJson(ClaimVerdict(Refused { refusal }))));
+            const auto refused = claimVerdictFromJson(throughCbor(toJson(ClaimVerdict(Refused{refusal}))));
             RC_ASSERT(refused.has_value());
             RC_ASSERT(std::get<Refused>(refused.value()).refusal == refusal);
             const RecordedResponse response = anyResponse();
-            const auto replay = claimVerdictFromJson(throughCbor(toJson(ClaimVerdict(Replay { response }))));
+            const auto replay = claimVerdictFromJson(throughCbor(toJson(ClaimVerdict(Replay{response}))));
             RC_ASSERT(replay.has_value());
             RC_ASSERT(std::get<Replay>(replay.value()).response == response);
         });
-        for (const ClaimVerdict &verdict : { ClaimVerdict(Granted {}), ClaimVerdict(Wait {}) }) {
+        for (const ClaimVerdict &verdict : {ClaimVerdict(Granted{}), ClaimVerdict(Wait{})}) {
             const auto read = claimVerdictFromJson(throughCbor(toJson(verdict)));
             CPPUNIT_ASSERT(read.has_value());
             CPPUNIT_ASSERT_EQUAL(verdict.index(), read.value().index());
@@ -176,10 +178,9 @@
         assertHolds("a damaged message is an error or a message", [] {
             BeginRequest begin;
             begin.key = anyKey();
-            const EndRequest end { anyKey(), anyAttempt(), { OutcomeKind::Done, anyResponse() } };
-            std::vector<nlohmann::json> messages { toJson(begin), toJson(end), toJson(PeekRequest { anyKey(), 1 }),
-                                                   toJson(ClaimVerdict(Replay { anyResponse() })),
-                                                   toJson(ClaimVerdict(Refused {})) };
+            const EndRequest end{anyKey(), anyAttempt(), {OutcomeKind::Done, anyResponse()}};
+            std::vector<nlohmann::json> messages{toJson(begin), toJson(end), toJson(PeekRequest{anyKey(), 1}), toJson(ClaimVerdict(Replay{anyResponse()})),
+                                                 toJson(ClaimVerdict(Refused{}))};
             for (auto &message : messages) {
                 const int faults = *rc::gen::inRange(1, 4);
                 for (int i = 0; i < faults; ++i) {
@@ -189,9 +190,8 @@
             }
             decodeAll(anyValue());
         });
-        CPPUNIT_ASSERT(!claimVerdictFromJson({ { "verdict", "maybe" } }));
-        CPPUNIT_ASSERT(!endRequestFromJson(
-            { { "team", "a" }, { "key", "k" }, { "attemptHigh", 1 }, { "attemptLow", 1 }, { "kind", 3 } }));
+        CPPUNIT_ASSERT(!claimVerdictFromJson({{"verdict", "maybe"}}));
+        CPPUNIT_ASSERT(!endRequestFromJson({{"team", "a"}, {"key", "k"}, {"attemptHigh", 1}, {"attemptLow", 1}, {"kind", 3}}));
     }
 };
 
--- a/tests/node/claim_process_test.cpp
+++ b/tests/node/claim_process_test.cpp
@@ -6,13 +6,14 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
 /// Returns a key whose claim owner is (or is not) one of the nodes.
-auto keyOwnedBy(const Cluster &cluster, const std::string &stem, const std::function<bool(size_t)> &isWanted)
-    -> std::string
+auto keyOwnedBy(const Cluster &cluster, const std::string &stem, const std::function<bool(size_t)> &isWanted) -> std::string
 {
     for (int i = 0; i < 200; ++i) {
         std::string key = stem + "-" + std::to_string(i);
@@ -72,7 +73,7 @@
 public:
     void testRepeatsAndDeadOwner()
     {
-        Cluster cluster(4, 1, { { "catalogue", 0 }, { "bookings", 0 } });
+        Cluster cluster(4, 1, {{"catalogue", 0}, {"bookings", 0}});
         section("a repeat at every node gets the first answer", [&] {
             const Reply first = cluster.bookUntilAnswered(0, "repeat");
             for (size_t node = 0; node < cluster.nodes.size(); ++node) {
@@ -98,7 +99,7 @@
 
     void testEntryNodeDiesDuringTheRun()
     {
-        Cluster cluster(3, 1, { { "catalogue", 0 }, { "bookings", 0 } });
+        Cluster cluster(3, 1, {{"catalogue", 0}, {"bookings", 0}});
         const std::string key = keyOwnedBy(cluster, "entry", [](size_t owner) {
             return owner != 1;
         });
@@ -116,7 +117,7 @@
 
     void testHomeNodeDiesDuringTheRun()
     {
-        Cluster cluster(3, 1, { { "catalogue", 1 }, { "bookings", 0 }, { "bookings", 1 } });
+        Cluster cluster(3, 1, {{"catalogue", 1}, {"bookings", 0}, {"bookings", 1}});
         cluster.setServiceTime(1, 1500);
         cluster.setServiceTime(2, 1500);
         const std::string key = keyOwnedBy(cluster, "home", [](size_t owner) {
--- a/tests/node/cluster.cpp
+++ b/tests/node/cluster.cpp
@@ -27,14 +27,16 @@
 /// Declared here because clang-tidy 14 cannot parse <linux/stddef.h>, which <sys/prctl.h> includes.
 extern "C" auto prctl(int option, ...) -> int; // NOLINT(cert-dcl50-cpp)
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
 /// PR_SET_PDEATHSIG of <sys/prctl.h>.
 constexpr int kSetParentDeathSignal = 1;
 
-const AskedBy kAsked { "test", "process test" };
+const AskedBy kAsked{"test", "process test"};
 
 auto buildDirectory() -> std::filesystem::path
 {
@@ -46,14 +48,14 @@
 auto freePort() -> uint16_t
 {
     static std::set<uint16_t> taken;
-    static std::mt19937 random { std::random_device {}() };
+    static std::mt19937 random{std::random_device{}()};
     boost::asio::io_context context;
     while (true) {
         const auto port = static_cast<uint16_t>(std::uniform_int_distribution<int>(10000, 32000)(random));
         boost::asio::ip::tcp::acceptor acceptor(context);
         boost::system::error_code code;
         acceptor.open(boost::asio::ip::tcp::v4(), code);
-        acceptor.bind({ boost::asio::ip::make_address("127.0.0.1"), port }, code);
+        acceptor.bind({boost::asio::ip::make_address("127.0.0.1"), port}, code);
         if (!code && taken.insert(port).second) {
             return port;
         }
@@ -67,7 +69,7 @@
 
 auto isAnswering(uint16_t port) -> bool
 {
-    const auto answer = makeBlockingTransport({ "127.0.0.1", port })("GET", "/", "", seconds(1));
+    const auto answer = makeBlockingTransport({"127.0.0.1", port})("GET", "/", "", seconds(1));
     return answer || answer.error().code != ErrorCode::Unavailable;
 }
 
@@ -116,11 +118,11 @@
     CPPUNIT_ASSERT(mkdtemp(pattern.data()) != nullptr);
     directory_ = pattern;
     logPort_ = freePort();
-    log_ = spawn("log", { (buildDirectory() / "standins/log_standin").string(), "--port=" + std::to_string(logPort_) });
+    log_ = spawn("log", {(buildDirectory() / "standins/log_standin").string(), "--port=" + std::to_string(logPort_)});
     eventually("the log stand-in listens", seconds(10), [this] {
         return isAnswering(logPort_);
     });
-    client_ = makeHttpLogClient(makeBlockingTransport({ "127.0.0.1", logPort_ }), seconds(5));
+    client_ = makeHttpLogClient(makeBlockingTransport({"127.0.0.1", logPort_}), seconds(5));
     publishRules();
     for (size_t i = 0; i < nodeCount; ++i) {
         NodeProcess node;
@@ -137,12 +139,10 @@
         target.name = "target-" + std::to_string(targets.size());
         target.plan = plan;
         target.port = freePort();
-        target.pid
-            = spawn(target.name,
-                    { (buildDirectory() / "standins/target_standin").string(), "--name=" + target.name,
-                      "--service=" + plan.service, "--port=" + std::to_string(target.port),
-                      "--node_port=" + std::to_string(plan.announces ? nodes.at(plan.node).targetPort : 0),
-                      "--slots=" + std::to_string(plan.slots), "--service_ms=" + std::to_string(plan.serviceMs) });
+        target.pid = spawn(target.name,
+                           {(buildDirectory() / "standins/target_standin").string(), "--name=" + target.name, "--service=" + plan.service,
+                            "--port=" + std::to_string(target.port), "--node_port=" + std::to_string(plan.announces ? nodes.at(plan.node).targetPort : 0),
+                            "--slots=" + std::to_string(plan.slots), "--service_ms=" + std::to_string(plan.serviceMs)});
         targets.push_back(target);
     }
     awaitReady();
@@ -192,16 +192,16 @@
 void Cluster::startNode(size_t index)
 {
     NodeProcess &node = nodes.at(index);
-    const nlohmann::json settings = { { "node", node.name },
-                                      { "domain", node.domain },
-                                      { "fleetSecret", "0123456789abcdef" },
-                                      { "callerListen", loopback(node.callerPort) },
-                                      { "peerListen", loopback(node.peerPort) },
-                                      { "targetListen", loopback(node.targetPort) },
-                                      { "log", loopback(logPort_) } };
+    const nlohmann::json settings = {{"node", node.name},
+                                     {"domain", node.domain},
+                                     {"fleetSecret", "0123456789abcdef"},
+                                     {"callerListen", loopback(node.callerPort)},
+                                     {"peerListen", loopback(node.peerPort)},
+                                     {"targetListen", loopback(node.targetPort)},
+                                     {"log", loopback(logPort_)}};
     const std::string path = directory_ + "/" + node.name + ".json";
     std::ofstream(path) << settings.dump(2) << "\n";
-    node.pid = spawn(node.name, { (buildDirectory() / "snipestreamd").string(), "--settings=" + path });
+    node.pid = spawn(node.name, {(buildDirectory() / "snipestreamd").string(), "--settings=" + path});
 }
 
 void Cluster::killNode(size_t index)
@@ -238,25 +238,20 @@
 {
     std::vector<Rule> rules;
     for (size_t i = 0; i < domainCount_; ++i) {
-        rules.emplace_back(DomainRule { DomainName("d" + std::to_string(i)), 1, kAsked });
+        rules.emplace_back(DomainRule{DomainName("d" + std::to_string(i)), 1, kAsked});
     }
-    rules.emplace_back(TeamRule { TeamName("studio"), 100'000, 100'000, kAsked });
+    rules.emplace_back(TeamRule{TeamName("studio"), 100'000, 100'000, kAsked});
     const NewKey key = createKey(TeamName("studio"), KeyId("studio-key"), kAsked);
     studio = "Bearer " + key.bearer;
     rules.emplace_back(key.rule);
-    rules.emplace_back(RouteRule { RouteName("stock"), "GET", "/stock", ServiceName("catalogue"), Priority::Normal,
-                                   true, false, kAsked });
-    rules.emplace_back(
-        RouteRule { RouteName("open"), "GET", "/open", ServiceName("catalogue"), Priority::Low, true, true, kAsked });
-    rules.emplace_back(RouteRule { RouteName("book"), "POST", "/bookings", ServiceName("bookings"), Priority::Critical,
-                                   false, false, kAsked });
-    rules.emplace_back(RouteRule { RouteName("photo"), "PUT", "/photos", ServiceName("measures"), Priority::High, true,
-                                   false, kAsked });
+    rules.emplace_back(RouteRule{RouteName("stock"), "GET", "/stock", ServiceName("catalogue"), Priority::Normal, true, false, kAsked});
+    rules.emplace_back(RouteRule{RouteName("open"), "GET", "/open", ServiceName("catalogue"), Priority::Low, true, true, kAsked});
+    rules.emplace_back(RouteRule{RouteName("book"), "POST", "/bookings", ServiceName("bookings"), Priority::Critical, false, false, kAsked});
+    rules.emplace_back(RouteRule{RouteName("photo"), "PUT", "/photos", ServiceName("measures"), Priority::High, true, false, kAsked});
     publish(rules, {}, 0);
 }
 
-auto Cluster::publish(const std::vector<Rule> &upserts, const std::vector<std::string> &removals,
-                      std::optional<uint64_t> baseRevision) -> ChangeRecord
+auto Cluster::publish(const std::vector<Rule> &upserts, const std::vector<std::string> &removals, std::optional<uint64_t> baseRevision) -> ChangeRecord
 {
     ChangeRecord change;
     change.id = newChangeId();
@@ -272,7 +267,7 @@
 auto Cluster::addTeam(const std::string &name, uint64_t rate, uint64_t burst) -> std::string
 {
     const NewKey key = createKey(TeamName(name), KeyId(name + "-key"), kAsked);
-    const ChangeRecord change = publish({ TeamRule { TeamName(name), rate, burst, kAsked }, key.rule });
+    const ChangeRecord change = publish({TeamRule{TeamName(name), rate, burst, kAsked}, key.rule});
     awaitRevision(change.baseRevision + 1);
     return "Bearer " + key.bearer;
 }
@@ -286,7 +281,7 @@
 {
     eventually("revision " + std::to_string(revision) + " is in force at every node", limit, [&] {
         for (size_t i = 0; i < nodes.size(); ++i) {
-            if (nodes[i].pid > 0 && status(i).value("revision", uint64_t { 0 }) < revision) {
+            if (nodes[i].pid > 0 && status(i).value("revision", uint64_t{0}) < revision) {
                 return false;
             }
         }
@@ -299,7 +294,7 @@
     eventually("all nodes know each other and the rules", seconds(30), [this] {
         for (size_t i = 0; i < nodes.size(); ++i) {
             const auto seen = status(i);
-            if (seen.value("revision", 0) < 1 || seen.value("knownNodes", size_t { 0 }) < nodes.size()) {
+            if (seen.value("revision", 0) < 1 || seen.value("knownNodes", size_t{0}) < nodes.size()) {
                 return false;
             }
         }
@@ -320,7 +315,7 @@
 
 auto Cluster::getJson(uint16_t port, const std::string &path) const -> nlohmann::json
 {
-    const Reply reply = sendOnce(port, { "GET", path, {}, "" }, seconds(2));
+    const Reply reply = sendOnce(port, {"GET", path, {}, ""}, seconds(2));
     const auto json = nlohmann::json::parse(reply.body, nullptr, false);
     return json.is_object() ? json : nlohmann::json::object();
 }
@@ -353,19 +348,18 @@
 
 auto Cluster::totalAt(size_t target) const -> uint64_t
 {
-    return getJson(targets.at(target).port, "/standin/runs").value("total", uint64_t { 0 });
+    return getJson(targets.at(target).port, "/standin/runs").value("total", uint64_t{0});
 }
 
 void Cluster::setServiceTime(size_t target, int ms) const
 {
-    const Reply reply
-        = sendOnce(targets.at(target).port, { "GET", "/standin/service-ms/" + std::to_string(ms), {}, "" });
+    const Reply reply = sendOnce(targets.at(target).port, {"GET", "/standin/service-ms/" + std::to_string(ms), {}, ""});
     CPPUNIT_ASSERT_EQUAL(200, reply.status);
 }
 
 void Cluster::setLogFaults(const nlohmann::json &faults) const
 {
-    const Reply reply = sendOnce(logPort_, { "PUT", "/faults", {}, faults.dump() });
+    const Reply reply = sendOnce(logPort_, {"PUT", "/faults", {}, faults.dump()});
     CPPUNIT_ASSERT_EQUAL(200, reply.status);
 }
 
@@ -389,7 +383,7 @@
             break;
         }
     }
-    const LeaseEntry *const entry = findLease(table, LeaseKey { DomainName(domain), range });
+    const LeaseEntry *const entry = findLease(table, LeaseKey{DomainName(domain), range});
     for (size_t i = 0; entry != nullptr && i < nodes.size(); ++i) {
         if (nodes[i].name == entry->record.holder.value) {
             return i;
@@ -404,7 +398,7 @@
     for (size_t i = 0; i < domainCount_; ++i) {
         domains.emplace_back("d" + std::to_string(i));
     }
-    const uint32_t range = claimRange(ClaimKey { TeamName(team), key });
+    const uint32_t range = claimRange(ClaimKey{TeamName(team), key});
     return holderOf(homeDomainOf(range, domains).value, range);
 }
 
@@ -421,18 +415,13 @@
 
 auto Cluster::lookUp(size_t node) const -> Reply
 {
-    return sendOnce(nodes.at(node).callerPort, { "GET", "/stock/7", { { "Authorization", studio } }, "" });
+    return sendOnce(nodes.at(node).callerPort, {"GET", "/stock/7", {{"Authorization", studio}}, ""});
 }
 
 auto Cluster::book(size_t node, const std::string &key, int attempt, Duration timeout) const -> Reply
 {
     return sendOnce(nodes.at(node).callerPort,
-                    { "POST",
-                      "/bookings",
-                      { { "Authorization", studio },
-                        { "Idempotency-Key", key },
-                        { "Snipestream-Attempt", std::to_string(attempt) } },
-                      "chair 4" },
+                    {"POST", "/bookings", {{"Authorization", studio}, {"Idempotency-Key", key}, {"Snipestream-Attempt", std::to_string(attempt)}}, "chair 4"},
                     timeout);
 }
 
@@ -447,8 +436,7 @@
             return reply;
         }
         if (BootClock::now() >= end) {
-            CPPUNIT_FAIL("booking " + key + " is not answered; last: " + std::to_string(reply.status) + " " + reply.body
-                         + reply.error);
+            CPPUNIT_FAIL("booking " + key + " is not answered; last: " + std::to_string(reply.status) + " " + reply.body + reply.error);
         }
         std::this_thread::sleep_for(milliseconds(100));
     }
--- a/tests/node/cluster.h
+++ b/tests/node/cluster.h
@@ -16,14 +16,14 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 /// Polls until the condition holds and fails the running test if it does not within `limit`.
 void eventually(const std::string &what, Duration limit, const std::function<bool()> &condition);
 
 /// A target beside one of the nodes.
-struct TargetPlan
-{
+struct TargetPlan {
     std::string service;
     size_t node = 0;
     int serviceMs = 1;
@@ -33,8 +33,7 @@
 };
 
 /// A running node program.
-struct NodeProcess
-{
+struct NodeProcess {
     std::string name;
     std::string domain;
     uint16_t callerPort = 0;
@@ -44,8 +43,7 @@
 };
 
 /// A running stand-in for a target.
-struct TargetProcess
-{
+struct TargetProcess {
     std::string name;
     TargetPlan plan;
     uint16_t port = 0;
@@ -65,8 +63,8 @@
     auto operator=(const Cluster &) -> Cluster & = delete;
 
     /// Appends a change to the log and returns it.
-    auto publish(const std::vector<Rule> &upserts, const std::vector<std::string> &removals = {},
-                 std::optional<uint64_t> baseRevision = std::nullopt) -> ChangeRecord;
+    auto publish(const std::vector<Rule> &upserts, const std::vector<std::string> &removals = {}, std::optional<uint64_t> baseRevision = std::nullopt)
+        -> ChangeRecord;
     /// Appends a payload to the configuration stream, once.
     [[nodiscard]] auto appendToLog(const std::string &payload) const -> Result<uint64_t>;
     /// Waits until every running node has the revision in force.
@@ -103,8 +101,7 @@
 
     /// Sends a request of team studio at a node.
     [[nodiscard]] auto lookUp(size_t node) const -> Reply;
-    [[nodiscard]] auto book(size_t node, const std::string &key, int attempt = 1, Duration timeout = seconds(10)) const
-        -> Reply;
+    [[nodiscard]] auto book(size_t node, const std::string &key, int attempt = 1, Duration timeout = seconds(10)) const -> Reply;
     /// Repeats a booking as a caller would until it is answered 200; fails the test after `limit`.
     auto bookUntilAnswered(size_t node, const std::string &key, Duration limit = seconds(15)) const -> Reply;
 
--- a/tests/node/config_process_test.cpp
+++ b/tests/node/config_process_test.cpp
@@ -7,11 +7,13 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
-const AskedBy kAsked { "test", "process test" };
+const AskedBy kAsked{"test", "process test"};
 
 /// Returns "offset change id verdict revision" of every audit entry of a node.
 auto verdictsAt(const Cluster &cluster, size_t node) -> std::vector<std::string>
@@ -19,8 +21,8 @@
     std::vector<std::string> lines;
     const nlohmann::json audit = cluster.audit(node);
     for (const auto &entry : audit.value("entries", nlohmann::json::array())) {
-        lines.push_back(entry["offset"].dump() + " " + entry["change"].get<std::string>() + " "
-                        + entry["verdict"].get<std::string>() + " " + entry["revision"].dump());
+        lines.push_back(entry["offset"].dump() + " " + entry["change"].get<std::string>() + " " + entry["verdict"].get<std::string>() + " "
+                        + entry["revision"].dump());
     }
     return lines;
 }
@@ -38,7 +40,7 @@
 public:
     void testWithdrawnKeyAndRacingChanges()
     {
-        Cluster cluster(6, 2, { { "catalogue", 0 } });
+        Cluster cluster(6, 2, {{"catalogue", 0}});
         const std::string key = cluster.addTeam("visitor", 100'000, 100'000);
         section("a withdrawn key is refused on open connections at every node within 7 s", [&] {
             withdraw(cluster, key);
@@ -51,7 +53,7 @@
 private:
     static void withdraw(Cluster &cluster, const std::string &key)
     {
-        const CallerRequest request { "GET", "/stock/7", { { "Authorization", key } }, "" };
+        const CallerRequest request{"GET", "/stock/7", {{"Authorization", key}}, ""};
         std::vector<std::unique_ptr<HttpCaller>> callers;
         for (const auto &node : cluster.nodes) {
             callers.push_back(std::make_unique<HttpCaller>(node.callerPort));
@@ -59,7 +61,7 @@
             CPPUNIT_ASSERT(callers.back()->isOpen());
         }
         const TimePoint published = BootClock::now();
-        cluster.publish({}, { "key visitor-key" });
+        cluster.publish({}, {"key visitor-key"});
         std::vector<bool> refused(callers.size(), false);
         while (std::count(refused.begin(), refused.end(), true) < static_cast<std::ptrdiff_t>(callers.size())) {
             for (size_t i = 0; i < callers.size(); ++i) {
@@ -68,8 +70,7 @@
                 CPPUNIT_ASSERT_MESSAGE(reply.error, reply.status != 0);
                 if (reply.status == 200) {
                     CPPUNIT_ASSERT_MESSAGE("a node that refused the key accepts it again", !refused[i]);
-                    CPPUNIT_ASSERT_MESSAGE("the key still works at " + cluster.nodes[i].name,
-                                           sent - published < seconds(7));
+                    CPPUNIT_ASSERT_MESSAGE("the key still works at " + cluster.nodes[i].name, sent - published < seconds(7));
                     continue;
                 }
                 CPPUNIT_ASSERT_EQUAL(401, reply.status);
@@ -86,11 +87,11 @@
         cluster.awaitRevision(base);
         const TimePoint start = BootClock::now();
         std::thread other([&] {
-            cluster.publish({ TeamRule { TeamName("visitor"), 7, 7, kAsked } }, {}, base);
+            cluster.publish({TeamRule{TeamName("visitor"), 7, 7, kAsked}}, {}, base);
         });
-        cluster.publish({ TeamRule { TeamName("visitor"), 9, 9, kAsked } }, {}, base);
+        cluster.publish({TeamRule{TeamName("visitor"), 9, 9, kAsked}}, {}, base);
         other.join();
-        cluster.publish({ TeamRule { TeamName("later"), 1, 1, kAsked } }, {}, base);
+        cluster.publish({TeamRule{TeamName("later"), 1, 1, kAsked}}, {}, base);
         cluster.awaitRevision(base + 2, seconds(7) - (BootClock::now() - start));
         const auto expected = verdictsAt(cluster, 0);
         int rejected = 0;
--- a/tests/node/forward_test.cpp
+++ b/tests/node/forward_test.cpp
@@ -8,13 +8,14 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
 /// A body to read: pieces that arrive one by one, then its end, a failure, or nothing until it is cancelled.
-struct Source
-{
+struct Source {
     enum class End {
         Whole,
         Cut,
@@ -28,10 +29,10 @@
         if (!pieces.empty()) {
             std::string piece = std::move(pieces.front());
             pieces.pop_front();
-            return BodyChunk { std::move(piece), pieces.empty() && end == End::Whole };
+            return BodyChunk{std::move(piece), pieces.empty() && end == End::Whole};
         }
         if (end == End::Whole) {
-            return BodyChunk { {}, true };
+            return BodyChunk{{}, true};
         }
         if (end == End::Hangs) {
             cancelled.wait();
@@ -42,8 +43,7 @@
 };
 
 /// What a receiver of a body got.
-struct Sink
-{
+struct Sink {
     std::string bytes;
     bool finished = false;
     bool aborted = false;
@@ -70,13 +70,12 @@
 };
 
 /// One exchange and one call in memory.
-struct World
-{
+struct World {
     Source request;
     Sink sent;
     Source answer;
     Sink passed;
-    Result<ResponseHead> head = ResponseHead {};
+    Result<ResponseHead> head = ResponseHead{};
     /// The answer's head comes only after the whole request body was sent.
     bool headAfterBody = false;
     bool cancelledByCaller = false;
@@ -179,12 +178,11 @@
 public:
     void testWhole()
     {
-        for (const auto &pieces :
-             std::vector<std::deque<std::string>> { {}, { "a" }, { "a", "bc", "" }, { "", "x" } }) {
+        for (const auto &pieces : std::vector<std::deque<std::string>>{{}, {"a"}, {"a", "bc", ""}, {"", "x"}}) {
             World world;
             world.request.pieces = pieces;
             world.headAfterBody = true;
-            world.answer.pieces = { "answer ", "in ", "pieces" };
+            world.answer.pieces = {"answer ", "in ", "pieces"};
             std::string expected;
             for (const auto &piece : pieces) {
                 expected += piece;
@@ -200,9 +198,9 @@
 
     void testCutRequest()
     {
-        for (const bool callerLeft : { false, true }) {
+        for (const bool callerLeft : {false, true}) {
             World world;
-            world.request = { { "half" }, Source::End::Cut };
+            world.request = {{"half"}, Source::End::Cut};
             world.headAfterBody = true;
             world.cancelledByCaller = callerLeft;
             if (!callerLeft) {
@@ -222,7 +220,7 @@
     void testCutAnswer()
     {
         World world;
-        world.answer = { { "half" }, Source::End::Cut };
+        world.answer = {{"half"}, Source::End::Cut};
         const ForwardResult result = world.forward();
         CPPUNIT_ASSERT(result.passedOn && !result.complete);
         CPPUNIT_ASSERT(result.error->code == ErrorCode::Closed);
@@ -233,8 +231,8 @@
     void testAnswerBeforeTheEndOfTheRequest()
     {
         World world;
-        world.request = { { "first" }, Source::End::Hangs };
-        world.answer.pieces = { "too large" };
+        world.request = {{"first"}, Source::End::Hangs};
+        world.answer.pieces = {"too large"};
         const ForwardResult result = world.forward();
         CPPUNIT_ASSERT(result.complete);
         CPPUNIT_ASSERT(world.passed.finished);
@@ -245,8 +243,8 @@
     void testRejectedHead()
     {
         World world;
-        world.head = ResponseHead { 503, {}, std::nullopt, std::nullopt, std::nullopt };
-        world.answer.pieces = { "not for the caller" };
+        world.head = ResponseHead{503, {}, std::nullopt, std::nullopt, std::nullopt};
+        world.answer.pieces = {"not for the caller"};
         const ForwardResult result = world.forward(false);
         CPPUNIT_ASSERT(!result.passedOn && !result.complete);
         CPPUNIT_ASSERT_EQUAL(503, result.head->status);
@@ -259,21 +257,21 @@
     {
         section("an answer of exactly the limit is captured whole", [] {
             World world;
-            world.answer.pieces = { "123", "45" };
+            world.answer.pieces = {"123", "45"};
             const ForwardResult result = world.forward(true, 5);
             CPPUNIT_ASSERT(result.capturedWhole);
             CPPUNIT_ASSERT_EQUAL(std::string("12345"), result.captured);
         });
         section("a longer one is passed on whole and never counts as captured whole", [] {
             World world;
-            world.answer.pieces = { "123", "456", "" };
+            world.answer.pieces = {"123", "456", ""};
             const ForwardResult result = world.forward(true, 5);
             CPPUNIT_ASSERT(result.complete && !result.capturedWhole);
             CPPUNIT_ASSERT_EQUAL(std::string("123456"), world.passed.bytes);
         });
         section("a cut one is not captured whole", [] {
             World world;
-            world.answer = { { "123" }, Source::End::Cut };
+            world.answer = {{"123"}, Source::End::Cut};
             CPPUNIT_ASSERT(!world.forward(true, 5).capturedWhole);
         });
     }
--- a/tests/node/http_caller.cpp
+++ b/tests/node/http_caller.cpp
@@ -7,9 +7,11 @@
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -76,10 +78,9 @@
     buffer_.clear();
     stream_ = std::make_unique<beast::tcp_stream>(context_);
     stream_->expires_after(timeout);
-    stream_->async_connect(asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), port_),
-                           [&result](const beast::error_code &code) {
-                               result = code;
-                           });
+    stream_->async_connect(asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), port_), [&result](const beast::error_code &code) {
+        result = code;
+    });
     run();
     if (result) {
         stream_.reset();
@@ -109,7 +110,7 @@
         return failedReply("sending", result);
     }
     http::response_parser<http::string_body> parser;
-    parser.body_limit(uint64_t { 64 } * 1024 * 1024);
+    parser.body_limit(uint64_t{64} * 1024 * 1024);
     http::async_read(*stream_, buffer_, parser, keepCode);
     run();
     if (result) {
--- a/tests/node/http_caller.h
+++ b/tests/node/http_caller.h
@@ -11,11 +11,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 /// A request as a caller sends it.
-struct CallerRequest
-{
+struct CallerRequest {
     std::string method = "GET";
     std::string path = "/";
     HeaderList headers;
@@ -23,8 +23,7 @@
 };
 
 /// What the caller gets. A status of 0 means that no complete response arrived; `error` says why.
-struct Reply
-{
+struct Reply {
     int status = 0;
     HeaderList headers;
     std::string body;
--- a/tests/node/log_outage_process_test.cpp
+++ b/tests/node/log_outage_process_test.cpp
@@ -5,11 +5,13 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
-const AskedBy kAsked { "test", "process test" };
+const AskedBy kAsked{"test", "process test"};
 
 } // namespace
 
@@ -24,13 +26,13 @@
 public:
     void testOutageAndLostAnswers()
     {
-        Cluster cluster(3, 1, { { "catalogue", 0 }, { "bookings", 1 } });
+        Cluster cluster(3, 1, {{"catalogue", 0}, {"bookings", 1}});
         section("append answers are lost: a change counts once and a claim allows one run", [&] {
             loseAnswers(cluster);
         });
         std::vector<Reply> answers;
         section("the log is down: lookups, bookings and quota go on", [&] {
-            cluster.setLogFaults({ { "down", true } });
+            cluster.setLogFaults({{"down", true}});
             // Longer than the lease parameters F and W together.
             const TimePoint end = BootClock::now() + seconds(6);
             for (int i = 0; BootClock::now() < end; ++i) {
@@ -48,7 +50,7 @@
                 CPPUNIT_ASSERT_EQUAL(answers[i].body, again.body);
                 CPPUNIT_ASSERT_EQUAL(1, cluster.runs(keyOf(i)));
             }
-            const ChangeRecord change = cluster.publish({ TeamRule { TeamName("after"), 1, 1, kAsked } });
+            const ChangeRecord change = cluster.publish({TeamRule{TeamName("after"), 1, 1, kAsked}});
             cluster.awaitRevision(change.baseRevision + 1);
         });
     }
@@ -66,14 +68,14 @@
         change.id = newChangeId();
         change.by = "test";
         change.baseRevision = base;
-        change.upserts = { TeamRule { TeamName("twice"), 1, 1, kAsked } };
+        change.upserts = {TeamRule{TeamName("twice"), 1, 1, kAsked}};
         // Nodes append records of their own, such as snapshots, so every answer is lost until this append has lost its.
-        cluster.setLogFaults({ { "loseAnswers", 1000 } });
+        cluster.setLogFaults({{"loseAnswers", 1000}});
         const auto lost = cluster.appendToLog(encodeChange(change));
         CPPUNIT_ASSERT_MESSAGE("the answer is lost", !lost.has_value());
         cluster.setLogFaults(nlohmann::json::object());
         CPPUNIT_ASSERT(cluster.appendToLog(encodeChange(change)).has_value());
-        const ChangeRecord marker = cluster.publish({ TeamRule { TeamName("marker"), 1, 1, kAsked } }, {}, base);
+        const ChangeRecord marker = cluster.publish({TeamRule{TeamName("marker"), 1, 1, kAsked}}, {}, base);
         eventually("the marker is in the audit trail of every node", seconds(7), [&] {
             for (size_t i = 0; i < cluster.nodes.size(); ++i) {
                 if (cluster.audit(i).dump().find(marker.id) == std::string::npos) {
@@ -87,7 +89,7 @@
         }
         for (size_t node = 0; node < cluster.nodes.size(); ++node) {
             const std::string key = "lost-" + std::to_string(node);
-            cluster.setLogFaults({ { "loseAnswers", 2 } });
+            cluster.setLogFaults({{"loseAnswers", 2}});
             const Reply first = cluster.bookUntilAnswered(node, key);
             CPPUNIT_ASSERT_EQUAL(first.body, cluster.bookUntilAnswered(0, key).body);
             CPPUNIT_ASSERT_EQUAL(1, cluster.runs(key));
--- a/tests/node/path_test.cpp
+++ b/tests/node/path_test.cpp
@@ -3,9 +3,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
 /// Returns the headers that the target stand-in saw.
 auto headersSeen(const Reply &reply) -> nlohmann::json
@@ -16,8 +18,7 @@
 
 auto callWithContext(const Cluster &cluster, size_t node, const std::string &handle) -> Reply
 {
-    return sendOnce(cluster.nodes.at(node).targetPort,
-                    { "GET", "/stock/7", { { "Snipestream-Context", handle } }, "" });
+    return sendOnce(cluster.nodes.at(node).targetPort, {"GET", "/stock/7", {{"Snipestream-Context", handle}}, ""});
 }
 
 } // namespace
@@ -33,17 +34,15 @@
 public:
     void testPathOverTwoNodes()
     {
-        const Cluster cluster(2, 1, { { "catalogue", 1 } });
+        const Cluster cluster(2, 1, {{"catalogue", 1}});
         std::string finished;
         section("the target sees neither the key nor a Snipestream header of the caller", [&] {
-            const Reply reply = sendOnce(cluster.nodes[0].callerPort,
-                                         { "GET",
-                                           "/stock/7",
-                                           { { "Authorization", cluster.studio },
-                                             { "Snipestream-Context", "forged" },
-                                             { "snipestream-team", "other" },
-                                             { "X-Plain", "kept" } },
-                                           "" });
+            const Reply reply =
+                sendOnce(cluster.nodes[0].callerPort,
+                         {"GET",
+                          "/stock/7",
+                          {{"Authorization", cluster.studio}, {"Snipestream-Context", "forged"}, {"snipestream-team", "other"}, {"X-Plain", "kept"}},
+                          ""});
             CPPUNIT_ASSERT_EQUAL(200, reply.status);
             CPPUNIT_ASSERT(!headerOf(reply, "Snipestream-Request-Id").empty());
             const auto seen = headersSeen(reply);
@@ -66,7 +65,7 @@
         });
         section("the handle of a finished request and a made-up one are refused at both nodes", [&] {
             for (size_t node = 0; node < 2; ++node) {
-                for (const std::string &handle : { finished, std::string(32, 'a'), std::string() }) {
+                for (const std::string &handle : {finished, std::string(32, 'a'), std::string()}) {
                     const Reply reply = callWithContext(cluster, node, handle);
                     CPPUNIT_ASSERT_EQUAL(std::string("unknown-context"), textOf(reply, "reason"));
                     CPPUNIT_ASSERT(reply.status >= 400 && reply.status < 500);
@@ -75,15 +74,14 @@
         });
         section("a request without a key or with a wrong one does not reach the target", [&] {
             const uint64_t before = cluster.totalAt(0);
-            const Reply missing = sendOnce(cluster.nodes[0].callerPort, { "GET", "/stock/7", {}, "" });
+            const Reply missing = sendOnce(cluster.nodes[0].callerPort, {"GET", "/stock/7", {}, ""});
             CPPUNIT_ASSERT_EQUAL(std::string("missing-key"), textOf(missing, "reason"));
-            const Reply wrong = sendOnce(cluster.nodes[0].callerPort,
-                                         { "GET", "/stock/7", { { "Authorization", cluster.studio + "x" } }, "" });
+            const Reply wrong = sendOnce(cluster.nodes[0].callerPort, {"GET", "/stock/7", {{"Authorization", cluster.studio + "x"}}, ""});
             CPPUNIT_ASSERT_EQUAL(std::string("unknown-key"), textOf(wrong, "reason"));
             CPPUNIT_ASSERT_EQUAL(before, cluster.totalAt(0));
         });
         section("an open route needs no key", [&] {
-            CPPUNIT_ASSERT_EQUAL(200, sendOnce(cluster.nodes[0].callerPort, { "GET", "/open/1", {}, "" }).status);
+            CPPUNIT_ASSERT_EQUAL(200, sendOnce(cluster.nodes[0].callerPort, {"GET", "/open/1", {}, ""}).status);
         });
     }
 };
--- a/tests/node/rate_process_test.cpp
+++ b/tests/node/rate_process_test.cpp
@@ -10,16 +10,17 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
 constexpr uint64_t kRate = 50;
 constexpr uint64_t kBurst = 20;
 
 /// One admitted request; its token was spent between the two times.
-struct Admitted
-{
+struct Admitted {
     TimePoint sent;
     TimePoint answered;
 };
@@ -59,23 +60,23 @@
 public:
     void testRateHoldsAcrossAPausedHolder()
     {
-        Cluster cluster(4, 1, { { "catalogue", 0, 0, 150 } });
+        Cluster cluster(4, 1, {{"catalogue", 0, 0, 150}});
         const std::string key = cluster.addTeam("eager", kRate, kBurst);
         const auto holder = cluster.holderOf("d0", rangeOf("eager"));
         CPPUNIT_ASSERT(holder.has_value());
         std::mutex mutex;
         std::vector<Admitted> admitted;
         std::vector<std::string> odd;
-        std::atomic<bool> isEnding { false };
+        std::atomic<bool> isEnding{false};
         const auto send = [&](size_t node) {
             HttpCaller caller(cluster.nodes[node].callerPort);
-            const CallerRequest request { "GET", "/stock/7", { { "Authorization", key } }, "" };
+            const CallerRequest request{"GET", "/stock/7", {{"Authorization", key}}, ""};
             while (!isEnding) {
                 const TimePoint sent = BootClock::now();
                 const Reply reply = caller.send(request, seconds(6));
                 const std::lock_guard<std::mutex> lock(mutex);
                 if (reply.status == 200) {
-                    admitted.push_back({ sent, BootClock::now() });
+                    admitted.push_back({sent, BootClock::now()});
                 } else if (reply.status != 429 && reply.status != 503 && reply.status != 0) {
                     odd.push_back(std::to_string(reply.status) + reply.body);
                 }
--- a/tests/node/shutdown_process_test.cpp
+++ b/tests/node/shutdown_process_test.cpp
@@ -8,9 +8,11 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
 /// Callers that send without pause, each at a node of its own as long as that node accepts connections: one that looks
 /// up, and on wish one that books with a new idempotency key each time.
@@ -64,10 +66,10 @@
     auto nextRequest(size_t own, bool books) -> CallerRequest
     {
         if (!books) {
-            return { "GET", "/stock/7", { { "Authorization", cluster_.studio } }, "" };
+            return {"GET", "/stock/7", {{"Authorization", cluster_.studio}}, ""};
         }
         const std::string key = "load-" + std::to_string(own) + "-" + std::to_string(++bookings_);
-        return { "POST", "/bookings", { { "Authorization", cluster_.studio }, { "Idempotency-Key", key } }, "chair" };
+        return {"POST", "/bookings", {{"Authorization", cluster_.studio}, {"Idempotency-Key", key}}, "chair"};
     }
 
     void run(size_t own, bool books)
@@ -102,16 +104,15 @@
             return true;
         }
         const std::lock_guard<std::mutex> lock(mutex_);
-        faults_.push_back("node " + std::to_string(node) + ": " + std::to_string(reply.status) + " " + reply.error
-                          + reply.body);
+        faults_.push_back("node " + std::to_string(node) + ": " + std::to_string(reply.status) + " " + reply.error + reply.body);
         return reply.status != 0;
     }
 
     const Cluster &cluster_;
     std::vector<std::thread> threads_;
-    std::atomic<bool> isEnding_ { false };
-    std::atomic<int> answered_ { 0 };
-    std::atomic<int> bookings_ { 0 };
+    std::atomic<bool> isEnding_{false};
+    std::atomic<int> answered_{0};
+    std::atomic<int> bookings_{0};
     std::mutex mutex_;
     std::vector<std::string> faults_;
 };
@@ -122,9 +123,8 @@
     std::map<std::string, std::pair<int, std::string>> kinds;
     for (const auto &fault : faults) {
         const size_t reason = fault.find("\"reason\"");
-        const std::string kind
-            = reason == std::string::npos ? fault : fault.substr(reason, fault.find(',', reason) - reason);
-        kinds[kind] = { kinds[kind].first + 1, fault };
+        const std::string kind = reason == std::string::npos ? fault : fault.substr(reason, fault.find(',', reason) - reason);
+        kinds[kind] = {kinds[kind].first + 1, fault};
     }
     std::string text;
     for (const auto &[kind, example] : kinds) {
@@ -136,20 +136,18 @@
 void assertNoFaults(Load &load)
 {
     const auto faults = load.faults();
-    CPPUNIT_ASSERT_MESSAGE(std::to_string(faults.size()) + " requests failed beside " + std::to_string(load.answered())
-                               + ", by kind:" + describe(faults),
+    CPPUNIT_ASSERT_MESSAGE(std::to_string(faults.size()) + " requests failed beside " + std::to_string(load.answered()) + ", by kind:" + describe(faults),
                            faults.empty());
     CPPUNIT_ASSERT(load.answered() > 0);
 }
 
 auto announcementOf(const TargetProcess &target, const std::string &state) -> std::string
 {
-    return nlohmann::json {
-        { "target", target.name },  { "service", target.plan.service },
-        { "address", "127.0.0.1" }, { "port", target.port },
-        { "instance", 1 },          { "slots", 50 },
-        { "connections", 100 },     { "state", state }
-    }.dump();
+    return nlohmann::json{{"target", target.name},  {"service", target.plan.service},
+                          {"address", "127.0.0.1"}, {"port", target.port},
+                          {"instance", 1},          {"slots", 50},
+                          {"connections", 100},     {"state", state}}
+        .dump();
 }
 
 } // namespace
@@ -168,8 +166,8 @@
     {
         std::vector<TargetPlan> plans;
         for (size_t i = 0; i < 4; ++i) {
-            plans.push_back({ "catalogue", i, 10 });
-            plans.push_back({ "bookings", i, 10 });
+            plans.push_back({"catalogue", i, 10});
+            plans.push_back({"bookings", i, 10});
         }
         Cluster cluster(4, 1, plans);
         Load load(cluster, true);
@@ -190,17 +188,13 @@
 
     void testDrainingTargetGetsNoNewWork()
     {
-        Cluster cluster(2, 1, { { "catalogue", 1, 5 }, { "catalogue", 0, 5, 50, false } });
+        Cluster cluster(2, 1, {{"catalogue", 1, 5}, {"catalogue", 0, 5, 50, false}});
         const TargetProcess &leaving = cluster.targets[1];
-        std::atomic<bool> isEnding { false };
-        std::atomic<bool> isDraining { false };
+        std::atomic<bool> isEnding{false};
+        std::atomic<bool> isDraining{false};
         std::thread renewal([&] {
             while (!isEnding) {
-                sendOnce(cluster.nodes[0].targetPort,
-                         { "POST",
-                           "/snipestream/v1/targets",
-                           {},
-                           announcementOf(leaving, isDraining ? "draining" : "active") });
+                sendOnce(cluster.nodes[0].targetPort, {"POST", "/snipestream/v1/targets", {}, announcementOf(leaving, isDraining ? "draining" : "active")});
                 std::this_thread::sleep_for(milliseconds(500));
             }
         });
--- a/tests/node/tables_test.cpp
+++ b/tests/node/tables_test.cpp
@@ -10,17 +10,19 @@
 #include <cppunit/extensions/HelperMacros.h>
 #include <nlohmann/json.hpp>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
-const TimePoint kStart { seconds(1000) };
+const TimePoint kStart{seconds(1000)};
 
 auto nodeTable(int nodes, const std::string &domain) -> NodeTable
 {
     NodeTable table;
     for (int i = 0; i < nodes; ++i) {
-        table.nodes[NodeName(domain + "-" + std::to_string(i))] = NodeRow { DomainName(domain), {}, 1, true };
+        table.nodes[NodeName(domain + "-" + std::to_string(i))] = NodeRow{DomainName(domain), {}, 1, true};
     }
     return table;
 }
@@ -49,7 +51,7 @@
         std::set<std::string> handles;
         for (int i = 0; i < 100; ++i) {
             const std::string handle = openContext(table, context);
-            CPPUNIT_ASSERT_EQUAL(size_t { 32 }, handle.size());
+            CPPUNIT_ASSERT_EQUAL(size_t{32}, handle.size());
             CPPUNIT_ASSERT_EQUAL(std::string::npos, handle.find_first_not_of("0123456789abcdef"));
             CPPUNIT_ASSERT(handles.insert(handle).second);
         }
@@ -86,16 +88,13 @@
         table.teams[TeamName("b")].completed = 2;
         table.teams[TeamName("b")].wasted = 1;
         const auto json = shareToJson(table)["teams"];
-        CPPUNIT_ASSERT_EQUAL(size_t { 2 }, json.size());
+        CPPUNIT_ASSERT_EQUAL(size_t{2}, json.size());
         CPPUNIT_ASSERT_EQUAL(static_cast<size_t>(kRefusalReasonCount), json["a"]["refused"].size());
         for (int i = 0; i < kRefusalReasonCount; ++i) {
             const std::string name(refusalReasonName(static_cast<RefusalReason>(i)));
             CPPUNIT_ASSERT_EQUAL(i + 1, json["a"]["refused"][name].get<int>());
         }
-        CPPUNIT_ASSERT(
-            json["b"]
-            == nlohmann::json(
-                { { "admitted", 3 }, { "completed", 2 }, { "wasted", 1 }, { "refused", nlohmann::json::object() } }));
+        CPPUNIT_ASSERT(json["b"] == nlohmann::json({{"admitted", 3}, {"completed", 2}, {"wasted", 1}, {"refused", nlohmann::json::object()}}));
     }
 
     /// Guards against a node that nobody checks, whose death would go unnoticed.
@@ -109,7 +108,7 @@
                 const auto names = monitoredNodes(table, name);
                 const std::set<NodeName> distinct(names.begin(), names.end());
                 CPPUNIT_ASSERT_EQUAL(expected, distinct.size());
-                CPPUNIT_ASSERT_EQUAL(size_t { 0 }, distinct.count(name));
+                CPPUNIT_ASSERT_EQUAL(size_t{0}, distinct.count(name));
                 for (const auto &checked : names) {
                     ++checkers[checked];
                 }
@@ -120,9 +119,9 @@
         }
         section("nodes that left, nodes of other domains and unknown ones take no part", [] {
             NodeTable table = nodeTable(2, "d");
-            table.nodes[NodeName("x")] = NodeRow { DomainName("e"), {}, 1, true };
-            table.nodes[NodeName("gone")] = NodeRow { DomainName("d"), {}, 1, false };
-            CPPUNIT_ASSERT(monitoredNodes(table, NodeName("d-0")) == std::vector<NodeName> { NodeName("d-1") });
+            table.nodes[NodeName("x")] = NodeRow{DomainName("e"), {}, 1, true};
+            table.nodes[NodeName("gone")] = NodeRow{DomainName("d"), {}, 1, false};
+            CPPUNIT_ASSERT(monitoredNodes(table, NodeName("d-0")) == std::vector<NodeName>{NodeName("d-1")});
             CPPUNIT_ASSERT(monitoredNodes(table, NodeName("gone")).empty());
             CPPUNIT_ASSERT(monitoredNodes(table, NodeName("nobody")).empty());
         });
@@ -160,17 +159,15 @@
     /// Guards against a target whose own Snipestream fields make its answer look like a refusal that can be trusted.
     void testPrivateHeaders()
     {
-        HeaderList headers { { "snipestream-run", "not-run" },
-                             { "Content-Type", "text/plain" },
-                             { "SNIPESTREAM-Replayed", "true" },
-                             { "X-Snipestream-Like", "kept" },
-                             { "Snipestream", "kept" } };
-        const RequestId id { 1, 2 };
+        HeaderList headers{{"snipestream-run", "not-run"},
+                           {"Content-Type", "text/plain"},
+                           {"SNIPESTREAM-Replayed", "true"},
+                           {"X-Snipestream-Like", "kept"},
+                           {"Snipestream", "kept"}};
+        const RequestId id{1, 2};
         markAnswer(headers, id);
-        const HeaderList expected { { "Content-Type", "text/plain" },
-                                    { "X-Snipestream-Like", "kept" },
-                                    { "Snipestream", "kept" },
-                                    { "Snipestream-Request-Id", toHex(id) } };
+        const HeaderList expected{
+            {"Content-Type", "text/plain"}, {"X-Snipestream-Like", "kept"}, {"Snipestream", "kept"}, {"Snipestream-Request-Id", toHex(id)}};
         CPPUNIT_ASSERT(expected == headers);
         markAnswer(headers, id);
         CPPUNIT_ASSERT(expected == headers);
--- a/tests/node/upload_process_test.cpp
+++ b/tests/node/upload_process_test.cpp
@@ -5,11 +5,13 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
-constexpr size_t kUploadBytes = size_t { 20 } * 1000 * 1000;
+constexpr size_t kUploadBytes = size_t{20} * 1000 * 1000;
 constexpr long kMaxNodeKb = 64 * 1024;
 
 /// A body without repeated pieces, so that a lost, doubled or exchanged chunk changes the hash.
@@ -47,11 +49,10 @@
 public:
     void testUploads()
     {
-        const Cluster cluster(2, 1, { { "catalogue", 1 }, { "measures", 1 } });
-        const CallerRequest request { "PUT", "/photos/9", { { "Authorization", cluster.studio } }, makeBody() };
+        const Cluster cluster(2, 1, {{"catalogue", 1}, {"measures", 1}});
+        const CallerRequest request{"PUT", "/photos/9", {{"Authorization", cluster.studio}}, makeBody()};
         eventually("the target of uploads is known at the entry node", seconds(10), [&] {
-            const Reply small = sendOnce(cluster.nodes[0].callerPort,
-                                         { "PUT", "/photos/0", { { "Authorization", cluster.studio } }, "x" });
+            const Reply small = sendOnce(cluster.nodes[0].callerPort, {"PUT", "/photos/0", {{"Authorization", cluster.studio}}, "x"});
             return small.status == 200;
         });
         section("a 20 MB upload arrives whole and is not kept in memory", [&] {
@@ -62,15 +63,14 @@
             CPPUNIT_ASSERT_EQUAL(hashOf(request.body), json["hash"].get<uint64_t>());
             for (size_t node = 0; node < 2; ++node) {
                 CPPUNIT_ASSERT(cluster.peakMemoryKb(node) > 0);
-                CPPUNIT_ASSERT_MESSAGE(std::to_string(cluster.peakMemoryKb(node)) + " KiB at node "
-                                           + std::to_string(node),
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(cluster.peakMemoryKb(node)) + " KiB at node " + std::to_string(node),
                                        cluster.peakMemoryKb(node) < kMaxNodeKb);
             }
         });
         section("an upload whose caller leaves half-way is never complete at the target", [&] {
             const uint64_t before = cluster.totalAt(1);
-            for (const bool chunked : { false, true }) {
-                for (const size_t part : { size_t { 0 }, size_t { 1000 }, kUploadBytes / 2 }) {
+            for (const bool chunked : {false, true}) {
+                for (const size_t part : {size_t{0}, size_t{1000}, kUploadBytes / 2}) {
                     // A chunk of length zero would be the end of the body.
                     if (chunked && part == 0) {
                         continue;
--- a/tests/peer/frame_test.cpp
+++ b/tests/peer/frame_test.cpp
@@ -7,12 +7,14 @@
 
 #include <rapidcheck.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using nlohmann::json;
 using testing::section;
 
-namespace {
+namespace
+{
 
 auto text() -> std::string
 {
@@ -36,15 +38,15 @@
 
 auto payload() -> json
 {
-    json value = json::array({ text(), number(), -7, 2.5, nullptr, true });
-    value.push_back({ { text(), text() }, { "list", json::array() } });
+    json value = json::array({text(), number(), -7, 2.5, nullptr, true});
+    value.push_back({{text(), text()}, {"list", json::array()}});
     return value;
 }
 
 auto requestHead() -> RequestHead
 {
     RequestHead head;
-    head.id = { number(), number() };
+    head.id = {number(), number()};
     head.method = text();
     head.path = text();
     head.headers = headers();
@@ -69,7 +71,7 @@
     if (*rc::gen::arbitrary<bool>()) {
         const auto reason = static_cast<RefusalReason>(*rc::gen::inRange(0, kRefusalReasonCount));
         const auto run = *rc::gen::arbitrary<bool>() ? RunState::NotRun : RunState::Unknown;
-        head.refusal = Refusal { reason, run, Duration(*rc::gen::inRange<int64_t>(0, INT64_MAX)), text() };
+        head.refusal = Refusal{reason, run, Duration(*rc::gen::inRange<int64_t>(0, INT64_MAX)), text()};
     }
     if (*rc::gen::arbitrary<bool>()) {
         head.sheddingLevel = *rc::gen::inRange(0, 512);
@@ -79,7 +81,7 @@
 
 auto error() -> Error
 {
-    return { static_cast<ErrorCode>(*rc::gen::inRange(0, static_cast<int>(ErrorCode::Internal) + 1)), text() };
+    return {static_cast<ErrorCode>(*rc::gen::inRange(0, static_cast<int>(ErrorCode::Internal) + 1)), text()};
 }
 
 /// Returns a frame of the kind with random fields.
@@ -87,40 +89,40 @@
 {
     switch (kind) {
     case 0:
-        return HelloFrame { 1, text(), number(), text(), *rc::gen::inRange(1U, UINT32_MAX), text(), text() };
+        return HelloFrame{1, text(), number(), text(), *rc::gen::inRange(1U, UINT32_MAX), text(), text()};
     case 1:
-        return ProofFrame { text() };
+        return ProofFrame{text()};
     case 2:
-        return RefuseFrame { text() };
+        return RefuseFrame{text()};
     case 3:
-        return GoodbyeFrame {};
+        return GoodbyeFrame{};
     case 4:
-        return CallFrame { number(), text(), payload() };
+        return CallFrame{number(), text(), payload()};
     case 5:
-        return ReplyFrame { number(), payload() };
+        return ReplyFrame{number(), payload()};
     case 6:
-        return CallErrorFrame { number(), error() };
+        return CallErrorFrame{number(), error()};
     case 7:
-        return NoticeFrame { text(), payload() };
+        return NoticeFrame{text(), payload()};
     case 8:
-        return OpenFrame { number(), requestHead() };
+        return OpenFrame{number(), requestHead()};
     case 9:
-        return HeadFrame { number(), responseHead() };
+        return HeadFrame{number(), responseHead()};
     case 10:
-        return ChunkFrame { number(), number(), text() };
+        return ChunkFrame{number(), number(), text()};
     case 11:
-        return CreditFrame { number(), number() };
+        return CreditFrame{number(), number()};
     case 12:
-        return EndFrame { number(), number() };
+        return EndFrame{number(), number()};
     default:
-        return AbortFrame { number(), error(), *rc::gen::arbitrary<bool>() };
+        return AbortFrame{number(), error(), *rc::gen::arbitrary<bool>()};
     }
 }
 
 auto fields(const RequestHead &head)
 {
-    return std::tie(head.id, head.method, head.path, head.headers, head.bodyLength, head.route, head.service, head.team,
-                    head.priority, head.idempotent, head.timeLeft, head.attemptsLeft, head.depth);
+    return std::tie(head.id, head.method, head.path, head.headers, head.bodyLength, head.route, head.service, head.team, head.priority, head.idempotent,
+                    head.timeLeft, head.attemptsLeft, head.depth);
 }
 
 auto fields(const ResponseHead &head)
@@ -128,8 +130,7 @@
     return std::tie(head.status, head.headers, head.bodyLength, head.refusal, head.sheddingLevel);
 }
 
-struct SameFields
-{
+struct SameFields {
     const Frame &other;
 
     template<typename T>
@@ -234,12 +235,12 @@
                     RC_ASSERT(frame.index() == kind);
                     std::string bytes;
                     encodeFrame(frame, bytes);
-                    encodeFrame(GoodbyeFrame {}, bytes);
+                    encodeFrame(GoodbyeFrame{}, bytes);
                     std::string_view rest = bytes;
                     const auto decoded = decodeFrame(rest);
                     RC_ASSERT(decoded.has_value());
                     RC_ASSERT(decoded.value().index() == kind);
-                    RC_ASSERT(std::visit(SameFields { decoded.value() }, frame));
+                    RC_ASSERT(std::visit(SameFields{decoded.value()}, frame));
                     const auto next = decodeFrame(rest);
                     RC_ASSERT(next.has_value() && std::holds_alternative<GoodbyeFrame>(next.value()));
                     RC_ASSERT(rest.empty());
@@ -285,17 +286,16 @@
     void testHostileBytes()
     {
         const size_t size = 256 * 1024;
-        for (const unsigned byte : { 0x81U, 0x9fU, 0x7fU, 0x5fU, 0xbfU, 0xc1U, 0xa1U, 0xd8U }) {
+        for (const unsigned byte : {0x81U, 0x9fU, 0x7fU, 0x5fU, 0xbfU, 0xc1U, 0xa1U, 0xd8U}) {
             section("repeated byte " + std::to_string(byte), [&] {
                 const std::string bytes(size, static_cast<char>(byte));
                 std::string_view rest = bytes;
                 CPPUNIT_ASSERT(decodeFrame(rest).error().code == ErrorCode::ProtocolViolation);
             });
         }
-        for (const unsigned byte : { 0x9bU, 0xbbU, 0x5bU, 0x7bU }) {
+        for (const unsigned byte : {0x9bU, 0xbbU, 0x5bU, 0x7bU}) {
             section("huge length after byte " + std::to_string(byte), [&] {
-                const std::string bytes = std::string("\x83\x0a\x01", 3) + static_cast<char>(byte)
-                    + std::string(8, '\x7f') + std::string(100, '\x01');
+                const std::string bytes = std::string("\x83\x0a\x01", 3) + static_cast<char>(byte) + std::string(8, '\x7f') + std::string(100, '\x01');
                 std::string_view rest = bytes;
                 CPPUNIT_ASSERT(decodeFrame(rest).error().code == ErrorCode::ProtocolViolation);
             });
@@ -308,32 +308,32 @@
 
     void testWrongTypes()
     {
-        const std::vector<json> wrong {
+        const std::vector<json> wrong{
             nullptr,
             42,
             json::array(),
-            json::array({ 10, 1 }),
-            json::array({ 10, -1, json::array({ "m", 1 }) }),
-            json::array({ 10, 1, json::array({ "m" }) }),
-            json::array({ 10, 1, json::array({ "m", 1, 2 }) }),
-            json::array({ 99, 1, nullptr }),
-            json::array({ 0, 1, nullptr }),
-            json::array({ 300, 1, nullptr }),
-            json::array({ 22, 1, json::array({ 0, "text, not a length" }) }),
-            json::array({ 22, 1, json::array({ 0, 1 }) }),
-            json::array({ 23, 1, "limit" }),
-            json::array({ 24, 1, -1 }),
-            json::array({ 25, 1, json::array({ 4096, "code", false }) }),
-            json::array({ 20, 1, json::array({ 1, 2 }) }),
-            json::array({ 21, 1, json::array({ 99, json::array(), nullptr, nullptr, nullptr }) }),
-            json::array({ 21, 1, json::array({ 200, json::array({ "odd" }), nullptr, nullptr, nullptr }) }),
-            json::array({ 21, 1, json::array({ 200, json::array(), nullptr, json::array({ "no", "no" }), nullptr }) }),
-            json::array({ 1, 0, json::array({ 1, "node" }) }),
-            json::array({ 3, 0, "reason", "more" }),
-            json::array({ 4, 0, 0 }),
-            json::array({ 11, 1.5, nullptr }),
-            json::array({ 23, 1, json::binary({ 1 }) }),
-            json::array({ 24, 1, json::object({ { "limit", 1 } }) }),
+            json::array({10, 1}),
+            json::array({10, -1, json::array({"m", 1})}),
+            json::array({10, 1, json::array({"m"})}),
+            json::array({10, 1, json::array({"m", 1, 2})}),
+            json::array({99, 1, nullptr}),
+            json::array({0, 1, nullptr}),
+            json::array({300, 1, nullptr}),
+            json::array({22, 1, json::array({0, "text, not a length"})}),
+            json::array({22, 1, json::array({0, 1})}),
+            json::array({23, 1, "limit"}),
+            json::array({24, 1, -1}),
+            json::array({25, 1, json::array({4096, "code", false})}),
+            json::array({20, 1, json::array({1, 2})}),
+            json::array({21, 1, json::array({99, json::array(), nullptr, nullptr, nullptr})}),
+            json::array({21, 1, json::array({200, json::array({"odd"}), nullptr, nullptr, nullptr})}),
+            json::array({21, 1, json::array({200, json::array(), nullptr, json::array({"no", "no"}), nullptr})}),
+            json::array({1, 0, json::array({1, "node"})}),
+            json::array({3, 0, "reason", "more"}),
+            json::array({4, 0, 0}),
+            json::array({11, 1.5, nullptr}),
+            json::array({23, 1, json::binary({1})}),
+            json::array({24, 1, json::object({{"limit", 1}})}),
         };
         for (const json &value : wrong) {
             section(value.dump(-1, ' ', false), [&] {
--- a/tests/peer/peer_faults_test.cpp
+++ b/tests/peer/peer_faults_test.cpp
@@ -5,12 +5,14 @@
 
 #include <algorithm>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using nlohmann::json;
 using namespace snipestream::testing; // NOLINT(google-build-using-namespace)
 
-namespace {
+namespace
+{
 
 constexpr size_t kLargeBody = 30U << 20U;
 constexpr size_t kPiece = 64U << 10U;
@@ -68,9 +70,7 @@
         PeerPair pair;
         size_t held = 0;
         const auto measure = [&] {
-            held = std::max(held,
-                            pair.client.queuedBytes() + pair.client.unreadBytes() + pair.server.queuedBytes()
-                                + pair.server.unreadBytes());
+            held = std::max(held, pair.client.queuedBytes() + pair.client.unreadBytes() + pair.server.queuedBytes() + pair.server.unreadBytes());
         };
         size_t uploaded = 0;
         size_t written = 0;
@@ -194,7 +194,7 @@
                 mode = how;
                 return pair.client.openStream(pair.endpoint, sampleHead()).value();
             };
-            for (const char *how : { "abort", "return" }) {
+            for (const char *how : {"abort", "return"}) {
                 section(std::string("the server's handler ends with ") + how, [&] {
                     const auto call = open(how);
                     CPPUNIT_ASSERT(call.awaitHead().has_value());
@@ -250,10 +250,10 @@
                 const auto reply = pair.client.call(pair.endpoint, "run", 1);
                 CPPUNIT_ASSERT(reply.error().code == ErrorCode::Unavailable);
                 CPPUNIT_ASSERT_MESSAGE(reply.error().message, reply.error().message.find(reason) != std::string::npos);
-                CPPUNIT_ASSERT_EQUAL(size_t { 0 }, pair.server.linkCount());
+                CPPUNIT_ASSERT_EQUAL(size_t{0}, pair.server.linkCount());
             });
             CPPUNIT_ASSERT_EQUAL(0, calls);
-            CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, PeerPair::count(pair.clientMetrics, "links_refused"));
+            CPPUNIT_ASSERT_EQUAL(uint64_t{1}, PeerPair::count(pair.clientMetrics, "links_refused"));
         };
         section("another protocol version", [&] {
             PeerOptions options = testOptions("client");
@@ -275,13 +275,13 @@
             section("a dialler that cannot answer the challenge", [&] {
                 RawPeer stray(pair.runtime, pair.endpoint);
                 stray.greet("guess");
-                stray.send(CallFrame { 1, "run", 1 });
+                stray.send(CallFrame{1, "run", 1});
                 stray.wait(stray.closed);
                 CPPUNIT_ASSERT(stray.closed);
             });
             section("a dialler that skips the handshake", [&] {
                 RawPeer stray(pair.runtime, pair.endpoint);
-                stray.send(CallFrame { 1, "run", 1 });
+                stray.send(CallFrame{1, "run", 1});
                 stray.wait(stray.closed);
                 CPPUNIT_ASSERT(stray.closed);
             });
@@ -291,7 +291,7 @@
                 CPPUNIT_ASSERT(stray.closed);
             });
             CPPUNIT_ASSERT_EQUAL(0, calls);
-            CPPUNIT_ASSERT_EQUAL(uint64_t { 2 }, PeerPair::count(pair.serverMetrics, "links_refused"));
+            CPPUNIT_ASSERT_EQUAL(uint64_t{2}, PeerPair::count(pair.serverMetrics, "links_refused"));
         });
     }
 
@@ -328,28 +328,28 @@
             });
             expectClosed("an unknown frame type", [](RawPeer &raw) {
                 std::string bytes;
-                json::to_cbor(json::array({ 77, 1, nullptr }), bytes);
+                json::to_cbor(json::array({77, 1, nullptr}), bytes);
                 raw.sendBytes(bytes);
             });
             expectClosed("a message above the limit", [](RawPeer &raw) {
                 raw.sendBytes(std::string(257U << 10U, '\0'));
             });
             expectClosed("a chunk without a stream", [](RawPeer &raw) {
-                raw.send(ChunkFrame { 1, 0, "x" });
+                raw.send(ChunkFrame{1, 0, "x"});
             });
             expectClosed("a stream opened twice", [](RawPeer &raw) {
-                raw.send(OpenFrame { 1, sampleHead() });
-                raw.send(OpenFrame { 1, sampleHead() });
+                raw.send(OpenFrame{1, sampleHead()});
+                raw.send(OpenFrame{1, sampleHead()});
             });
             expectClosed("a chunk at the wrong place", [](RawPeer &raw) {
-                raw.send(OpenFrame { 1, sampleHead() });
-                raw.send(ChunkFrame { 1, 5, "x" });
+                raw.send(OpenFrame{1, sampleHead()});
+                raw.send(ChunkFrame{1, 5, "x"});
             });
             expectClosed("a frame for the other role", [](RawPeer &raw) {
-                raw.send(ReplyFrame { 1, 1 });
+                raw.send(ReplyFrame{1, 1});
             });
             expectClosed("a second hello", [](RawPeer &raw) {
-                raw.send(HelloFrame { 1, "raw", 1, "caerdydd", 1, std::string(32, 'a'), {} });
+                raw.send(HelloFrame{1, "raw", 1, "caerdydd", 1, std::string(32, 'a'), {}});
             });
             CPPUNIT_ASSERT_EQUAL(3, streams);
             section("a stream of another link goes on", [&] {
@@ -373,7 +373,7 @@
             section("pings keep a silent link open", [&] {
                 pair.runtime.sleepFor(milliseconds(400));
                 CPPUNIT_ASSERT(pair.client.isConnected(proxy.endpoint()));
-                CPPUNIT_ASSERT_EQUAL(size_t { 1 }, pair.server.linkCount());
+                CPPUNIT_ASSERT_EQUAL(size_t{1}, pair.server.linkCount());
             });
             section("a call to a frozen peer fails when the link is given up", [&] {
                 proxy.freeze();
@@ -454,7 +454,7 @@
                     return isDown;
                 }));
                 CPPUNIT_ASSERT(stuck && stuck->has_error());
-                CPPUNIT_ASSERT_EQUAL(size_t { 0 }, pair.server.linkCount());
+                CPPUNIT_ASSERT_EQUAL(size_t{0}, pair.server.linkCount());
             });
         });
     }
--- a/tests/peer/peer_network_test.cpp
+++ b/tests/peer/peer_network_test.cpp
@@ -2,7 +2,8 @@
 
 #include "tests/peer/peer_pair.h"
 
-namespace snipestream {
+namespace snipestream
+{
 
 using nlohmann::json;
 using namespace snipestream::testing; // NOLINT(google-build-using-namespace)
@@ -34,18 +35,18 @@
         });
         pair.run([&] {
             section("a call connects and gets its reply", [&] {
-                const json payload = { { "amount", 12 }, { "who", "studio" }, { "list", { 1, -2, 3.5, nullptr } } };
+                const json payload = {{"amount", 12}, {"who", "studio"}, {"list", {1, -2, 3.5, nullptr}}};
                 const auto reply = pair.client.call(pair.endpoint, "echo", payload);
                 CPPUNIT_ASSERT_MESSAGE(reply ? "" : reply.error().message, reply.has_value());
                 CPPUNIT_ASSERT(payload == reply.value());
                 CPPUNIT_ASSERT_EQUAL(std::string("client"), seen.node.value);
-                CPPUNIT_ASSERT_EQUAL(uint64_t { 7 }, seen.incarnation);
+                CPPUNIT_ASSERT_EQUAL(uint64_t{7}, seen.incarnation);
                 CPPUNIT_ASSERT(pair.client.isConnected(pair.endpoint));
             });
             section("the peer's error comes back", [&] {
                 const auto reply = pair.client.call(pair.endpoint, "fail", {});
                 CPPUNIT_ASSERT(reply.has_error());
-                CPPUNIT_ASSERT(reply.error() == (Error { ErrorCode::Conflict, "taken" }));
+                CPPUNIT_ASSERT(reply.error() == (Error{ErrorCode::Conflict, "taken"}));
             });
             section("an unknown method is not found", [&] {
                 CPPUNIT_ASSERT(pair.client.call(pair.endpoint, "nothing", {}).error().code == ErrorCode::NotFound);
@@ -66,7 +67,7 @@
                 const auto late = pair.client.call(pair.endpoint, "slow", 30, milliseconds(10));
                 CPPUNIT_ASSERT(late.error().code == ErrorCode::Timeout);
                 CPPUNIT_ASSERT(pair.client.call(pair.endpoint, "slow", 40).value() == 40);
-                CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, PeerPair::count(pair.clientMetrics, "frames_dropped"));
+                CPPUNIT_ASSERT_EQUAL(uint64_t{1}, PeerPair::count(pair.clientMetrics, "frames_dropped"));
             });
             section("a payload beyond the frame limit fails at its sender only", [&] {
                 const auto reply = pair.client.call(pair.endpoint, "echo", std::string(300 * 1024, 'x'));
@@ -74,7 +75,7 @@
                 CPPUNIT_ASSERT(pair.client.call(pair.endpoint, "echo", 1).has_value());
             });
             section("an endpoint without a listener is unavailable, and soon again", [&] {
-                const Endpoint nobody { "127.0.0.1", 1 };
+                const Endpoint nobody{"127.0.0.1", 1};
                 CPPUNIT_ASSERT(pair.client.call(nobody, "echo", 1).error().code == ErrorCode::Unavailable);
                 CPPUNIT_ASSERT(pair.client.call(nobody, "echo", 1).error().code == ErrorCode::Unavailable);
             });
@@ -91,7 +92,7 @@
         pair.run([&] {
             section("without a link a notice is dropped and the link is made", [&] {
                 CPPUNIT_ASSERT(!pair.client.notify(pair.endpoint, "tell", 1));
-                CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, PeerPair::count(pair.clientMetrics, "notices_dropped"));
+                CPPUNIT_ASSERT_EQUAL(uint64_t{1}, PeerPair::count(pair.clientMetrics, "notices_dropped"));
                 CPPUNIT_ASSERT(pair.eventually([&] {
                     return pair.client.isConnected(pair.endpoint);
                 }));
@@ -118,8 +119,8 @@
             const auto body = readAll(exchange.requestBody);
             ResponseHead head;
             head.status = body ? 201 : 500;
-            head.headers = { { "X-Echo", "yes" } };
-            head.refusal = Refusal { RefusalReason::Overloaded, RunState::NotRun, milliseconds(5), "busy" };
+            head.headers = {{"X-Echo", "yes"}};
+            head.refusal = Refusal{RefusalReason::Overloaded, RunState::NotRun, milliseconds(5), "busy"};
             head.sheddingLevel = 17;
             CPPUNIT_ASSERT(exchange.respond(head).has_value());
             CPPUNIT_ASSERT(exchange.responseBody.write(body ? body.value() : "").has_value());
@@ -151,8 +152,7 @@
                     pair.runtime.spawn([&, i] {
                         const auto call = pair.client.openStream(pair.endpoint, sampleHead());
                         const std::string body = patternBody(static_cast<size_t>(i) * 3000, i);
-                        const bool sent = call.value().requestBody.write(body).has_value()
-                            && call.value().requestBody.finish().has_value();
+                        const bool sent = call.value().requestBody.write(body).has_value() && call.value().requestBody.finish().has_value();
                         const auto head = call.value().awaitHead();
                         const auto answer = readAll(call.value().responseBody);
                         right += sent && head && answer && answer.value() == body ? 1 : 0;
--- a/tests/peer/peer_pair.h
+++ b/tests/peer/peer_pair.h
@@ -9,14 +9,15 @@
 #include <memory>
 #include <string>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 /// Returns options with short times, so that tests need not wait long for a dead or idle link.
 inline auto testOptions(const std::string &node) -> PeerOptions
 {
     PeerOptions options;
-    options.listen = { "127.0.0.1", 0 };
-    options.self = { NodeName(node), 7, DomainName("caerdydd") };
+    options.listen = {"127.0.0.1", 0};
+    options.self = {NodeName(node), 7, DomainName("caerdydd")};
     options.fleetSecret = "fleet secret of the tests";
     options.connectTimeout = milliseconds(300);
     options.pingInterval = milliseconds(40);
@@ -26,10 +27,8 @@
 }
 
 /// Two networks on one runtime; `server` listens and `client` calls it.
-struct PeerPair
-{
-    explicit PeerPair(PeerOptions clientOptions = testOptions("client"),
-                      PeerOptions serverOptions = testOptions("server"))
+struct PeerPair {
+    explicit PeerPair(PeerOptions clientOptions = testOptions("client"), PeerOptions serverOptions = testOptions("server"))
         : client(runtime, std::move(clientOptions), clientMetrics)
         , server(runtime, std::move(serverOptions), serverMetrics)
     {
@@ -41,7 +40,7 @@
         runtime.runToEnd([&] {
             const auto port = server.listen();
             CPPUNIT_ASSERT(port.has_value());
-            endpoint = { "127.0.0.1", port.value() };
+            endpoint = {"127.0.0.1", port.value()};
             try {
                 story();
             } catch (...) {
@@ -53,8 +52,8 @@
         if (failure_) {
             std::rethrow_exception(failure_);
         }
-        CPPUNIT_ASSERT_EQUAL(size_t { 0 }, runtime.fiberCount());
-        CPPUNIT_ASSERT_EQUAL(size_t { 0 }, client.linkCount() + server.linkCount());
+        CPPUNIT_ASSERT_EQUAL(size_t{0}, runtime.fiberCount());
+        CPPUNIT_ASSERT_EQUAL(size_t{0}, client.linkCount() + server.linkCount());
     }
 
     /// Yields until the condition holds, for at most five seconds; returns whether it came to hold.
@@ -112,10 +111,10 @@
 inline auto sampleHead() -> RequestHead
 {
     RequestHead head;
-    head.id = { 1, 2 };
+    head.id = {1, 2};
     head.method = "POST";
     head.path = "/chairs/3?day=monday";
-    head.headers = { { "Content-Type", "application/json" }, { "Accept", "*/*" }, { "X-Name", "Si\xe2n \xff" } };
+    head.headers = {{"Content-Type", "application/json"}, {"Accept", "*/*"}, {"X-Name", "Si\xe2n \xff"}};
     head.bodyLength = 100;
     head.route = RouteName("chairs");
     head.service = ServiceName("diary");
--- a/tests/peer/stream_table_test.cpp
+++ b/tests/peer/stream_table_test.cpp
@@ -9,23 +9,23 @@
 
 #include <rapidcheck.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::section;
 
-namespace {
+namespace
+{
 
 /// The functions under test that a double may replace.
-struct Receivers
-{
+struct Receivers {
     std::function<StreamEvent(StreamTable &, ChunkFrame)> chunk = receiveChunk;
     std::function<StreamEvent(StreamTable &, const EndFrame &)> end = receiveEnd;
     std::function<StreamEvent(StreamTable &, const AbortFrame &)> abort = receiveAbort;
 };
 
 /// What one end of one stream wrote and read.
-struct Body
-{
+struct Body {
     std::string written;
     std::string read;
     bool finished = false;
@@ -33,8 +33,7 @@
     bool failed = false;
 };
 
-struct End
-{
+struct End {
     StreamTable table;
     std::map<uint64_t, std::shared_ptr<StreamState>> streams;
     std::map<uint64_t, Body> bodies;
@@ -123,7 +122,7 @@
         End &end = ends_[0];
         const uint64_t id = nextOutboundId(end.table);
         end.streams[id] = startStream(end.table, id);
-        post(end, OpenFrame { id, {} });
+        post(end, OpenFrame{id, {}});
     }
 
     auto pick(End &end) -> std::shared_ptr<StreamState>
@@ -141,7 +140,7 @@
             return;
         }
         if (end.table.role == LinkRole::Acceptor && sendHead(end.table, *stream)) {
-            post(end, HeadFrame { stream->id, {} });
+            post(end, HeadFrame{stream->id, {}});
         }
         std::string bytes(1 + drawBelow(random_, 600), '\0');
         std::generate(bytes.begin(), bytes.end(), [this] {
@@ -173,7 +172,7 @@
         if (!stream) {
             return;
         }
-        if (const auto frame = sendAbort(end.table, *stream, { ErrorCode::Cancelled, "test" })) {
+        if (const auto frame = sendAbort(end.table, *stream, {ErrorCode::Cancelled, "test"})) {
             post(end, *frame);
         }
     }
@@ -247,7 +246,7 @@
             closed_ = true;
             closeReason_ = event.reason;
             for (End &each : ends_) {
-                cutAll(each.table, { ErrorCode::Closed, "link closed" });
+                cutAll(each.table, {ErrorCode::Closed, "link closed"});
                 // Whatever was received can still be read, and must still be right.
                 for (uint64_t i = 0; i < 300; ++i) {
                     readAny(each, i);
@@ -260,7 +259,7 @@
     {
         if (const auto *open = std::get_if<OpenFrame>(&frame)) {
             if (!admitInboundId(end.table, open->id)) {
-                return { FrameVerdict::Violation, nullptr, "open" };
+                return {FrameVerdict::Violation, nullptr, "open"};
             }
             end.streams[open->id] = startStream(end.table, open->id);
             return {};
@@ -387,30 +386,30 @@
             CPPUNIT_ASSERT(!admitInboundId(table, 4));
         });
         section("frames of a stream that was never opened", [&] {
-            CPPUNIT_ASSERT(isViolation(receiveChunk(table, { 6, 0, "x" })));
-            CPPUNIT_ASSERT(isViolation(receiveEnd(table, { 0, 0 })));
+            CPPUNIT_ASSERT(isViolation(receiveChunk(table, {6, 0, "x"})));
+            CPPUNIT_ASSERT(isViolation(receiveEnd(table, {0, 0})));
         });
         section("frames of a stream that is over are dropped", [&] {
-            CPPUNIT_ASSERT(receiveChunk(table, { 4, 0, "x" }).verdict == FrameVerdict::Dropped);
-            CPPUNIT_ASSERT(receiveAbort(table, { 3, {}, false }).verdict == FrameVerdict::Dropped);
+            CPPUNIT_ASSERT(receiveChunk(table, {4, 0, "x"}).verdict == FrameVerdict::Dropped);
+            CPPUNIT_ASSERT(receiveAbort(table, {3, {}, false}).verdict == FrameVerdict::Dropped);
         });
         section("chunks of a wrong size, at a wrong place or beyond the credit", [&] {
-            CPPUNIT_ASSERT(isViolation(receiveChunk(table, { 5, 0, "" })));
-            CPPUNIT_ASSERT(isViolation(receiveChunk(table, { 5, 0, std::string(kMaxChunkBytes + 1, 'x') })));
-            CPPUNIT_ASSERT(isViolation(receiveChunk(table, { 5, 1, "x" })));
+            CPPUNIT_ASSERT(isViolation(receiveChunk(table, {5, 0, ""})));
+            CPPUNIT_ASSERT(isViolation(receiveChunk(table, {5, 0, std::string(kMaxChunkBytes + 1, 'x')})));
+            CPPUNIT_ASSERT(isViolation(receiveChunk(table, {5, 1, "x"})));
             stream->receiveLimit = 10;
-            CPPUNIT_ASSERT(isViolation(receiveChunk(table, { 5, 0, std::string(11, 'x') })));
-            CPPUNIT_ASSERT(receiveChunk(table, { 5, 0, std::string(10, 'x') }).verdict == FrameVerdict::Accepted);
-            CPPUNIT_ASSERT(isViolation(receiveChunk(table, { 5, 10, "x" })));
+            CPPUNIT_ASSERT(isViolation(receiveChunk(table, {5, 0, std::string(11, 'x')})));
+            CPPUNIT_ASSERT(receiveChunk(table, {5, 0, std::string(10, 'x')}).verdict == FrameVerdict::Accepted);
+            CPPUNIT_ASSERT(isViolation(receiveChunk(table, {5, 10, "x"})));
         });
         section("credit for bytes that were never sent, and a head at the wrong end", [&] {
-            CPPUNIT_ASSERT(isViolation(receiveCredit(table, { 5, table.peerWindow + 1 })));
-            CPPUNIT_ASSERT(isViolation(receiveHead(table, { 5, {} })));
+            CPPUNIT_ASSERT(isViolation(receiveCredit(table, {5, table.peerWindow + 1})));
+            CPPUNIT_ASSERT(isViolation(receiveHead(table, {5, {}})));
         });
         section("a chunk after the end", [&] {
-            CPPUNIT_ASSERT(receiveEnd(table, { 5, 10 }).verdict == FrameVerdict::Accepted);
-            CPPUNIT_ASSERT(isViolation(receiveChunk(table, { 5, 10, "x" })));
-            CPPUNIT_ASSERT(isViolation(receiveEnd(table, { 5, 10 })));
+            CPPUNIT_ASSERT(receiveEnd(table, {5, 10}).verdict == FrameVerdict::Accepted);
+            CPPUNIT_ASSERT(isViolation(receiveChunk(table, {5, 10, "x"})));
+            CPPUNIT_ASSERT(isViolation(receiveEnd(table, {5, 10})));
         });
     }
 };
--- a/tests/peer/tcp_proxy.h
+++ b/tests/peer/tcp_proxy.h
@@ -14,7 +14,8 @@
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/write.hpp>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 /// Forwards TCP connections to an endpoint, and can stop forwarding or cut them.
 class TcpProxy
@@ -34,7 +35,7 @@
 
     [[nodiscard]] auto endpoint() const -> Endpoint
     {
-        return { "127.0.0.1", acceptor_.local_endpoint().port() };
+        return {"127.0.0.1", acceptor_.local_endpoint().port()};
     }
 
     /// Keeps the connections open and forwards nothing more.
@@ -94,7 +95,7 @@
 
     void pump(const SocketPtr &from, const SocketPtr &to) const
     {
-        std::array<char, 16384> buffer {};
+        std::array<char, 16384> buffer{};
         while (true) {
             const auto received = awaitIo([&](auto done) {
                 from->async_read_some(boost::asio::buffer(buffer), done);
@@ -132,36 +133,36 @@
         : runtime_(runtime)
         , socket_(PeerSocketFactory::make(runtime.context(), 16U << 20U)->dialled(target))
     {
-        socket_->start({ [this] {
+        socket_->start({[this] {
                             opened = true;
                         },
-                         [this](std::string_view message) {
-                             while (auto frame = decodeFrame(message)) {
-                                 received.push_back(std::move(frame.value()));
-                                 if (message.empty()) {
-                                     break;
-                                 }
-                             }
-                         },
-                         [] {},
-                         [this](SocketEnd, const std::string &why) {
-                             closed = true;
-                             reason = why;
-                         } });
+                        [this](std::string_view message) {
+                            while (auto frame = decodeFrame(message)) {
+                                received.push_back(std::move(frame.value()));
+                                if (message.empty()) {
+                                    break;
+                                }
+                            }
+                        },
+                        [] {},
+                        [this](SocketEnd, const std::string &why) {
+                            closed = true;
+                            reason = why;
+                        }});
         wait(opened);
     }
 
     /// Passes the handshake with the secret.
     void greet(const std::string &secret)
     {
-        HelloFrame hello { kPeerProtocolVersion, "raw", 1, "caerdydd", 256 * 1024, std::string(32, 'a'), {} };
+        HelloFrame hello{kPeerProtocolVersion, "raw", 1, "caerdydd", 256 * 1024, std::string(32, 'a'), {}};
         send(hello);
         while (received.empty() && !closed) {
             runtime_.sleepFor(milliseconds(1));
         }
         const auto *answer = received.empty() ? nullptr : std::get_if<HelloFrame>(&received.front());
         if (answer != nullptr) {
-            send(ProofFrame { peerProof(secret, LinkRole::Dialler, hello, *answer) });
+            send(ProofFrame{peerProof(secret, LinkRole::Dialler, hello, *answer)});
         }
     }
 
--- a/tests/platform/log_client_test.cpp
+++ b/tests/platform/log_client_test.cpp
@@ -8,18 +8,19 @@
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::FakeLog;
 using testing::section;
 using testing::serveLogRequest;
 using testing::StandinServer;
 
-namespace {
+namespace
+{
 
 /// A fake log behind a real HTTP connection on loopback.
-struct ServedLog
-{
+struct ServedLog {
     explicit ServedLog(size_t retain = 0)
         : log(retain)
         , server(
@@ -60,15 +61,15 @@
         ServedLog served(3);
         const std::string payload = "{\"text\":\"f\u00fcnf \\\" \\n\"}";
         section("offsets count up for each stream", [&] {
-            CPPUNIT_ASSERT_EQUAL(uint64_t { 0 }, served.client.append("config", payload).value());
-            CPPUNIT_ASSERT_EQUAL(uint64_t { 1 }, served.client.append("config", "b").value());
-            CPPUNIT_ASSERT_EQUAL(uint64_t { 0 }, served.client.append(claimsStream(31), "c").value());
+            CPPUNIT_ASSERT_EQUAL(uint64_t{0}, served.client.append("config", payload).value());
+            CPPUNIT_ASSERT_EQUAL(uint64_t{1}, served.client.append("config", "b").value());
+            CPPUNIT_ASSERT_EQUAL(uint64_t{0}, served.client.append(claimsStream(31), "c").value());
         });
         section("a read returns the payload unchanged and respects the limit", [&] {
             const auto page = served.client.read("config", 0, 1).value();
-            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, page.records.size());
+            CPPUNIT_ASSERT_EQUAL(size_t{1}, page.records.size());
             CPPUNIT_ASSERT_EQUAL(payload, page.records.front().payload);
-            CPPUNIT_ASSERT_EQUAL(uint64_t { 2 }, page.head);
+            CPPUNIT_ASSERT_EQUAL(uint64_t{2}, page.head);
         });
         section("a read at the head is empty and no error", [&] {
             CPPUNIT_ASSERT(served.client.read("config", 2, 10).value().records.empty());
@@ -78,7 +79,7 @@
             CPPUNIT_ASSERT(served.client.append("config", "d"));
             const auto page = served.client.read("config", 0, 10);
             CPPUNIT_ASSERT(page.error().code == ErrorCode::Expired);
-            CPPUNIT_ASSERT(earliestOfExpired(page.error()) == uint64_t { 1 });
+            CPPUNIT_ASSERT(earliestOfExpired(page.error()) == uint64_t{1});
         });
     }
 
@@ -88,7 +89,7 @@
         section("a lost answer is a timeout, and the record is there", [&] {
             served.setFaults(R"({"loseAnswers":1,"delayMs":0})");
             CPPUNIT_ASSERT(served.client.append("config", "a").has_error());
-            CPPUNIT_ASSERT_EQUAL(size_t { 1 }, served.client.read("config", 0, 10).value().records.size());
+            CPPUNIT_ASSERT_EQUAL(size_t{1}, served.client.read("config", 0, 10).value().records.size());
         });
         section("a slow log is a timeout", [&] {
             served.setFaults(R"({"delayMs":600})");
@@ -103,7 +104,7 @@
             CPPUNIT_ASSERT(served.client.read("config", 0, 10).error().code == ErrorCode::Expired);
         });
         section("no listener means that nothing was sent", [&] {
-            const Endpoint nobody { "127.0.0.1", 1 };
+            const Endpoint nobody{"127.0.0.1", 1};
             const auto client = makeHttpLogClient(makeBlockingTransport(nobody), milliseconds(300));
             CPPUNIT_ASSERT(client.append("config", "a").error().code == ErrorCode::Unavailable);
         });
@@ -112,13 +113,13 @@
     void testPagesAreChecked()
     {
         const std::vector<std::pair<std::string, std::string>> bad = {
-            { "no JSON", "<html>" },
-            { "no head", R"({"earliest":0,"records":[]})" },
-            { "head below earliest", R"({"earliest":4,"head":3,"records":[]})" },
-            { "a gap", R"({"earliest":0,"head":9,"records":[{"offset":2,"payload":"a"},{"offset":4,"payload":"b"}]})" },
-            { "not from the asked offset", R"({"earliest":0,"head":9,"records":[{"offset":3,"payload":"a"}]})" },
-            { "beyond the head", R"({"earliest":0,"head":2,"records":[{"offset":2,"payload":"a"}]})" },
-            { "a payload of another type", R"({"earliest":0,"head":9,"records":[{"offset":2,"payload":{}}]})" },
+            {"no JSON", "<html>"},
+            {"no head", R"({"earliest":0,"records":[]})"},
+            {"head below earliest", R"({"earliest":4,"head":3,"records":[]})"},
+            {"a gap", R"({"earliest":0,"head":9,"records":[{"offset":2,"payload":"a"},{"offset":4,"payload":"b"}]})"},
+            {"not from the asked offset", R"({"earliest":0,"head":9,"records":[{"offset":3,"payload":"a"}]})"},
+            {"beyond the head", R"({"earliest":0,"head":2,"records":[{"offset":2,"payload":"a"}]})"},
+            {"a payload of another type", R"({"earliest":0,"head":9,"records":[{"offset":2,"payload":{}}]})"},
         };
         for (const auto &[title, body] : bad) {
             section(title, [&, text = body] {
@@ -129,7 +130,7 @@
 
     void testDecoderSurvivesAnyBody()
     {
-        const LogPage page { { { 0, "a" }, { 1, "b" } }, 0, 2 };
+        const LogPage page{{{0, "a"}, {1, "b"}}, 0, 2};
         const std::string valid = encodeLogPage(page);
         CPPUNIT_ASSERT(rc::check("a damaged page is an error or a page, never a crash", [&] {
             std::string body = valid;
--- a/tests/quota/quota_fuzz_test.cpp
+++ b/tests/quota/quota_fuzz_test.cpp
@@ -6,11 +6,11 @@
 
 #include <rapidcheck.h>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 /// A fault or an operator action in a run. `a` and `b` select nodes, domains or rules, by remainder.
-struct QuotaCommand
-{
+struct QuotaCommand {
     enum Kind {
         Burst,
         Kill,
@@ -30,17 +30,17 @@
     int kind = Burst;
     int a = 0;
     int b = 0;
-    Duration length {};
-    Duration wait {};
+    Duration length{};
+    Duration wait{};
 };
 
 } // namespace snipestream::testing
 
-namespace rc {
+namespace rc
+{
 
 template<>
-struct Arbitrary<snipestream::testing::QuotaCommand>
-{
+struct Arbitrary<snipestream::testing::QuotaCommand> {
     static auto arbitrary() -> Gen<snipestream::testing::QuotaCommand>
     {
         using snipestream::testing::QuotaCommand;
@@ -49,29 +49,29 @@
                 return snipestream::Duration(snipestream::milliseconds(value));
             });
         };
-        return gen::build<QuotaCommand>(
-            gen::set(&QuotaCommand::kind, gen::inRange<int>(0, QuotaCommand::KindCount)),
-            gen::set(&QuotaCommand::a, gen::inRange(0, 60)), gen::set(&QuotaCommand::b, gen::inRange(0, 60)),
-            gen::set(&QuotaCommand::length, ms(50, 2500)), gen::set(&QuotaCommand::wait, ms(10, 600)));
+        return gen::build<QuotaCommand>(gen::set(&QuotaCommand::kind, gen::inRange<int>(0, QuotaCommand::KindCount)),
+                                        gen::set(&QuotaCommand::a, gen::inRange(0, 60)), gen::set(&QuotaCommand::b, gen::inRange(0, 60)),
+                                        gen::set(&QuotaCommand::length, ms(50, 2500)), gen::set(&QuotaCommand::wait, ms(10, 600)));
     }
 };
 
 } // namespace rc
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::QuotaCommand;
 using testing::QuotaWorld;
 using testing::section;
 
-namespace {
+namespace
+{
 
-const std::vector<TeamName> kTeams = { TeamName("small"), TeamName("middle") };
+const std::vector<TeamName> kTeams = {TeamName("small"), TeamName("middle")};
 
 /// Checks the tokens of one team against rate x window + burst: in all windows at once, by a bucket that starts full
 /// and must never be overdrawn. While an operator's change spreads, the higher of the old and the new rule counts.
-struct Oracle
-{
+struct Oracle {
     double rate = 0;
     double burst = 0;
     double level = 0;
@@ -129,9 +129,9 @@
     Run(uint64_t seed, const QuotaParams &params)
         : world_(seed, 3, 6, params)
     {
-        rules_[kTeams[0]] = TeamQuota { 2 * kOneToken, 5 * kOneToken };
-        rules_[kTeams[1]] = TeamQuota { 100 * kOneToken, 20 * kOneToken };
-        weights_ = DomainWeights { 1, { { DomainName("d0"), 1 }, { DomainName("d1"), 1 }, { DomainName("d2"), 2 } } };
+        rules_[kTeams[0]] = TeamQuota{2 * kOneToken, 5 * kOneToken};
+        rules_[kTeams[1]] = TeamQuota{100 * kOneToken, 20 * kOneToken};
+        weights_ = DomainWeights{1, {{DomainName("d0"), 1}, {DomainName("d1"), 1}, {DomainName("d2"), 2}}};
         world_.setRules(rules_);
         world_.setWeights(weights_);
         for (const auto &team : kTeams) {
@@ -277,8 +277,7 @@
         if (now() < oracles_[team].changeAt && oracles_[team].changeAt < 1e17) {
             return;
         }
-        rules_[team] = TeamQuota { static_cast<MicroTokens>(1 + choice) * kOneToken,
-                                   static_cast<MicroTokens>(3 + choice / 4) * kOneToken };
+        rules_[team] = TeamQuota{static_cast<MicroTokens>(1 + choice) * kOneToken, static_cast<MicroTokens>(3 + choice / 4) * kOneToken};
         oracles_[team].change(tokens(rules_[team].rate), tokens(rules_[team].burst), now());
         spread([team, rule = rules_[team]](QuotaWorld::Machine &each) {
             each.rules[team] = rule;
@@ -345,8 +344,8 @@
 constexpr int kFaultRuns = 40;
 
 /// Late answers matter only while the levels are full otherwise, so these runs have no other fault.
-const std::vector<int> kSlowNetwork = { QuotaCommand::Delay, QuotaCommand::Burst };
-const std::vector<int> kWeights = { QuotaCommand::ChangeWeights, QuotaCommand::CutDomain, QuotaCommand::MoveLease };
+const std::vector<int> kSlowNetwork = {QuotaCommand::Delay, QuotaCommand::Burst};
+const std::vector<int> kWeights = {QuotaCommand::ChangeWeights, QuotaCommand::CutDomain, QuotaCommand::MoveLease};
 
 /// Returns the number of runs after which the oracle reports a violation, or -1 if it never does. With `kinds` only
 /// these commands occur.
--- a/tests/quota/quota_test.cpp
+++ b/tests/quota/quota_test.cpp
@@ -4,32 +4,33 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::QuotaWorld;
 using testing::section;
 
-namespace {
+namespace
+{
 
 const TeamName kSmall("small");
 
 /// Counts verdicts of a world with one team.
-struct Counted
-{
+struct Counted {
     QuotaWorld world;
     int admitted = 0;
     int rateExceeded = 0;
     int unavailable = 0;
-    Duration lastRetryAfter {};
+    Duration lastRetryAfter{};
 
     Counted(size_t domains, size_t nodes, const TeamQuota &rule)
-        : world(7, domains, nodes, QuotaParams {})
+        : world(7, domains, nodes, QuotaParams{})
     {
-        DomainWeights weights { 1, {} };
+        DomainWeights weights{1, {}};
         for (size_t d = 0; d < domains; ++d) {
             weights.weights[DomainName("d" + std::to_string(d))] = 1;
         }
-        world.setRules({ { kSmall, rule } });
+        world.setRules({{kSmall, rule}});
         world.setWeights(weights);
         world.onVerdict = [this](const TeamName &, const TokenVerdict &verdict) {
             if (verdict.state == TokenState::Admitted) {
@@ -49,7 +50,7 @@
     }
 };
 
-constexpr TeamQuota kSmallRule { 2 * kOneToken, 5 * kOneToken };
+constexpr TeamQuota kSmallRule{2 * kOneToken, 5 * kOneToken};
 
 } // namespace
 
@@ -106,7 +107,7 @@
             run.world.run(milliseconds(1000));
             run.submit(4, 3);
             run.world.run(milliseconds(50));
-            CPPUNIT_ASSERT_EQUAL(MicroTokens { 0 }, holderLevel(run.world.machines[4].holder, kSmall).first);
+            CPPUNIT_ASSERT_EQUAL(MicroTokens{0}, holderLevel(run.world.machines[4].holder, kSmall).first);
             run.world.run(milliseconds(1000));
             CPPUNIT_ASSERT(holderLevel(run.world.machines[4].holder, kSmall).first > 0);
         });
@@ -123,7 +124,7 @@
 
     void testPartition()
     {
-        Counted run(4, 8, TeamQuota { 40 * kOneToken, 20 * kOneToken });
+        Counted run(4, 8, TeamQuota{40 * kOneToken, 20 * kOneToken});
         run.world.run(seconds(5));
         run.world.domainCutUntil[1] = run.world.now + seconds(60);
         section("a cut domain serves its share of rate and burst", [&] {
@@ -147,9 +148,9 @@
         old.grant = firstNumber(4);
         old.amount = kOneToken;
         old.lifetime = seconds(1);
-        const EntryInputs inputs { { old }, [](uint32_t) {
-                                      return std::vector<NodeName> { NodeName("n0") };
-                                  } };
+        const EntryInputs inputs{{old}, [](uint32_t) {
+                                     return std::vector<NodeName>{NodeName("n0")};
+                                 }};
         section("an answer to the former process is given back, not used", [&] {
             const auto verdict = requestToken(entry, {}, kSmall, 1, TimePoint(seconds(1)), TimePoint(seconds(9)));
             CPPUNIT_ASSERT(verdict.state == TokenState::Waiting);
@@ -167,33 +168,33 @@
     {
         const DomainName a("a");
         const DomainName b("b");
-        const DomainWeights even { 1, { { a, 1 }, { b, 1 } } };
-        const DomainWeights raised { 2, { { a, 3 }, { b, 1 } } };
+        const DomainWeights even{1, {{a, 1}, {b, 1}}};
+        const DomainWeights raised{2, {{a, 3}, {b, 1}}};
         section("a raise waits for the confirmation of the same weights", [&] {
-            auto state = startShare({ even }, a);
-            updateShare(state, { even, raised }, a);
-            CPPUNIT_ASSERT((state.used == Share { 1, 2 }));
+            auto state = startShare({even}, a);
+            updateShare(state, {even, raised}, a);
+            CPPUNIT_ASSERT((state.used == Share{1, 2}));
             confirmShare(state, b, 1);
-            CPPUNIT_ASSERT((state.used == Share { 1, 2 }));
+            CPPUNIT_ASSERT((state.used == Share{1, 2}));
             confirmShare(state, b, 2);
-            CPPUNIT_ASSERT((state.used == Share { 3, 4 }));
+            CPPUNIT_ASSERT((state.used == Share{3, 4}));
         });
         section("a lower share is used at once, and a new holder starts with the lowest one", [&] {
-            auto state = startShare({ even }, b);
-            updateShare(state, { even, raised }, b);
-            CPPUNIT_ASSERT((state.used == Share { 1, 4 }));
-            CPPUNIT_ASSERT((startShare({ even, raised }, a).used == Share { 1, 2 }));
+            auto state = startShare({even}, b);
+            updateShare(state, {even, raised}, b);
+            CPPUNIT_ASSERT((state.used == Share{1, 4}));
+            CPPUNIT_ASSERT((startShare({even, raised}, a).used == Share{1, 2}));
         });
         section("holders exchange the confirmation", [&] {
-            Counted run(2, 4, TeamQuota { 100 * kOneToken, 100 * kOneToken });
+            Counted run(2, 4, TeamQuota{100 * kOneToken, 100 * kOneToken});
             const uint32_t range = rangeOf(kSmall.value);
             run.world.run(seconds(3));
             run.submit(0, 1);
             run.submit(1, 1);
-            run.world.setWeights({ 2, { { DomainName("d0"), 3 }, { DomainName("d1"), 1 } } });
+            run.world.setWeights({2, {{DomainName("d0"), 3}, {DomainName("d1"), 1}}});
             run.world.run(seconds(4));
-            CPPUNIT_ASSERT((run.world.machines[0].holder.ranges.at(range).share.used == Share { 3, 4 }));
-            CPPUNIT_ASSERT((run.world.machines[1].holder.ranges.at(range).share.used == Share { 1, 4 }));
+            CPPUNIT_ASSERT((run.world.machines[0].holder.ranges.at(range).share.used == Share{3, 4}));
+            CPPUNIT_ASSERT((run.world.machines[1].holder.ranges.at(range).share.used == Share{1, 4}));
             run.submit(0, 75);
             run.world.run(milliseconds(4));
             CPPUNIT_ASSERT_EQUAL(2 + 75, run.admitted);
@@ -225,13 +226,12 @@
 
     void testMessages()
     {
-        const QuotaAsk ask { kSmall, NodeName("n1"), 7, 1, 5, true, { { 3, 2, 1 } } };
-        const QuotaAnswer answer { kSmall, NodeName("n2"), 7,          QuotaOutcome::Short, 9,
-                                   10,     seconds(1),     seconds(2), seconds(3),          11 };
+        const QuotaAsk ask{kSmall, NodeName("n1"), 7, 1, 5, true, {{3, 2, 1}}};
+        const QuotaAnswer answer{kSmall, NodeName("n2"), 7, QuotaOutcome::Short, 9, 10, seconds(1), seconds(2), seconds(3), 11};
         CPPUNIT_ASSERT(toJson(quotaAskFromJson(toJson(ask)).value()) == toJson(ask));
         CPPUNIT_ASSERT(toJson(quotaAnswerFromJson(toJson(answer)).value()) == toJson(answer));
-        CPPUNIT_ASSERT(weightsAskFromJson(toJson(WeightsAsk { 3, 4, NodeName("n") })).value().version == 4);
-        CPPUNIT_ASSERT(weightsAckFromJson(toJson(WeightsAck { 3, 4, DomainName("d") })).value().range == 3);
+        CPPUNIT_ASSERT(weightsAskFromJson(toJson(WeightsAsk{3, 4, NodeName("n")})).value().version == 4);
+        CPPUNIT_ASSERT(weightsAckFromJson(toJson(WeightsAck{3, 4, DomainName("d")})).value().range == 3);
         section("malformed messages are errors", [&] {
             const auto whole = toJson(answer);
             for (const auto &item : whole.items()) {
@@ -247,7 +247,7 @@
             auto inverted = toJson(ask);
             inverted["minimum"] = 6;
             CPPUNIT_ASSERT(!quotaAskFromJson(inverted));
-            auto outside = toJson(WeightsAsk { 3, 4, NodeName("n") });
+            auto outside = toJson(WeightsAsk{3, 4, NodeName("n")});
             outside["range"] = 32;
             CPPUNIT_ASSERT(!weightsAskFromJson(outside));
         });
--- a/tests/quota/quota_world.h
+++ b/tests/quota/quota_world.h
@@ -13,15 +13,15 @@
 #include <variant>
 #include <vector>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 /// Entry and holder sides of many nodes under virtual time, with a network that can delay, duplicate and lose messages.
 /// Leases are scripted: the test says which node holds a domain.
 class QuotaWorld
 {
 public:
-    struct Machine
-    {
+    struct Machine {
         NodeName name;
         DomainName domain;
         size_t domainIndex = 0;
@@ -29,10 +29,10 @@
         HolderTable holder;
         uint64_t incarnation = 0;
         bool down = false;
-        Duration pausedUntil {};
-        Duration slowUntil {};
-        Duration cutInUntil {};
-        Duration cutOutUntil {};
+        Duration pausedUntil{};
+        Duration slowUntil{};
+        Duration cutInUntil{};
+        Duration cutOutUntil{};
         std::map<TeamName, TeamQuota> rules;
         std::vector<DomainWeights> weights;
         std::vector<QuotaAsk> asks;
@@ -42,10 +42,9 @@
         std::vector<WeightsAck> weightsAcks;
         bool busy = false;
     };
-    struct Lease
-    {
+    struct Lease {
         size_t node = 0;
-        Duration validFrom {};
+        Duration validFrom{};
         bool valid = false;
     };
     using Verdict = std::function<void(const TeamName &team, const TokenVerdict &verdict)>;
@@ -64,7 +63,7 @@
             restart(i);
         }
         for (size_t d = 0; d < domains; ++d) {
-            leases[d] = Lease { d, now, true };
+            leases[d] = Lease{d, now, true};
         }
     }
 
@@ -80,7 +79,7 @@
     /// Moves the lease of a domain; the new holder is valid from now on.
     void moveLease(size_t domain, size_t node)
     {
-        leases[domain] = Lease { node, now, true };
+        leases[domain] = Lease{node, now, true};
     }
 
     void setRules(const std::map<TeamName, TeamQuota> &rules)
@@ -132,7 +131,7 @@
     std::vector<Lease> leases;
     /// While set, a domain exchanges no messages with the others.
     std::vector<Duration> domainCutUntil;
-    Duration duplicateUntil {};
+    Duration duplicateUntil{};
     Duration fixedDelay = microseconds(500);
     bool loans = true;
     Verdict onVerdict;
@@ -142,8 +141,7 @@
 
 private:
     using Payload = std::variant<QuotaAsk, QuotaAnswer, WeightsAsk, WeightsAck>;
-    struct Packet
-    {
+    struct Packet {
         size_t to = 0;
         bool toEntry = false;
         Payload payload;
@@ -167,8 +165,7 @@
         const auto to = static_cast<size_t>(std::stoi(target.value.substr(1))) - 100;
         const auto &a = machines[from];
         const auto &b = machines[to];
-        const bool cutDomain = a.domainIndex != b.domainIndex
-            && (domainCutUntil[a.domainIndex] > now || domainCutUntil[b.domainIndex] > now);
+        const bool cutDomain = a.domainIndex != b.domainIndex && (domainCutUntil[a.domainIndex] > now || domainCutUntil[b.domainIndex] > now);
         if (a.cutOutUntil > now || b.cutInUntil > now || cutDomain) {
             return;
         }
@@ -176,9 +173,9 @@
         if (a.slowUntil > now) {
             delay += milliseconds(drawBelow(random, 1500));
         }
-        packets_.emplace(now + delay, Packet { to, toEntry, payload });
+        packets_.emplace(now + delay, Packet{to, toEntry, payload});
         if (duplicateUntil > now) {
-            packets_.emplace(now + delay + milliseconds(drawBelow(random, 2500)), Packet { to, toEntry, payload });
+            packets_.emplace(now + delay + milliseconds(drawBelow(random, 2500)), Packet{to, toEntry, payload});
         }
     }
 
@@ -246,11 +243,11 @@
         inputs.weightsAsks = std::exchange(machine.weightsAsks, {});
         inputs.weightsAcks = std::exchange(machine.weightsAcks, {});
         for (const auto &ask : inputs.asks) {
-            entryAsks_[{ ask.from, ask.number }] = ask.mayBorrow;
+            entryAsks_[{ask.from, ask.number}] = ask.mayBorrow;
         }
         auto out = tickHolder(machine.holder, params, localTime(), inputs);
         for (const auto &[to, answer] : out.answers) {
-            send(index, to, entryAsks_[{ to, answer.ask }], answer);
+            send(index, to, entryAsks_[{to, answer.ask}], answer);
         }
         for (const auto &[to, ask] : out.borrows) {
             send(index, to, false, ask);
@@ -269,7 +266,7 @@
         EntryInputs inputs;
         inputs.answers = std::exchange(machine.entryAnswers, {});
         inputs.holders = [this, &machine](uint32_t) {
-            std::vector<NodeName> holders { machines[leases[machine.domainIndex].node].name };
+            std::vector<NodeName> holders{machines[leases[machine.domainIndex].node].name};
             for (size_t d = 0; d < leases.size() && loans; ++d) {
                 if (d != machine.domainIndex) {
                     holders.push_back(machines[leases[d].node].name);
--- a/tests/retry/retry_test.cpp
+++ b/tests/retry/retry_test.cpp
@@ -10,23 +10,23 @@
 
 #include <rapidcheck.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::section;
 
-namespace {
+namespace
+{
 
 /// Functions of the budget, so that a test double can replace them.
-struct BudgetApi
-{
+struct BudgetApi {
     std::function<AttemptBudget(int)> received = receivedBudget;
     std::function<int(AttemptBudget &)> share = takeCallShare;
     std::function<bool(AttemptBudget &)> retry = takeRetry;
 };
 
 /// Walks a call tree in which attempts fail as `fails` says and returns the retries of the whole tree.
-auto retriesOfTree(const BudgetApi &api, int attemptsLeft, int depth, int fanOut, const std::function<bool()> &fails)
-    -> int
+auto retriesOfTree(const BudgetApi &api, int attemptsLeft, int depth, int fanOut, const std::function<bool()> &fails) -> int
 {
     auto budget = api.received(attemptsLeft);
     int retries = 0;
@@ -69,11 +69,10 @@
 
 /// Runs steps of (retry or seven first attempts, milliseconds before it) against the ratio. The oracle keeps every
 /// attempt of the last ten seconds.
-auto keepsRatio(const std::vector<std::pair<bool, int>> &steps,
-                const std::function<void(RetryRatio &, TimePoint)> &count) -> bool
+auto keepsRatio(const std::vector<std::pair<bool, int>> &steps, const std::function<void(RetryRatio &, TimePoint)> &count) -> bool
 {
     RetryRatio ratio;
-    TimePoint now { seconds(50) };
+    TimePoint now{seconds(50)};
     std::deque<std::pair<int64_t, bool>> history;
     for (const auto &[isRetry, ms] : steps) {
         now += milliseconds(ms);
@@ -144,7 +143,7 @@
         section("a budget that each hop sets anew", [] {
             BudgetApi api;
             api.received = [](int) {
-                return AttemptBudget { kAttemptsPerRequest };
+                return AttemptBudget{kAttemptsPerRequest};
             };
             CPPUNIT_ASSERT_GREATER(kAttemptsPerRequest, mostRetries(api));
         });
@@ -159,12 +158,11 @@
 
     void testAmplification()
     {
-        for (const int depth : { 3, 8, 21 }) {
+        for (const int depth : {3, 8, 21}) {
             section("chain of depth " + std::to_string(depth), [depth] {
                 const int calls = callsAtEndOfChain({}, kAttemptsPerRequest, depth);
                 // Naive: each hop makes three retries, so each hop multiplies the calls by four.
-                std::cout << "amplification: depth " << depth
-                          << ", calls at the last service per original request: " << calls
+                std::cout << "amplification: depth " << depth << ", calls at the last service per original request: " << calls
                           << ", with three retries at each hop: " << std::pow(4.0, depth) << std::endl;
                 // The whole budget can be used, and no more than it.
                 CPPUNIT_ASSERT_EQUAL(1 + kAttemptsPerRequest, calls);
@@ -175,12 +173,11 @@
     void testRatio()
     {
         CPPUNIT_ASSERT(rc::check("retries stay within 10% of the first attempts of ten seconds", [] {
-            const auto steps = *rc::gen::container<std::vector<std::pair<bool, int>>>(
-                rc::gen::pair(rc::gen::arbitrary<bool>(), rc::gen::inRange(0, 400)));
+            const auto steps = *rc::gen::container<std::vector<std::pair<bool, int>>>(rc::gen::pair(rc::gen::arbitrary<bool>(), rc::gen::inRange(0, 400)));
             RC_ASSERT(keepsRatio(steps, countRetry));
         }));
         section("the oracle finds retries that are not counted", [] {
-            const std::vector<std::pair<bool, int>> retriesOnly(10, { true, 10 });
+            const std::vector<std::pair<bool, int>> retriesOnly(10, {true, 10});
             CPPUNIT_ASSERT(keepsRatio(retriesOnly, countRetry));
             CPPUNIT_ASSERT(!keepsRatio(retriesOnly, [](RetryRatio &, TimePoint) {}));
         });
@@ -188,34 +185,33 @@
 
     void testWhatMayBeRetried()
     {
-        const TimePoint now { seconds(10) };
+        const TimePoint now{seconds(10)};
         const auto decide = [now](const RetriedCall &call, const FailedAttempt &failed, int left = 1) {
-            AttemptBudget budget { left };
+            AttemptBudget budget{left};
             RetryRatio ratio;
             Random random(1);
             const auto decision = decideRetry(budget, ratio, call, failed, now, random);
             CPPUNIT_ASSERT_EQUAL(decision.no ? left : left - 1, budget.left);
             return decision.no;
         };
-        const RetriedCall idempotent { true, now + seconds(1), false };
-        const RetriedCall once { false, now + seconds(1), false };
-        CPPUNIT_ASSERT(!decide(idempotent, { RefusalReason::ConnectionLost, RunState::Unknown, 1 }));
-        CPPUNIT_ASSERT(!decide(idempotent, { std::nullopt, RunState::Unknown, 1 }));
-        CPPUNIT_ASSERT(decide(once, { RefusalReason::ConnectionLost, RunState::Unknown, 1 }) == NoRetry::MayHaveRun);
-        CPPUNIT_ASSERT(decide(once, { std::nullopt, RunState::Unknown, 1 }) == NoRetry::MayHaveRun);
-        CPPUNIT_ASSERT(!decide(once, { RefusalReason::NoTarget, RunState::NotRun, 1 }));
-        CPPUNIT_ASSERT(decide(idempotent, { RefusalReason::Overloaded, RunState::NotRun, 1 }) == NoRetry::Overload);
-        CPPUNIT_ASSERT(decide(idempotent, { RefusalReason::RateExceeded, RunState::NotRun, 1 }) == NoRetry::Pointless);
-        CPPUNIT_ASSERT(decide(idempotent, { RefusalReason::NoTarget, RunState::NotRun, 1 }, 0) == NoRetry::Budget);
-        CPPUNIT_ASSERT(decide({ true, now + seconds(1), true }, { std::nullopt, RunState::Unknown, 1 })
-                       == NoRetry::CannotRepeat);
-        CPPUNIT_ASSERT(decide({ true, now, false }, { std::nullopt, RunState::Unknown, 1 }) == NoRetry::Deadline);
+        const RetriedCall idempotent{true, now + seconds(1), false};
+        const RetriedCall once{false, now + seconds(1), false};
+        CPPUNIT_ASSERT(!decide(idempotent, {RefusalReason::ConnectionLost, RunState::Unknown, 1}));
+        CPPUNIT_ASSERT(!decide(idempotent, {std::nullopt, RunState::Unknown, 1}));
+        CPPUNIT_ASSERT(decide(once, {RefusalReason::ConnectionLost, RunState::Unknown, 1}) == NoRetry::MayHaveRun);
+        CPPUNIT_ASSERT(decide(once, {std::nullopt, RunState::Unknown, 1}) == NoRetry::MayHaveRun);
+        CPPUNIT_ASSERT(!decide(once, {RefusalReason::NoTarget, RunState::NotRun, 1}));
+        CPPUNIT_ASSERT(decide(idempotent, {RefusalReason::Overloaded, RunState::NotRun, 1}) == NoRetry::Overload);
+        CPPUNIT_ASSERT(decide(idempotent, {RefusalReason::RateExceeded, RunState::NotRun, 1}) == NoRetry::Pointless);
+        CPPUNIT_ASSERT(decide(idempotent, {RefusalReason::NoTarget, RunState::NotRun, 1}, 0) == NoRetry::Budget);
+        CPPUNIT_ASSERT(decide({true, now + seconds(1), true}, {std::nullopt, RunState::Unknown, 1}) == NoRetry::CannotRepeat);
+        CPPUNIT_ASSERT(decide({true, now, false}, {std::nullopt, RunState::Unknown, 1}) == NoRetry::Deadline);
     }
 
     void testBackoff()
     {
         Random random(5);
-        Duration longest {};
+        Duration longest{};
         for (int i = 0; i < 1000; ++i) {
             CPPUNIT_ASSERT(drawBackoff(1, random) <= milliseconds(5));
             CPPUNIT_ASSERT(drawBackoff(100, random) <= milliseconds(250));
