--- a/tests/routing/messages_test.cpp
+++ b/tests/routing/messages_test.cpp
@@ -10,17 +10,19 @@
 #include <nlohmann/json.hpp>
 #include <rapidcheck.h>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::section;
 
-namespace {
+namespace
+{
 
 auto nodeRecord(int name, bool join, uint64_t incarnation) -> NodeRecord
 {
     const std::string text = std::to_string(name);
-    return NodeRecord { NodeName("n" + text), join, DomainName("d" + std::to_string(name % 2)),
-                        Endpoint { "127.0.0.1", static_cast<uint16_t>(7000 + name) }, incarnation };
+    return NodeRecord{NodeName("n" + text), join, DomainName("d" + std::to_string(name % 2)), Endpoint{"127.0.0.1", static_cast<uint16_t>(7000 + name)},
+                      incarnation};
 }
 
 /// Replaces one field of a message by a value of another kind, or removes it.
@@ -28,9 +30,8 @@
 {
     auto entry = message.begin();
     std::advance(entry, static_cast<std::ptrdiff_t>(field % message.size()));
-    const std::vector<nlohmann::json> values
-        = { nullptr,   -1, 1e300, "", std::string(300, 'x'), nlohmann::json::array({ 1 }), nlohmann::json::object(),
-            UINT64_MAX };
+    const std::vector<nlohmann::json> values = {nullptr,   -1, 1e300, "", std::string(300, 'x'), nlohmann::json::array({1}), nlohmann::json::object(),
+                                                UINT64_MAX};
     if (how == static_cast<int>(values.size())) {
         message.erase(entry);
         return message;
@@ -58,7 +59,7 @@
         const auto record = nodeRecordFromJson(toJson(nodeRecord(name, join, static_cast<uint64_t>(incarnation))));
         fold(whole, record.value());
         fold(resumed, record.value());
-        const std::pair<int, bool> entry { incarnation, !join };
+        const std::pair<int, bool> entry{incarnation, !join};
         const auto known = oracle.find(name);
         if (known == oracle.end() || entry > known->second) {
             oracle[name] = entry;
@@ -67,8 +68,7 @@
     bool same = (cut >= log.size() || whole.nodes == resumed.nodes) && whole.nodes.size() == oracle.size();
     for (const auto &[name, entry] : oracle) {
         const auto row = whole.nodes.find(NodeName("n" + std::to_string(name)));
-        same = same && row != whole.nodes.end() && row->second.incarnation == static_cast<uint64_t>(entry.first)
-            && row->second.joined == !entry.second;
+        same = same && row != whole.nodes.end() && row->second.incarnation == static_cast<uint64_t>(entry.first) && row->second.joined == !entry.second;
     }
     return same;
 }
@@ -95,25 +95,17 @@
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    const EndpointRecord record { EndpointId { NodeName("n"), TargetName("t") },
-                                  ServiceName("s"),
-                                  DomainName("d"),
-                                  7,
-                                  EndpointState::Draining,
-                                  true,
-                                  UINT64_MAX,
-                                  3 };
+    const EndpointRecord record{EndpointId{NodeName("n"), TargetName("t")}, ServiceName("s"), DomainName("d"), 7, EndpointState::Draining, true, UINT64_MAX, 3};
 
     void testRoundTrips()
     {
         CPPUNIT_ASSERT(endpointRecordFromJson(toJson(record)).value() == record);
-        const UpdateMessage update { ServiceName("s"), NodeName("n"), 4, 5, 6, true, { record } };
+        const UpdateMessage update{ServiceName("s"), NodeName("n"), 4, 5, 6, true, {record}};
         const auto read = updateMessageFromJson(nlohmann::json::from_cbor(nlohmann::json::to_cbor(toJson(update))));
         CPPUNIT_ASSERT(toJson(read.value()) == toJson(update));
-        const SubscribeMessage subscription { ServiceName("s"), NodeName("n"), 4, 5 };
+        const SubscribeMessage subscription{ServiceName("s"), NodeName("n"), 4, 5};
         CPPUNIT_ASSERT(toJson(subscribeMessageFromJson(toJson(subscription)).value()) == toJson(subscription));
-        const auto brief = nlohmann::json::parse(
-            R"({"target":"t","service":"s","address":"127.0.0.1","port":80,"slots":3,"connections":9})");
+        const auto brief = nlohmann::json::parse(R"({"target":"t","service":"s","address":"127.0.0.1","port":80,"slots":3,"connections":9})");
         CPPUNIT_ASSERT(targetAnnouncementFromJson(brief).value().state == EndpointState::Active);
     }
 
@@ -121,16 +113,14 @@
     {
         using Reader = std::function<bool(const nlohmann::json &)>;
         const std::vector<std::pair<nlohmann::json, Reader>> messages = {
-            { toJson(AnnounceMessage { { record } }), reads(announceMessageFromJson) },
-            { toJson(SubscribeMessage { ServiceName("s"), NodeName("n"), 4, 5 }), reads(subscribeMessageFromJson) },
-            { toJson(UpdateMessage { ServiceName("s"), NodeName("n"), 4, 5, 6, true, { record } }),
-              reads(updateMessageFromJson) },
-            { toJson(nodeRecord(1, true, 1)), reads(nodeRecordFromJson) },
-            { toJson(TargetAnnouncement {
-                  TargetName("t"), ServiceName("s"), { "127.0.0.1", 1 }, 1, 1, true, EndpointState::Left, 2 }),
-              reads(targetAnnouncementFromJson) },
-            { toJson(record), reads(endpointRecordFromJson) },
-            { dumpNodeTable(NodeTable {}), reads(loadNodeTable) },
+            {toJson(AnnounceMessage{{record}}), reads(announceMessageFromJson)},
+            {toJson(SubscribeMessage{ServiceName("s"), NodeName("n"), 4, 5}), reads(subscribeMessageFromJson)},
+            {toJson(UpdateMessage{ServiceName("s"), NodeName("n"), 4, 5, 6, true, {record}}), reads(updateMessageFromJson)},
+            {toJson(nodeRecord(1, true, 1)), reads(nodeRecordFromJson)},
+            {toJson(TargetAnnouncement{TargetName("t"), ServiceName("s"), {"127.0.0.1", 1}, 1, 1, true, EndpointState::Left, 2}),
+             reads(targetAnnouncementFromJson)},
+            {toJson(record), reads(endpointRecordFromJson)},
+            {dumpNodeTable(NodeTable{}), reads(loadNodeTable)},
         };
         for (const auto &[message, reader] : messages) {
             section(message.dump(), [&, &message = message, &reader = reader] {
@@ -142,8 +132,7 @@
                         CPPUNIT_ASSERT(!read || how >= 7);
                     }
                 }
-                for (const auto &json : { nlohmann::json(), nlohmann::json(1), nlohmann::json::array(),
-                                          nlohmann::json("text"), nlohmann::json::object() }) {
+                for (const auto &json : {nlohmann::json(), nlohmann::json(1), nlohmann::json::array(), nlohmann::json("text"), nlohmann::json::object()}) {
                     CPPUNIT_ASSERT(!reader(json));
                 }
             });
@@ -153,8 +142,8 @@
     void testNodeTable()
     {
         CPPUNIT_ASSERT(rc::check("every node folds the log to the table that the oracle expects", [] {
-            const auto log = *rc::gen::container<std::vector<LogEntry>>(
-                rc::gen::tuple(rc::gen::inRange(0, 3), rc::gen::arbitrary<bool>(), rc::gen::inRange(0, 4)));
+            const auto log =
+                *rc::gen::container<std::vector<LogEntry>>(rc::gen::tuple(rc::gen::inRange(0, 3), rc::gen::arbitrary<bool>(), rc::gen::inRange(0, 4)));
             const auto cut = *rc::gen::inRange<size_t>(0, log.size() + 1);
             RC_ASSERT(foldsAsExpected(log, cut, applyNodeRecord));
         }));
@@ -163,8 +152,8 @@
                 table.nodes.erase(record.name);
                 return applyNodeRecord(table, record);
             };
-            CPPUNIT_ASSERT(!foldsAsExpected({ { 0, true, 2 }, { 0, false, 1 } }, 0, takesAll));
-            CPPUNIT_ASSERT(!foldsAsExpected({ { 0, false, 1 }, { 0, true, 1 } }, 0, takesAll));
+            CPPUNIT_ASSERT(!foldsAsExpected({{0, true, 2}, {0, false, 1}}, 0, takesAll));
+            CPPUNIT_ASSERT(!foldsAsExpected({{0, false, 1}, {0, true, 1}}, 0, takesAll));
         });
     }
 
@@ -180,8 +169,8 @@
         }
         const auto before = directoryNodes(table, cache, ServiceName("s"));
         section("two nodes in each failure domain", [&] {
-            CPPUNIT_ASSERT_EQUAL(size_t { 2 }, before.size());
-            CPPUNIT_ASSERT_EQUAL(size_t { 2 }, before.at(DomainName("d0")).size());
+            CPPUNIT_ASSERT_EQUAL(size_t{2}, before.size());
+            CPPUNIT_ASSERT_EQUAL(size_t{2}, before.at(DomainName("d0")).size());
         });
         section("after a leave the second takes the first place", [&] {
             const auto &nodes = before.at(DomainName("d0"));
--- a/tests/routing/routing_fuzz_test.cpp
+++ b/tests/routing/routing_fuzz_test.cpp
@@ -4,7 +4,8 @@
 
 #include <set>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::realRouting;
 using testing::RoutingApi;
@@ -12,7 +13,8 @@
 using testing::runRouting;
 using testing::section;
 
-namespace {
+namespace
+{
 
 /// Returns the violations that the oracle reports in runs with fixed seeds; stops early once `rule` is among them.
 auto violations(const RoutingApi &api, uint64_t runs, const std::string &rule = {}) -> std::set<std::string>
@@ -50,8 +52,7 @@
     {
         const auto api = realRouting();
         CPPUNIT_ASSERT(rc::check("routing keeps its rules", [&api]() {
-            const auto commands
-                = *rc::gen::resize(300, rc::gen::arbitrary<std::vector<RoutingCommand>>()).as("commands");
+            const auto commands = *rc::gen::resize(300, rc::gen::arbitrary<std::vector<RoutingCommand>>()).as("commands");
             const std::string violation = runRouting(api, commands);
             RC_LOG() << violation;
             RC_ASSERT(violation.empty());
@@ -64,33 +65,31 @@
     {
         section("updates that replace whatever is known", [] {
             auto api = realRouting();
-            api.applyUpdate
-                = [real = api.applyUpdate](EndpointTable &table, const UpdateMessage &update, TimePoint now) {
-                      for (auto &row : table.services[update.service].rows) {
-                          row.record.incarnation = 0;
-                      }
-                      real(table, update, now);
-                  };
+            api.applyUpdate = [real = api.applyUpdate](EndpointTable &table, const UpdateMessage &update, TimePoint now) {
+                for (auto &row : table.services[update.service].rows) {
+                    row.record.incarnation = 0;
+                }
+                real(table, update, now);
+            };
             CPPUNIT_ASSERT(oracleFinds(api, "an older record replaced a newer one"));
         });
         section("versions that follow an update with a gap before it", [] {
             auto api = realRouting();
-            api.applyUpdate
-                = [real = api.applyUpdate](EndpointTable &table, const UpdateMessage &update, TimePoint now) {
-                      real(table, update, now);
-                      auto &service = table.services[update.service];
-                      if (update.directory == service.directory) {
-                          service.directoryIncarnation = update.directoryIncarnation;
-                          service.knownVersion = std::max(service.knownVersion, update.toVersion);
-                      }
-                  };
+            api.applyUpdate = [real = api.applyUpdate](EndpointTable &table, const UpdateMessage &update, TimePoint now) {
+                real(table, update, now);
+                auto &service = table.services[update.service];
+                if (update.directory == service.directory) {
+                    service.directoryIncarnation = update.directoryIncarnation;
+                    service.knownVersion = std::max(service.knownVersion, update.toVersion);
+                }
+            };
             CPPUNIT_ASSERT(oracleFinds(api, "a caller does not know the state of a target after the faults ended")
                            || oracleFinds(api, "a leaving target is chosen after three seconds"));
         });
         section("a choice that does not look at the state", [] {
             auto api = realRouting();
-            api.choose = [real = api.choose](EndpointTable table, const ServiceName &service,
-                                             const std::vector<EndpointId> &tried, Random &random, TimePoint now) {
+            api.choose = [real = api.choose](EndpointTable table, const ServiceName &service, const std::vector<EndpointId> &tried, Random &random,
+                                             TimePoint now) {
                 for (auto &row : table.services[service].rows) {
                     row.record.state = EndpointState::Active;
                 }
@@ -100,27 +99,26 @@
         });
         section("a directory that does not pass on drains", [] {
             auto api = realRouting();
-            api.applyAnnouncement
-                = [real = api.applyAnnouncement](DirectoryTable &table, AnnounceMessage message, TimePoint now) {
-                      for (auto &record : message.records) {
-                          record.state = EndpointState::Active;
-                      }
-                      real(table, message, now);
-                  };
+            api.applyAnnouncement = [real = api.applyAnnouncement](DirectoryTable &table, AnnounceMessage message, TimePoint now) {
+                for (auto &record : message.records) {
+                    record.state = EndpointState::Active;
+                }
+                real(table, message, now);
+            };
             CPPUNIT_ASSERT(oracleFinds(api, "a leaving target is chosen after three seconds"));
         });
         section("a choice that forgets what was tried", [] {
             auto api = realRouting();
-            api.choose = [real = api.choose](const EndpointTable &table, const ServiceName &service,
-                                             const std::vector<EndpointId> &, Random &random, TimePoint now) {
+            api.choose = [real = api.choose](const EndpointTable &table, const ServiceName &service, const std::vector<EndpointId> &, Random &random,
+                                             TimePoint now) {
                 return real(table, service, {}, random, now);
             };
             CPPUNIT_ASSERT(oracleFinds(api, "an endpoint was tried twice"));
         });
         section("ejection without a bound", [] {
             auto api = realRouting();
-            api.endCall = [real = api.endCall](EndpointTable &table, const ServiceName &service,
-                                               const EndpointId &endpoint, CallEvidence evidence, TimePoint now) {
+            api.endCall = [real = api.endCall](EndpointTable &table, const ServiceName &service, const EndpointId &endpoint, CallEvidence evidence,
+                                               TimePoint now) {
                 const bool ejected = real(table, service, endpoint, evidence, now);
                 for (auto &row : table.services[service].rows) {
                     if (row.record.id == endpoint && row.failuresInRow >= table.settings.ejectAfter) {
@@ -133,8 +131,7 @@
         });
         section("a late renewal that ends a drain", [] {
             auto api = realRouting();
-            api.announce = [real = api.announce](LocalTargetTable &table, const TargetAnnouncement &announcement,
-                                                 uint64_t wallMs, TimePoint now) {
+            api.announce = [real = api.announce](LocalTargetTable &table, const TargetAnnouncement &announcement, uint64_t wallMs, TimePoint now) {
                 const auto row = table.targets.find(announcement.target);
                 if (row != table.targets.end() && announcement.state == EndpointState::Active) {
                     row->second.announcement.state = EndpointState::Active;
@@ -145,13 +142,12 @@
         });
         section("a directory that takes any record", [] {
             auto api = realRouting();
-            api.applyAnnouncement
-                = [real = api.applyAnnouncement](DirectoryTable &table, const AnnounceMessage &message, TimePoint now) {
-                      for (const auto &record : message.records) {
-                          table.services[record.service].rows.erase(record.id);
-                      }
-                      real(table, message, now);
-                  };
+            api.applyAnnouncement = [real = api.applyAnnouncement](DirectoryTable &table, const AnnounceMessage &message, TimePoint now) {
+                for (const auto &record : message.records) {
+                    table.services[record.service].rows.erase(record.id);
+                }
+                real(table, message, now);
+            };
             CPPUNIT_ASSERT(oracleFinds(api, "a directory returned to an older record"));
         });
     }
--- a/tests/routing/routing_oracle.cpp
+++ b/tests/routing/routing_oracle.cpp
@@ -7,22 +7,22 @@
 
 #include <nlohmann/json.hpp>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
 const ServiceName kService("s");
 constexpr size_t kTargets = 4;
 
 /// What a target process itself knows.
-struct Process
-{
+struct Process {
     uint64_t instance = 1;
     EndpointState state = EndpointState::Active;
 };
 
-struct Message
-{
+struct Message {
     bool toDirectory = false;
     size_t receiver = 0;
     std::vector<uint8_t> bytes;
@@ -82,7 +82,7 @@
             process.state = EndpointState::Left;
             announce(target, process.state, process.instance);
         } else if (command.kind == 4) {
-            process = Process { process.instance + 1, EndpointState::Active };
+            process = Process{process.instance + 1, EndpointState::Active};
             announce(target, process.state, process.instance);
         } else if (command.kind == 5) {
             // A renewal that was sent before the drain arrives after it.
@@ -126,7 +126,7 @@
         TargetAnnouncement announcement;
         announcement.target = TargetName("t" + std::to_string(target));
         announcement.service = kService;
-        announcement.endpoint = Endpoint { "127.0.0.1", static_cast<uint16_t>(1000 + target) };
+        announcement.endpoint = Endpoint{"127.0.0.1", static_cast<uint16_t>(1000 + target)};
         announcement.slots = 4;
         announcement.state = state;
         announcement.instance = instance;
@@ -137,14 +137,14 @@
             if (processes_[target].state != EndpointState::Active && record->state == EndpointState::Active) {
                 violate("a target that drains is announced as active");
             }
-            sendToDirectories({ *record });
+            sendToDirectories({*record});
         }
     }
 
     void sendToDirectories(const std::vector<EndpointRecord> &records)
     {
         for (size_t directory = 0; directory < 2; ++directory) {
-            network_.push_back({ true, directory, nlohmann::json::to_cbor(toJson(AnnounceMessage { records })) });
+            network_.push_back({true, directory, nlohmann::json::to_cbor(toJson(AnnounceMessage{records}))});
         }
     }
 
@@ -152,10 +152,9 @@
     {
         auto &directory = directories_[follows_[caller]];
         const auto request = makeSubscription(callers_[caller], kService, directory.node);
-        const auto received
-            = subscribeMessageFromJson(nlohmann::json::from_cbor(nlohmann::json::to_cbor(toJson(request))));
+        const auto received = subscribeMessageFromJson(nlohmann::json::from_cbor(nlohmann::json::to_cbor(toJson(request))));
         const auto reply = subscribe(directory, received.value(), now_);
-        network_.push_back({ false, caller, nlohmann::json::to_cbor(toJson(reply)) });
+        network_.push_back({false, caller, nlohmann::json::to_cbor(toJson(reply))});
     }
 
     void deliver(const Message &message)
@@ -166,14 +165,14 @@
             api_.applyAnnouncement(directories_[message.receiver], announced, now_);
             for (const auto &record : announced.records) {
                 auto &newest = newestAnnounced_[message.receiver][record.id];
-                newest = std::max(newest, Newest { record.incarnation, record.version, record.state });
+                newest = std::max(newest, Newest{record.incarnation, record.version, record.state});
             }
             return;
         }
         const auto update = updateMessageFromJson(json).value();
         for (const auto &record : update.records) {
             auto &newest = newest_[message.receiver][record.id];
-            newest = std::max(newest, Newest { record.incarnation, record.version, record.state });
+            newest = std::max(newest, Newest{record.incarnation, record.version, record.state});
         }
         api_.applyUpdate(callers_[message.receiver], update, now_);
     }
@@ -191,7 +190,7 @@
         for (auto &directory : directories_) {
             for (const auto &update : tickDirectory(directory, now_)) {
                 const size_t caller = update.subscriber == callers_[0].node ? 0 : 1;
-                network_.push_back({ false, caller, nlohmann::json::to_cbor(toJson(update.message)) });
+                network_.push_back({false, caller, nlohmann::json::to_cbor(toJson(update.message))});
             }
         }
         for (auto &caller : callers_) {
@@ -220,8 +219,7 @@
             const int repeats = evidence == CallEvidence::Failure ? 6 : 1;
             for (int i = 0; i < repeats; ++i) {
                 beginCall(table, kService, selection->endpoint);
-                api_.endCall(table, kService, selection->endpoint,
-                             evidence == CallEvidence::Leaving ? CallEvidence::None : evidence, now_);
+                api_.endCall(table, kService, selection->endpoint, evidence == CallEvidence::Leaving ? CallEvidence::None : evidence, now_);
             }
         }
     }
@@ -230,7 +228,7 @@
     {
         for (size_t directory = 0; directory < 2; ++directory) {
             for (const auto &[id, row] : directories_[directory].services[kService].rows) {
-                const Newest held { row.record.incarnation, row.record.version, row.record.state };
+                const Newest held{row.record.incarnation, row.record.version, row.record.state};
                 if (held < newestAnnounced_[directory][id]) {
                     violate("a directory returned to an older record");
                 }
@@ -245,13 +243,11 @@
             bool anyHealthy = false;
             for (const auto &row : callers_[caller].services[kService].rows) {
                 const auto &record = row.record;
-                const Newest held { record.incarnation, record.version, record.state };
+                const Newest held{record.incarnation, record.version, record.state};
                 if (held < newest_[caller][record.id]) {
                     violate("an older record replaced a newer one");
                 }
-                anyHealthy = anyHealthy
-                    || (record.state == EndpointState::Active && !record.suspect && !row.unlisted
-                        && !row.refusedAsLeaving);
+                anyHealthy = anyHealthy || (record.state == EndpointState::Active && !record.suspect && !row.unlisted && !row.refusedAsLeaving);
             }
             if (anyHealthy && (!selection || selection->tier >= SelectionTier::Ejected)) {
                 violate("ejection left no endpoint");
@@ -322,13 +318,13 @@
     }
 
     const RoutingApi &api_;
-    TimePoint now_ { seconds(1000) };
-    Random random_ { 11 };
+    TimePoint now_{seconds(1000)};
+    Random random_{11};
     std::array<Process, kTargets> processes_;
     std::array<LocalTargetTable, 2> homes_;
     std::array<DirectoryTable, 2> directories_;
     std::array<EndpointTable, 2> callers_;
-    std::array<size_t, 2> follows_ { 0, 1 };
+    std::array<size_t, 2> follows_{0, 1};
     std::array<std::map<EndpointId, Newest>, 2> newest_;
     std::array<std::map<EndpointId, Newest>, 2> newestAnnounced_;
     std::vector<Message> network_;
@@ -339,7 +335,7 @@
 
 auto realRouting() -> RoutingApi
 {
-    return RoutingApi { announceTarget, applyAnnouncement, applyUpdate, endCall, chooseEndpoint };
+    return RoutingApi{announceTarget, applyAnnouncement, applyUpdate, endCall, chooseEndpoint};
 }
 
 auto runRouting(const RoutingApi &api, const std::vector<RoutingCommand> &commands) -> std::string
--- a/tests/routing/routing_oracle.h
+++ b/tests/routing/routing_oracle.h
@@ -12,26 +12,23 @@
 
 #include <rapidcheck.h>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 /// The functions under test, so that a test double can replace any of them.
-struct RoutingApi
-{
+struct RoutingApi {
     std::function<AnnounceEffect(LocalTargetTable &, const TargetAnnouncement &, uint64_t, TimePoint)> announce;
     std::function<void(DirectoryTable &, const AnnounceMessage &, TimePoint)> applyAnnouncement;
     std::function<void(EndpointTable &, const UpdateMessage &, TimePoint)> applyUpdate;
     std::function<bool(EndpointTable &, const ServiceName &, const EndpointId &, CallEvidence, TimePoint)> endCall;
-    std::function<std::optional<Selection>(const EndpointTable &, const ServiceName &, const std::vector<EndpointId> &,
-                                           Random &, TimePoint)>
-        choose;
+    std::function<std::optional<Selection>(const EndpointTable &, const ServiceName &, const std::vector<EndpointId> &, Random &, TimePoint)> choose;
 };
 
 /// Returns the functions of the routing package.
 auto realRouting() -> RoutingApi;
 
 /// One step of a fuzzing run. `kind` selects the action, the other fields its parameters.
-struct RoutingCommand
-{
+struct RoutingCommand {
     int kind = 0;
     int a = 0;
     int b = 0;
@@ -48,15 +45,14 @@
 
 } // namespace snipestream::testing
 
-namespace rc {
+namespace rc
+{
 
 template<>
-struct Arbitrary<snipestream::testing::RoutingCommand>
-{
+struct Arbitrary<snipestream::testing::RoutingCommand> {
     static auto arbitrary() -> Gen<snipestream::testing::RoutingCommand>
     {
-        return gen::construct<snipestream::testing::RoutingCommand>(gen::inRange(0, 24), gen::inRange(0, 1000),
-                                                                    gen::inRange(0, 1000));
+        return gen::construct<snipestream::testing::RoutingCommand>(gen::inRange(0, 24), gen::inRange(0, 1000), gen::inRange(0, 1000));
     }
 };
 
--- a/tests/routing/selection_test.cpp
+++ b/tests/routing/selection_test.cpp
@@ -4,25 +4,21 @@
 
 #include <map>
 
-namespace snipestream {
+namespace snipestream
+{
 
 using testing::section;
 
-namespace {
+namespace
+{
 
 const ServiceName kService("s");
-constexpr TimePoint kNow { seconds(1000) };
+constexpr TimePoint kNow{seconds(1000)};
 
 auto record(const std::string &target, const std::string &domain, uint64_t version = 1) -> EndpointRecord
 {
-    return EndpointRecord { EndpointId { NodeName("node-" + target), TargetName(target) },
-                            kService,
-                            DomainName(domain),
-                            10,
-                            EndpointState::Active,
-                            false,
-                            1,
-                            version };
+    return EndpointRecord{
+        EndpointId{NodeName("node-" + target), TargetName(target)}, kService, DomainName(domain), 10, EndpointState::Active, false, 1, version};
 }
 
 /// A caller in domain "a" that knows two endpoints there and two in domain "b".
@@ -32,25 +28,17 @@
     table.node = NodeName("caller");
     table.domain = DomainName("a");
     makeSubscription(table, kService, NodeName("dir"));
-    applyUpdate(table,
-                UpdateMessage { kService,
-                                NodeName("dir"),
-                                1,
-                                0,
-                                4,
-                                true,
-                                { record("a1", "a"), record("a2", "a"), record("b1", "b"), record("b2", "b") } },
+    applyUpdate(table, UpdateMessage{kService, NodeName("dir"), 1, 0, 4, true, {record("a1", "a"), record("a2", "a"), record("b1", "b"), record("b2", "b")}},
                 kNow);
     return table;
 }
 
 auto id(const std::string &target) -> EndpointId
 {
-    return EndpointId { NodeName("node-" + target), TargetName(target) };
+    return EndpointId{NodeName("node-" + target), TargetName(target)};
 }
 
-auto choices(const EndpointTable &table, const std::vector<EndpointId> &tried, TimePoint now)
-    -> std::map<std::string, int>
+auto choices(const EndpointTable &table, const std::vector<EndpointId> &tried, TimePoint now) -> std::map<std::string, int>
 {
     std::map<std::string, int> counts;
     Random random(3);
@@ -89,10 +77,10 @@
             CPPUNIT_ASSERT_EQUAL(1000, choices(table, {}, kNow)["a2"]);
         });
         section("tried endpoints are left out", [&] {
-            CPPUNIT_ASSERT_EQUAL(1000, choices(table, { id("a2") }, kNow)["a1"]);
-            auto counts = choices(table, { id("a1"), id("a2") }, kNow);
+            CPPUNIT_ASSERT_EQUAL(1000, choices(table, {id("a2")}, kNow)["a1"]);
+            auto counts = choices(table, {id("a1"), id("a2")}, kNow);
             CPPUNIT_ASSERT_EQUAL(1000, counts["b1"] + counts["b2"]);
-            CPPUNIT_ASSERT_EQUAL(1000, choices(table, { id("a1"), id("a2"), id("b1"), id("b2") }, kNow)["none"]);
+            CPPUNIT_ASSERT_EQUAL(1000, choices(table, {id("a1"), id("a2"), id("b1"), id("b2")}, kNow)["none"]);
         });
         section("endpoints at their limit are left for the other domain", [&] {
             for (int i = 0; i < 10; ++i) {
@@ -126,15 +114,14 @@
         });
         section("after its time an endpoint returns, and one failure ejects it for twice the time", [&] {
             const TimePoint later = kNow + seconds(6);
-            CPPUNIT_ASSERT_EQUAL(size_t { 2 }, tickEndpoints(table, later).size());
+            CPPUNIT_ASSERT_EQUAL(size_t{2}, tickEndpoints(table, later).size());
             CPPUNIT_ASSERT(failTimes("a1", 1, later));
             CPPUNIT_ASSERT_EQUAL(1000, choices(table, {}, later + milliseconds(9900))["a2"]);
         });
         section("a restart of the target clears the record", [&] {
             auto restarted = record("a1", "a", 1);
             restarted.incarnation = 2;
-            applyUpdate(table, UpdateMessage { kService, NodeName("dir"), 1, 4, 5, false, { restarted } },
-                        kNow + seconds(6));
+            applyUpdate(table, UpdateMessage{kService, NodeName("dir"), 1, 4, 5, false, {restarted}}, kNow + seconds(6));
             CPPUNIT_ASSERT_GREATER(0, choices(table, {}, kNow + seconds(6))["a1"]);
         });
     }
@@ -144,13 +131,13 @@
         auto table = makeTable();
         section("suspect endpoints are used only when no other is left", [&] {
             std::vector<EndpointRecord> records;
-            for (const char *target : { "b1", "b2" }) {
+            for (const char *target : {"b1", "b2"}) {
                 records.push_back(record(target, "b"));
                 records.back().suspect = true;
             }
-            applyUpdate(table, UpdateMessage { kService, NodeName("dir"), 1, 4, 6, false, records }, kNow);
-            CPPUNIT_ASSERT_EQUAL(1000, choices(table, { id("a2") }, kNow)["a1"]);
-            auto counts = choices(table, { id("a1"), id("a2") }, kNow);
+            applyUpdate(table, UpdateMessage{kService, NodeName("dir"), 1, 4, 6, false, records}, kNow);
+            CPPUNIT_ASSERT_EQUAL(1000, choices(table, {id("a2")}, kNow)["a1"]);
+            auto counts = choices(table, {id("a1"), id("a2")}, kNow);
             CPPUNIT_ASSERT_EQUAL(1000, counts["b1"] + counts["b2"]);
         });
         section("without any directory the known endpoints stay in use", [&] {
@@ -159,7 +146,7 @@
             CPPUNIT_ASSERT_EQUAL(1000, counts["a1"] + counts["a2"]);
         });
         section("a restarted directory that knows nothing yet takes nothing away", [&] {
-            applyUpdate(table, UpdateMessage { kService, NodeName("dir"), 2, 0, 0, false, {} }, kNow);
+            applyUpdate(table, UpdateMessage{kService, NodeName("dir"), 2, 0, 0, false, {}}, kNow);
             auto counts = choices(table, {}, kNow);
             CPPUNIT_ASSERT_EQUAL(1000, counts["a1"] + counts["a2"]);
         });
@@ -176,8 +163,7 @@
             beginCall(table, kService, id("a1"));
             endCall(table, kService, id("a1"), CallEvidence::Leaving, kNow);
             CPPUNIT_ASSERT_EQUAL(1000, choices(table, {}, kNow)["a2"]);
-            applyUpdate(table, UpdateMessage { kService, NodeName("dir"), 1, 4, 5, false, { record("a1", "a", 2) } },
-                        kNow);
+            applyUpdate(table, UpdateMessage{kService, NodeName("dir"), 1, 4, 5, false, {record("a1", "a", 2)}}, kNow);
             CPPUNIT_ASSERT_EQUAL(1000, choices(table, {}, kNow)["a2"]);
         });
         section("refusals for overload lower the limit without an ejection", [&] {
--- a/tests/standins/fake_log.cpp
+++ b/tests/standins/fake_log.cpp
@@ -3,7 +3,8 @@
 #include <algorithm>
 #include <thread>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 FakeLog::FakeLog(size_t retainRecords)
     : retainRecords_(retainRecords)
@@ -46,7 +47,7 @@
         return expiredError(stream, fromOffset, page.earliest);
     }
     for (uint64_t offset = fromOffset; offset < page.head && page.records.size() < limit; ++offset) {
-        page.records.push_back(LogRecord { offset, kept.payloads[offset - kept.earliest] });
+        page.records.push_back(LogRecord{offset, kept.payloads[offset - kept.earliest]});
     }
     return page;
 }
--- a/tests/standins/fake_log.h
+++ b/tests/standins/fake_log.h
@@ -9,15 +9,15 @@
 #include <mutex>
 #include <string>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 /// Faults of the fake log.
-struct LogFaults
-{
+struct LogFaults {
     /// Every call fails with ErrorCode::Unavailable and has no effect.
     bool down = false;
     /// Every call takes this long.
-    Duration delay {};
+    Duration delay{};
     /// So many of the next appends take effect and then report ErrorCode::Timeout.
     int loseAnswers = 0;
 };
@@ -41,8 +41,7 @@
     auto client() -> LogClient;
 
 private:
-    struct Stream
-    {
+    struct Stream {
         std::deque<std::string> payloads;
         uint64_t earliest = 0;
     };
--- a/tests/standins/log_standin.cpp
+++ b/tests/standins/log_standin.cpp
@@ -16,9 +16,11 @@
 #include <glog/logging.h>
 #include <nlohmann/json.hpp>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
-namespace {
+namespace
+{
 
 namespace asio = boost::asio;
 namespace beast = boost::beast;
@@ -45,7 +47,7 @@
 {
     const Json wanted = Json::parse(body, nullptr, false);
     if (!wanted.is_object()) {
-        return HttpAnswer { 400, R"({"error":"the body is not a JSON object"})" };
+        return HttpAnswer{400, R"({"error":"the body is not a JSON object"})"};
     }
     LogFaults faults;
     const Json none;
@@ -61,21 +63,20 @@
             log.expireBefore(stream, offset.is_number_unsigned() ? offset.get<uint64_t>() : 0);
         }
     }
-    return HttpAnswer { 200, "{}" };
+    return HttpAnswer{200, "{}"};
 }
 
 auto errorAnswer(const Error &error) -> HttpAnswer
 {
     if (const auto earliest = earliestOfExpired(error)) {
-        return HttpAnswer { 410, Json { { "earliest", *earliest } }.dump() };
+        return HttpAnswer{410, Json{{"earliest", *earliest}}.dump()};
     }
-    return HttpAnswer { 503, Json { { "error", error.message } }.dump() };
+    return HttpAnswer{503, Json{{"error", error.message}}.dump()};
 }
 
 } // namespace
 
-auto serveLogRequest(FakeLog &log, const std::string &method, const std::string &target, const std::string &body)
-    -> HttpAnswer
+auto serveLogRequest(FakeLog &log, const std::string &method, const std::string &target, const std::string &body) -> HttpAnswer
 {
     const std::string path = target.substr(0, target.find('?'));
     static const std::string kPrefix = "/streams/";
@@ -85,23 +86,22 @@
     }
     if (path.size() <= kPrefix.size() + kSuffix.size() || path.compare(0, kPrefix.size(), kPrefix) != 0
         || path.compare(path.size() - kSuffix.size(), kSuffix.size(), kSuffix) != 0) {
-        return HttpAnswer { 404, R"({"error":"no such path"})" };
+        return HttpAnswer{404, R"({"error":"no such path"})"};
     }
     const std::string stream = path.substr(kPrefix.size(), path.size() - kPrefix.size() - kSuffix.size());
     if (method == "POST") {
         const auto offset = log.append(stream, body);
-        return offset ? HttpAnswer { 201, Json { { "offset", offset.value() } }.dump() } : errorAnswer(offset.error());
+        return offset ? HttpAnswer{201, Json{{"offset", offset.value()}}.dump()} : errorAnswer(offset.error());
     }
     if (method != "GET") {
-        return HttpAnswer { 405, R"({"error":"only GET and POST are served"})" };
+        return HttpAnswer{405, R"({"error":"only GET and POST are served"})"};
     }
     const size_t limit = std::min<size_t>(queryNumber(target, "limit", kMaxPageRecords), kMaxPageRecords);
     const auto page = log.read(stream, queryNumber(target, "from", 0), limit);
-    return page ? HttpAnswer { 200, encodeLogPage(page.value()) } : errorAnswer(page.error());
+    return page ? HttpAnswer{200, encodeLogPage(page.value())} : errorAnswer(page.error());
 }
 
-struct StandinServer::Shared : std::enable_shared_from_this<Shared>
-{
+struct StandinServer::Shared : std::enable_shared_from_this<Shared> {
     Shared(HttpHandler handle, uint16_t port, size_t bound)
         : handler(std::move(handle))
         , maxConnections(bound)
@@ -115,16 +115,14 @@
         for (;;) {
             beast::error_code code;
             http::request_parser<http::string_body> parser;
-            parser.body_limit(uint64_t { 64 } * 1024 * 1024);
+            parser.body_limit(uint64_t{64} * 1024 * 1024);
             http::read(socket, buffer, parser, code);
             if (code) {
                 return;
             }
             const auto request = parser.release();
-            const HttpAnswer answer
-                = handler(std::string(request.method_string()), std::string(request.target()), request.body());
-            http::response<http::string_body> response { http::int_to_status(static_cast<unsigned>(answer.status)),
-                                                         request.version() };
+            const HttpAnswer answer = handler(std::string(request.method_string()), std::string(request.target()), request.body());
+            http::response<http::string_body> response{http::int_to_status(static_cast<unsigned>(answer.status)), request.version()};
             response.set(http::field::content_type, "application/json");
             response.keep_alive(request.keep_alive());
             response.body() = answer.body;
@@ -201,7 +199,7 @@
 
 auto StandinServer::endpoint() const -> Endpoint
 {
-    return Endpoint { "127.0.0.1", shared_->acceptor.local_endpoint().port() };
+    return Endpoint{"127.0.0.1", shared_->acceptor.local_endpoint().port()};
 }
 
 } // namespace snipestream::testing
--- a/tests/standins/log_standin_main.cpp
+++ b/tests/standins/log_standin_main.cpp
@@ -23,8 +23,7 @@
     std::vector<char *> pointers;
     for (std::string &argument : arguments) {
         if (argument.compare(0, 2, "--") == 0) {
-            std::replace(argument.begin() + 2, argument.begin() + std::min(argument.find('='), argument.size()), '-',
-                         '_');
+            std::replace(argument.begin() + 2, argument.begin() + std::min(argument.find('='), argument.size()), '-', '_');
         }
         pointers.push_back(argument.data());
     }
--- a/tests/standins/target_standin_main.cpp
+++ b/tests/standins/target_standin_main.cpp
@@ -24,12 +24,13 @@
 ABSL_FLAG(int, service_ms, 5, "Time that one request takes, in milliseconds");
 ABSL_FLAG(std::string, downstream, "", "Path that is called through the node for each request, such as /diary/today");
 
-namespace snipestream {
-namespace {
+namespace snipestream
+{
+namespace
+{
 
 /// A stand-in for a target: works for a fixed time, calls one further service, counts what ran and echoes what it saw.
-struct Target
-{
+struct Target {
     FiberRuntime runtime;
     MetricsRegistry metrics;
     std::unique_ptr<HttpClient> node;
@@ -41,8 +42,7 @@
     uint64_t total = 0;
 };
 
-auto callNode(Target &target, const std::string &method, const std::string &path, const HeaderList &headers,
-              const std::string &body) -> Result<HttpAnswer>
+auto callNode(Target &target, const std::string &method, const std::string &path, const HeaderList &headers, const std::string &body) -> Result<HttpAnswer>
 {
     RequestHead head;
     head.method = method;
@@ -67,8 +67,7 @@
 void serve(Target &target, Exchange &exchange)
 {
     if (exchange.head.path == "/standin/runs") {
-        static_cast<void>(respondWith(exchange, 200, "application/json",
-                                      nlohmann::json { { "runs", target.runs }, { "total", target.total } }.dump()));
+        static_cast<void>(respondWith(exchange, 200, "application/json", nlohmann::json{{"runs", target.runs}, {"total", target.total}}.dump()));
         return;
     }
     if (exchange.head.path.rfind("/standin/service-ms/", 0) == 0) {
@@ -98,16 +97,13 @@
         ++target.runs[std::string(*key)];
     }
     work(target);
-    nlohmann::json answer = {
-        { "target", absl::GetFlag(FLAGS_name) }, { "path", exchange.head.path }, { "bytes", bytes }, { "hash", hash }
-    };
+    nlohmann::json answer = {{"target", absl::GetFlag(FLAGS_name)}, {"path", exchange.head.path}, {"bytes", bytes}, {"hash", hash}};
     for (const auto &[name, value] : exchange.head.headers) {
         answer["headers"][name] = value;
     }
     const auto context = findHeader(exchange.head.headers, "Snipestream-Context");
     if (!absl::GetFlag(FLAGS_downstream).empty() && context) {
-        const auto inner = callNode(target, "GET", absl::GetFlag(FLAGS_downstream),
-                                    { { "Snipestream-Context", std::string(*context) } }, "");
+        const auto inner = callNode(target, "GET", absl::GetFlag(FLAGS_downstream), {{"Snipestream-Context", std::string(*context)}}, "");
         answer["downstream"] = inner ? std::to_string(inner.value().status) : inner.error().message;
         if (!inner || inner.value().status >= 500) {
             static_cast<void>(respondWith(exchange, 502, "application/json", answer.dump()));
@@ -120,18 +116,17 @@
 void announceForever(Target &target, uint16_t port)
 {
     const nlohmann::json announcement = {
-        { "target", absl::GetFlag(FLAGS_name) },
-        { "service", absl::GetFlag(FLAGS_service) },
-        { "address", "127.0.0.1" },
-        { "port", port },
-        { "cold", true },
-        { "instance", static_cast<uint64_t>(wallClockMs()) },
-        { "slots", absl::GetFlag(FLAGS_slots) },
-        { "connections", absl::GetFlag(FLAGS_connections) },
+        {"target", absl::GetFlag(FLAGS_name)},
+        {"service", absl::GetFlag(FLAGS_service)},
+        {"address", "127.0.0.1"},
+        {"port", port},
+        {"cold", true},
+        {"instance", static_cast<uint64_t>(wallClockMs())},
+        {"slots", absl::GetFlag(FLAGS_slots)},
+        {"connections", absl::GetFlag(FLAGS_connections)},
     };
     while (!target.draining) {
-        const auto answer = callNode(target, "POST", "/snipestream/v1/targets",
-                                     { { "Content-Type", "application/json" } }, announcement.dump());
+        const auto answer = callNode(target, "POST", "/snipestream/v1/targets", {{"Content-Type", "application/json"}}, announcement.dump());
         if (!answer || answer.value().status >= 300) {
             LOG(WARNING) << "announcement failed: " << (answer ? answer.value().body : answer.error().message);
         }
@@ -151,12 +146,10 @@
     Target target;
     target.serviceMs = absl::GetFlag(FLAGS_service_ms);
     target.freeSlots = absl::GetFlag(FLAGS_slots);
-    target.node = std::make_unique<HttpClient>(
-        target.runtime,
-        HttpClientOptions { { "127.0.0.1", static_cast<uint16_t>(absl::GetFlag(FLAGS_node_port)) }, 1024 });
+    target.node = std::make_unique<HttpClient>(target.runtime, HttpClientOptions{{"127.0.0.1", static_cast<uint16_t>(absl::GetFlag(FLAGS_node_port))}, 1024});
     HttpServerOptions options;
     options.name = "target";
-    options.listen = { "127.0.0.1", static_cast<uint16_t>(absl::GetFlag(FLAGS_port)) };
+    options.listen = {"127.0.0.1", static_cast<uint16_t>(absl::GetFlag(FLAGS_port))};
     HttpServer server(target.runtime, options, target.metrics, [&target](Exchange &exchange) {
         serve(target, exchange);
     });
--- a/tests/support/loopback.h
+++ b/tests/support/loopback.h
@@ -11,7 +11,8 @@
 #include <boost/asio/read.hpp>
 #include <boost/asio/write.hpp>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 /// A plain TCP client, for requests that an HTTP library would not send.
 class RawClient
@@ -22,7 +23,7 @@
     {
         const auto address = boost::asio::ip::make_address("127.0.0.1");
         awaitIo([&](auto handler) {
-            socket_.async_connect({ address, port }, handler);
+            socket_.async_connect({address, port}, handler);
         });
     }
 
--- a/tests/support/section.h
+++ b/tests/support/section.h
@@ -6,7 +6,8 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
-namespace snipestream::testing {
+namespace snipestream::testing
+{
 
 /// Returns the titles of the sections that are open, outermost first.
 inline auto openSections() -> std::vector<std::string> &
--- a/tests/support/test_main.cpp
+++ b/tests/support/test_main.cpp
@@ -16,7 +16,8 @@
 #include <cppunit/TestSuite.h>
 #include <cppunit/extensions/TestFactoryRegistry.h>
 
-namespace {
+namespace
+{
 
 /// Collects the verdict of each test and prints failures as they happen.
 class Verdicts : public CppUnit::TestListener
@@ -35,8 +36,7 @@
     void addFailure(const CppUnit::TestFailure &failure) override
     {
         failedNow_ = true;
-        std::cout << "FAIL " << failure.failedTestName() << " at " << failure.sourceLine().fileName() << ":"
-                  << failure.sourceLine().lineNumber() << "\n"
+        std::cout << "FAIL " << failure.failedTestName() << " at " << failure.sourceLine().fileName() << ":" << failure.sourceLine().lineNumber() << "\n"
                   << failure.thrownException()->message().shortDescription() << "\n"
                   << failure.thrownException()->message().details() << std::endl;
     }
@@ -126,7 +126,6 @@
     CppUnit::Test *suite = CppUnit::TestFactoryRegistry::getRegistry().makeTest();
     runMatching(suite, filter, result);
     delete suite;
-    std::cout << packageName(argv[0]) << ": " << verdicts.passed << " ok, " << verdicts.failed << " not ok, "
-              << verdicts.known << " known red" << std::endl;
+    std::cout << packageName(argv[0]) << ": " << verdicts.passed << " ok, " << verdicts.failed << " not ok, " << verdicts.known << " known red" << std::endl;
     return verdicts.failed == 0 ? 0 : 1;
 }
