Serve the first request of a new connection during a graceful stop

The server now accepts what waits in the backlog, closes only connections that had a request before, and closes silent ones half a second later.

Ruled out: a longer notice before the stop, which moves the moment but not the race.

--- a/http/http_connection.cpp
+++ b/http/http_connection.cpp
@@ -60,7 +60,7 @@
     if (closed_) {
         return;
     }
-    if (shared_->stopping) {
+    if (shared_->stopping && hasServed_) {
         close();
         return;
     }
@@ -91,6 +91,13 @@
     }
 }
 
+void HttpConnection::closeIfServed()
+{
+    if (hasServed_) {
+        closeIfIdle();
+    }
+}
+
 void HttpConnection::close()
 {
     if (closed_) {
@@ -111,6 +118,7 @@
         if (!readHead(*call)) {
             return;
         }
+        hasServed_ = true;
         shared_->requests.add();
         ++shared_->activeRequests;
         const bool reusable = handle(call);
--- a/http/http_connection.h
+++ b/http/http_connection.h
@@ -41,6 +41,9 @@
     /// Closes the connection unless a request is running.
     void closeIfIdle();
 
+    /// Closes an idle connection that had a request before. Its caller was asked to close it with the last answer.
+    void closeIfServed();
+
     /// Closes the connection at once.
     void close();
 
@@ -66,6 +69,7 @@
     boost::asio::steady_timer idleTimer_;
     boost::beast::flat_buffer buffer_;
     bool busy_ = false;
+    bool hasServed_ = false;
     bool closed_ = false;
 };
 
--- a/http/http_server.cpp
+++ b/http/http_server.cpp
@@ -49,17 +49,39 @@
 
 HttpServer::~HttpServer()
 {
-    stopAccepting();
+    state_->stopping = true;
+    boost::system::error_code ignored;
+    state_->acceptor.close(ignored);
     closeAll();
 }
 
 namespace
 {
 
+/// Takes a connection that was just accepted, unless there are too many.
+template<typename State>
+void takeConnection(const std::shared_ptr<State> &state, asio::ip::tcp::socket socket)
+{
+    if (state->connections.size() >= state->options.maxConnections) {
+        state->refusedConnections.add();
+        return;
+    }
+    boost::system::error_code ignored;
+    socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    const auto remote = socket.remote_endpoint(ignored);
+    const Endpoint from{remote.address().to_string(), remote.port()};
+    const auto connection = std::make_shared<HttpConnection>(std::move(socket), from, state);
+    state->connections.insert(connection);
+    connection->awaitRequest();
+}
+
 template<typename State>
 void acceptNext(const std::shared_ptr<State> &state)
 {
     state->acceptor.async_accept([state](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
+        if (!error) {
+            takeConnection(state, std::move(socket));
+        }
         if (state->stopping || error == asio::error::operation_aborted) {
             return;
         }
@@ -70,18 +92,6 @@
             });
             return;
         }
-        if (state->connections.size() >= state->options.maxConnections) {
-            state->refusedConnections.add();
-            acceptNext(state);
-            return;
-        }
-        boost::system::error_code ignored;
-        socket.set_option(asio::ip::tcp::no_delay(true), ignored);
-        const auto remote = socket.remote_endpoint(ignored);
-        const Endpoint from{remote.address().to_string(), remote.port()};
-        const auto connection = std::make_shared<HttpConnection>(std::move(socket), from, state);
-        state->connections.insert(connection);
-        connection->awaitRequest();
         acceptNext(state);
     });
 }
@@ -127,8 +137,25 @@
         return;
     }
     state_->stopping = true;
-    boost::system::error_code ignored;
-    state_->acceptor.close(ignored);
+    // Connections that wait in the backlog would be reset together with the requests already sent on them.
+    boost::system::error_code error;
+    state_->acceptor.non_blocking(true, error);
+    while (!error) {
+        asio::ip::tcp::socket socket(state_->runtime.context());
+        state_->acceptor.accept(socket, error);
+        if (!error) {
+            takeConnection(state_, std::move(socket));
+        }
+    }
+    state_->acceptor.close(error);
+    const auto connections = state_->connections;
+    for (const auto &connection : connections) {
+        connection->closeIfServed();
+    }
+}
+
+void HttpServer::closeIdle()
+{
     const auto connections = state_->connections;
     for (const auto &connection : connections) {
         connection->closeIfIdle();
--- a/http/http_server.h
+++ b/http/http_server.h
@@ -53,10 +53,13 @@
     /// connection that is closed while idle could meet a request that is already on its way.
     void announceClose();
 
-    /// Begins a graceful shutdown: accepts no further connection, closes idle ones, and closes each other one after the
-    /// answer that it is waiting for.
+    /// Begins a graceful shutdown: accepts no further connection and closes each one after its next answer. Connections
+    /// without a request so far stay open, because one may be on its way; closeIdle() ends them a little later.
     void stopAccepting();
 
+    /// Closes all connections on which no request is running.
+    void closeIdle();
+
     /// Closes every connection at once, also those with a running request.
     void closeAll();
 
--- a/node/node.cpp
+++ b/node/node.cpp
@@ -31,6 +31,8 @@
 /// Callers and other nodes learn within this time that this node leaves: one renewal of the directory, with a margin.
 constexpr Duration kLeaveNotice = seconds(2);
 constexpr Duration kDrainPoll = milliseconds(10);
+/// Time after the last accepted connection in which its first request is still served.
+constexpr Duration kFirstRequestGrace = milliseconds(500);
 
 auto peerOptions(const Settings &settings, uint64_t incarnation) -> PeerOptions
 {
@@ -156,6 +158,11 @@
         state.runtime.sleepFor(kDrainPoll);
     }
     callerServer.stopAccepting();
+    const TimePoint firstRequests = std::min(deadline, BootClock::now() + kFirstRequestGrace);
+    while (!cutNow && BootClock::now() < firstRequests) {
+        state.runtime.sleepFor(kDrainPoll);
+    }
+    callerServer.closeIdle();
     while (!cutNow && runningRequests() > 0 && BootClock::now() < deadline) {
         state.runtime.sleepFor(kDrainPoll);
     }
--- a/tests/http/http_test.cpp
+++ b/tests/http/http_test.cpp
@@ -109,6 +109,7 @@
     CPPUNIT_TEST(testMalformedRequests);
     CPPUNIT_TEST(testCallerLeaves);
     CPPUNIT_TEST(testGracefulStop);
+    CPPUNIT_TEST(testFirstRequestDuringStop);
     CPPUNIT_TEST(testDeadline);
     CPPUNIT_TEST_SUITE_END();
 
@@ -266,6 +267,31 @@
         });
     }
 
+    /// Guards against a stop that closes a new connection under its first request, seen in a rolling replacement.
+    void testFirstRequestDuringStop()
+    {
+        Fixture fixture;
+        fixture.run([&] {
+            RawClient raw(fixture.runtime, fixture.port);
+            RawClient silent(fixture.runtime, fixture.port);
+            fixture.server.stopAccepting();
+            section("a connection without a request so far is still served", [&] {
+                raw.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+                const std::string answer = raw.readAll();
+                CPPUNIT_ASSERT_EQUAL(std::string("HTTP/1.1 200"), answer.substr(0, 12));
+                CPPUNIT_ASSERT(answer.find("Connection: close") != std::string::npos);
+            });
+            section("one that stays silent is closed as idle", [&] {
+                raw.close();
+                while (fixture.server.connectionCount() > 1) {
+                    fixture.runtime.sleepFor(milliseconds(1));
+                }
+                fixture.server.closeIdle();
+                CPPUNIT_ASSERT_EQUAL(size_t{0}, fixture.server.connectionCount());
+            });
+        });
+    }
+
     void testDeadline()
     {
         Fixture fixture;
