Record request and service times as summaries

Cause: the registry had summaries on Boost.Accumulators, but the node recorded no time, so operators could not tell waiting from work.

--- a/node/admin.cpp
+++ b/node/admin.cpp
@@ -45,7 +45,9 @@
             options.server = announcement.endpoint;
             options.maxConnections = static_cast<size_t>(announcement.connections);
             options.connectTimeout = state.settings.timeouts.connect;
-            row = {announcement.endpoint, announcement.connections, std::make_shared<HttpClient>(state.runtime, options)};
+            Summary &serviceTime =
+                state.metrics.summary("snipestream_target_seconds", "Time that requests occupied a slot of the target", {{"target", name.value}});
+            row = {announcement.endpoint, announcement.connections, std::make_shared<HttpClient>(state.runtime, options), &serviceTime};
         }
         upsertTarget(state.admission, name, announcement.service, announcement.slots, announcement.cold, BootClock::now());
         if (effect == AnnounceEffect::Started) {
--- a/node/entry.cpp
+++ b/node/entry.cpp
@@ -190,6 +190,17 @@
     }
 }
 
+/// Records how long an answered request took. The summaries are looked up once, since this runs for each request.
+void observeRequestTime(NodeState &state, Priority priority, Duration took)
+{
+    Summary *&summary = state.requestTimes[static_cast<size_t>(priority)];
+    if (summary == nullptr) {
+        summary = &state.metrics.summary("snipestream_request_seconds", "Time from the head of a caller's request to the end of its answer",
+                                         {{"priority", std::string(priorityName(priority))}});
+    }
+    summary->observe(std::chrono::duration<double>(took).count());
+}
+
 /// Takes a token for a charged request.
 auto takeToken(NodeState &state, const EntryRequest &request) -> std::optional<Refusal>
 {
@@ -353,6 +364,7 @@
 
 void serveCaller(NodeState &state, Exchange &exchange)
 {
+    const TimePoint start = BootClock::now();
     exchange.head.id = drawRequestId(state.random);
     EntryRequest request;
     if (auto refused = prepareCallerRequest(state, exchange, request)) {
@@ -364,7 +376,9 @@
         refuse(exchange, *refused);
         return;
     }
-    runRequest(state, exchange, request);
+    if (!runRequest(state, exchange, request)) {
+        observeRequestTime(state, request.head.priority, BootClock::now() - start);
+    }
 }
 
 void serveTargetCall(NodeState &state, Exchange &exchange)
--- a/node/node_state.h
+++ b/node/node_state.h
@@ -23,6 +23,7 @@
 #include "routing/local_targets.h"
 #include "routing/node_table.h"
 
+#include <array>
 #include <functional>
 #include <map>
 #include <memory>
@@ -47,6 +48,8 @@
     Endpoint endpoint;
     int connections = 0;
     std::shared_ptr<HttpClient> client;
+    /// Times from the grant of a slot to the end of the answer, in seconds.
+    Summary *serviceTime = nullptr;
 };
 
 /// A fiber that waits until the configuration moves.
@@ -82,6 +85,8 @@
     /// Grows with each start of the node (wall clock in milliseconds).
     uint64_t incarnation;
     MetricsRegistry metrics;
+    /// Times of answered requests by priority; null until the first one.
+    std::array<Summary *, kPriorityCount> requestTimes{};
     Random random;
 
     ConfigFold fold;
--- a/node/target_call.cpp
+++ b/node/target_call.cpp
@@ -36,6 +36,9 @@
             return;
         }
         ended = true;
+        if (outcome == RunOutcome::Answered && serviceTime != nullptr) {
+            serviceTime->observe(std::chrono::duration<double>(BootClock::now() - startedAt).count());
+        }
         closeContext(state.contexts, handle);
         applyDecisions(state, complete(state.admission, ticket, outcome, BootClock::now()));
     }
@@ -50,6 +53,9 @@
     NodeState &state;
     Ticket ticket;
     std::string handle;
+    TimePoint startedAt = BootClock::now();
+    /// Lives as long as the node's registry; null until the connections are known.
+    Summary *serviceTime = nullptr;
     bool ended = false;
 };
 
@@ -200,6 +206,7 @@
         run->end(RunOutcome::Failed);
         return {Refusal{RefusalReason::NoTarget, RunState::NotRun, milliseconds(100), name.value + " left"}, std::nullopt};
     }
+    run->serviceTime = connections->second.serviceTime;
     // Kept by this copy, since the target may leave while the connection is being opened.
     const std::shared_ptr<HttpClient> client = connections->second.client;
     auto opened = client->open(targetHead(head, run->handle, timeLeft));
