--- a/node/claim_service.cpp
+++ b/node/claim_service.cpp
@@ -43,15 +43,6 @@
     return LeaseKey{state.settings.domain, range};
 }
 
-auto domainList(const NodeState &state) -> std::vector<DomainName>
-{
-    std::vector<DomainName> domains;
-    for (const auto &[name, weight] : domainWeights(state.fold.state)) {
-        domains.push_back(name);
-    }
-    return domains;
-}
-
 auto claimSettings(const NodeState &state) -> ClaimSettings
 {
     ClaimSettings settings;
@@ -281,7 +272,7 @@
 auto ownerOf(const NodeState &state, const ClaimKey &key) -> std::optional<std::pair<NodeName, Endpoint>>
 {
     const uint32_t range = claimRange(key);
-    return holderOf(state, LeaseKey{homeDomainOf(range, domainList(state)), range});
+    return holderOf(state, LeaseKey{homeDomainOf(range, domainNames(state)), range});
 }
 
 /// Asks the owner that the log names at this moment.
@@ -320,7 +311,7 @@
 void runClaims(NodeState &state)
 {
     while (!state.ending) {
-        adoptRanges(state, domainList(state));
+        adoptRanges(state, domainNames(state));
         const uint64_t revision = domainListRevision(state);
         for (auto &[number, range] : state.claimOwner.ranges) {
             const TimePoint now = BootClock::now();
--- a/node/config_service.cpp
+++ b/node/config_service.cpp
@@ -348,6 +348,15 @@
     return now - state.freshness.confirmedAt;
 }
 
+auto domainNames(const NodeState &state) -> std::vector<DomainName>
+{
+    std::vector<DomainName> names;
+    for (const auto &[name, weight] : domainWeights(state.fold.state)) {
+        names.push_back(name);
+    }
+    return names;
+}
+
 auto domainListRevision(const NodeState &state) -> uint64_t
 {
     // It is asked for 50 times a second, so it looks only at rules of that kind, which stand together in id order.
--- a/node/config_service.h
+++ b/node/config_service.h
@@ -19,6 +19,9 @@
 /// poll the log, other nodes ask a relay. Runs in a fiber of its own.
 void followConfig(NodeState &state);
 
+/// Returns the failure domains that the rules name, in the order of their names.
+auto domainNames(const NodeState &state) -> std::vector<DomainName>;
+
 /// Returns the revision of the last change of any domain rule; zero if there has been none.
 auto domainListRevision(const NodeState &state) -> uint64_t;
 /// Answers the long polls of other nodes now, whether or not there is anything new.
--- a/node/entry.cpp
+++ b/node/entry.cpp
@@ -19,8 +19,6 @@
 {
 
 constexpr const char *kAuthorizationHeader = "Authorization";
-constexpr const char *kContextHeader = "Snipestream-Context";
-constexpr const char *kTimeoutHeader = "Snipestream-Timeout-Ms";
 constexpr const char *kIdempotencyHeader = "Idempotency-Key";
 constexpr const char *kAttemptHeader = "Snipestream-Attempt";
 /// Deepest call chain; a longer one is most likely a loop between services.
--- a/node/lease_service.cpp
+++ b/node/lease_service.cpp
@@ -2,6 +2,7 @@
 
 #include "core/events.h"
 #include "idempotency/claim.h"
+#include "node/config_service.h"
 
 #include <optional>
 #include <utility>
@@ -51,15 +52,6 @@
     });
 }
 
-auto domainNames(const NodeState &state) -> std::vector<DomainName>
-{
-    std::vector<DomainName> names;
-    for (const auto &[name, weight] : domainWeights(state.fold.state)) {
-        names.push_back(name);
-    }
-    return names;
-}
-
 void append(NodeState &state, const LeaseRecord &record)
 {
     logEvent(EventId::LeaseClaimed, {{"range", std::to_string(record.key.range)}, {"epoch", std::to_string(record.epoch)}});
--- a/node/target_call.cpp
+++ b/node/target_call.cpp
@@ -1,6 +1,7 @@
 #include "node/target_call.h"
 
 #include "node/forward.h"
+#include "node/private_headers.h"
 
 #include <algorithm>
 #include <memory>
@@ -12,9 +13,6 @@
 namespace
 {
 
-constexpr const char *kContextHeader = "Snipestream-Context";
-constexpr const char *kTimeoutHeader = "Snipestream-Timeout-Ms";
-
 /// A request that occupies a slot of a local target. Ends once: with an outcome, or as cancelled when it is dropped.
 struct TargetRun {
     TargetRun(NodeState &stateUsed, Ticket ticketUsed, std::string handleUsed)
