--- a/core/events.h
+++ b/core/events.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <initializer_list>
 #include <string>
 #include <string_view>
@@ -26,12 +27,20 @@
     RequestCutAtStop = 1005,
     NodeReportedDead = 1006,
     NodeRejoining = 1007,
+    SettingsReloaded = 1008,
+    MemoryShort = 1009,
+    LinesLeftOut = 1011,
     ConfigChangeApplied = 2001,
     ConfigChangeRejected = 2002,
     ConfigRecordUnreadable = 2003,
     ConfigSnapshotTaken = 2004,
     LogUnavailable = 2005,
     LogAvailable = 2006,
+    PolicyApplied = 2007,
+    PolicyRejected = 2008,
+    KeyedServiceSuspended = 2009,
+    KeyedServiceResumed = 2010,
+    RosterRead = 2011,
     LeaseAcquired = 3001,
     LeaseLost = 3002,
     LeaseClaimed = 3003,
@@ -40,17 +49,33 @@
     RangeQuarantined = 5003,
     ClaimRangeServing = 5004,
     ClaimRangeLost = 5005,
+    RequestAnswered = 6001,
+    RequestRefused = 6002,
+    RequestFailed = 6003,
+    RequestRetried = 6004,
+    RequestAbandoned = 6005,
+    TargetRefusedRequest = 6006,
+    TargetAnswerInvalid = 6007,
     TargetEjected = 7001,
     TargetReturned = 7002,
     TargetAnnounced = 7003,
     TargetDraining = 7004,
     TargetExpired = 7005,
+    TargetUnreachable = 7006,
+    TargetMessageInvalid = 7007,
+    TargetLeft = 7008,
+    PeerFound = 7009,
+    PeerSilent = 7010,
+    PeerUnreachable = 7011,
+    ReportInvalid = 7012,
     PeerConnected = 8001,
     PeerLost = 8002,
     PeerRefused = 8003,
     PeerFrameInvalid = 8004,
     HttpRequestInvalid = 9001,
     HttpListening = 9002,
+    AcceptFailed = 9003,
+    ConnectionRefused = 9004,
 };
 
 /// One row of the catalogue in docs/EVENTS.md.
@@ -73,6 +98,12 @@
 /// Writes the event to the log with the severity of its catalogue row.
 void logEvent(EventId id, std::initializer_list<EventField> fields);
 
+/// Takes the lines of events in place of the library's log, with their severity.
+using EventSink = std::function<void(Severity severity, const std::string &line)>;
+
+/// Sends all later events to the sink; an empty one restores the library's log.
+void setEventSink(EventSink sink);
+
 /// Returns the catalogue as the Markdown table that stands in docs/EVENTS.md.
 auto eventCatalogueMarkdown() -> std::string;
 
--- /dev/null
+++ b/http/call_pool.cpp
@@ -0,0 +1,331 @@
+#include "http/call_pool.h"
+
+#include "http/http_fields.h"
+#include "http/tcp_options.h"
+#include "net/await.h"
+
+#include <algorithm>
+#include <list>
+#include <map>
+#include <set>
+#include <utility>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http.hpp>
+
+namespace snipestream
+{
+
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Resolution of call deadlines. A timer for each call would cost more than it is worth.
+constexpr Duration kSweepInterval = milliseconds(20);
+constexpr int kIdleSweepEvery = 50;
+
+struct Connection {
+    explicit Connection(asio::io_context &context)
+        : socket(context)
+    {
+    }
+
+    void close()
+    {
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    }
+
+    asio::ip::tcp::socket socket;
+    boost::beast::flat_buffer buffer;
+    TimePoint usableUntil;
+    TimePoint deadline;
+    bool timedOut = false;
+};
+
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+/// Returns whether an idle connection is open and silent. Bytes that nobody asked for belong to no request.
+auto isUsable(Connection &connection)
+{
+    char byte = 0;
+    boost::system::error_code error;
+    connection.socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+/// Returns the seconds that a Keep-Alive field names.
+auto readIdleTimeout(std::string_view field) -> std::optional<Duration>
+{
+    const auto at = field.find("timeout=");
+    if (at == std::string_view::npos) {
+        return std::nullopt;
+    }
+    int64_t value = 0;
+    for (const char c : field.substr(at + 8)) {
+        if (c < '0' || c > '9' || value > 100000) {
+            break;
+        }
+        value = value * 10 + (c - '0');
+    }
+    return seconds(value);
+}
+
+} // namespace
+
+auto callStatusName(CallStatus status) -> const char *
+{
+    switch (status) {
+    case CallStatus::Answered:
+        return "answered";
+    case CallStatus::NotSent:
+        return "not-sent";
+    case CallStatus::Broken:
+        return "broken";
+    case CallStatus::Malformed:
+        return "malformed";
+    case CallStatus::TimedOut:
+        return "timed-out";
+    case CallStatus::Cancelled:
+        return "cancelled";
+    }
+    return "unknown";
+}
+
+struct CallPool::State : std::enable_shared_from_this<CallPool::State> {
+    State(FiberRuntime &runtimeUsed, CallPoolOptions chosen)
+        : runtime(runtimeUsed)
+        , options(chosen)
+        , sweepTimer(runtimeUsed.context())
+    {
+    }
+
+    auto takeIdle(const Endpoint &server) -> ConnectionPtr;
+    auto connect(const Endpoint &server, CancelSignal &cancel, TimePoint deadline, std::string &detail) -> ConnectionPtr;
+    auto exchange(const ConnectionPtr &connection, const RequestMessage &request, CallResult &result) -> bool;
+    void sweep();
+    void closeOldIdle(TimePoint now);
+
+    FiberRuntime &runtime;
+    CallPoolOptions options;
+    asio::steady_timer sweepTimer;
+    std::map<Endpoint, std::vector<ConnectionPtr>> idle;
+    std::set<ConnectionPtr> active;
+    uint64_t opened = 0;
+    int sweeps = 0;
+    bool sweeping = false;
+    bool closed = false;
+};
+
+auto CallPool::State::takeIdle(const Endpoint &server) -> ConnectionPtr
+{
+    const auto found = idle.find(server);
+    if (found == idle.end()) {
+        return nullptr;
+    }
+    auto &connections = found->second;
+    const TimePoint now = BootClock::now();
+    while (!connections.empty()) {
+        ConnectionPtr connection = connections.back();
+        connections.pop_back();
+        if (connection->usableUntil > now && isUsable(*connection)) {
+            return connection;
+        }
+        connection->close();
+    }
+    return nullptr;
+}
+
+auto CallPool::State::connect(const Endpoint &server, CancelSignal &cancel, TimePoint deadline, std::string &detail) -> ConnectionPtr
+{
+    boost::system::error_code invalid;
+    const auto address = asio::ip::make_address(server.address, invalid);
+    if (invalid) {
+        detail = "'" + server.address + "' is not an IP address";
+        return nullptr;
+    }
+    ++opened;
+    auto connection = std::make_shared<Connection>(runtime.context());
+    cancel.onCancel([connection] {
+        connection->close();
+    });
+    const Duration timeout = std::min(options.connectTimeout, deadline - BootClock::now());
+    const IoResult result = awaitIoFor(
+        runtime.context(), timeout,
+        [&](auto done) {
+            connection->socket.async_connect({address, server.port}, done);
+        },
+        [connection] {
+            connection->close();
+        });
+    cancel.clear();
+    if (result.error || cancel.isCancelled()) {
+        detail = "connect to " + toString(server) + ": " + result.error.message();
+        return nullptr;
+    }
+    setTcpOptions(connection->socket, options.deadPeerTimeout);
+    boost::system::error_code ignored;
+    connection->socket.non_blocking(true, ignored);
+    return connection;
+}
+
+auto CallPool::State::exchange(const ConnectionPtr &connection, const RequestMessage &request, CallResult &result) -> bool
+{
+    struct Sending {
+        std::string bytes;
+        bool done = false;
+        bool failed = false;
+    };
+    // A server may answer before it has read the whole request, so sending and reading go on side by side. The bytes
+    // live until the operation has ended, which may be after this call.
+    const auto sending = std::make_shared<Sending>();
+    sending->bytes = serializeRequest(request);
+    asio::async_write(connection->socket, asio::buffer(sending->bytes), [sending, connection](const boost::system::error_code &error, size_t) {
+        sending->done = true;
+        sending->failed = static_cast<bool>(error);
+    });
+    std::optional<http::response_parser<http::string_body>> parser;
+    IoResult read;
+    do {
+        parser.emplace();
+        parser->body_limit(options.maxAnswerBytes);
+        parser->skip(request.method == "HEAD");
+        read = awaitIo([&](auto done) {
+            http::async_read(connection->socket, connection->buffer, *parser, done);
+        });
+    } while (!read.error && parser->get().result_int() / 100 == 1);
+    if (read.error) {
+        const bool isProtocolError = read.error.category() == http::make_error_code(http::error::bad_method).category()
+            && read.error != http::error::end_of_stream && read.error != http::error::partial_message;
+        result.status = isProtocolError ? CallStatus::Malformed : CallStatus::Broken;
+        result.detail = read.error.message();
+        return false;
+    }
+    auto &parsed = parser->get();
+    result.status = CallStatus::Answered;
+    result.answer.status = static_cast<int>(parsed.result_int());
+    result.answer.headers = copyEndToEndFields(parsed);
+    result.answer.keepAlive = parsed.keep_alive() && !parser->need_eof();
+    result.answer.idleTimeout = readIdleTimeout(std::string(parsed["Keep-Alive"]));
+    result.answer.body = std::move(parsed.body());
+    return result.answer.keepAlive && sending->done && !sending->failed && connection->buffer.size() == 0;
+}
+
+void CallPool::State::sweep()
+{
+    if (sweeping || closed) {
+        return;
+    }
+    sweeping = true;
+    sweepTimer.expires_after(kSweepInterval);
+    sweepTimer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
+        self->sweeping = false;
+        if (error) {
+            return;
+        }
+        const TimePoint now = BootClock::now();
+        for (const auto &connection : self->active) {
+            if (connection->deadline <= now && !connection->timedOut) {
+                connection->timedOut = true;
+                connection->close();
+            }
+        }
+        if (++self->sweeps % kIdleSweepEvery == 0) {
+            self->closeOldIdle(now);
+        }
+        if (!self->active.empty() || !self->idle.empty()) {
+            self->sweep();
+        }
+    });
+}
+
+void CallPool::State::closeOldIdle(TimePoint now)
+{
+    for (auto server = idle.begin(); server != idle.end();) {
+        auto &connections = server->second;
+        connections.erase(std::remove_if(connections.begin(), connections.end(),
+                                         [now](const ConnectionPtr &connection) {
+                                             return connection->usableUntil <= now;
+                                         }),
+                          connections.end());
+        server = connections.empty() ? idle.erase(server) : std::next(server);
+    }
+}
+
+CallPool::CallPool(FiberRuntime &runtime, CallPoolOptions options)
+    : state_(std::make_shared<State>(runtime, options))
+{
+}
+
+CallPool::~CallPool()
+{
+    state_->closed = true;
+    state_->sweepTimer.cancel();
+    state_->idle.clear();
+    for (const auto &connection : state_->active) {
+        connection->close();
+    }
+}
+
+auto CallPool::call(const Endpoint &server, const RequestMessage &request, CancelSignal &cancel, TimePoint deadline) -> CallResult
+{
+    const auto state = state_;
+    CallResult result;
+    if (cancel.isCancelled()) {
+        result.status = CallStatus::Cancelled;
+        return result;
+    }
+    ConnectionPtr connection = state->takeIdle(server);
+    result.reusedConnection = connection != nullptr;
+    if (!connection) {
+        connection = state->connect(server, cancel, deadline, result.detail);
+    }
+    if (!connection) {
+        result.status = cancel.isCancelled() ? CallStatus::Cancelled : CallStatus::NotSent;
+        return result;
+    }
+    connection->deadline = deadline;
+    connection->timedOut = false;
+    state->active.insert(connection);
+    state->sweep();
+    cancel.onCancel([connection] {
+        connection->close();
+    });
+    const bool reusable = state->exchange(connection, request, result);
+    cancel.clear();
+    state->active.erase(connection);
+    if (result.status != CallStatus::Answered) {
+        if (cancel.isCancelled()) {
+            result.status = CallStatus::Cancelled;
+        } else if (connection->timedOut) {
+            result.status = CallStatus::TimedOut;
+        }
+    }
+    if (!reusable || state->closed) {
+        connection->close();
+        return result;
+    }
+    const auto &options = state->options;
+    const Duration idleFor =
+        result.answer.idleTimeout ? duration_cast<Duration>(std::chrono::duration<double>(*result.answer.idleTimeout) * options.idlePart) : options.idleTimeout;
+    connection->usableUntil = BootClock::now() + idleFor;
+    state->idle[server].push_back(connection);
+    return result;
+}
+
+void CallPool::closeIdle(const Endpoint &server)
+{
+    state_->idle.erase(server);
+}
+
+auto CallPool::openedConnections() const -> uint64_t
+{
+    return state_->opened;
+}
+
+} // namespace snipestream
--- /dev/null
+++ b/mesh/target_gate.h
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "core/time.h"
+
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace snipestream
+{
+
+/// Constants of the gate in front of one target.
+struct GateSettings {
+    /// Part of the announced slots that is used. Some targets slow down by a third when more than 95% of their slots are
+    /// busy, which costs more than the slots left free.
+    double usedSlots = 0.95;
+    /// Part of the target latency that a client's request may spend waiting here. A request that waits longer is
+    /// answered late and delays those behind it.
+    double waitPerLatency = 0.8;
+    /// Weight of the latest service time in the mean: about 50 requests are remembered.
+    double serviceWeight = 0.02;
+};
+
+/// Identifies a request at the gate.
+using GateTicket = uint64_t;
+
+/// What the gate needs to know about a request.
+struct GateRequest {
+    /// Lower values start first.
+    int rank = 0;
+    /// Time within which an answer has its full worth, from now.
+    Duration targetLatency{};
+    /// After this moment nobody waits for the answer.
+    TimePoint deadline;
+    /// The request is part of one that already runs; refusing it wastes that one's work.
+    bool isInner = false;
+    /// Kind of work, such as the route, whose service time is measured apart from others.
+    uint64_t workKind = 0;
+};
+
+/// A request that waits.
+struct GateWaiter {
+    GateTicket ticket = 0;
+    GateRequest request;
+    TimePoint queuedAt;
+};
+
+/// Slots and queue of one target.
+struct TargetGate {
+    GateSettings settings;
+    int limit = 1;
+    int running = 0;
+    GateTicket nextTicket = 1;
+    /// Waiting requests by rank, then by the moment at which their answer loses worth.
+    std::map<std::pair<int, std::pair<TimePoint, GateTicket>>, GateWaiter> queue;
+    /// Mean time that the target takes for a request, in seconds: of all, and by kind of work.
+    double meanService = 0;
+    std::unordered_map<uint64_t, double> serviceByKind;
+};
+
+/// Answer to an offer.
+enum class GateVerdict {
+    /// The request occupies a slot now; call `finishRun` at its end.
+    Run,
+    /// The request waits until `startNext` returns its ticket, or `leaveQueue` removes it.
+    Wait,
+    /// The request could not be answered in time.
+    Refuse,
+};
+
+/// Result of an offer.
+struct GateOffer {
+    GateVerdict verdict = GateVerdict::Refuse;
+    GateTicket ticket = 0;
+};
+
+/// Sets the number of slots that the target announced.
+void setSlots(TargetGate &gate, int slots);
+
+/// Offers a request.
+auto offerRequest(TargetGate &gate, const GateRequest &request, TimePoint now) -> GateOffer;
+
+/// Frees the slot of a run that took `service`; zero if its duration says nothing about the target.
+void finishRun(TargetGate &gate, uint64_t workKind, Duration service);
+
+/// A waiting request that was taken from the queue.
+struct GateDecision {
+    GateTicket ticket = 0;
+    /// It starts; otherwise it can no longer be answered in time and has not run.
+    bool start = false;
+};
+
+/// Takes the requests from the queue that start now or whose time is over.
+auto startNext(TargetGate &gate, TimePoint now) -> std::vector<GateDecision>;
+
+/// Removes a waiting request whose caller left. Returns false if it does not wait.
+auto leaveQueue(TargetGate &gate, GateTicket ticket) -> bool;
+
+/// Returns how long a request that is offered now with this rank would wait.
+auto expectedWait(const TargetGate &gate, int rank) -> Duration;
+
+/// Returns the mean service time of this kind of work, or of all if none was measured.
+auto expectedService(const TargetGate &gate, uint64_t workKind) -> Duration;
+
+} // namespace snipestream
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -2,6 +2,7 @@
 #include "core/events.h"
 #include "net/fiber_runtime.h"
 #include "node/node.h"
+#include "sidecar/sidecar.h"
 
 #include <csignal>
 #include <cstdlib>
@@ -47,6 +48,7 @@
     absl::SetProgramUsageMessage(
         "snipestreamd: overload control beside the targets of one VM.\n"
         "Usage: snipestreamd --settings=FILE\n"
+        "       snipestreamd sidecar [--settings=FILE]   on the platform's VMs; the file defaults to $SNIPESTREAM_CONFIG\n"
         "SIGTERM starts a graceful shutdown; a second one cuts what is still running.\n"
         "Exit codes: 0 stopped, 2 settings, 3 an address cannot be bound, 4 requests were cut.");
     absl::FlagsUsageConfig usage;
@@ -54,7 +56,7 @@
         return std::string("snipestreamd ") + SNIPESTREAM_VERSION + "\n";
     };
     absl::SetFlagsUsageConfig(usage);
-    absl::ParseCommandLine(argc, argv);
+    const auto words = absl::ParseCommandLine(argc, argv);
     FLAGS_logtostderr = true;
     google::InitGoogleLogging(argv[0]);
     // Pages of the log and snapshots are far larger than anything else a node allocates. By default the C library moves
@@ -63,6 +65,11 @@
     mallopt(M_TRIM_THRESHOLD, kTrimThreshold);
     std::signal(SIGPIPE, SIG_IGN);
 
+    if (words.size() > 1 && std::string(words[1]) == "sidecar") {
+        const std::string file = absl::GetFlag(FLAGS_settings);
+        const char *const fromPlatform = std::getenv("SNIPESTREAM_CONFIG");
+        return snipestream::runSidecar(file.empty() && fromPlatform != nullptr ? fromPlatform : file);
+    }
     auto settings = snipestream::loadSettings(absl::GetFlag(FLAGS_settings));
     if (!settings) {
         snipestream::logEvent(snipestream::EventId::SettingsInvalid, {{"file", absl::GetFlag(FLAGS_settings)}});
--- /dev/null
+++ b/sidecar/entry.cpp
@@ -0,0 +1,274 @@
+#include "sidecar/entry.h"
+
+#include "core/events.h"
+#include "core/hash.h"
+#include "platform/request_fields.h"
+#include "sidecar/home.h"
+#include "sidecar/peer_call.h"
+#include "sidecar/request_log.h"
+
+#include <algorithm>
+
+namespace snipestream
+{
+
+namespace
+{
+
+/// Nodes that are asked in turn while none of them has let the target see the request. More would only add time: by then
+/// the service is full or cut off.
+constexpr int kPlacesAsked = 3;
+/// Part of the VM's memory that bodies of requests in progress may take; the rest is for answers, connections and code.
+constexpr double kHeldMemoryPart = 0.25;
+/// Time for a request whose caller names none; the route's timeout is shorter in practice.
+constexpr Duration kLongestWait = seconds(60);
+/// Least time left for another try: below it the answer would come too late.
+constexpr Duration kLeastTimeForRetry = milliseconds(30);
+
+/// A request in progress at this node.
+struct EntryCall {
+    TimePoint startedAt;
+    CallerFields caller;
+    const RoutePolicy *route = nullptr;
+    const TeamPolicy *team = nullptr;
+    ServiceName service;
+    /// Keeps the route and team alive while a newer policy comes into force.
+    std::shared_ptr<const Policy> policy;
+    /// A call of the target on this VM for a request that it runs, rather than a caller's own request.
+    bool isInner = false;
+    int priority = 0;
+    TimePoint deadline;
+    bool tokenTaken = false;
+};
+
+auto makeRefusal(const EntryCall &call, int status, Duration retryAfter) -> AnswerMessage
+{
+    AnswerMessage answer;
+    answer.status = status;
+    addRefusalFields(answer.headers, call.caller.requestId, retryAfter);
+    return answer;
+}
+
+auto refuse(SidecarState &state, EntryCall &call, int status, const char *reason, Duration retryAfter) -> AnswerMessage
+{
+    if (call.tokenTaken) {
+        returnToken(state.rates, *call.team);
+        call.tokenTaken = false;
+    }
+    logRefusal(state, {call.caller.requestId, call.route, call.team, call.service, call.policy ? call.policy->version : 0}, status, reason, retryAfter,
+               BootClock::now() - call.startedAt);
+    return makeRefusal(call, status, retryAfter);
+}
+
+/// Returns how long a caller that was refused for want of room should stay away: long enough for the queue to move, and
+/// spread so that those refused together do not return together.
+auto overloadRetryAfter(SidecarState &state, const RoutePolicy &route) -> Duration
+{
+    const double latency = std::chrono::duration<double>(route.targetLatency).count();
+    const double spread = 0.5 + static_cast<double>(drawBelow(state.random, 1000)) / 1000;
+    return duration_cast<Duration>(std::chrono::duration<double>(std::max(0.05, latency * 0.4) * spread));
+}
+
+/// Finds route, team and service. Returns a refusal if the request cannot be served.
+auto admit(SidecarState &state, const RequestMessage &request, EntryCall &call) -> std::optional<AnswerMessage>
+{
+    /// A node without a configuration gets one within a fraction of a second after the store answers.
+    constexpr Duration kNoPolicyRetryAfter = milliseconds(300);
+    const TimePoint now = call.startedAt;
+    if (call.caller.requestId.empty()) {
+        return refuse(state, call, 400, "no-request-id", {});
+    }
+    call.policy = state.policy;
+    if (!call.policy) {
+        return refuse(state, call, 503, "no-policy", kNoPolicyRetryAfter);
+    }
+    // A policy that was not confirmed for long may lack routes and keys that were added since.
+    const bool isCurrent = now - state.policyConfirmedAt < state.settings.keyWithdrawal;
+    call.route = findRoute(*call.policy, call.caller.authority, request.target);
+    if (call.route == nullptr) {
+        return isCurrent ? refuse(state, call, 404, "no-route", {}) : refuse(state, call, 503, "no-route-in-old-policy", kNoPolicyRetryAfter);
+    }
+    call.priority = call.route->priority;
+    call.isInner = call.route->isOpen && !call.policy->teams.empty();
+    if (!call.policy->teams.empty() && !call.route->isOpen) {
+        if (!mayServeKeys(state, now)) {
+            return refuse(state, call, 503, "policy-not-confirmed", kNoPolicyRetryAfter);
+        }
+        call.team = findTeam(*call.policy, call.caller.apiKey);
+        if (call.team == nullptr) {
+            return refuse(state, call, 401, "unknown-key", {});
+        }
+        call.priority = call.team->priority.value_or(call.priority);
+    }
+    const Duration asked = std::min(call.caller.timeLeft.value_or(kLongestWait), call.route->timeout);
+    call.deadline = now + asked;
+    const uint64_t held = state.callerServer->heldBytes() + state.peerServer->heldBytes();
+    if (static_cast<double>(held) > kHeldMemoryPart * static_cast<double>(state.settings.memoryMb) * 1024 * 1024) {
+        logEvent(EventId::MemoryShort, {{"held", std::to_string(held)}});
+        return refuse(state, call, 503, "memory-short", kNoPolicyRetryAfter);
+    }
+    call.service = chooseService(state.splits, *call.route);
+    if (call.team != nullptr) {
+        if (!takeToken(state.rates, *call.team, state.peers, now)) {
+            return refuse(state, call, 429, "rate-exceeded", rateRetryAfter(state.rates, *call.team));
+        }
+        call.tokenTaken = call.team->ratePerSecond > 0;
+    }
+    if (!call.isInner && isShedAt(state.levels[call.service], state.priorities, call.priority, call.caller.requestId)) {
+        return refuse(state, call, 503, "shed", overloadRetryAfter(state, *call.route));
+    }
+    return std::nullopt;
+}
+
+auto makeRouted(const SidecarState &state, const EntryCall &call, RequestMessage request) -> RoutedRequest
+{
+    RoutedRequest routed;
+    routed.requestId = call.caller.requestId;
+    routed.team = call.team != nullptr ? call.team->name : TeamName();
+    routed.callerService = state.settings.service;
+    const bool isLeast = state.priorities.size() > 1 && call.priority == state.priorities.front();
+    routed.rank = !call.isInner && isLeast ? 1 : 0;
+    routed.targetLatency = call.route->targetLatency;
+    routed.isInner = call.isInner;
+    routed.workKind = stableHash(call.route->name.value) >> 32U;
+    routed.deadline = call.deadline;
+    // The key never leaves this node, and fields that the system answers for are set at the target.
+    setTargetFields(request.headers, {"-", call.deadline - call.startedAt, routed.team, routed.callerService});
+    routed.message = std::move(request);
+    return routed;
+}
+
+auto retriesOf(SidecarState &state, const ServiceName &service) -> RetryRatio &
+{
+    const auto found = state.retries.find(service);
+    if (found != state.retries.end()) {
+        return found->second;
+    }
+    RetryRatio ratio;
+    /// Part of the allowed ratio that is used: calls that a repeated request makes count again at the services below.
+    constexpr double kRatioPart = 0.3;
+    ratio.settings.ratio = state.settings.retryRatio * kRatioPart;
+    ratio.settings.leastRetries = std::max(1, static_cast<int>(state.settings.retrySlack * kRatioPart / static_cast<double>(state.peers.rows.size())));
+    return state.retries.emplace(service, ratio).first->second;
+}
+
+/// Whether another target may be asked after this result.
+auto mayRetry(SidecarState &state, const EntryCall &call, const TargetResult &result, int arrivals, TimePoint now) -> bool
+{
+    if (now + kLeastTimeForRetry >= call.deadline || arrivals >= call.route->maxAttempts) {
+        return false;
+    }
+    const bool isSafe = result.outcome == TargetOutcome::NotRun || call.route->idempotent;
+    if (!isSafe) {
+        return false;
+    }
+    auto &ratio = retriesOf(state, call.service);
+    if (!allowsRetry(ratio, now)) {
+        return false;
+    }
+    countRetry(ratio, now);
+    return true;
+}
+
+auto runOnce(SidecarState &state, const std::string &address, const RoutedRequest &routed, CancelSignal &cancel) -> TargetResult
+{
+    {
+        auto &row = state.peers.rows[address];
+        ++row.inFlight;
+        ++row.sentSince;
+    }
+    TargetResult result = address == state.peers.ownAddress ? runAtTarget(state, routed, cancel) : runAtPeer(state, address, routed, cancel);
+    const auto found = state.peers.rows.find(address);
+    if (found == state.peers.rows.end()) {
+        return result;
+    }
+    auto &row = found->second;
+    row.inFlight = std::max(0, row.inFlight - 1);
+    if (result.load) {
+        observeLoad(row, *result.load);
+    }
+    if (result.arrived && result.outcome != TargetOutcome::Cancelled && result.outcome != TargetOutcome::TimedOut) {
+        const bool failed = result.outcome != TargetOutcome::Answered || result.answer.status >= 500;
+        observeOutcome(row, failed);
+    }
+    return result;
+}
+
+} // namespace
+
+auto serveCaller(SidecarState &state, RequestMessage &request, CancelSignal &cancel) -> std::optional<AnswerMessage>
+{
+    EntryCall call;
+    call.startedAt = BootClock::now();
+    state.lastRequestAt = call.startedAt;
+    call.caller = readCallerFields(request.headers);
+    if (auto refusal = admit(state, request, call)) {
+        return refusal;
+    }
+    if (call.isInner) {
+        state.calledServices[call.service] = call.startedAt;
+    }
+    const RequestOrigin origin{call.caller.requestId, call.route, call.team, call.service, call.policy->version};
+    RoutedRequest routed = makeRouted(state, call, std::move(request));
+    countFirstAttempt(retriesOf(state, call.service), call.startedAt);
+    std::vector<std::string> tried;
+    std::optional<TargetResult> answered;
+    TargetResult result;
+    result.reason = "no-target";
+    int arrivals = 0;
+    bool mayHaveRun = false;
+    for (int places = 0;;) {
+        PeerRow *const chosen = choosePeer(state.peers, state.placement, call.service, tried, state.random, BootClock::now());
+        if (chosen == nullptr) {
+            break;
+        }
+        const std::string address = chosen->address;
+        tried.push_back(address);
+        routed.instance = chosen->report->instance;
+        result = runOnce(state, address, routed, cancel);
+        const TimePoint now = BootClock::now();
+        if (cancel.isCancelled() || result.outcome == TargetOutcome::Cancelled) {
+            logAbandoned(state, origin, address, now - call.startedAt);
+            return std::nullopt;
+        }
+        arrivals += result.arrived ? 1 : 0;
+        mayHaveRun = mayHaveRun || result.outcome == TargetOutcome::Unknown || result.outcome == TargetOutcome::TimedOut;
+        if (result.outcome == TargetOutcome::Answered) {
+            mayHaveRun = true;
+            const bool failed = result.answer.status >= 500;
+            if (!failed || !mayRetry(state, call, result, arrivals, now)) {
+                logAnswered(state, origin, address, result.answer.status, arrivals, now - call.startedAt);
+                return std::move(result.answer);
+            }
+            answered = std::move(result);
+            logRetry(state, origin, address, answered->answer.status, "target-failed", now - call.startedAt);
+            continue;
+        }
+        logTargetRefusal(state, origin, address, targetOutcomeName(result.outcome), result.reason, now - call.startedAt);
+        if (result.outcome == TargetOutcome::TimedOut || now >= call.deadline) {
+            break;
+        }
+        if (!result.arrived) {
+            if (++places >= kPlacesAsked) {
+                break;
+            }
+            continue;
+        }
+        if (!mayRetry(state, call, result, arrivals, now)) {
+            break;
+        }
+    }
+    const Duration taken = BootClock::now() - call.startedAt;
+    if (answered) {
+        logAnswered(state, origin, "-", answered->answer.status, arrivals, taken);
+        return std::move(answered->answer);
+    }
+    if (!mayHaveRun) {
+        return refuse(state, call, 503, result.reason.c_str(), overloadRetryAfter(state, *call.route));
+    }
+    const int status = result.outcome == TargetOutcome::TimedOut ? 504 : 502;
+    logFailure(state, origin, status, result.reason, arrivals, taken);
+    return makeRefusal(call, status, {});
+}
+
+} // namespace snipestream
--- /dev/null
+++ b/sidecar/entry.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include "http/message.h"
+#include "sidecar/state.h"
+
+#include <optional>
+
+namespace snipestream
+{
+
+/// Serves a request of a caller on this VM, or of the target on it. Empty if the caller left.
+auto serveCaller(SidecarState &state, RequestMessage &request, CancelSignal &cancel) -> std::optional<AnswerMessage>;
+
+} // namespace snipestream
--- /dev/null
+++ b/sidecar/request_log.cpp
@@ -0,0 +1,126 @@
+#include "sidecar/request_log.h"
+
+#include "core/events.h"
+
+#include <cstdio>
+
+namespace snipestream
+{
+
+namespace
+{
+
+auto toMs(Duration duration) -> std::string
+{
+    char text[32];
+    std::snprintf(text, sizeof text, "%.1f", std::chrono::duration<double, std::milli>(duration).count());
+    return text;
+}
+
+auto routeName(const RequestOrigin &origin) -> std::string
+{
+    return origin.route != nullptr ? origin.route->name.value : "-";
+}
+
+auto teamName(const RequestOrigin &origin) -> std::string
+{
+    return origin.team != nullptr ? origin.team->name.value : "-";
+}
+
+void count(SidecarState &state, const RequestOrigin &origin, const char *outcome, const std::string &reason)
+{
+    state.metrics
+        .counter("snipestream_caller_requests_total", "Requests of callers by how they ended",
+                 {{"route", routeName(origin)}, {"outcome", outcome}, {"reason", reason}})
+        .add();
+}
+
+void addEvent(SidecarState &state, EventId id, std::initializer_list<EventField> fields, LineImportance importance)
+{
+    addLine(state.log, formatEvent(id, fields), importance, BootClock::now());
+}
+
+} // namespace
+
+void logRefusal(SidecarState &state, const RequestOrigin &origin, int status, const std::string &reason, Duration retryAfter, Duration taken)
+{
+    count(state, origin, "refused", reason);
+    addEvent(state, EventId::RequestRefused,
+             {{"request", origin.requestId},
+              {"status", std::to_string(status)},
+              {"reason", reason},
+              {"route", routeName(origin)},
+              {"team", teamName(origin)},
+              {"service", origin.service.value},
+              {"policy", std::to_string(origin.policyVersion)},
+              {"policy-age-ms", toMs(BootClock::now() - state.policyConfirmedAt)},
+              {"level", std::to_string(state.levels[origin.service])},
+              {"retry-after-ms", toMs(retryAfter)},
+              {"ms", toMs(taken)}},
+             LineImportance::High);
+}
+
+void logAnswered(SidecarState &state, const RequestOrigin &origin, const std::string &address, int status, int arrivals, Duration taken)
+{
+    count(state, origin, "answered", std::to_string(status));
+    state.metrics.summary("snipestream_caller_request_seconds", "From the whole request to its answer", {{"route", routeName(origin)}})
+        .observe(std::chrono::duration<double>(taken).count());
+    const bool late = origin.route != nullptr && taken > origin.route->targetLatency;
+    addEvent(state, EventId::RequestAnswered,
+             {{"request", origin.requestId},
+              {"status", std::to_string(status)},
+              {"route", routeName(origin)},
+              {"peer", address},
+              {"arrivals", std::to_string(arrivals)},
+              {"policy", std::to_string(origin.policyVersion)},
+              {"ms", toMs(taken)}},
+             late || status >= 400 ? LineImportance::High : LineImportance::Low);
+}
+
+void logRetry(SidecarState &state, const RequestOrigin &origin, const std::string &address, int status, const std::string &reason, Duration taken)
+{
+    addEvent(state, EventId::RequestRetried,
+             {{"request", origin.requestId}, {"status", std::to_string(status)}, {"reason", reason}, {"peer", address}, {"ms", toMs(taken)}},
+             LineImportance::High);
+}
+
+void logTargetRefusal(SidecarState &state, const RequestOrigin &origin, const std::string &address, const std::string &outcome, const std::string &reason,
+                      Duration taken)
+{
+    const auto row = state.peers.rows.find(address);
+    const TargetLoad load = row != state.peers.rows.end() ? row->second.load : TargetLoad{};
+    const std::string age = row != state.peers.rows.end() ? toMs(BootClock::now() - row->second.heardAt) : "-";
+    addEvent(state, EventId::TargetRefusedRequest,
+             {{"request", origin.requestId},
+              {"outcome", outcome},
+              {"reason", reason},
+              {"peer", address},
+              {"running", std::to_string(load.running)},
+              {"waiting", std::to_string(load.waiting)},
+              {"limit", std::to_string(load.limit)},
+              {"report-age-ms", age},
+              {"ms", toMs(taken)}},
+             LineImportance::High);
+}
+
+void logFailure(SidecarState &state, const RequestOrigin &origin, int status, const std::string &reason, int arrivals, Duration taken)
+{
+    count(state, origin, "failed", std::to_string(status));
+    addEvent(state, EventId::RequestFailed,
+             {{"request", origin.requestId},
+              {"status", std::to_string(status)},
+              {"reason", reason},
+              {"route", routeName(origin)},
+              {"arrivals", std::to_string(arrivals)},
+              {"ms", toMs(taken)}},
+             LineImportance::High);
+}
+
+void logAbandoned(SidecarState &state, const RequestOrigin &origin, const std::string &address, Duration taken)
+{
+    count(state, origin, "abandoned", "-");
+    addEvent(state, EventId::RequestAbandoned, {{"request", origin.requestId}, {"route", routeName(origin)}, {"peer", address}, {"ms", toMs(taken)}},
+             LineImportance::Low);
+}
+
+} // namespace snipestream
--- /dev/null
+++ b/sidecar/state.cpp
@@ -0,0 +1,66 @@
+#include "sidecar/state.h"
+
+namespace snipestream
+{
+
+namespace
+{
+
+/// A connection on which a peer or the store acknowledges nothing for this long is dead. Above a few retransmissions on a
+/// link that loses packets, below what a caller's shortest deadline leaves for another try.
+constexpr Duration kDeadPeerTimeout = milliseconds(1500);
+/// Part of a target's own answer timeout; connections on the same VM open in about a millisecond.
+constexpr Duration kTargetConnectTimeout = milliseconds(1000);
+/// Arrivals that the retry ratio counts are summed over all nodes, while a node only knows its own. Calls that a repeated
+/// request makes count again at every service below, so a part of the allowed ratio is used.
+constexpr double kRetryPart = 0.3;
+
+auto peerPoolOptions() -> CallPoolOptions
+{
+    CallPoolOptions options;
+    options.deadPeerTimeout = kDeadPeerTimeout;
+    options.idleTimeout = seconds(25);
+    return options;
+}
+
+auto targetPoolOptions() -> CallPoolOptions
+{
+    CallPoolOptions options;
+    options.connectTimeout = kTargetConnectTimeout;
+    return options;
+}
+
+} // namespace
+
+SidecarState::SidecarState(FiberRuntime &runtimeUsed, SidecarSettings chosen)
+    : runtime(runtimeUsed)
+    , settings(std::move(chosen))
+    , random(systemSeed())
+    , peerPool(runtimeUsed, peerPoolOptions())
+    , targetPool(runtimeUsed, targetPoolOptions())
+    , storePool(runtimeUsed, peerPoolOptions())
+{
+    incarnation = random();
+    peers.ownAddress = settings.address;
+    peers.ownDomain = settings.domain;
+    addAddress(peers, settings.address);
+    rates.tolerance = {settings.rateWindow, settings.rateOvershoot, settings.rateSlack};
+    splits.phase = static_cast<double>(drawBelow(random, 1000)) / 1000;
+}
+
+auto mayServeKeys(const SidecarState &state, TimePoint now) -> bool
+{
+    return state.policy && now - state.policyConfirmedAt < state.settings.keyWithdrawal;
+}
+
+auto isReady(const SidecarState &state, TimePoint now) -> bool
+{
+    return state.policy && !state.leaving && (state.policy->teams.empty() || mayServeKeys(state, now));
+}
+
+auto localLoad(const SidecarState &state) -> TargetLoad
+{
+    return {state.gate.running, static_cast<int>(state.gate.queue.size()), state.gate.limit};
+}
+
+} // namespace snipestream
--- /dev/null
+++ b/sidecar/state.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include "core/line_log.h"
+#include "core/metrics.h"
+#include "core/random.h"
+#include "http/call_pool.h"
+#include "http/message_server.h"
+#include "mesh/peer_table.h"
+#include "mesh/placement.h"
+#include "mesh/policy.h"
+#include "mesh/pressure.h"
+#include "mesh/rate_share.h"
+#include "mesh/split.h"
+#include "mesh/target_gate.h"
+#include "mesh/target_state.h"
+#include "net/fiber_event.h"
+#include "net/fiber_runtime.h"
+#include "platform/store_client.h"
+#include "retry/ratio.h"
+#include "sidecar/settings.h"
+
+#include <map>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace snipestream
+{
+
+/// A request that waits at the gate.
+struct GateWait {
+    FiberEvent event;
+    bool decided = false;
+    bool start = false;
+};
+
+/// Everything that the process knows. All of it lives on one thread; fibers look rows up again after each wait.
+struct SidecarState {
+    SidecarState(FiberRuntime &runtimeUsed, SidecarSettings chosen);
+
+    FiberRuntime &runtime;
+    SidecarSettings settings;
+    Random random;
+    MetricsRegistry metrics;
+    LineLog log;
+    uint64_t incarnation = 0;
+    uint64_t reportSequence = 0;
+
+    /// Empty until the store or a peer gave one.
+    std::shared_ptr<const Policy> policy;
+    std::vector<int> priorities;
+    /// When the read that confirmed the policy was sent: keys withdrawn before are known here.
+    TimePoint policyConfirmedAt;
+    bool keyedSuspended = true;
+
+    PeerTable peers;
+    PlacementSettings placement;
+    SplitTable splits;
+    RateTable rates;
+    std::unordered_map<ServiceName, RetryRatio> retries;
+    /// Shedding level of each service that callers ask for, refreshed with each tick.
+    std::unordered_map<ServiceName, double> levels;
+
+    TargetState target;
+    TargetGate gate;
+    std::unordered_map<GateTicket, GateWait *> waits;
+    PressureState pressure;
+    PressureSettings pressureSettings;
+    /// When the target last called a service.
+    std::map<ServiceName, TimePoint> calledServices;
+    /// Use of the slots summed over the samples of the current window of the shedding level.
+    double useSum = 0;
+    int useSamples = 0;
+
+    CallPool peerPool;
+    CallPool targetPool;
+    CallPool storePool;
+    std::unique_ptr<MessageServer> callerServer;
+    std::unique_ptr<MessageServer> peerServer;
+    std::unique_ptr<MessageServer> readyServer;
+    std::unique_ptr<MessageServer> targetServer;
+    std::unique_ptr<MessageServer> metricsServer;
+
+    bool leaving = false;
+    TimePoint lastRequestAt;
+    /// Set by whoever changed what other nodes should know at once.
+    bool reportSoon = false;
+};
+
+/// Returns whether requests with a key may be served: the policy was confirmed so recently that no key can have been
+/// withdrawn for longer than allowed.
+auto mayServeKeys(const SidecarState &state, TimePoint now) -> bool;
+
+/// Returns whether the node takes requests of callers.
+auto isReady(const SidecarState &state, TimePoint now) -> bool;
+
+/// Returns the load of the local target.
+auto localLoad(const SidecarState &state) -> TargetLoad;
+
+} // namespace snipestream
