Steer admission by the load that arrives, and count repeats beside the target

Cause: the shedding level of each target integrated the use of its slots. It rose to 2.8 of 3 priorities within 1.5 s and fell by 0.2 a second, so a short overload was followed by ten seconds of refusals. A first replacement, a step by the ratio of wanted to present use, swung with a period of 2 s, since the use lags the admission by half a second (ruled out: too little room; the targets were half empty between the swings). A second fault, "cut, no answer": callers that were refused left their connections open until a node had 1,283 and closed further ones at once.

Change: nodes report the work that arrives; the entry steers the admitted part from what was admitted when that load was caused. Answers ask to close when half of the connections are in use. The home node counts repeats per target instead of each entry node for itself. The rates are divided among all known nodes, also those that did not report yet, and no key is served before they are known.

--- a/core/events.cpp
+++ b/core/events.cpp
@@ -76,6 +76,7 @@
         {EventId::RequestAbandoned, Severity::Info, "request-abandoned", "The caller left before its answer."},
         {EventId::TargetRefusedRequest, Severity::Warning, "target-refused-request", "The node beside the target, or the target, did not run a request."},
         {EventId::TargetAnswerInvalid, Severity::Warning, "target-answer-invalid", "A target's answer was incomplete or belongs to another request."},
+        {EventId::TargetLoadSampled, Severity::Info, "target-load-sampled", "Load of the local target and of its queue, once a second."},
         {EventId::TargetEjected, Severity::Warning, "target-ejected", "A target failed repeatedly and gets no work."},
         {EventId::TargetReturned, Severity::Info, "target-returned", "An ejected target gets work again."},
         {EventId::TargetAnnounced, Severity::Info, "target-announced", "A target announced itself to this node."},
--- a/core/events.h
+++ b/core/events.h
@@ -56,6 +56,7 @@
     RequestAbandoned = 6005,
     TargetRefusedRequest = 6006,
     TargetAnswerInvalid = 6007,
+    TargetLoadSampled = 6008,
     TargetEjected = 7001,
     TargetReturned = 7002,
     TargetAnnounced = 7003,
--- a/http/message_server.cpp
+++ b/http/message_server.cpp
@@ -28,6 +28,9 @@
 constexpr Duration kSweepInterval = milliseconds(250);
 /// How long the server waits before it accepts again after an error such as too many open files.
 constexpr Duration kAcceptBackoff = milliseconds(50);
+/// Part of the connections above which every answer asks its caller to close: a caller that was refused comes back on a
+/// new connection and leaves the old one open.
+constexpr double kCrowdedPart = 0.5;
 /// How long a connection that the server closes may still deliver bytes. Closing with unread bytes would reset it and
 /// could destroy the answer on its way.
 constexpr Duration kLingerTime = seconds(1);
@@ -239,7 +242,8 @@
         --activeRequests;
         return false;
     }
-    const bool closeAfter = closing || !request.keepAlive;
+    const bool crowded = static_cast<double>(connections.size()) > kCrowdedPart * static_cast<double>(options.maxConnections);
+    const bool closeAfter = closing || !request.keepAlive || crowded;
     const std::string out = serializeAnswer(*answer, closeAfter, withoutBody);
     connection->deadline = BootClock::now() + options.bodyTimeout;
     const IoResult sent = awaitIo([&](auto done) {
--- a/mesh/peer_table.h
+++ b/mesh/peer_table.h
@@ -59,8 +59,8 @@
     /// Mean time that the target takes for a request, in milliseconds.
     double serviceMs = 0;
     Duration coldLeft{};
-    /// Part of the client requests that the target's load asks callers to shed; see pressure.h.
-    double sheddingLevel = 0;
+    /// Work that arrives at the target, as a part of what its slots can do; see offered_load.h.
+    double offeredLoad = 0;
     /// Services that the target called in the last seconds.
     std::vector<ServiceName> calledServices;
     uint64_t policyVersion = 0;
@@ -70,7 +70,7 @@
     {
         return a.node == b.node && a.address == b.address && a.incarnation == b.incarnation && a.sequence == b.sequence && a.domain == b.domain
             && a.service == b.service && a.instance == b.instance && a.serving == b.serving && a.leaving == b.leaving && a.load == b.load
-            && a.serviceMs == b.serviceMs && a.coldLeft == b.coldLeft && a.sheddingLevel == b.sheddingLevel && a.calledServices == b.calledServices
+            && a.serviceMs == b.serviceMs && a.coldLeft == b.coldLeft && a.offeredLoad == b.offeredLoad && a.calledServices == b.calledServices
             && a.policyVersion == b.policyVersion && a.demand == b.demand;
     }
 };
--- a/mesh/placement.cpp
+++ b/mesh/placement.cpp
@@ -13,6 +13,10 @@
 /// one in the caller's own failure domain, which holds a quarter to a third of them.
 constexpr size_t kSampledTargets = 4;
 
+/// One request in so many ignores how slow the targets were, so that a target that got no requests for being slow is
+/// measured again.
+constexpr uint64_t kExploreOneIn = 40;
+
 auto isCandidate(const PeerRow &row, const ServiceName &service, const std::vector<std::string> &tried) -> bool
 {
     return row.report && row.report->service == service && row.report->serving && !row.report->leaving
@@ -52,6 +56,7 @@
 {
     std::vector<PeerRow *> candidates;
     double fastestMs = 0;
+    const bool explores = drawBelow(random, kExploreOneIn) == 0;
     for (auto &[address, row] : table.rows) {
         if (!isCandidate(row, service, tried)) {
             continue;
@@ -78,7 +83,7 @@
     double bestRate = std::numeric_limits<double>::max();
     for (PeerRow *const row : candidates) {
         // The random part breaks ties between equal targets.
-        const double rated = rate(table, settings, *row, fastestMs, now) + 0.01 * static_cast<double>(drawBelow(random, 100)) / 100;
+        const double rated = rate(table, settings, *row, explores ? 0 : fastestMs, now) + 0.01 * static_cast<double>(drawBelow(random, 100)) / 100;
         if (rated < bestRate) {
             bestRate = rated;
             best = row;
--- a/mesh/pressure.h
+++ b/mesh/pressure.h
@@ -5,46 +5,65 @@
 #include "mesh/peer_table.h"
 #include "mesh/policy.h"
 
+#include <deque>
 #include <string_view>
 #include <vector>
 
 namespace snipestream
 {
 
-/// Constants of the shedding level of one target.
-struct PressureSettings {
-    /// Time between two steps of the level.
+/// Constants of the admission of callers' requests to one service.
+struct AdmissionControlSettings {
+    /// Time between two steps.
     Duration window = milliseconds(100);
-    /// Use of the slots, waiting requests included, above which the level rises. Below one, so that a slot is free for
-    /// most requests when they arrive.
-    double wantedUse = 0.92;
-    /// Part of the lowest priority that one window sheds for an excess of a whole target's slots. News of the level and
-    /// the requests already admitted take about four windows, so a larger step overshoots.
-    double riseGain = 0.15;
-    double mostRise = 0.15;
-    /// Part that one window admits again.
-    double fall = 0.02;
+    /// Load of the slots that the admitted part is steered to. Below one, so that a queue gets shorter again.
+    double wantedLoad = 0.95;
+    /// Time from the admission of a request to the report of the load that it caused below: a report's interval, the
+    /// averaging of the load, and the calls in between.
+    Duration reportDelay = milliseconds(500);
+    /// Part of the difference to the right admission that one window corrects.
+    double gain = 0.3;
+    /// Largest growth against the admission that caused the load, since little load says little about much.
+    double mostGrowth = 1.5;
+    /// Part that is always let through, so that the end of an overload is noticed.
+    double leastAdmitted = 0.03;
 };
 
-/// Shedding level of one target. Level 1 sheds all client requests of the least important priority, level 2 those of the
-/// next one too.
-struct PressureState {
-    double level = 0;
+/// Admission of callers' requests to one service at the node where they enter: before any work was done for them, and
+/// the least important first.
+struct AdmissionControl {
+    /// Part of the arriving requests that is let through.
+    double admitted = 1;
     TimePoint steppedAt;
+    /// Admitted part of the last windows, the latest one last.
+    std::deque<double> history;
+    /// Arrivals by class, decayed over about a second. Classes are in the order in which they are shed.
+    std::vector<double> arrivals;
+    TimePoint decayedAt;
 };
 
-/// Moves the level if a window has passed. `use` is the part of the slots that running and waiting requests take.
-void stepPressure(PressureState &state, const PressureSettings &settings, double use, int priorities, TimePoint now);
-
-/// Returns the priorities that client requests of the policy can have, the least important one first.
+/// Returns the priorities that callers' requests can have under the policy, the least important one first.
 auto clientPriorities(const Policy &policy) -> std::vector<int>;
 
-/// Returns the level that holds for requests to a service: the mean over its targets, or the highest one of the services
-/// that its targets call, at any depth. A request is best shed where it enters, before any work was done for it.
-auto serviceLevel(const PeerTable &table, const ServiceName &service, TimePoint now) -> double;
+/// Returns the class of a request. Within a priority, a request that comes back after a refusal is shed after those that
+/// come for the first time: its caller was told to come back, and waits already.
+auto shedClass(const std::vector<int> &priorities, int priority, bool isReturning) -> size_t;
+
+/// Returns the load of the targets of the service together, or of the service called by them, at any depth, where it is
+/// highest.
+auto serviceLoad(const PeerTable &table, const ServiceName &service, TimePoint now) -> double;
+
+/// Counts an arrival.
+void countArrival(AdmissionControl &control, size_t shedClass, TimePoint now);
+
+/// Moves the admitted part towards the one that causes the wanted load, if a window has passed. `load` was caused by what
+/// was admitted before the report delay; correcting what is admitted now by it would make the admission swing.
+void stepAdmission(AdmissionControl &control, const AdmissionControlSettings &settings, double load, TimePoint now);
+
+/// Returns the part of the class that is shed.
+auto shedPart(const AdmissionControl &control, size_t shedClass) -> double;
 
-/// Returns whether a client request of this priority is shed at the level. The part of a priority that is shed is chosen
-/// by the hash of the request id.
-auto isShedAt(double level, const std::vector<int> &priorities, int priority, std::string_view requestId) -> bool;
+/// Returns whether a request of the class is shed; which ones are, the hash of the request id decides.
+auto isShed(const AdmissionControl &control, size_t shedClass, std::string_view requestId) -> bool;
 
 } // namespace snipestream
--- a/mesh/rate_share.cpp
+++ b/mesh/rate_share.cpp
@@ -74,12 +74,12 @@
 void shareRates(RateTable &table, const Policy &policy, const PeerTable &peers, TimePoint now)
 {
     std::unordered_map<std::string, double> elsewhere;
-    size_t nodes = 1;
+    // Nodes without a report so far count: they serve as well.
+    const size_t nodes = std::max<size_t>(peers.rows.size(), 1);
     for (const auto &[address, row] : peers.rows) {
         if (address == peers.ownAddress || !row.report) {
             continue;
         }
-        ++nodes;
         for (const auto &demand : row.report->demand) {
             elsewhere[demand.team.value] += demand.perSecond;
         }
--- a/mesh/report_codec.cpp
+++ b/mesh/report_codec.cpp
@@ -60,7 +60,7 @@
         {"l", report.load.limit},
         {"ms", static_cast<float>(report.serviceMs)},
         {"c", duration_cast<milliseconds>(report.coldLeft).count()},
-        {"p", static_cast<float>(report.sheddingLevel)},
+        {"u", static_cast<float>(report.offeredLoad)},
         {"o", std::move(called)},
         {"pv", report.policyVersion},
         {"m", std::move(demand)},
@@ -97,7 +97,7 @@
     report.load.limit = static_cast<int>(fields.integer("l", 1, kMostSlots));
     report.serviceMs = finite(object, "ms", fields);
     report.coldLeft = milliseconds(fields.integer("c", 0, std::numeric_limits<int>::max()));
-    report.sheddingLevel = finite(object, "p", fields);
+    report.offeredLoad = finite(object, "u", fields);
     for (const auto &service : fields.array("o")) {
         if (service.is_string()) {
             report.calledServices.emplace_back(service.get<std::string>());
--- a/mesh/target_gate.cpp
+++ b/mesh/target_gate.cpp
@@ -50,6 +50,7 @@
 auto offerRequest(TargetGate &gate, const GateRequest &request, TimePoint now) -> GateOffer
 {
     const GateTicket ticket = gate.nextTicket++;
+    addWork(gate.offered, std::chrono::duration<double>(expectedService(gate, request.workKind)).count() / gate.limit, now);
     if (gate.running < gate.limit && gate.queue.empty()) {
         ++gate.running;
         return {GateVerdict::Run, ticket};
--- a/mesh/target_gate.h
+++ b/mesh/target_gate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "mesh/offered_load.h"
 
 #include <cstdint>
 #include <map>
@@ -53,6 +54,7 @@
     int limit = 1;
     int running = 0;
     GateTicket nextTicket = 1;
+    OfferedLoad offered;
     /// Waiting requests by rank, then by the moment at which their answer loses worth.
     std::map<std::pair<int, std::pair<TimePoint, GateTicket>>, GateWaiter> queue;
     /// Mean time that the target takes for a request, in seconds: of all, and by kind of work.
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -65,8 +65,24 @@
 auto overloadRetryAfter(SidecarState &state, const RoutePolicy &route) -> Duration
 {
     const double latency = std::chrono::duration<double>(route.targetLatency).count();
-    const double spread = 0.5 + static_cast<double>(drawBelow(state.random, 1000)) / 1000;
-    return duration_cast<Duration>(std::chrono::duration<double>(std::max(0.05, latency * 0.4) * spread));
+    const double spread = 0.6 + 0.8 * static_cast<double>(drawBelow(state.random, 1000)) / 1000;
+    /// Part of the target latency: a caller that comes back then can still be answered in time.
+    constexpr double kLatencyPart = 0.4;
+    return duration_cast<Duration>(std::chrono::duration<double>(std::max(0.02, latency * kLatencyPart) * spread));
+}
+
+/// Returns whether the caller was refused before and comes back: it has clearly less time left than callers of the route
+/// have at first. One that repeats at once instead of waiting does not count.
+auto isReturning(SidecarState &state, const EntryCall &call) -> bool
+{
+    /// Part of the target latency that a returning caller has waited at least.
+    constexpr int kLeastWaitDivisor = 8;
+    if (!call.caller.timeLeft) {
+        return false;
+    }
+    auto &longest = state.longestTimeLeft[call.route->name];
+    longest = std::max(longest, *call.caller.timeLeft);
+    return longest - *call.caller.timeLeft > call.route->targetLatency / kLeastWaitDivisor;
 }
 
 /// Finds route, team and service. Returns a refusal if the request cannot be served.
@@ -114,8 +130,13 @@
         }
         call.tokenTaken = call.team->ratePerSecond > 0;
     }
-    if (!call.isInner && isShedAt(state.levels[call.service], state.priorities, call.priority, call.caller.requestId)) {
-        return refuse(state, call, 503, "shed", overloadRetryAfter(state, *call.route));
+    if (!call.isInner) {
+        auto &control = state.admission[call.service];
+        const size_t kind = shedClass(state.priorities, call.priority, isReturning(state, call));
+        countArrival(control, kind, now);
+        if (isShed(control, kind, call.caller.requestId)) {
+            return refuse(state, call, 503, "shed", overloadRetryAfter(state, *call.route));
+        }
     }
     return std::nullopt;
 }
@@ -138,36 +159,13 @@
     return routed;
 }
 
-auto retriesOf(SidecarState &state, const ServiceName &service) -> RetryRatio &
-{
-    const auto found = state.retries.find(service);
-    if (found != state.retries.end()) {
-        return found->second;
-    }
-    RetryRatio ratio;
-    /// Part of the allowed ratio that is used: calls that a repeated request makes count again at the services below.
-    constexpr double kRatioPart = 0.3;
-    ratio.settings.ratio = state.settings.retryRatio * kRatioPart;
-    ratio.settings.leastRetries = std::max(1, static_cast<int>(state.settings.retrySlack * kRatioPart / static_cast<double>(state.peers.rows.size())));
-    return state.retries.emplace(service, ratio).first->second;
-}
-
 /// Whether another target may be asked after this result.
-auto mayRetry(SidecarState &state, const EntryCall &call, const TargetResult &result, int arrivals, TimePoint now) -> bool
+auto mayRetry(const EntryCall &call, const TargetResult &result, int arrivals, TimePoint now) -> bool
 {
     if (now + kLeastTimeForRetry >= call.deadline || arrivals >= call.route->maxAttempts) {
         return false;
     }
-    const bool isSafe = result.outcome == TargetOutcome::NotRun || call.route->idempotent;
-    if (!isSafe) {
-        return false;
-    }
-    auto &ratio = retriesOf(state, call.service);
-    if (!allowsRetry(ratio, now)) {
-        return false;
-    }
-    countRetry(ratio, now);
-    return true;
+    return result.outcome == TargetOutcome::NotRun || call.route->idempotent;
 }
 
 auto runOnce(SidecarState &state, const std::string &address, const RoutedRequest &routed, CancelSignal &cancel) -> TargetResult
@@ -210,7 +208,6 @@
     }
     const RequestOrigin origin{call.caller.requestId, call.route, call.team, call.service, call.policy->version};
     RoutedRequest routed = makeRouted(state, call, std::move(request));
-    countFirstAttempt(retriesOf(state, call.service), call.startedAt);
     std::vector<std::string> tried;
     std::optional<TargetResult> answered;
     TargetResult result;
@@ -225,6 +222,7 @@
         const std::string address = chosen->address;
         tried.push_back(address);
         routed.instance = chosen->report->instance;
+        routed.earlierArrivals = arrivals;
         result = runOnce(state, address, routed, cancel);
         const TimePoint now = BootClock::now();
         if (cancel.isCancelled() || result.outcome == TargetOutcome::Cancelled) {
@@ -236,7 +234,7 @@
         if (result.outcome == TargetOutcome::Answered) {
             mayHaveRun = true;
             const bool failed = result.answer.status >= 500;
-            if (!failed || !mayRetry(state, call, result, arrivals, now)) {
+            if (!failed || !mayRetry(call, result, arrivals, now)) {
                 logAnswered(state, origin, address, result.answer.status, arrivals, now - call.startedAt);
                 return std::move(result.answer);
             }
@@ -254,7 +252,7 @@
             }
             continue;
         }
-        if (!mayRetry(state, call, result, arrivals, now)) {
+        if (!mayRetry(call, result, arrivals, now)) {
             break;
         }
     }
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -3,6 +3,8 @@
 #include "core/events.h"
 #include "platform/request_fields.h"
 
+#include <algorithm>
+
 namespace snipestream
 {
 
@@ -81,6 +83,30 @@
     return result;
 }
 
+/// Returns whether the target may see a request that another target saw before. All such arrivals at a service pass the
+/// nodes beside its targets, so each of them allows its part of what the service may get.
+auto mayRepeat(SidecarState &state, const RoutedRequest &request, TimePoint now) -> bool
+{
+    /// Part of the allowed ratio that is used at a service that calls no other. The calls of a repeated request count as
+    /// repeats again at every service below, so the services above share a smaller part.
+    constexpr double kLeafPart = 0.6;
+    constexpr double kCallerPart = 0.1;
+    /// Part of it that calls of running requests may use: one caller's request is answered by one repeat, while a request
+    /// that makes many calls needs many.
+    constexpr double kInnerPart = 0.5;
+    /// Part of the absolute allowance that all targets of a service share.
+    constexpr double kSlackPart = 0.3;
+    size_t targets = 0;
+    for (const auto &[address, row] : state.peers.rows) {
+        targets += row.report && row.report->service == state.settings.service ? 1 : 0;
+    }
+    const bool isLeaf = state.calledServices.empty();
+    const double part = (isLeaf ? kLeafPart : kCallerPart) * (request.isInner ? kInnerPart : 1);
+    state.repeats.settings.ratio = state.settings.retryRatio * part;
+    state.repeats.settings.leastRetries = static_cast<int>(state.settings.retrySlack * kSlackPart * part / static_cast<double>(std::max<size_t>(targets, 1)));
+    return allowsRetry(state.repeats, now);
+}
+
 auto callTarget(SidecarState &state, const RoutedRequest &request, CancelSignal &cancel) -> TargetResult
 {
     RequestMessage message = request.message;
@@ -141,12 +167,18 @@
 
 auto runAtTarget(SidecarState &state, const RoutedRequest &request, CancelSignal &cancel) -> TargetResult
 {
+    const TimePoint arrivedAt = BootClock::now();
     const auto isMeant = [&state, &request] {
         return isServing(state.target) && state.target.latest->instance == request.instance;
     };
     if (!isMeant()) {
         return notRun("target-not-serving", false);
     }
+    if (request.earlierArrivals == 0) {
+        countFirstAttempt(state.repeats, arrivedAt);
+    } else if (!mayRepeat(state, request, arrivedAt)) {
+        return notRun("retry-budget-spent", false);
+    }
     const std::string refused = takeSlot(state, request, cancel);
     TargetResult result;
     if (!refused.empty()) {
@@ -162,6 +194,9 @@
     } else if (!isMeant()) {
         result = notRun("target-not-serving", false);
     } else {
+        if (request.earlierArrivals > 0) {
+            countRetry(state.repeats, startedAt);
+        }
         result = callTarget(state, request, cancel);
         const bool tells = result.outcome == TargetOutcome::Answered || result.outcome == TargetOutcome::TimedOut;
         service = tells ? BootClock::now() - startedAt : Duration::zero();
--- a/sidecar/home.h
+++ b/sidecar/home.h
@@ -24,6 +24,8 @@
     bool isInner = false;
     uint64_t workKind = 0;
     TimePoint deadline;
+    /// Targets that saw the request before this one.
+    int earlierArrivals = 0;
 };
 
 /// How a request at a target ended.
--- a/sidecar/peer_call.cpp
+++ b/sidecar/peer_call.cpp
@@ -14,7 +14,7 @@
 {
 
 /// Carries what the entry node decided: instance, rank, target latency in ms, inner flag, kind of work, time left in ms,
-/// service of the caller, and the team or "-".
+/// service of the caller, the team or "-", and the targets that saw the request before.
 constexpr const char *kRoutedField = "Sns-Routed";
 /// Carries how the request ended, whether the target saw it, and the load of the target.
 constexpr const char *kOutcomeField = "Sns-Outcome";
@@ -45,7 +45,8 @@
     RequestMessage message = request.message;
     std::ostringstream field;
     field << request.instance << ' ' << request.rank << ' ' << toMs(request.targetLatency) << ' ' << (request.isInner ? 1 : 0) << ' ' << request.workKind << ' '
-          << toMs(request.deadline - now) << ' ' << request.callerService << ' ' << (request.team.empty() ? "-" : request.team.value);
+          << toMs(request.deadline - now) << ' ' << request.callerService << ' ' << (request.team.empty() ? "-" : request.team.value) << ' '
+          << request.earlierArrivals;
     removeHeader(message.headers, kRoutedField);
     message.headers.emplace_back(kRoutedField, field.str());
     return message;
@@ -64,8 +65,8 @@
     int inner = 0;
     std::string caller;
     std::string team;
-    if (!(text >> request.instance >> request.rank >> latencyMs >> inner >> request.workKind >> leftMs >> caller >> team) || latencyMs < 0
-        || latencyMs > kMostMs || leftMs > kMostMs) {
+    if (!(text >> request.instance >> request.rank >> latencyMs >> inner >> request.workKind >> leftMs >> caller >> team >> request.earlierArrivals)
+        || latencyMs < 0 || latencyMs > kMostMs || leftMs > kMostMs) {
         return failure(ErrorCode::InvalidInput, "the routing field '" + std::string(*field) + "' of a peer is not valid");
     }
     request.targetLatency = milliseconds(latencyMs);
--- a/sidecar/policy_reader.cpp
+++ b/sidecar/policy_reader.cpp
@@ -150,6 +150,7 @@
             }
         }
         state.reportSoon = true;
+        state.knowsPeers = true;
         logEvent(EventId::RosterRead, {{"nodes", std::to_string(page.value().records.size())}});
         state.runtime.sleepFor(kRosterInterval + milliseconds(drawBelow(state.random, 5000)));
     }
--- a/sidecar/reports.cpp
+++ b/sidecar/reports.cpp
@@ -40,6 +40,20 @@
     std::array<char, 65536> buffer{};
 };
 
+namespace
+{
+
+/// Returns the load that arrives at the target, raised while requests wait, so that the queue is worked off.
+auto reportedLoad(const SidecarState &state, TimePoint now) -> double
+{
+    /// Part of a full set of waiting requests that counts as load.
+    constexpr double kQueueWeight = 0.15;
+    const TargetLoad load = localLoad(state);
+    return offeredAt(state.gate.offered, now) + kQueueWeight * load.waiting / std::max(load.limit, 1);
+}
+
+} // namespace
+
 auto makeReport(SidecarState &state, TimePoint now) -> NodeReport
 {
     NodeReport report;
@@ -58,7 +72,7 @@
     report.leaving = state.leaving;
     report.load = localLoad(state);
     report.serviceMs = state.gate.meanService * 1000;
-    report.sheddingLevel = state.pressure.level;
+    report.offeredLoad = reportedLoad(state, now);
     for (const auto &[service, calledAt] : state.calledServices) {
         if (now - calledAt < kCalledFor) {
             report.calledServices.push_back(service);
@@ -86,6 +100,7 @@
         return;
     }
     logEvent(EventId::PeerFound, {{"peer", told.address}, {"node", told.node.value}, {"service", told.service.value}, {"instance", told.instance}});
+    sidecar.knowsPeers = true;
     sidecar.peerPool.closeIdle({told.address, sidecar.settings.peerListen.port});
     // The node knows nothing yet; the next report in turn would let it wait.
     sidecar.reportSoon = true;
--- a/sidecar/request_log.cpp
+++ b/sidecar/request_log.cpp
@@ -35,6 +35,12 @@
         .add();
 }
 
+auto admittedText(const SidecarState &state, const ServiceName &service) -> std::string
+{
+    const auto found = state.admission.find(service);
+    return found == state.admission.end() ? "-" : std::to_string(found->second.admitted);
+}
+
 void addEvent(SidecarState &state, EventId id, std::initializer_list<EventField> fields, LineImportance importance)
 {
     addLine(state.log, formatEvent(id, fields), importance, BootClock::now());
@@ -54,7 +60,7 @@
               {"service", origin.service.value},
               {"policy", std::to_string(origin.policyVersion)},
               {"policy-age-ms", toMs(BootClock::now() - state.policyConfirmedAt)},
-              {"level", std::to_string(state.levels[origin.service])},
+              {"admitted", admittedText(state, origin.service)},
               {"retry-after-ms", toMs(retryAfter)},
               {"ms", toMs(taken)}},
              LineImportance::High);
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -26,6 +26,7 @@
 
 /// How often queues, levels and reports are looked at. Requests start without it; it only bounds how late news is.
 constexpr Duration kTick = milliseconds(25);
+constexpr Duration kSampleInterval = seconds(1);
 /// How often the parts of the rates are divided anew.
 constexpr Duration kShareInterval = milliseconds(250);
 /// After the stop signal, callers learn within two questions, a second apart, that the node takes no new work.
@@ -64,6 +65,7 @@
     void tick();
     void stepLoad(TimePoint now);
     void noteSilentPeers(TimePoint now);
+    void sampleLoad(TimePoint now);
     void noteKeyedService(TimePoint now);
     void checkStop(TimePoint now);
 
@@ -72,6 +74,7 @@
     asio::steady_timer tickTimer;
     TimePoint reportedAt;
     TimePoint stopRequestedAt;
+    TimePoint sampledAt;
     std::map<std::string, bool> wasAlive;
     bool stopped = false;
 };
@@ -80,17 +83,23 @@
 {
     auto &runtime = sidecar.runtime;
     const auto &settings = sidecar.settings;
-    const size_t perServer = static_cast<size_t>((settings.maxDescriptors - std::min(settings.maxDescriptors / 2, kReservedDescriptors)) / 3);
-    const auto make = [&](const char *name, const Endpoint &listen, MessageHandler handler) {
+    const size_t descriptors = static_cast<size_t>(settings.maxDescriptors - std::min(settings.maxDescriptors / 2, kReservedDescriptors));
+    // Callers and peers may fill half and a quarter; the rest is for connections that this node opens.
+    const size_t forCallers = descriptors / 2;
+    const size_t perServer = descriptors / 4;
+    const auto make = [&](const char *name, const Endpoint &listen, MessageHandler handler, size_t connections = 64) {
         MessageServerOptions options;
         options.name = name;
         options.listen = listen;
-        options.maxConnections = perServer;
+        options.maxConnections = connections;
         return std::make_unique<MessageServer>(runtime, options, std::move(handler));
     };
-    sidecar.callerServer = make("caller", settings.callerListen, [this](RequestMessage &request, CancelSignal &cancel) {
-        return serveCaller(sidecar, request, cancel);
-    });
+    sidecar.callerServer = make(
+        "caller", settings.callerListen,
+        [this](RequestMessage &request, CancelSignal &cancel) {
+            return serveCaller(sidecar, request, cancel);
+        },
+        forCallers);
     {
         MessageServerOptions options;
         options.name = "peer";
@@ -205,19 +214,32 @@
 
 void Sidecar::State::stepLoad(TimePoint now)
 {
-    const TargetLoad load = localLoad(sidecar);
-    sidecar.useSum += static_cast<double>(load.running + load.waiting) / std::max(load.limit, 1);
-    ++sidecar.useSamples;
-    if (now - sidecar.pressure.steppedAt < sidecar.pressureSettings.window) {
+    for (auto &[service, control] : sidecar.admission) {
+        if (now - control.steppedAt >= sidecar.admissionSettings.window) {
+            stepAdmission(control, sidecar.admissionSettings, serviceLoad(sidecar.peers, service, now), now);
+        }
+    }
+}
+
+void Sidecar::State::sampleLoad(TimePoint now)
+{
+    if (now - sampledAt < kSampleInterval) {
         return;
     }
-    const double use = sidecar.useSum / sidecar.useSamples;
-    sidecar.useSum = 0;
-    sidecar.useSamples = 0;
-    stepPressure(sidecar.pressure, sidecar.pressureSettings, use, static_cast<int>(sidecar.priorities.size()), now);
-    for (auto &[service, level] : sidecar.levels) {
-        level = serviceLevel(sidecar.peers, service, now);
+    sampledAt = now;
+    const TargetLoad load = localLoad(sidecar);
+    std::string admitted;
+    for (const auto &[service, control] : sidecar.admission) {
+        admitted.append(admitted.empty() ? "" : ",").append(service.value).append(":").append(std::to_string(control.admitted));
     }
+    logEvent(EventId::TargetLoadSampled,
+             {{"running", std::to_string(load.running)},
+              {"waiting", std::to_string(load.waiting)},
+              {"limit", std::to_string(load.limit)},
+              {"load", std::to_string(offeredAt(sidecar.gate.offered, now))},
+              {"service-ms", std::to_string(sidecar.gate.meanService * 1000)},
+              {"callers", std::to_string(sidecar.callerServer->activeRequests())},
+              {"admitted", admitted.empty() ? "-" : admitted}});
 }
 
 void Sidecar::State::noteSilentPeers(TimePoint now)
@@ -278,6 +300,7 @@
     advanceGate(sidecar, now);
     stepLoad(now);
     noteKeyedService(now);
+    sampleLoad(now);
     if (sidecar.policy && now - sidecar.rates.sharedAt >= kShareInterval) {
         shareRates(sidecar.rates, *sidecar.policy, sidecar.peers, now);
         noteSilentPeers(now);
@@ -358,7 +381,6 @@
     sidecar.settings.retryRatio = settings.retryRatio;
     sidecar.settings.retrySlack = settings.retrySlack;
     sidecar.rates.tolerance = {settings.rateWindow, settings.rateOvershoot, settings.rateSlack};
-    sidecar.retries.clear();
     logEvent(EventId::SettingsReloaded, {{"node", sidecar.settings.node.value}});
 }
 
--- a/sidecar/state.cpp
+++ b/sidecar/state.cpp
@@ -9,12 +9,8 @@
 /// A connection on which a peer or the store acknowledges nothing for this long is dead. Above a few retransmissions on a
 /// link that loses packets, below what a caller's shortest deadline leaves for another try.
 constexpr Duration kDeadPeerTimeout = milliseconds(1500);
-/// Part of a target's own answer timeout; connections on the same VM open in about a millisecond.
+/// Connections on the same VM open in about a millisecond; a target that needs a second takes none.
 constexpr Duration kTargetConnectTimeout = milliseconds(1000);
-/// Arrivals that the retry ratio counts are summed over all nodes, while a node only knows its own. Calls that a repeated
-/// request makes count again at every service below, so a part of the allowed ratio is used.
-constexpr double kRetryPart = 0.3;
-
 auto peerPoolOptions() -> CallPoolOptions
 {
     CallPoolOptions options;
@@ -50,7 +46,7 @@
 
 auto mayServeKeys(const SidecarState &state, TimePoint now) -> bool
 {
-    return state.policy && now - state.policyConfirmedAt < state.settings.keyWithdrawal;
+    return state.policy && state.knowsPeers && now - state.policyConfirmedAt < state.settings.keyWithdrawal;
 }
 
 auto isReady(const SidecarState &state, TimePoint now) -> bool
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -57,20 +57,21 @@
     PlacementSettings placement;
     SplitTable splits;
     RateTable rates;
-    std::unordered_map<ServiceName, RetryRatio> retries;
-    /// Shedding level of each service that callers ask for, refreshed with each tick.
-    std::unordered_map<ServiceName, double> levels;
+    AdmissionControlSettings admissionSettings;
+    /// By service that callers ask for.
+    std::unordered_map<ServiceName, AdmissionControl> admission;
+    /// Longest time that callers of a route gave; one who gives clearly less comes back after a refusal.
+    std::unordered_map<RouteName, Duration> longestTimeLeft;
+    /// The other nodes were read from the store, or one of them was heard of.
+    bool knowsPeers = false;
 
     TargetState target;
     TargetGate gate;
+    /// First and repeated requests that reached the local target.
+    RetryRatio repeats;
     std::unordered_map<GateTicket, GateWait *> waits;
-    PressureState pressure;
-    PressureSettings pressureSettings;
     /// When the target last called a service.
     std::map<ServiceName, TimePoint> calledServices;
-    /// Use of the slots summed over the samples of the current window of the shedding level.
-    double useSum = 0;
-    int useSamples = 0;
 
     CallPool peerPool;
     CallPool targetPool;
@@ -88,7 +89,7 @@
 };
 
 /// Returns whether requests with a key may be served: the policy was confirmed so recently that no key can have been
-/// withdrawn for longer than allowed.
+/// withdrawn for longer than allowed, and the node knows with how many others it shares the rates.
 auto mayServeKeys(const SidecarState &state, TimePoint now) -> bool;
 
 /// Returns whether the node takes requests of callers.
