Keep the rates' sum over restarts and partitions

A node that had read the configuration before the list of nodes counted itself as the only one: it gave itself the whole rate, and collected 72 tokens in the quarter of a second until it knew the others (samples of the shares: 77 requests a node in the first second, 20 expected). Ruled out: shares that add up to more than the rate in steady state (they sum to 280 to 297 of 287), reports that are late.

Change: shares are divided only once the others are known, from the store or after several report intervals. Reports carry the share; nodes that are silent keep theirs and the others divide the rest, so both sides of a partition together stay within the rate.

--- a/mesh/peer_table.h
+++ b/mesh/peer_table.h
@@ -31,10 +31,12 @@
 struct TeamDemand {
     TeamName team;
     double perSecond = 0;
+    /// Part of the team's rate that the node lets pass a second.
+    double share = 0;
 
     friend auto operator==(const TeamDemand &a, const TeamDemand &b) -> bool
     {
-        return a.team == b.team && a.perSecond == b.perSecond;
+        return a.team == b.team && a.perSecond == b.perSecond && a.share == b.share;
     }
 };
 
--- a/mesh/rate_share.cpp
+++ b/mesh/rate_share.cpp
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <cmath>
-#include <string>
 
 namespace snipestream
 {
@@ -34,6 +33,36 @@
     return std::max(1.0, kToleranceUsed * over * (part + equalPart) / 2);
 }
 
+/// What the other nodes want and hold of each team's rate.
+struct Elsewhere {
+    std::unordered_map<TeamName, double> demand;
+    /// Shares of nodes that are not heard of. They go on with them behind a partition, and take no more, since they in turn
+    /// do not hear of this side.
+    std::unordered_map<TeamName, double> silentShare;
+};
+
+auto sumElsewhere(const PeerTable &peers, TimePoint now) -> Elsewhere
+{
+    Elsewhere sums;
+    for (const auto &[address, row] : peers.rows) {
+        if (address == peers.ownAddress || !row.report) {
+            continue;
+        }
+        const bool alive = isAlive(peers, row, now);
+        if (!alive && row.report->leaving) {
+            continue;
+        }
+        for (const auto &demand : row.report->demand) {
+            if (alive) {
+                sums.demand[demand.team] += demand.perSecond;
+            } else {
+                sums.silentShare[demand.team] += demand.share;
+            }
+        }
+    }
+    return sums;
+}
+
 auto decayed(const RateRow &row, TimePoint now) -> double
 {
     return row.demand * std::exp(-secondsBetween(row.countedAt, now) / kDemandSeconds);
@@ -60,6 +89,7 @@
         return false;
     }
     row.tokens -= 1;
+    ++row.taken;
     return true;
 }
 
@@ -68,22 +98,15 @@
     const auto found = table.rows.find(team.name);
     if (found != table.rows.end() && team.ratePerSecond > 0) {
         found->second.tokens += 1;
+        --found->second.taken;
     }
 }
 
 void shareRates(RateTable &table, const Policy &policy, const PeerTable &peers, TimePoint now)
 {
-    std::unordered_map<std::string, double> elsewhere;
+    const Elsewhere elsewhere = sumElsewhere(peers, now);
     // Nodes without a report so far count: they serve as well.
-    const size_t nodes = std::max<size_t>(peers.rows.size(), 1);
-    for (const auto &[address, row] : peers.rows) {
-        if (address == peers.ownAddress || !row.report) {
-            continue;
-        }
-        for (const auto &demand : row.report->demand) {
-            elsewhere[demand.team.value] += demand.perSecond;
-        }
-    }
+    const auto nodes = static_cast<double>(std::max<size_t>(peers.rows.size(), 1));
     for (const auto &team : policy.teams) {
         if (team.ratePerSecond <= 0) {
             continue;
@@ -96,12 +119,16 @@
         row.tokens = std::min(row.tokens + row.share * passed, tokenLimit(table, row, team, peers));
         row.demand = decayed(row, now);
         row.countedAt = now;
-        const double total = row.demand + elsewhere[team.name.value];
-        const double equal = team.ratePerSecond / static_cast<double>(nodes);
-        const double least = equal * kLeastPart;
+        const auto find = [&team](const std::unordered_map<TeamName, double> &sums) {
+            const auto found = sums.find(team.name);
+            return found == sums.end() ? 0.0 : found->second;
+        };
+        const double available = std::max(0.0, team.ratePerSecond - find(elsewhere.silentShare));
+        const double least = available / nodes * kLeastPart;
         // What all nodes get as a least part is taken from the part that is divided by demand.
-        const double divided = team.ratePerSecond * (1 - kLeastPart);
-        row.share = least + (total > 0 ? divided * row.demand / total : divided / static_cast<double>(nodes));
+        const double divided = available * (1 - kLeastPart);
+        const double total = row.demand + find(elsewhere.demand);
+        row.share = least + (total > 0 ? divided * row.demand / total : divided / nodes);
     }
     table.sharedAt = now;
 }
@@ -123,8 +150,8 @@
     std::vector<TeamDemand> demands;
     for (const auto &[team, row] : table.rows) {
         const double perSecond = decayed(row, now);
-        if (perSecond >= kLeastReported) {
-            demands.push_back({team, perSecond});
+        if (perSecond >= kLeastReported || row.share > 0) {
+            demands.push_back({team, perSecond, row.share});
         }
     }
     return demands;
--- a/mesh/rate_share.h
+++ b/mesh/rate_share.h
@@ -30,6 +30,8 @@
     TimePoint countedAt;
     /// This node's part of the team's rate.
     double share = 0;
+    /// Tokens taken and not given back since the start.
+    uint64_t taken = 0;
 };
 
 /// This node's part of all rates.
@@ -47,8 +49,8 @@
 void returnToken(RateTable &table, const TeamPolicy &team);
 
 /// Recomputes this node's part of every team's rate from what the nodes report: each node gets the part of the rate that
-/// its demand has in the demand of all. Nodes that are silent keep the part of their last report, since they may still
-/// serve their callers behind a partition.
+/// its demand has in the demand of all. Nodes that are silent keep the share of their last report, since they may still
+/// serve their callers behind a partition; the nodes that hear of each other divide the rest.
 void shareRates(RateTable &table, const Policy &policy, const PeerTable &peers, TimePoint now);
 
 /// Returns how long a caller of the team should wait before it asks again.
--- a/mesh/report_codec.cpp
+++ b/mesh/report_codec.cpp
@@ -38,7 +38,7 @@
 {
     json demand = json::object();
     for (const auto &row : report.demand) {
-        demand[row.team.value] = static_cast<float>(row.perSecond);
+        demand[row.team.value] = {static_cast<float>(row.perSecond), static_cast<float>(row.share)};
     }
     json called = json::array();
     for (const auto &service : report.calledServices) {
@@ -108,10 +108,12 @@
     if (demand == object.end() || !demand->is_object()) {
         fields.reject("m is no map");
     } else {
-        for (const auto &[team, perSecond] : demand->items()) {
-            if (perSecond.is_number() && perSecond.get<double>() >= 0) {
-                report.demand.push_back({TeamName(team), perSecond.get<double>()});
+        for (const auto &[team, row] : demand->items()) {
+            if (!row.is_array() || row.size() != 2 || !row[0].is_number() || !row[1].is_number() || row[0] < 0 || row[1] < 0) {
+                fields.reject("the demand of " + team + " is no pair of numbers");
+                break;
             }
+            report.demand.push_back({TeamName(team), row[0].get<double>(), row[1].get<double>()});
         }
     }
     if (fields.failed()) {
--- a/sidecar/policy_reader.cpp
+++ b/sidecar/policy_reader.cpp
@@ -84,7 +84,10 @@
     const auto policy = std::make_shared<const Policy>(std::move(decoded).value());
     state.policy = policy;
     state.priorities = clientPriorities(*policy);
-    shareRates(state.rates, *policy, state.peers, BootClock::now());
+    // Before the other nodes are known, this node would give itself the whole of every rate.
+    if (const TimePoint now = BootClock::now(); knowsPeers(state, now)) {
+        shareRates(state.rates, *policy, state.peers, now);
+    }
     const auto &limits = policy->limits;
     state.callerServer->setLimits(limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout);
     logEvent(
@@ -150,7 +153,7 @@
             }
         }
         state.reportSoon = true;
-        state.knowsPeers = true;
+        state.rosterRead = true;
         logEvent(EventId::RosterRead, {{"nodes", std::to_string(page.value().records.size())}});
         state.runtime.sleepFor(kRosterInterval + milliseconds(drawBelow(state.random, 5000)));
     }
--- a/sidecar/reports.cpp
+++ b/sidecar/reports.cpp
@@ -100,7 +100,9 @@
         return;
     }
     logEvent(EventId::PeerFound, {{"peer", told.address}, {"node", told.node.value}, {"service", told.service.value}, {"instance", told.instance}});
-    sidecar.knowsPeers = true;
+    if (sidecar.firstHeardAt == TimePoint()) {
+        sidecar.firstHeardAt = BootClock::now();
+    }
     sidecar.peerPool.closeIdle({told.address, sidecar.settings.peerListen.port});
     // The node knows nothing yet; the next report in turn would let it wait.
     sidecar.reportSoon = true;
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -232,6 +232,15 @@
     for (const auto &[service, control] : sidecar.admission) {
         admitted.append(admitted.empty() ? "" : ",").append(service.value).append(":").append(std::to_string(control.admitted));
     }
+    // Only teams at their limit; a fleet can have hundreds of others.
+    std::string limited;
+    for (const auto &[team, row] : sidecar.rates.rows) {
+        if (row.tokens < 1 && row.demand > 0) {
+            limited.append(limited.empty() ? "" : ",").append(team.value).append(":").append(std::to_string(row.demand));
+            limited.append("/").append(std::to_string(row.share));
+            limited.append("/").append(std::to_string(row.taken));
+        }
+    }
     logEvent(EventId::TargetLoadSampled,
              {{"running", std::to_string(load.running)},
               {"waiting", std::to_string(load.waiting)},
@@ -239,7 +248,8 @@
               {"load", std::to_string(offeredAt(sidecar.gate.offered, now))},
               {"service-ms", std::to_string(sidecar.gate.meanService * 1000)},
               {"callers", std::to_string(sidecar.callerServer->activeRequests())},
-              {"admitted", admitted.empty() ? "-" : admitted}});
+              {"admitted", admitted.empty() ? "-" : admitted},
+              {"limited-teams", limited.empty() ? "-" : limited}});
 }
 
 void Sidecar::State::noteSilentPeers(TimePoint now)
@@ -301,7 +311,7 @@
     stepLoad(now);
     noteKeyedService(now);
     sampleLoad(now);
-    if (sidecar.policy && now - sidecar.rates.sharedAt >= kShareInterval) {
+    if (sidecar.policy && knowsPeers(sidecar, now) && now - sidecar.rates.sharedAt >= kShareInterval) {
         shareRates(sidecar.rates, *sidecar.policy, sidecar.peers, now);
         noteSilentPeers(now);
     }
--- a/sidecar/state.cpp
+++ b/sidecar/state.cpp
@@ -44,9 +44,16 @@
     splits.phase = static_cast<double>(drawBelow(random, 1000)) / 1000;
 }
 
+auto knowsPeers(const SidecarState &state, TimePoint now) -> bool
+{
+    /// Reports of the others that may be missed before they are all known.
+    constexpr int kReports = 4;
+    return state.rosterRead || (state.firstHeardAt != TimePoint() && now - state.firstHeardAt > state.peers.reportInterval * kReports);
+}
+
 auto mayServeKeys(const SidecarState &state, TimePoint now) -> bool
 {
-    return state.policy && state.knowsPeers && now - state.policyConfirmedAt < state.settings.keyWithdrawal;
+    return state.policy && knowsPeers(state, now) && now - state.policyConfirmedAt < state.settings.keyWithdrawal;
 }
 
 auto isReady(const SidecarState &state, TimePoint now) -> bool
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -62,8 +62,10 @@
     std::unordered_map<ServiceName, AdmissionControl> admission;
     /// Longest time that callers of a route gave; one who gives clearly less comes back after a refusal.
     std::unordered_map<RouteName, Duration> longestTimeLeft;
-    /// The other nodes were read from the store, or one of them was heard of.
-    bool knowsPeers = false;
+    /// The other nodes were read from the store.
+    bool rosterRead = false;
+    /// When the first report of another node arrived.
+    TimePoint firstHeardAt;
 
     TargetState target;
     TargetGate gate;
@@ -95,6 +97,10 @@
 /// Returns whether the node takes requests of callers.
 auto isReady(const SidecarState &state, TimePoint now) -> bool;
 
+/// Returns whether the node knows the others: from the store, or since they had the time to report themselves. After the
+/// first report alone, it would take half of every team's rate for its own.
+auto knowsPeers(const SidecarState &state, TimePoint now) -> bool;
+
 /// Returns the load of the local target.
 auto localLoad(const SidecarState &state) -> TargetLoad;
 
