Test the decisions of the mesh on played loads; bound the growth of a share

Ruled out: tokens kept over the restart.

Change: nodes without a report are taken to want as much as this one, and a share grows by at most 30% from one division to the next.

--- a/mesh/rate_share.cpp
+++ b/mesh/rate_share.cpp
@@ -18,6 +18,10 @@
 /// Part of an equal share that a node without demand gets, so that its first requests pass.
 constexpr double kLeastPart = 0.15;
 
+/// Growth of a share from one division to the next. Reports of the others lag behind their demand, most of all after a
+/// restart of all nodes, when they report none; a share that took that at its word would be the whole rate at each.
+constexpr double kMostGrowth = 1.3;
+
 auto secondsBetween(TimePoint from, TimePoint to) -> double
 {
     return std::max(0.0, std::chrono::duration<double>(to - from).count());
@@ -39,13 +43,19 @@
     /// Shares of nodes that are not heard of. They go on with them behind a partition, and take no more, since they in turn
     /// do not hear of this side.
     std::unordered_map<TeamName, double> silentShare;
+    /// Nodes that have not reported yet, such as after a restart of all.
+    int unreported = 0;
 };
 
 auto sumElsewhere(const PeerTable &peers, TimePoint now) -> Elsewhere
 {
     Elsewhere sums;
     for (const auto &[address, row] : peers.rows) {
-        if (address == peers.ownAddress || !row.report) {
+        if (address == peers.ownAddress) {
+            continue;
+        }
+        if (!row.report) {
+            ++sums.unreported;
             continue;
         }
         const bool alive = isAlive(peers, row, now);
@@ -127,8 +137,10 @@
         const double least = available / nodes * kLeastPart;
         // What all nodes get as a least part is taken from the part that is divided by demand.
         const double divided = available * (1 - kLeastPart);
-        const double total = row.demand + find(elsewhere.demand);
-        row.share = least + (total > 0 ? divided * row.demand / total : divided / nodes);
+        // A node that has not reported is taken to want as much as this one.
+        const double total = row.demand * (1 + elsewhere.unreported) + find(elsewhere.demand);
+        const double wanted = least + (total > 0 ? divided * row.demand / total : divided / nodes);
+        row.share = std::min(wanted, std::max(row.share * kMostGrowth, available / nodes));
     }
     table.sharedAt = now;
 }
--- /dev/null
+++ b/tests/mesh/placement_test.cpp
@@ -0,0 +1,182 @@
+#include "mesh/placement.h"
+
+#include "mesh/report_codec.h"
+#include "mesh/split.h"
+#include "tests/support/section.h"
+
+#include <map>
+
+namespace snipestream
+{
+
+using testing::section;
+
+namespace
+{
+
+const TimePoint kStart = TimePoint() + seconds(1000);
+const ServiceName kService("diary");
+
+auto makeReport(const std::string &address, const std::string &domain, int running, int limit) -> NodeReport
+{
+    NodeReport report;
+    report.node = NodeName("node-" + address);
+    report.address = address;
+    report.incarnation = 1;
+    report.sequence = 1;
+    report.domain = DomainName(domain);
+    report.service = kService;
+    report.instance = "i-" + address;
+    report.serving = true;
+    report.load = {running, 0, limit};
+    report.serviceMs = 15;
+    report.demand = {{TeamName("studio"), 3.5, 10}};
+    report.calledServices = {ServiceName("bookings")};
+    return report;
+}
+
+auto makeTable() -> PeerTable
+{
+    PeerTable table;
+    table.ownAddress = "10.0.0.9";
+    table.ownDomain = DomainName("east");
+    return table;
+}
+
+/// Returns how many of 1,000 requests each node gets if every one ends at once.
+auto spread(PeerTable &table) -> std::map<std::string, int>
+{
+    Random random(7);
+    std::map<std::string, int> counts;
+    for (int i = 0; i < 1000; ++i) {
+        const PeerRow *const row = choosePeer(table, PlacementSettings(), kService, {}, random, kStart);
+        ++counts[row == nullptr ? "none" : row->address];
+    }
+    return counts;
+}
+
+} // namespace
+
+class PlacementTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(PlacementTest);
+    CPPUNIT_TEST(testDomains);
+    CPPUNIT_TEST(testBadTargets);
+    CPPUNIT_TEST(testReports);
+    CPPUNIT_TEST(testSplit);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testDomains()
+    {
+        PeerTable table = makeTable();
+        applyReport(table, makeReport("10.0.0.1", "east", 5, 25), kStart);
+        applyReport(table, makeReport("10.0.0.2", "west", 5, 25), kStart);
+        section("the own failure domain is preferred while it has room", [&] {
+            CPPUNIT_ASSERT_EQUAL(1000, spread(table)["10.0.0.1"]);
+        });
+        section("requests cross over when its targets are clearly fuller", [&] {
+            observeLoad(table.rows["10.0.0.1"], {20, 0, 25});
+            CPPUNIT_ASSERT_EQUAL(1000, spread(table)["10.0.0.2"]);
+        });
+    }
+
+    void testBadTargets()
+    {
+        PeerTable table = makeTable();
+        applyReport(table, makeReport("10.0.0.1", "east", 5, 25), kStart);
+        applyReport(table, makeReport("10.0.0.2", "west", 5, 25), kStart);
+        section("a target that fails most requests is avoided", [&] {
+            for (int i = 0; i < 30; ++i) {
+                observeOutcome(table.rows["10.0.0.1"], true);
+            }
+            CPPUNIT_ASSERT_EQUAL(1000, spread(table)["10.0.0.2"]);
+        });
+        section("a node that refused a connection is avoided, but better than none", [&] {
+            avoidPeer(table.rows["10.0.0.2"], kStart);
+            CPPUNIT_ASSERT_EQUAL(1000, spread(table)["10.0.0.1"]);
+        });
+        section("a target that leaves gets nothing, whatever else there is", [&] {
+            for (const char *address : {"10.0.0.1", "10.0.0.2"}) {
+                NodeReport report = *table.rows[address].report;
+                ++report.sequence;
+                report.serving = false;
+                applyReport(table, report, kStart);
+            }
+            CPPUNIT_ASSERT_EQUAL(1000, spread(table)["none"]);
+        });
+        section("a slow target is tried now and then, so that its recovery is noticed", [&] {
+            PeerTable two = makeTable();
+            applyReport(two, makeReport("10.0.0.1", "east", 5, 25), kStart);
+            NodeReport slow = makeReport("10.0.0.2", "east", 0, 25);
+            slow.serviceMs = 150;
+            applyReport(two, slow, kStart);
+            const int tries = spread(two)["10.0.0.2"];
+            CPPUNIT_ASSERT(tries > 5 && tries < 60);
+        });
+    }
+
+    void testReports()
+    {
+        const NodeReport report = makeReport("10.0.0.1", "east", 5, 25);
+        const auto bytes = encodeReport(report);
+        const std::string_view view(reinterpret_cast<const char *>(bytes.data()), bytes.size());
+        section("a report arrives as it was sent", [&] {
+            const auto decoded = decodeReport(view);
+            CPPUNIT_ASSERT(decoded.has_value());
+            CPPUNIT_ASSERT(decoded.value() == report);
+        });
+        section("damaged bytes are an error, not a crash", [&] {
+            for (size_t length = 0; length < view.size(); ++length) {
+                CPPUNIT_ASSERT(!decodeReport(view.substr(0, length)).has_value());
+            }
+            std::string damaged(view);
+            for (size_t i = 0; i < damaged.size(); ++i) {
+                damaged[i] = static_cast<char>(damaged[i] ^ 0x55);
+                decodeReport(damaged);
+                damaged[i] = view[i];
+            }
+        });
+        section("a late report of the present or the former incarnation is ignored", [&] {
+            PeerTable table = makeTable();
+            NodeReport second = report;
+            second.sequence = 2;
+            CPPUNIT_ASSERT(applyReport(table, second, kStart));
+            CPPUNIT_ASSERT(!applyReport(table, report, kStart));
+            NodeReport restarted = report;
+            restarted.incarnation = 9;
+            CPPUNIT_ASSERT(applyReport(table, restarted, kStart));
+            second.sequence = 3;
+            CPPUNIT_ASSERT(!applyReport(table, second, kStart));
+        });
+    }
+
+    void testSplit()
+    {
+        RoutePolicy route;
+        route.name = RouteName("stock");
+        route.parts = {{ServiceName("old"), 90}, {ServiceName("new"), 10}};
+        SplitTable table;
+        table.phase = 0.3;
+        std::map<std::string, int> counts;
+        for (int i = 0; i < 1000; ++i) {
+            ++counts[chooseService(table, route).value];
+        }
+        section("each part of a split gets its share of the requests", [&] {
+            CPPUNIT_ASSERT(counts["old"] >= 898 && counts["old"] <= 902);
+        });
+        section("also from the next request after the weights change", [&] {
+            route.parts[0].weight = 10;
+            route.parts[1].weight = 90;
+            counts.clear();
+            for (int i = 0; i < 100; ++i) {
+                ++counts[chooseService(table, route).value];
+            }
+            CPPUNIT_ASSERT(counts["old"] >= 9 && counts["old"] <= 12);
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(PlacementTest);
+
+} // namespace snipestream
