Test the platform's documents and whole-message HTTP

Change: tests of the decoders (configuration, announcements, request fields, the store's pages) with cut and mistyped input, and of the message server and the call pool with answers that come early, twice, cut or not at all.

--- /dev/null
+++ b/tests/http/message_test.cpp
@@ -0,0 +1,233 @@
+#include "http/call_pool.h"
+#include "http/message_server.h"
+
+#include "tests/support/loopback.h"
+#include "tests/support/section.h"
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+
+namespace snipestream
+{
+
+using testing::section;
+
+namespace
+{
+
+namespace asio = boost::asio;
+
+/// A server that answers each connection with fixed bytes, for answers that an HTTP library would not send.
+class ByteServer
+{
+public:
+    ByteServer(FiberRuntime &runtime, std::string bytes, bool closes)
+        : runtime_(runtime)
+        , bytes_(std::move(bytes))
+        , closes_(closes)
+        , acceptor_(runtime.context(), asio::ip::tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    {
+        accept();
+    }
+
+    [[nodiscard]] auto endpoint() const -> Endpoint
+    {
+        return {"127.0.0.1", acceptor_.local_endpoint().port()};
+    }
+
+    void stop()
+    {
+        boost::system::error_code ignored;
+        acceptor_.close(ignored);
+        for (const auto &socket : sockets_) {
+            socket->close(ignored);
+        }
+    }
+
+private:
+    void accept()
+    {
+        acceptor_.async_accept([this](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
+            if (error) {
+                return;
+            }
+            sockets_.push_back(std::make_shared<asio::ip::tcp::socket>(std::move(socket)));
+            runtime_.spawn([this, taken = sockets_.back()] {
+                answer(*taken);
+            });
+            accept();
+        });
+    }
+
+    void answer(asio::ip::tcp::socket &socket)
+    {
+        std::string request;
+        while (!awaitIo([&](auto done) {
+                    asio::async_read_until(socket, asio::dynamic_buffer(request), "\r\n\r\n", done);
+                }).error) {
+            request.clear();
+            awaitIo([&](auto done) {
+                asio::async_write(socket, asio::buffer(bytes_), done);
+            });
+            if (closes_) {
+                boost::system::error_code ignored;
+                socket.close(ignored);
+                return;
+            }
+        }
+    }
+
+    FiberRuntime &runtime_;
+    std::string bytes_;
+    bool closes_;
+    asio::ip::tcp::acceptor acceptor_;
+    std::vector<std::shared_ptr<asio::ip::tcp::socket>> sockets_;
+};
+
+/// Calls a server that answers with these bytes `times` times. Returns the results and the number of connections opened.
+auto callBytes(const std::string &bytes, bool closes, int times, const std::string &body = {}) -> std::pair<std::vector<CallResult>, uint64_t>
+{
+    std::vector<CallResult> results;
+    uint64_t opened = 0;
+    FiberRuntime runtime;
+    runtime.runToEnd([&] {
+        ByteServer server(runtime, bytes, closes);
+        CallPool pool(runtime, CallPoolOptions());
+        for (int i = 0; i < times; ++i) {
+            RequestMessage request;
+            request.method = body.empty() ? "GET" : "POST";
+            request.target = "/stock/7";
+            request.body = body;
+            CancelSignal cancel;
+            results.push_back(pool.call(server.endpoint(), request, cancel, BootClock::now() + milliseconds(800)));
+            runtime.sleepFor(milliseconds(20));
+        }
+        opened = pool.openedConnections();
+        server.stop();
+    });
+    return {results, opened};
+}
+
+} // namespace
+
+class MessageTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(MessageTest);
+    CPPUNIT_TEST(testAnswers);
+    CPPUNIT_TEST(testBrokenAnswers);
+    CPPUNIT_TEST(testEarlyAnswer);
+    CPPUNIT_TEST(testServer);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testAnswers()
+    {
+        section("a whole answer leaves the connection for the next call", [] {
+            const auto [results, opened] = callBytes("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, 3);
+            CPPUNIT_ASSERT(results[2].status == CallStatus::Answered && results[2].answer.body == "ok");
+            CPPUNIT_ASSERT_EQUAL(uint64_t{1}, opened);
+        });
+        section("an answer without a length ends with its connection", [] {
+            const auto [results, opened] = callBytes("HTTP/1.1 200 OK\r\n\r\nwhole", true, 1);
+            CPPUNIT_ASSERT(results[0].status == CallStatus::Answered && results[0].answer.body == "whole");
+        });
+    }
+
+    /// Guards against bytes of one request being taken for the answer of another.
+    void testBrokenAnswers()
+    {
+        section("bytes after the answer belong to nobody, so the connection is not used again", [] {
+            const std::string answer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok";
+            const auto [results, opened] = callBytes(answer + answer, false, 2);
+            CPPUNIT_ASSERT(results[0].status == CallStatus::Answered && results[1].status == CallStatus::Answered);
+            CPPUNIT_ASSERT_EQUAL(uint64_t{2}, opened);
+        });
+        section("a body that is cut short is no answer, and the request may have run", [] {
+            const auto [results, opened] = callBytes("HTTP/1.1 200 OK\r\nContent-Length: 20\r\n\r\nhalf", true, 1);
+            CPPUNIT_ASSERT(results[0].status == CallStatus::Broken);
+        });
+        section("bytes that are no HTTP are told apart from a closed connection", [] {
+            CPPUNIT_ASSERT(callBytes("%%%% none\r\n\r\n", false, 1).first[0].status == CallStatus::Malformed);
+            CPPUNIT_ASSERT(callBytes("", true, 1).first[0].status == CallStatus::Broken);
+        });
+        section("a server that never answers costs no more than the deadline", [] {
+            const TimePoint start = BootClock::now();
+            CPPUNIT_ASSERT(callBytes("", false, 1).first[0].status == CallStatus::TimedOut);
+            CPPUNIT_ASSERT(BootClock::now() - start < milliseconds(1500));
+        });
+        section("a port without a listener means that nothing was sent", [] {
+            FiberRuntime runtime;
+            runtime.runToEnd([&] {
+                CallPool pool(runtime, CallPoolOptions());
+                CancelSignal cancel;
+                CPPUNIT_ASSERT(pool.call({"127.0.0.1", 1}, {"GET", "/", {}, {}, true}, cancel, BootClock::now() + seconds(1)).status == CallStatus::NotSent);
+            });
+        });
+    }
+
+    /// Guards against the rest of a body being read as the next request: the server answered before it had read it.
+    void testEarlyAnswer()
+    {
+        section("an answer that comes before the whole request was sent is delivered, and the connection goes", [] {
+            const auto [results, opened] = callBytes("HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", false, 2, std::string(8 * 1024 * 1024, 'x'));
+            CPPUNIT_ASSERT(results[0].status == CallStatus::Answered);
+            CPPUNIT_ASSERT_EQUAL(uint64_t{2}, opened);
+        });
+    }
+
+    void testServer()
+    {
+        FiberRuntime runtime;
+        runtime.runToEnd([&] {
+            MessageServerOptions options;
+            options.name = "test";
+            options.listen = {"127.0.0.1", 0};
+            options.maxBodyBytes = 100;
+            bool wasCancelled = false;
+            MessageServer server(runtime, options, [&](RequestMessage &request, CancelSignal &cancel) -> std::optional<AnswerMessage> {
+                if (request.target == "/slow") {
+                    runtime.sleepFor(milliseconds(200));
+                    wasCancelled = cancel.isCancelled();
+                }
+                AnswerMessage answer;
+                answer.body = request.method + " " + request.body;
+                return answer;
+            });
+            const uint16_t port = server.listen().value();
+            const auto ask = [&](const std::string &bytes) {
+                testing::RawClient client(runtime, port);
+                client.send(bytes);
+                return client.readAll();
+            };
+            section("bodies come with a length or in pieces", [&] {
+                CPPUNIT_ASSERT(ask("POST / HTTP/1.1\r\nConnection: close\r\nContent-Length: 3\r\n\r\nabc").find("POST abc") != std::string::npos);
+                const std::string pieces = "POST / HTTP/1.1\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1\r\nc\r\n0\r\n\r\n";
+                CPPUNIT_ASSERT(ask(pieces).find("POST abc") != std::string::npos);
+            });
+            section("two lengths are refused, since a target could read another request in between", [&] {
+                CPPUNIT_ASSERT(ask("POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n").find(" 400 ") != std::string::npos);
+            });
+            section("a body beyond the limit is refused", [&] {
+                CPPUNIT_ASSERT(ask("POST / HTTP/1.1\r\nContent-Length: 101\r\n\r\n").find(" 413 ") != std::string::npos);
+            });
+            section("a caller that leaves cancels its request", [&] {
+                testing::RawClient client(runtime, port);
+                client.send("GET /slow HTTP/1.1\r\n\r\n");
+                runtime.sleepFor(milliseconds(50));
+                client.close();
+                runtime.sleepFor(milliseconds(300));
+                CPPUNIT_ASSERT(wasCancelled);
+            });
+            server.closeIdle();
+            runtime.sleepFor(milliseconds(50));
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(MessageTest);
+
+} // namespace snipestream
--- /dev/null
+++ b/tests/platform/wire_test.cpp
@@ -0,0 +1,231 @@
+#include "platform/policy_document.h"
+#include "platform/request_fields.h"
+#include "platform/store_client.h"
+#include "platform/target_messages.h"
+
+#include "tests/support/section.h"
+
+#include <map>
+
+namespace snipestream
+{
+
+using testing::section;
+
+namespace
+{
+
+const std::string kDocument = R"({"Version":"0000000c","BaseVersion":"0000000b","Resources":[
+{"Type":"Routes","Metadata":{"Name":"r-stock"},"Spec":{"Authority":"studio.example","PathPrefix":"/stock/","Kind":"idempotent","TimeoutMs":5000,
+ "TargetLatencyMs":1200,"Priority":2,"TrafficSplit":[{"Service":"old","Weight":90},{"Service":"new","Weight":10}],"MaxAttempts":2,"Public":false}},
+{"Type":"Routes","Metadata":{"Name":"r-deep"},"Spec":{"Authority":"studio.example","PathPrefix":"/stock/deep/","Kind":"upload","TimeoutMs":900,
+ "Priority":0,"Service":"bookings","MaxAttempts":2,"Public":true}},
+{"Type":"Services","Metadata":{"Name":"old"},"Spec":{"HealthPath":"/healthz","MaxConnections":250,"Protocol":"h1","Tls":false}},
+{"Type":"Tenants","Metadata":{"Name":"studio"},"Spec":{"ApiKeys":["k1","k2"],"Priority":1,"RatePerS":300,"Burst":30}},
+{"Type":"Tenants","Metadata":{"Name":"small"},"Spec":{"ApiKeys":["k3"]}},
+{"Type":"Limits","Metadata":{},"Spec":{"MaxHeaderBytes":8192,"MaxBodyBytes":1000,"HeaderTimeoutMs":3000,"IdleTimeoutMs":15000}}]})";
+
+auto heartbeat(const std::string &body) -> std::optional<Result<TargetMessage>>
+{
+    return decodeTargetMessage("POST", "/-/Instances.Heartbeat/i-7", body);
+}
+
+auto bigEndian(uint64_t value, int width) -> std::string
+{
+    std::string bytes;
+    for (int i = width - 1; i >= 0; --i) {
+        bytes.push_back(static_cast<char>((value >> static_cast<unsigned>(8 * i)) & 0xFFU));
+    }
+    return bytes;
+}
+
+auto record(const std::string &key, const std::string &value) -> std::string
+{
+    return bigEndian(key.size() + value.size() + 1, 4) + bigEndian(key.size(), 1) + key + value;
+}
+
+/// A store that answers from a table of paths.
+auto storeOf(std::map<std::string, HttpAnswer> answers) -> StoreClient
+{
+    StoreClient store;
+    store.transport = [answers](const std::string &, const std::string &path, const std::string &, Duration) -> Result<HttpAnswer> {
+        const auto found = answers.find(path);
+        if (found == answers.end()) {
+            return failure(ErrorCode::NotFound, "no answer for " + path);
+        }
+        return found->second;
+    };
+    return store;
+}
+
+} // namespace
+
+class WireTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(WireTest);
+    CPPUNIT_TEST(testPolicy);
+    CPPUNIT_TEST(testInvalidPolicy);
+    CPPUNIT_TEST(testHeartbeats);
+    CPPUNIT_TEST(testRequestFields);
+    CPPUNIT_TEST(testStore);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void testPolicy()
+    {
+        const auto decoded = decodePolicy(kDocument);
+        CPPUNIT_ASSERT_MESSAGE(decoded ? "" : decoded.error().message, decoded.has_value());
+        const Policy &policy = decoded.value();
+        section("versions are hexadecimal", [&] {
+            CPPUNIT_ASSERT_EQUAL(uint64_t{12}, policy.version);
+        });
+        section("the longest prefix wins, without query and port, whatever the case of the host", [&] {
+            CPPUNIT_ASSERT(findRoute(policy, "STUDIO.example:80", "/stock/7?x=/stock/deep/")->name == RouteName("r-stock"));
+            CPPUNIT_ASSERT(findRoute(policy, "studio.example", "/stock/deep/7")->name == RouteName("r-deep"));
+            CPPUNIT_ASSERT(findRoute(policy, "studio.example", "/stock") == nullptr);
+            CPPUNIT_ASSERT(findRoute(policy, "other.example", "/stock/7") == nullptr);
+        });
+        section("an upload may not be repeated", [&] {
+            CPPUNIT_ASSERT(!findRoute(policy, "studio.example", "/stock/deep/7")->idempotent);
+        });
+        section("teams are found by each of their keys; without a rate they have no limit", [&] {
+            CPPUNIT_ASSERT(findTeam(policy, "k2")->name == TeamName("studio"));
+            CPPUNIT_ASSERT(findTeam(policy, "k2")->priority == 1);
+            CPPUNIT_ASSERT_EQUAL(0.0, findTeam(policy, "k3")->ratePerSecond);
+            CPPUNIT_ASSERT(findTeam(policy, "k4") == nullptr);
+        });
+        CPPUNIT_ASSERT_EQUAL(uint64_t{1000}, policy.limits.maxBodyBytes);
+    }
+
+    /// Guards against half of a configuration coming into force.
+    void testInvalidPolicy()
+    {
+        section("a document that is cut anywhere is refused whole", [] {
+            for (size_t length = 0; length < kDocument.size(); length += 7) {
+                CPPUNIT_ASSERT(!decodePolicy(kDocument.substr(0, length)).has_value());
+            }
+        });
+        section("so is one with a field of another type", [] {
+            for (const auto &[from, to] : std::map<std::string, std::string>{
+                     {"\"0000000c\"", "12"},
+                     {"\"TimeoutMs\":5000", "\"TimeoutMs\":\"soon\""},
+                     {"\"TimeoutMs\":900,", ""},
+                     {"[\"k3\"]", "[3]"},
+                     {"\"Weight\":90", "\"Weight\":-1"},
+                 }) {
+                std::string damaged = kDocument;
+                damaged.replace(damaged.find(from), from.size(), to);
+                CPPUNIT_ASSERT_MESSAGE(to, !decodePolicy(damaged).has_value());
+            }
+        });
+    }
+
+    void testHeartbeats()
+    {
+        const std::string good = R"({"Service":"diary","Address":"10.0.0.9:8080","Zone":"east","Version":"v1","Slots":25,"State":"draining",)"
+                                 R"("ColdLeftMs":700,"Seq":4,"born":1796364201750})";
+        section("an announcement is read", [&] {
+            const auto message = heartbeat(good);
+            CPPUNIT_ASSERT(message && message->has_value());
+            const auto &announcement = *message->value().announcement;
+            CPPUNIT_ASSERT(announcement.instance == "i-7" && announcement.draining && announcement.sequence == 4);
+            CPPUNIT_ASSERT(announcement.endpoint == (Endpoint{"10.0.0.9", 8080}) && announcement.startedAtMs == 1796364201750);
+        });
+        section("one that another writer spoiled names no target", [&] {
+            for (const auto &[from, to] : std::map<std::string, std::string>{
+                     {"\"Slots\":25", "\"Slots\":\"many\""},
+                     {"\"Slots\":25,", ""},
+                     {"draining", "asleep"},
+                     {"10.0.0.9:8080", "10.0.0.9"},
+                     {"10.0.0.9:8080", "10.0.0.9:99999"},
+                     {"\"Seq\":4", "\"Seq\":-4"},
+                     {"1796364201750", "\"now\""},
+                 }) {
+                std::string damaged = good;
+                damaged.replace(damaged.find(from), from.size(), to);
+                const auto message = heartbeat(damaged);
+                CPPUNIT_ASSERT_MESSAGE(to, message && !message->has_value());
+            }
+            CPPUNIT_ASSERT(!heartbeat("\xff\x00{").value().has_value());
+            CPPUNIT_ASSERT(!decodeTargetMessage("POST", "/-/Instances.Heartbeat/", good)->has_value());
+        });
+        section("a departure needs no body", [] {
+            const auto message = decodeTargetMessage("POST", "/-/Instances.Deregister/i-7", "");
+            CPPUNIT_ASSERT(message && message->has_value() && !message->value().announcement && message->value().instance == "i-7");
+        });
+        section("other calls are none of them", [] {
+            CPPUNIT_ASSERT(!decodeTargetMessage("GET", "/-/Instances.Heartbeat/i-7", ""));
+            CPPUNIT_ASSERT(!decodeTargetMessage("POST", "/stock/7", ""));
+        });
+    }
+
+    void testRequestFields()
+    {
+        section("the fields of the system replace what a caller sent, and the key goes", [] {
+            HeaderList headers = {{"Host", "studio.example"},
+                                  {"api-key", "k1"},
+                                  {"X-Snipestream-Tenant", "other"},
+                                  {"x-snipestream-caller-service", "other"},
+                                  {"X-Snipestream-Deadline-Ms", "99999"},
+                                  {"X-Other", "kept"}};
+            const CallerFields caller = readCallerFields(headers);
+            CPPUNIT_ASSERT(caller.apiKey == "k1" && caller.timeLeft == Duration(milliseconds(99999)));
+            setTargetFields(headers, {"i-7", milliseconds(250), TeamName("studio"), ServiceName("catalogue")});
+            CPPUNIT_ASSERT(!findHeader(headers, "Api-Key"));
+            CPPUNIT_ASSERT(*findHeader(headers, "X-Snipestream-Tenant") == "studio");
+            CPPUNIT_ASSERT(*findHeader(headers, "X-Snipestream-Caller-Service") == "catalogue");
+            CPPUNIT_ASSERT(*findHeader(headers, "X-Snipestream-Deadline-Ms") == "250");
+            CPPUNIT_ASSERT(*findHeader(headers, "X-Other") == "kept");
+        });
+        section("an open route names no team, whatever the caller sent", [] {
+            HeaderList headers = {{"X-Snipestream-Tenant", "other"}};
+            setTargetFields(headers, {"i-7", milliseconds(250), TeamName(), ServiceName("catalogue")});
+            CPPUNIT_ASSERT(!findHeader(headers, "X-Snipestream-Tenant"));
+        });
+        section("only the target's own word says that a request has not run", [] {
+            CPPUNIT_ASSERT(!readTargetAnswer(503, {}).notExecuted);
+            CPPUNIT_ASSERT(readTargetAnswer(503, {{"X-Snipestream-Not-Executed", "1"}}).notExecuted);
+            CPPUNIT_ASSERT(readTargetAnswer(421, {}).notExecuted);
+        });
+    }
+
+    void testStore()
+    {
+        section("changes are read with their offsets, and spoiled records only take one", [] {
+            const std::string body = bigEndian(12, 8) + bigEndian(3, 8) + record("config", "{}") + bigEndian(2, 4) + std::string("\x09x") + record("gone", "");
+            const auto store = storeOf({{"/-/log-read?Topic=keyed.op&part=0&StartRev=9&WaitMs=100", {200, body}}});
+            const auto page = readChanges(store, operatorTopic(), 9, milliseconds(100));
+            CPPUNIT_ASSERT(page.has_value());
+            const std::vector<KeyedRecord> expected = {{"config", "{}", 9}, {"gone", "", 11}};
+            CPPUNIT_ASSERT(page.value().records == expected);
+            CPPUNIT_ASSERT_EQUAL(uint64_t{12}, page.value().nextOffset);
+            section("a body that is cut is an error", [&body] {
+                for (size_t length = 0; length < body.size(); ++length) {
+                    const auto cut = storeOf({{"/-/log-read?Topic=keyed.op&part=0&StartRev=9&WaitMs=100", {200, body.substr(0, length)}}});
+                    const auto result = readChanges(cut, operatorTopic(), 9, milliseconds(100));
+                    CPPUNIT_ASSERT(!result.has_value() || result.value().records.size() < 2);
+                }
+            });
+        });
+        section("deleted history is told apart from a store that is busy", [] {
+            const std::string path = "/-/log-read?Topic=keyed.op&part=0&StartRev=9&WaitMs=0";
+            CPPUNIT_ASSERT(readChanges(storeOf({{path, {410, ""}}}), operatorTopic(), 9, {}).error().code == ErrorCode::Expired);
+            CPPUNIT_ASSERT(readChanges(storeOf({{path, {429, ""}}}), operatorTopic(), 9, {}).error().code == ErrorCode::Unavailable);
+        });
+        section("all pages of the newest records are read, and changes from the end of the first page", [] {
+            const auto store = storeOf({
+                {"/-/log-newest?Topic=keyed.nodes&part=0", {200, R"({"items":[{"Key":"a","Value":"eA==","Offset":4}],"HasMore":true,"EndOffset":6})"}},
+                {"/-/log-newest?Topic=keyed.nodes&part=0&after=a", {200, R"({"items":[{"Key":"b","Value":"","Offset":7}],"HasMore":false,"EndOffset":8})"}},
+            });
+            const auto page = readNewest(store, nodesTopic());
+            CPPUNIT_ASSERT(page.has_value());
+            const std::vector<KeyedRecord> expected = {{"a", "x", 4}, {"b", "", 7}};
+            CPPUNIT_ASSERT(page.value().records == expected);
+            CPPUNIT_ASSERT_EQUAL(uint64_t{6}, page.value().nextOffset);
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(WireTest);
+
+} // namespace snipestream
