Play the node against stand-ins of the platform, and end it in order

Cause: the readers of the store looped for as long as the process ran, so that a node could only end by leaving the process, and no test could run one.

Change: nodes end their fibers; histograms and per-route rows in the metrics; lines that would be left out are not formatted.

--- a/core/line_log.cpp
+++ b/core/line_log.cpp
@@ -32,6 +32,16 @@
     }
 }
 
+auto leavesOutLow(LineLog &log, TimePoint now) -> bool
+{
+    /// Length of a usual line, in bytes.
+    constexpr double kUsualLine = 200;
+    refill(log, now);
+    const bool leavesOut = log.lowAllowance < kUsualLine || log.allowance < kUsualLine;
+    log.leftOut += leavesOut ? 1 : 0;
+    return leavesOut;
+}
+
 void addLine(LineLog &log, const std::string &line, LineImportance importance, TimePoint now)
 {
     refill(log, now);
--- a/core/metrics.cpp
+++ b/core/metrics.cpp
@@ -1,6 +1,8 @@
 #include "core/metrics.h"
 
+#include <algorithm>
 #include <array>
+#include <numeric>
 #include <sstream>
 
 #include <boost/accumulators/accumulators.hpp>
@@ -112,6 +114,23 @@
     return ba::quantile(accumulators_->set, ba::quantile_probability = probability);
 }
 
+void Histogram::observe(double value)
+{
+    const auto bucket = std::lower_bound(kBounds.begin(), kBounds.end(), value) - kBounds.begin();
+    ++buckets_[static_cast<size_t>(bucket)];
+    sum_ += value;
+}
+
+auto Histogram::countUpTo(size_t index) const -> uint64_t
+{
+    return std::accumulate(buckets_.begin(), buckets_.begin() + static_cast<std::ptrdiff_t>(index) + 1, uint64_t{0});
+}
+
+auto Histogram::sum() const -> double
+{
+    return sum_;
+}
+
 struct MetricsRegistry::Families {
     template<typename Metric>
     struct Family {
@@ -121,6 +140,7 @@
     std::map<std::string, Family<Counter>> counters;
     std::map<std::string, Family<Gauge>> gauges;
     std::map<std::string, Family<Summary>> summaries;
+    std::map<std::string, Family<Histogram>> histograms;
 
     template<typename Metric>
     static auto row(std::map<std::string, Family<Metric>> &families, const std::string &name, const std::string &help, const MetricLabels &labels) -> Metric &
@@ -153,6 +173,11 @@
     return Families::row(families_->summaries, name, help, labels);
 }
 
+auto MetricsRegistry::histogram(const std::string &name, const std::string &help, const MetricLabels &labels) -> Histogram &
+{
+    return Families::row(families_->histograms, name, help, labels);
+}
+
 auto MetricsRegistry::renderPrometheus() const -> std::string
 {
     std::ostringstream out;
@@ -183,6 +208,24 @@
             out << name << "_count" << renderLabels(labels) << ' ' << metric.count() << '\n';
         }
     }
+    for (const auto &[name, family] : families_->histograms) {
+        writeHeader(name, family.help, "histogram");
+        for (const auto &[labels, metric] : family.rows) {
+            for (size_t i = 0; i <= Histogram::kBounds.size(); ++i) {
+                std::ostringstream bound;
+                bound << "le=\"";
+                if (i < Histogram::kBounds.size()) {
+                    bound << Histogram::kBounds[i];
+                } else {
+                    bound << "+Inf";
+                }
+                bound << '"';
+                out << name << "_bucket" << renderLabels(labels, bound.str()) << ' ' << metric.countUpTo(i) << '\n';
+            }
+            out << name << "_sum" << renderLabels(labels) << ' ' << metric.sum() << '\n';
+            out << name << "_count" << renderLabels(labels) << ' ' << metric.countUpTo(Histogram::kBounds.size()) << '\n';
+        }
+    }
     return out.str();
 }
 
--- a/core/metrics.h
+++ b/core/metrics.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -57,6 +59,23 @@
     std::unique_ptr<Accumulators> accumulators_;
 };
 
+/// Observations counted by fixed buckets, which rows of several nodes can be added up by. Bounds are in seconds and cover
+/// the target latencies and deadlines that operators set, from 10 ms to 10 s.
+class Histogram
+{
+public:
+    static constexpr std::array<double, 11> kBounds = {0.01, 0.025, 0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3, 5, 10};
+
+    void observe(double value);
+    /// Returns the observations up to the bound; index kBounds.size() counts all.
+    [[nodiscard]] auto countUpTo(size_t index) const -> uint64_t;
+    [[nodiscard]] auto sum() const -> double;
+
+private:
+    std::array<uint64_t, kBounds.size() + 1> buckets_{};
+    double sum_ = 0;
+};
+
 /// All metrics of a process. References stay valid for the registry's lifetime, so hot paths look a metric up once.
 class MetricsRegistry
 {
@@ -70,6 +89,8 @@
     auto gauge(const std::string &name, const std::string &help, const MetricLabels &labels = {}) -> Gauge &;
     auto summary(const std::string &name, const std::string &help, const MetricLabels &labels = {}) -> Summary &;
 
+    auto histogram(const std::string &name, const std::string &help, const MetricLabels &labels = {}) -> Histogram &;
+
     /// Returns all metrics in the Prometheus text exposition format.
     [[nodiscard]] auto renderPrometheus() const -> std::string;
 
--- a/http/message_server.cpp
+++ b/http/message_server.cpp
@@ -353,6 +353,7 @@
     state_->closing = true;
     boost::system::error_code ignored;
     state_->acceptor.close(ignored);
+    state_->sweepTimer.cancel();
     for (const auto &connection : state_->connections) {
         if (!connection->busy) {
             connection->close();
--- a/sidecar/policy_reader.cpp
+++ b/sidecar/policy_reader.cpp
@@ -23,6 +23,9 @@
 /// How often the roster is read again, for nodes whose first reports did not arrive. Reads are priced by the platform.
 constexpr Duration kRosterInterval = seconds(30);
 
+constexpr int kRosterSpreadMs = 5000;
+constexpr Duration kEndCheckInterval = seconds(1);
+
 void pauseAfterFailure(SidecarState &state)
 {
     state.runtime.sleepFor(kFailurePause + milliseconds(drawBelow(state.random, kFailurePauseSpreadMs)));
@@ -101,7 +104,7 @@
     std::optional<uint64_t> offset;
     bool reachable = true;
     bool lastFailed = false;
-    while (true) {
+    while (!state.ended) {
         const TimePoint sentAt = BootClock::now();
         // After a failure, a read that does not wait confirms the policy sooner.
         const Duration wait = lastFailed ? Duration::zero() : kPolicyWait;
@@ -133,7 +136,7 @@
 {
     const StoreClient store = storeClient(state);
     bool written = false;
-    while (true) {
+    while (!state.ended) {
         if (!written) {
             const auto result = writeRecord(store, nodesTopic(), state.settings.address, state.settings.node.value);
             written = result.has_value();
@@ -155,7 +158,10 @@
         state.reportSoon = true;
         state.rosterRead = true;
         logEvent(EventId::RosterRead, {{"nodes", std::to_string(page.value().records.size())}});
-        state.runtime.sleepFor(kRosterInterval + milliseconds(drawBelow(state.random, 5000)));
+        const TimePoint next = BootClock::now() + kRosterInterval + milliseconds(drawBelow(state.random, kRosterSpreadMs));
+        while (!state.ended && BootClock::now() < next) {
+            state.runtime.sleepFor(kEndCheckInterval);
+        }
     }
 }
 
--- a/sidecar/reports.cpp
+++ b/sidecar/reports.cpp
@@ -132,6 +132,11 @@
 }
 
 ReportExchange::~ReportExchange()
+{
+    close();
+}
+
+void ReportExchange::close()
 {
     boost::system::error_code ignored;
     state_->socket.close(ignored);
--- a/sidecar/reports.h
+++ b/sidecar/reports.h
@@ -21,6 +21,9 @@
     /// Binds the port. An Error if it is taken.
     auto open() -> Result<void>;
 
+    /// Closes the port.
+    void close();
+
     /// Sends a report now. Called by the ticker when the interval has passed or something changed.
     void send(TimePoint now);
 
--- a/sidecar/request_log.cpp
+++ b/sidecar/request_log.cpp
@@ -41,6 +41,23 @@
     return found == state.admission.end() ? "-" : std::to_string(found->second.admitted);
 }
 
+/// Counts an answer. The rows of a route are looked up once, since answers are what a node does most.
+void observeAnswer(SidecarState &state, const RequestOrigin &origin, int status, Duration taken)
+{
+    if (status != 200 || origin.route == nullptr) {
+        count(state, origin, "answered", std::to_string(status));
+        return;
+    }
+    auto &rows = state.routeMetrics[origin.route->name];
+    if (rows.answered == nullptr) {
+        rows.answered = &state.metrics.counter("snipestream_caller_requests_total", "Requests of callers by how they ended",
+                                               {{"route", routeName(origin)}, {"outcome", "answered"}, {"reason", "200"}});
+        rows.seconds = &state.metrics.histogram("snipestream_caller_request_seconds", "From the whole request to its answer", {{"route", routeName(origin)}});
+    }
+    rows.answered->add();
+    rows.seconds->observe(std::chrono::duration<double>(taken).count());
+}
+
 void addEvent(SidecarState &state, EventId id, std::initializer_list<EventField> fields, LineImportance importance)
 {
     addLine(state.log, formatEvent(id, fields), importance, BootClock::now());
@@ -68,10 +85,11 @@
 
 void logAnswered(SidecarState &state, const RequestOrigin &origin, const std::string &address, int status, int arrivals, Duration taken)
 {
-    count(state, origin, "answered", std::to_string(status));
-    state.metrics.summary("snipestream_caller_request_seconds", "From the whole request to its answer", {{"route", routeName(origin)}})
-        .observe(std::chrono::duration<double>(taken).count());
+    observeAnswer(state, origin, status, taken);
     const bool late = origin.route != nullptr && taken > origin.route->targetLatency;
+    if (!late && status < 400 && leavesOutLow(state.log, BootClock::now())) {
+        return;
+    }
     addEvent(state, EventId::RequestAnswered,
              {{"request", origin.requestId},
               {"status", std::to_string(status)},
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -39,6 +39,7 @@
 constexpr uint64_t kReservedDescriptors = 250;
 constexpr int kExitSettings = 2;
 constexpr int kExitUnavailable = 3;
+constexpr int kExitCut = 4;
 
 auto emptyAnswer(int status) -> AnswerMessage
 {
@@ -68,6 +69,7 @@
     void sampleLoad(TimePoint now);
     void noteKeyedService(TimePoint now);
     void checkStop(TimePoint now);
+    void end();
 
     SidecarState sidecar;
     ReportExchange reports;
@@ -76,7 +78,7 @@
     TimePoint stopRequestedAt;
     TimePoint sampledAt;
     std::map<std::string, bool> wasAlive;
-    bool stopped = false;
+    std::function<void(size_t)> onEnded;
 };
 
 void Sidecar::State::makeServers()
@@ -284,7 +286,7 @@
 
 void Sidecar::State::checkStop(TimePoint now)
 {
-    if (!sidecar.leaving || stopped) {
+    if (!sidecar.leaving) {
         return;
     }
     const Duration since = now - stopRequestedAt;
@@ -294,14 +296,10 @@
     if (!overdue && (since < kLeastStopTime || !quiet)) {
         return;
     }
-    stopped = true;
-    sidecar.callerServer->closeIdle();
-    sidecar.peerServer->closeIdle();
     logEvent(EventId::NodeStopped, {{"cut", std::to_string(active)}});
     flushLines(sidecar.log);
-    sidecar.runtime.stop();
-    // Fibers that wait for the store or a caller would keep the runtime; what they hold ends with the process.
-    std::_Exit(EXIT_SUCCESS);
+    end();
+    onEnded(active);
 }
 
 void Sidecar::State::tick()
@@ -321,6 +319,9 @@
     }
     flushLines(sidecar.log);
     checkStop(now);
+    if (sidecar.ended) {
+        return;
+    }
     tickTimer.expires_after(kTick);
     tickTimer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
         if (!error) {
@@ -367,7 +368,26 @@
     return success();
 }
 
-void Sidecar::requestStop()
+void Sidecar::State::end()
+{
+    sidecar.ended = true;
+    tickTimer.cancel();
+    reports.close();
+    for (MessageServer *const server :
+         {sidecar.callerServer.get(), sidecar.peerServer.get(), sidecar.readyServer.get(), sidecar.targetServer.get(), sidecar.metricsServer.get()}) {
+        if (server != nullptr) {
+            server->closeIdle();
+        }
+    }
+}
+
+void Sidecar::end()
+{
+    state_->end();
+    setEventSink(nullptr);
+}
+
+void Sidecar::requestStop(std::function<void(size_t cut)> ended)
 {
     auto &sidecar = state_->sidecar;
     if (sidecar.leaving) {
@@ -376,6 +396,7 @@
     logEvent(EventId::NodeStopping, {{"node", sidecar.settings.node.value}});
     sidecar.leaving = true;
     sidecar.reportSoon = true;
+    state_->onEnded = std::move(ended);
     state_->stopRequestedAt = BootClock::now();
     sidecar.callerServer->announceClose();
     sidecar.peerServer->announceClose();
@@ -411,7 +432,10 @@
                 logEvent(EventId::SettingsInvalid, {{"file", settingsPath}, {"error", settings.error().message}});
             }
         } else {
-            sidecar.requestStop();
+            sidecar.requestStop([](size_t cut) {
+                // Fibers that wait for the store or a target would keep the runtime; what they hold ends with the process.
+                std::_Exit(cut == 0 ? EXIT_SUCCESS : kExitCut);
+            });
         }
         watchSignals(signals, sidecar, settingsPath);
     });
--- a/sidecar/sidecar.h
+++ b/sidecar/sidecar.h
@@ -4,6 +4,7 @@
 #include "net/fiber_runtime.h"
 #include "sidecar/settings.h"
 
+#include <functional>
 #include <memory>
 #include <string>
 
@@ -22,8 +23,12 @@
     /// Binds the addresses and starts to work. An Error if an address is taken.
     auto start() -> Result<void>;
 
-    /// Begins a graceful stop: callers and other nodes are told, and requests in progress end. The runtime stops then.
-    void requestStop();
+    /// Begins a graceful stop: callers and other nodes are told, and requests in progress end. `ended` is called then, with
+    /// the number of requests that were cut because the time for the stop was over.
+    void requestStop(std::function<void(size_t cut)> ended);
+
+    /// Ends at once, without regard to requests. Fibers of the node end within two seconds; it must live until then.
+    void end();
 
     /// Puts settings that can change at run time into force.
     void reload(const SidecarSettings &settings);
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -34,6 +34,12 @@
     bool start = false;
 };
 
+/// Rows of the metrics of one route that are used with every answer.
+struct RouteMetrics {
+    Counter *answered = nullptr;
+    Histogram *seconds = nullptr;
+};
+
 /// Everything that the process knows. All of it lives on one thread; fibers look rows up again after each wait.
 struct SidecarState {
     SidecarState(FiberRuntime &runtimeUsed, SidecarSettings chosen);
@@ -42,6 +48,7 @@
     SidecarSettings settings;
     Random random;
     MetricsRegistry metrics;
+    std::unordered_map<RouteName, RouteMetrics> routeMetrics;
     LineLog log;
     uint64_t incarnation = 0;
     uint64_t reportSequence = 0;
@@ -85,6 +92,8 @@
     std::unique_ptr<MessageServer> metricsServer;
 
     bool leaving = false;
+    /// The node has ended; its fibers end with their next wait.
+    bool ended = false;
     TimePoint lastRequestAt;
     /// Set by whoever changed what other nodes should know at once.
     bool reportSoon = false;
--- a/tests/core/metrics_page_test.cpp
+++ b/tests/core/metrics_page_test.cpp
@@ -26,12 +26,12 @@
     return text.str();
 }
 
-/// Returns the metrics that a source file registers: calls of `counter`, `gauge` or `summary` whose first argument is a
+/// Returns the metrics that a source file registers: calls of `counter`, `gauge`, `summary` or `histogram` whose first argument is a
 /// literal. A call with another first argument is reported as the name "(not a literal)", since no page can list it.
 auto metricsOfSource(const std::string &text) -> std::set<NameAndType>
 {
     std::set<NameAndType> found;
-    for (const std::string type : {"counter", "gauge", "summary"}) {
+    for (const std::string type : {"counter", "gauge", "summary", "histogram"}) {
         for (const std::string &member : {"." + type + "(", "->" + type + "("}) {
             for (size_t at = text.find(member); at != std::string::npos; at = text.find(member, at + 1)) {
                 const size_t argument = text.find_first_not_of(" \n", at + member.size());
--- /dev/null
+++ b/tests/sidecar/platform_standin.cpp
@@ -0,0 +1,169 @@
+#include "tests/sidecar/platform_standin.h"
+
+#include "http/call_pool.h"
+
+#include <absl/strings/escaping.h>
+#include <cppunit/TestAssert.h>
+#include <nlohmann/json.hpp>
+
+namespace snipestream::testing
+{
+
+namespace
+{
+
+using nlohmann::json;
+
+auto queryOf(const std::string &target, const std::string &name) -> std::string
+{
+    const auto at = target.find(name + "=");
+    if (at == std::string::npos) {
+        return {};
+    }
+    const auto start = at + name.size() + 1;
+    return target.substr(start, target.find('&', start) - start);
+}
+
+auto bigEndian(uint64_t value, int width) -> std::string
+{
+    std::string bytes;
+    for (int i = width - 1; i >= 0; --i) {
+        bytes.push_back(static_cast<char>((value >> static_cast<unsigned>(8 * i)) & 0xFFU));
+    }
+    return bytes;
+}
+
+auto withBody(std::string body) -> AnswerMessage
+{
+    AnswerMessage answer;
+    answer.body = std::move(body);
+    return answer;
+}
+
+} // namespace
+
+StoreStandin::StoreStandin(FiberRuntime &runtime)
+    : runtime_(runtime)
+{
+    MessageServerOptions options;
+    options.name = "store";
+    options.listen = {"127.0.0.1", 0};
+    server_ = std::make_unique<MessageServer>(runtime, options, [this](RequestMessage &request, CancelSignal &cancel) {
+        return answer(request, cancel);
+    });
+    port_ = server_->listen().value();
+}
+
+auto StoreStandin::endpoint() const -> Endpoint
+{
+    return {"127.0.0.1", port_};
+}
+
+void StoreStandin::put(const std::string &topic, const std::string &key, const std::string &value)
+{
+    topics_[topic].push_back({key, value});
+}
+
+void StoreStandin::refuseWith(std::optional<int> status)
+{
+    refusal_ = status;
+}
+
+auto StoreStandin::answer(const RequestMessage &request, CancelSignal &cancel) -> std::optional<AnswerMessage>
+{
+    if (refusal_) {
+        AnswerMessage refused;
+        refused.status = *refusal_;
+        return refused;
+    }
+    const std::string topic = queryOf(request.target, "Topic");
+    if (request.target.rfind("/-/log-newest", 0) == 0) {
+        return newest(topic);
+    }
+    if (request.target.rfind("/-/log-read", 0) == 0) {
+        return changes(topic, std::stoull(queryOf(request.target, "StartRev")), milliseconds(std::stoll(queryOf(request.target, "WaitMs"))), cancel);
+    }
+    const auto keyLength = static_cast<unsigned char>(request.body[4]);
+    put(topic, request.body.substr(5, keyLength), request.body.substr(5 + keyLength));
+    return withBody(R"({"Offset":0,"EndOffset":1})");
+}
+
+auto StoreStandin::newest(const std::string &topic) -> AnswerMessage
+{
+    std::map<std::string, json> items;
+    const auto &records = topics_[topic];
+    for (size_t i = 0; i < records.size(); ++i) {
+        items[records[i].key] = {{"Key", records[i].key}, {"Value", absl::Base64Escape(records[i].value)}, {"Offset", i}};
+    }
+    json list = json::array();
+    for (auto &[key, item] : items) {
+        list.push_back(item);
+    }
+    return withBody(json{{"items", list}, {"HasMore", false}, {"EndOffset", records.size()}}.dump());
+}
+
+auto StoreStandin::changes(const std::string &topic, uint64_t from, Duration wait, CancelSignal &cancel) -> AnswerMessage
+{
+    const TimePoint end = BootClock::now() + wait;
+    while (topics_[topic].size() <= from && BootClock::now() < end && !cancel.isCancelled()) {
+        runtime_.sleepFor(milliseconds(5));
+    }
+    const auto &records = topics_[topic];
+    std::string body = bigEndian(records.size(), 8) + bigEndian(0, 8);
+    for (size_t i = from; i < records.size(); ++i) {
+        const auto &record = records[i];
+        body += bigEndian(1 + record.key.size() + record.value.size(), 4) + bigEndian(record.key.size(), 1) + record.key + record.value;
+    }
+    return withBody(std::move(body));
+}
+
+TargetStandin::TargetStandin(FiberRuntime &runtime, std::string instance, const Endpoint &listen)
+    : runtime_(runtime)
+    , instance_(std::move(instance))
+    , listen_(listen)
+{
+    MessageServerOptions options;
+    options.name = "target-" + instance_;
+    options.listen = listen;
+    server_ = std::make_unique<MessageServer>(runtime, options, [this](RequestMessage &request, CancelSignal &) -> std::optional<AnswerMessage> {
+        latest = request.headers;
+        AnswerMessage answer;
+        const auto id = findHeader(request.headers, "X-Snipestream-Request-Id");
+        if (behaviour.notExecuted) {
+            answer.status = *behaviour.notExecuted;
+            answer.headers.emplace_back("X-Snipestream-Not-Executed", "1");
+            return answer;
+        }
+        runs.emplace_back(id.value_or("-"));
+        runtime_.sleepFor(behaviour.work);
+        if (behaviour.losesAnswers) {
+            return std::nullopt;
+        }
+        answer.headers.emplace_back("X-Snipestream-Request-Id", behaviour.crossesAnswers ? "of-another" : std::string(id.value_or("-")));
+        answer.headers.emplace_back("X-Snipestream-Response-Signature", "signed-" + instance_);
+        answer.body = instance_ + ":" + request.body;
+        return answer;
+    });
+    CPPUNIT_ASSERT(server_->listen().has_value());
+}
+
+auto TargetStandin::endpoint() const -> Endpoint
+{
+    return listen_;
+}
+
+auto TargetStandin::announce(const Endpoint &node, const std::string &service, const std::string &state) -> int
+{
+    CallPool pool(runtime_, CallPoolOptions());
+    RequestMessage request;
+    request.method = "POST";
+    request.target = "/-/Instances.Heartbeat/" + instance_;
+    request.body = json{{"Service", service}, {"Address", toString(listen_)}, {"Zone", "east"}, {"Version", "v1"}, {"Slots", 8}, {"State", state},
+                        {"ColdLeftMs", 0},    {"Seq", ++sequence_},           {"born", 1000}}
+                       .dump();
+    CancelSignal cancel;
+    const CallResult result = pool.call(node, request, cancel, BootClock::now() + seconds(1));
+    return result.status == CallStatus::Answered ? result.answer.status : 0;
+}
+
+} // namespace snipestream::testing
--- /dev/null
+++ b/tests/sidecar/sidecar_test.cpp
@@ -0,0 +1,242 @@
+#include "sidecar/sidecar.h"
+
+#include "http/call_pool.h"
+#include "tests/sidecar/platform_standin.h"
+#include "tests/support/section.h"
+
+#include <functional>
+#include <memory>
+
+namespace snipestream
+{
+
+using testing::section;
+using testing::StoreStandin;
+using testing::TargetStandin;
+
+namespace
+{
+
+/// Ports of the nodes. All nodes use the same ones, each at an address of its own in the loopback range.
+constexpr uint16_t kCallerPort = 18548;
+constexpr uint16_t kPeerPort = 18543;
+constexpr uint16_t kReadyPort = 18546;
+constexpr uint16_t kTargetPort = 18540;
+constexpr uint16_t kAppPort = 18547;
+constexpr uint16_t kReportPort = 18000;
+constexpr Duration kKeyWithdrawal = milliseconds(4000);
+
+auto configuration(const std::string &version, const std::string &keys) -> std::string
+{
+    return R"({"Version":")" + version + R"(","Resources":[
+{"Type":"Routes","Metadata":{"Name":"r-stock"},"Spec":{"Authority":"studio.example","PathPrefix":"/stock/","Kind":"idempotent","TimeoutMs":2000,
+ "TargetLatencyMs":1000,"Priority":2,"Service":"catalogue","MaxAttempts":2,"Public":false}},
+{"Type":"Routes","Metadata":{"Name":"r-deposit"},"Spec":{"Authority":"studio.example","PathPrefix":"/deposit/","Kind":"non_idempotent","TimeoutMs":2000,
+ "TargetLatencyMs":1000,"Priority":0,"Service":"catalogue","MaxAttempts":2,"Public":false}},
+{"Type":"Tenants","Metadata":{"Name":"studio"},"Spec":{"ApiKeys":[)"
+        + keys + R"(]}},{"Type":"Limits","Metadata":{},"Spec":{"IdleTimeoutMs":15000}}]})";
+}
+
+auto settingsOf(int number, const std::string &service, const Endpoint &store) -> SidecarSettings
+{
+    SidecarSettings settings;
+    settings.address = "127.0.0." + std::to_string(number);
+    settings.node = NodeName("node" + std::to_string(number));
+    settings.domain = DomainName("east");
+    settings.service = ServiceName(service);
+    settings.target = {settings.address, kAppPort};
+    settings.callerListen = {settings.address, kCallerPort};
+    settings.peerListen = {settings.address, kPeerPort};
+    settings.readyListen = {settings.address, kReadyPort};
+    settings.targetListen = {settings.address, kTargetPort};
+    settings.store = store;
+    settings.reportPort = kReportPort;
+    settings.keyWithdrawal = kKeyWithdrawal;
+    return settings;
+}
+
+/// One node of another service, where callers enter, and two beside targets of the service `catalogue`.
+struct Fleet {
+    explicit Fleet(FiberRuntime &runtimeUsed)
+        : runtime(runtimeUsed)
+        , store(runtimeUsed)
+        , first(runtimeUsed, "i-1", {"127.0.0.3", kAppPort})
+        , second(runtimeUsed, "i-2", {"127.0.0.4", kAppPort})
+        , callers(runtimeUsed, CallPoolOptions())
+    {
+        store.put("keyed.op", "config", configuration("00000001", "\"k1\",\"k2\""));
+        for (const auto &[number, service] : std::map<int, std::string>{{2, "diary"}, {3, "catalogue"}, {4, "catalogue"}}) {
+            nodes.push_back(std::make_unique<Sidecar>(runtime, settingsOf(number, service, store.endpoint())));
+            CPPUNIT_ASSERT(nodes.back()->start().has_value());
+        }
+        CPPUNIT_ASSERT_EQUAL(200, first.announce({"127.0.0.3", kTargetPort}, "catalogue", "ready"));
+        CPPUNIT_ASSERT_EQUAL(200, second.announce({"127.0.0.4", kTargetPort}, "catalogue", "ready"));
+        waitUntil([this] {
+            return ask("GET", "/stock/0", "k1").answer.status == 200;
+        });
+        runtime.sleepFor(milliseconds(700));
+        first.runs.clear();
+        second.runs.clear();
+    }
+
+    void waitUntil(const std::function<bool()> &isTrue)
+    {
+        for (int i = 0; i < 100 && !isTrue(); ++i) {
+            runtime.sleepFor(milliseconds(50));
+        }
+        CPPUNIT_ASSERT(isTrue());
+    }
+
+    auto ask(const std::string &method, const std::string &path, const std::string &key) -> CallResult
+    {
+        RequestMessage request;
+        request.method = method;
+        request.target = path;
+        request.headers = {{"Host", "studio.example"},
+                           {"X-Snipestream-Request-Id", "request-" + std::to_string(++asked)},
+                           {"X-Snipestream-Deadline-Ms", "1500"},
+                           {"X-Snipestream-Caller-Service", "forged"},
+                           {"Api-Key", key}};
+        CancelSignal cancel;
+        return callers.call({"127.0.0.2", kCallerPort}, request, cancel, BootClock::now() + seconds(3));
+    }
+
+    [[nodiscard]] auto runs() const -> size_t
+    {
+        return first.runs.size() + second.runs.size();
+    }
+
+    void forEachTarget(const std::function<void(testing::TargetBehaviour &)> &change)
+    {
+        change(first.behaviour);
+        change(second.behaviour);
+    }
+
+    FiberRuntime &runtime;
+    StoreStandin store;
+    TargetStandin first;
+    TargetStandin second;
+    CallPool callers;
+    std::vector<std::unique_ptr<Sidecar>> nodes;
+    int asked = 0;
+};
+
+} // namespace
+
+class SidecarTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(SidecarTest);
+    CPPUNIT_TEST(testFleet);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Plays one story, since the nodes of a fleet take ports and a second to find each other.
+    void testFleet()
+    {
+        FiberRuntime runtime;
+        runtime.runToEnd([&] {
+            auto fleet = std::make_unique<Fleet>(runtime);
+            section("a request reaches a target of another node with the fields of the system", [&] {
+                const CallResult result = fleet->ask("GET", "/stock/7", "k1");
+                CPPUNIT_ASSERT_EQUAL(200, result.answer.status);
+                const HeaderList &seen = fleet->first.runs.empty() ? fleet->second.latest : fleet->first.latest;
+                CPPUNIT_ASSERT(*findHeader(seen, "X-Snipestream-Caller-Service") == "diary");
+                CPPUNIT_ASSERT(*findHeader(seen, "X-Snipestream-Tenant") == "studio");
+                CPPUNIT_ASSERT(!findHeader(seen, "Api-Key"));
+                CPPUNIT_ASSERT(findHeader(result.answer.headers, "X-Snipestream-Response-Signature"));
+                for (const auto &[name, value] : seen) {
+                    CPPUNIT_ASSERT_MESSAGE(name, name.rfind("Sns-", 0) != 0);
+                }
+            });
+            section("an unknown key and an unknown path are told so", [&] {
+                CPPUNIT_ASSERT_EQUAL(401, fleet->ask("GET", "/stock/7", "k9").answer.status);
+                CPPUNIT_ASSERT_EQUAL(404, fleet->ask("GET", "/other/7", "k1").answer.status);
+            });
+            section("a deposit whose answer is lost ran once, and the caller is not told that it did not run", [&] {
+                const size_t before = fleet->runs();
+                fleet->forEachTarget([](auto &behaviour) {
+                    behaviour.losesAnswers = true;
+                });
+                CPPUNIT_ASSERT_EQUAL(502, fleet->ask("POST", "/deposit/7", "k1").answer.status);
+                CPPUNIT_ASSERT_EQUAL(before + 1, fleet->runs());
+            });
+            section("an answer of another request is never delivered", [&] {
+                fleet->forEachTarget([](auto &behaviour) {
+                    behaviour = testing::TargetBehaviour();
+                    behaviour.crossesAnswers = true;
+                });
+                CPPUNIT_ASSERT_EQUAL(502, fleet->ask("POST", "/deposit/8", "k1").answer.status);
+            });
+            section("if no target runs it, the caller is told to come back", [&] {
+                fleet->forEachTarget([](auto &behaviour) {
+                    behaviour = testing::TargetBehaviour();
+                    behaviour.notExecuted = 503;
+                });
+                const size_t before = fleet->runs();
+                const CallResult result = fleet->ask("POST", "/deposit/9", "k1");
+                CPPUNIT_ASSERT_EQUAL(503, result.answer.status);
+                CPPUNIT_ASSERT(findHeader(result.answer.headers, "Retry-After"));
+                CPPUNIT_ASSERT_EQUAL(before, fleet->runs());
+                fleet->forEachTarget([](auto &behaviour) {
+                    behaviour = testing::TargetBehaviour();
+                });
+            });
+            section("a request beyond its deadline gets its answer at once", [&] {
+                fleet->forEachTarget([](auto &behaviour) {
+                    behaviour.work = seconds(3);
+                });
+                const TimePoint start = BootClock::now();
+                CPPUNIT_ASSERT_EQUAL(504, fleet->ask("POST", "/deposit/10", "k1").answer.status);
+                CPPUNIT_ASSERT(BootClock::now() - start < milliseconds(1800));
+                fleet->forEachTarget([](auto &behaviour) {
+                    behaviour.work = milliseconds(5);
+                });
+            });
+            section("a target that leaves gets nothing more, and the other one serves", [&] {
+                fleet->waitUntil([&] {
+                    return fleet->ask("GET", "/stock/7", "k1").answer.status == 200;
+                });
+                CPPUNIT_ASSERT_EQUAL(200, fleet->first.announce({"127.0.0.3", kTargetPort}, "catalogue", "draining"));
+                const size_t before = fleet->first.runs.size();
+                for (int i = 0; i < 20; ++i) {
+                    CPPUNIT_ASSERT_EQUAL(200, fleet->ask("GET", "/stock/7", "k1").answer.status);
+                }
+                CPPUNIT_ASSERT_EQUAL(before, fleet->first.runs.size());
+            });
+            section("a withdrawn key stops working, and the other key goes on", [&] {
+                fleet->store.put("keyed.op", "config", configuration("00000002", "\"k1\""));
+                fleet->waitUntil([&] {
+                    return fleet->ask("GET", "/stock/7", "k2").answer.status == 401;
+                });
+                CPPUNIT_ASSERT_EQUAL(200, fleet->ask("GET", "/stock/7", "k1").answer.status);
+            });
+            section("a configuration that cannot be read leaves the present one in force", [&] {
+                fleet->store.put("keyed.op", "config", "{\"Version\":\"00000003\"}");
+                runtime.sleepFor(milliseconds(200));
+                CPPUNIT_ASSERT_EQUAL(200, fleet->ask("GET", "/stock/7", "k1").answer.status);
+            });
+            section("a node that the store turns away refuses keys before a withdrawn one could work too long", [&] {
+                fleet->store.refuseWith(503);
+                const TimePoint start = BootClock::now();
+                runtime.sleepFor(kKeyWithdrawal + milliseconds(100));
+                CPPUNIT_ASSERT_EQUAL(503, fleet->ask("GET", "/stock/7", "k1").answer.status);
+                CPPUNIT_ASSERT(BootClock::now() - start < kKeyWithdrawal + seconds(1));
+                section("and serves again once the store answers", [&] {
+                    fleet->store.refuseWith(std::nullopt);
+                    fleet->waitUntil([&] {
+                        return fleet->ask("GET", "/stock/7", "k1").answer.status == 200;
+                    });
+                });
+            });
+            for (const auto &node : fleet->nodes) {
+                node->end();
+            }
+            // A read of the store that waits for a change ends by then.
+            runtime.sleepFor(milliseconds(2500));
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(SidecarTest);
+
+} // namespace snipestream
