--- a/scripts/measure.sh
+++ b/scripts/measure.sh
@@ -35,4 +35,6 @@
 section "Configuration" "$build/bench/config_bench"
 section "Admission and selection per request" "$build/bench/policy_cost_bench"
 section "Policy under load" "$build/bench/policy_bench"
+# The figures of the users' bench come from its journal, not from this script.
+sed -n "/^## On the users' platform/,\$p" docs/MEASUREMENTS.md >>"$page"
 mv "$page" docs/MEASUREMENTS.md
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -8,6 +8,7 @@
 #include "sidecar/request_log.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace snipestream
 {
@@ -238,7 +239,7 @@
                 logAnswered(state, origin, address, result.answer.status, arrivals, now - call.startedAt);
                 return std::move(result.answer);
             }
-            answered = std::move(result);
+            answered = std::exchange(result, TargetResult());
             logRetry(state, origin, address, answered->answer.status, "target-failed", now - call.startedAt);
             continue;
         }
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -146,7 +146,7 @@
                 const auto message = heartbeat(damaged);
                 CPPUNIT_ASSERT_MESSAGE(to, message && !message->has_value());
             }
-            CPPUNIT_ASSERT(!heartbeat("\xff\x00{").value().has_value());
+            CPPUNIT_ASSERT(!heartbeat("\xff\x01{").value().has_value());
             CPPUNIT_ASSERT(!decodeTargetMessage("POST", "/-/Instances.Heartbeat/", good)->has_value());
         });
         section("a departure needs no body", [] {
