Answer waiting requests at their deadline; split the entry and rename its parts

Cause: read in review: a request that waited at its own node's gate was looked at only when a slot became free, so a target that hangs would have kept it beyond its deadline.

Change: every tick ends the wait of requests whose deadline has passed. They have not run and are told so. The entry's loop is split into judging a result and making the answer; pressure.h is named admission_control.h after what it holds.

Measured: TargetTest plays a full gate: the request that is due is answered, the other one stays.

--- a/mesh/pressure.cpp
+++ b/mesh/admission_control.cpp
@@ -1,4 +1,4 @@
-#include "mesh/pressure.h"
+#include "mesh/admission_control.h"
 
 #include "core/hash.h"
 
--- a/mesh/target_gate.cpp
+++ b/mesh/target_gate.cpp
@@ -92,6 +92,20 @@
     return decisions;
 }
 
+auto expireWaiting(TargetGate &gate, TimePoint now) -> std::vector<GateTicket>
+{
+    std::vector<GateTicket> expired;
+    for (auto waiter = gate.queue.begin(); waiter != gate.queue.end();) {
+        if (waiter->second.request.deadline > now) {
+            ++waiter;
+            continue;
+        }
+        expired.push_back(waiter->second.ticket);
+        waiter = gate.queue.erase(waiter);
+    }
+    return expired;
+}
+
 auto leaveQueue(TargetGate &gate, GateTicket ticket) -> bool
 {
     const auto found = std::find_if(gate.queue.begin(), gate.queue.end(), [ticket](const auto &entry) {
--- a/mesh/target_gate.h
+++ b/mesh/target_gate.h
@@ -97,6 +97,10 @@
 /// Takes the requests from the queue that start now or whose time is over.
 auto startNext(TargetGate &gate, TimePoint now) -> std::vector<GateDecision>;
 
+/// Takes the waiting requests whose deadline has passed from the queue. They have not run, and are answered at once also
+/// while no slot becomes free.
+auto expireWaiting(TargetGate &gate, TimePoint now) -> std::vector<GateTicket>;
+
 /// Removes a waiting request whose caller left. Returns false if it does not wait.
 auto leaveQueue(TargetGate &gate, GateTicket ticket) -> bool;
 
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -193,6 +193,70 @@
     return result;
 }
 
+/// What became of a request at the targets that were asked.
+struct Attempts {
+    std::vector<std::string> tried;
+    /// Failed answer of a target, delivered if no other target does better.
+    std::optional<TargetResult> fallback;
+    /// The latest result.
+    TargetResult last;
+    /// Targets that saw the request.
+    int arrivals = 0;
+    /// Nodes that refused it before their target saw it.
+    int refusals = 0;
+    bool mayHaveRun = false;
+};
+
+/// What to do after a result.
+enum class NextStep {
+    AskAnother,
+    Finish,
+};
+
+auto judgeResult(SidecarState &state, const EntryCall &call, const RequestOrigin &origin, const std::string &address, Attempts &attempts) -> NextStep
+{
+    const TimePoint now = BootClock::now();
+    TargetResult &result = attempts.last;
+    attempts.arrivals += result.arrived ? 1 : 0;
+    if (result.outcome == TargetOutcome::Answered) {
+        attempts.mayHaveRun = true;
+        if (result.answer.status < 500 || !mayRetry(call, result, attempts.arrivals, now)) {
+            return NextStep::Finish;
+        }
+        logRetry(state, origin, address, result.answer.status, "target-failed", now - call.startedAt);
+        attempts.fallback = std::exchange(result, TargetResult());
+        return NextStep::AskAnother;
+    }
+    attempts.mayHaveRun = attempts.mayHaveRun || result.outcome == TargetOutcome::Unknown || result.outcome == TargetOutcome::TimedOut;
+    logTargetRefusal(state, origin, address, targetOutcomeName(result.outcome), result.reason, now - call.startedAt);
+    if (result.outcome == TargetOutcome::TimedOut || now >= call.deadline) {
+        return NextStep::Finish;
+    }
+    if (!result.arrived) {
+        return ++attempts.refusals < kPlacesAsked ? NextStep::AskAnother : NextStep::Finish;
+    }
+    return mayRetry(call, result, attempts.arrivals, now) ? NextStep::AskAnother : NextStep::Finish;
+}
+
+/// Makes the caller's answer from what the targets did.
+auto finish(SidecarState &state, EntryCall &call, const RequestOrigin &origin, Attempts &attempts) -> AnswerMessage
+{
+    const Duration taken = BootClock::now() - call.startedAt;
+    const bool isAnswered = attempts.last.outcome == TargetOutcome::Answered;
+    if (isAnswered || attempts.fallback) {
+        AnswerMessage answer = isAnswered ? std::move(attempts.last.answer) : std::move(attempts.fallback->answer);
+        logAnswered(state, origin, attempts.tried.back(), answer.status, attempts.arrivals, taken);
+        return answer;
+    }
+    const std::string reason = attempts.last.reason.empty() ? "no-target" : attempts.last.reason;
+    if (!attempts.mayHaveRun) {
+        return refuse(state, call, 503, reason.c_str(), overloadRetryAfter(state, *call.route));
+    }
+    const int status = attempts.last.outcome == TargetOutcome::TimedOut ? 504 : 502;
+    logFailure(state, origin, status, reason, attempts.arrivals, taken);
+    return makeRefusal(call, status, {});
+}
+
 } // namespace
 
 auto serveCaller(SidecarState &state, RequestMessage &request, CancelSignal &cancel) -> std::optional<AnswerMessage>
@@ -209,65 +273,26 @@
     }
     const RequestOrigin origin{call.caller.requestId, call.route, call.team, call.service, call.policy->version};
     RoutedRequest routed = makeRouted(state, call, std::move(request));
-    std::vector<std::string> tried;
-    std::optional<TargetResult> answered;
-    TargetResult result;
-    result.reason = "no-target";
-    int arrivals = 0;
-    bool mayHaveRun = false;
-    for (int places = 0;;) {
-        PeerRow *const chosen = choosePeer(state.peers, state.placement, call.service, tried, state.random, BootClock::now());
+    Attempts attempts;
+    while (true) {
+        PeerRow *const chosen = choosePeer(state.peers, state.placement, call.service, attempts.tried, state.random, BootClock::now());
         if (chosen == nullptr) {
             break;
         }
         const std::string address = chosen->address;
-        tried.push_back(address);
+        attempts.tried.push_back(address);
         routed.instance = chosen->report->instance;
-        routed.earlierArrivals = arrivals;
-        result = runOnce(state, address, routed, cancel);
-        const TimePoint now = BootClock::now();
-        if (cancel.isCancelled() || result.outcome == TargetOutcome::Cancelled) {
-            logAbandoned(state, origin, address, now - call.startedAt);
+        routed.earlierArrivals = attempts.arrivals;
+        attempts.last = runOnce(state, address, routed, cancel);
+        if (cancel.isCancelled() || attempts.last.outcome == TargetOutcome::Cancelled) {
+            logAbandoned(state, origin, address, BootClock::now() - call.startedAt);
             return std::nullopt;
         }
-        arrivals += result.arrived ? 1 : 0;
-        mayHaveRun = mayHaveRun || result.outcome == TargetOutcome::Unknown || result.outcome == TargetOutcome::TimedOut;
-        if (result.outcome == TargetOutcome::Answered) {
-            mayHaveRun = true;
-            const bool failed = result.answer.status >= 500;
-            if (!failed || !mayRetry(call, result, arrivals, now)) {
-                logAnswered(state, origin, address, result.answer.status, arrivals, now - call.startedAt);
-                return std::move(result.answer);
-            }
-            answered = std::exchange(result, TargetResult());
-            logRetry(state, origin, address, answered->answer.status, "target-failed", now - call.startedAt);
-            continue;
-        }
-        logTargetRefusal(state, origin, address, targetOutcomeName(result.outcome), result.reason, now - call.startedAt);
-        if (result.outcome == TargetOutcome::TimedOut || now >= call.deadline) {
-            break;
-        }
-        if (!result.arrived) {
-            if (++places >= kPlacesAsked) {
-                break;
-            }
-            continue;
-        }
-        if (!mayRetry(call, result, arrivals, now)) {
+        if (judgeResult(state, call, origin, address, attempts) == NextStep::Finish) {
             break;
         }
     }
-    const Duration taken = BootClock::now() - call.startedAt;
-    if (answered) {
-        logAnswered(state, origin, "-", answered->answer.status, arrivals, taken);
-        return std::move(answered->answer);
-    }
-    if (!mayHaveRun) {
-        return refuse(state, call, 503, result.reason.c_str(), overloadRetryAfter(state, *call.route));
-    }
-    const int status = result.outcome == TargetOutcome::TimedOut ? 504 : 502;
-    logFailure(state, origin, status, result.reason, arrivals, taken);
-    return makeRefusal(call, status, {});
+    return finish(state, call, origin, attempts);
 }
 
 } // namespace snipestream
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -207,6 +207,28 @@
     return result;
 }
 
+namespace
+{
+
+/// Wakes the fiber of a waiting request that does not start.
+void endWait(SidecarState &state, GateTicket ticket)
+{
+    const auto found = state.waits.find(ticket);
+    if (found != state.waits.end()) {
+        found->second->decided = true;
+        found->second->event.notify();
+    }
+}
+
+} // namespace
+
+void expireQueue(SidecarState &state, TimePoint now)
+{
+    for (const GateTicket ticket : expireWaiting(state.gate, now)) {
+        endWait(state, ticket);
+    }
+}
+
 void advanceGate(SidecarState &state, TimePoint now)
 {
     for (const GateDecision &decision : startNext(state.gate, now)) {
@@ -227,11 +249,7 @@
     while (!state.gate.queue.empty()) {
         const GateTicket ticket = state.gate.queue.begin()->second.ticket;
         leaveQueue(state.gate, ticket);
-        const auto found = state.waits.find(ticket);
-        if (found != state.waits.end()) {
-            found->second->decided = true;
-            found->second->event.notify();
-        }
+        endWait(state, ticket);
     }
 }
 
--- a/sidecar/home.h
+++ b/sidecar/home.h
@@ -63,6 +63,9 @@
 /// Starts or ends requests that wait at the gate; called after each change of the gate and with each tick.
 void advanceGate(SidecarState &state, TimePoint now);
 
+/// Ends the wait of requests whose deadline has passed; called with each tick.
+void expireQueue(SidecarState &state, TimePoint now);
+
 /// Ends the wait of all requests at the gate, since the target takes none any more. They have not run.
 void emptyGate(SidecarState &state);
 
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -305,6 +305,7 @@
 void Sidecar::State::tick()
 {
     const TimePoint now = BootClock::now();
+    expireQueue(sidecar, now);
     advanceGate(sidecar, now);
     stepLoad(now);
     noteKeyedService(now);
--- a/tests/mesh/pressure_test.cpp
+++ b/tests/mesh/admission_control_test.cpp
@@ -1,4 +1,4 @@
-#include "mesh/pressure.h"
+#include "mesh/admission_control.h"
 
 #include "mesh/offered_load.h"
 #include "tests/support/section.h"
@@ -116,9 +116,9 @@
 
 } // namespace
 
-class PressureTest : public CppUnit::TestFixture
+class AdmissionControlTest : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(PressureTest);
+    CPPUNIT_TEST_SUITE(AdmissionControlTest);
     CPPUNIT_TEST(testBurst);
     CPPUNIT_TEST(testReturningCallers);
     CPPUNIT_TEST_SUITE_END();
@@ -176,6 +176,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(PressureTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionControlTest);
 
 } // namespace snipestream
--- a/tests/mesh/target_test.cpp
+++ b/tests/mesh/target_test.cpp
@@ -130,6 +130,15 @@
                 CPPUNIT_ASSERT(offerRequest(gate, makeRequest(0, milliseconds(100), milliseconds(30), true), kStart).verdict == GateVerdict::Refuse);
             });
         });
+        section("a request whose deadline passes is answered although no slot becomes free", [] {
+            TargetGate gate = busyGate();
+            const auto waiting = offerRequest(gate, makeRequest(0, milliseconds(100), milliseconds(60), true), kStart);
+            const auto later = offerRequest(gate, makeRequest(0, milliseconds(100), milliseconds(600), true), kStart);
+            CPPUNIT_ASSERT(startNext(gate, kStart + milliseconds(70)).empty());
+            CPPUNIT_ASSERT(expireWaiting(gate, kStart + milliseconds(59)).empty());
+            CPPUNIT_ASSERT(expireWaiting(gate, kStart + milliseconds(60)) == std::vector<GateTicket>{waiting.ticket});
+            CPPUNIT_ASSERT(gate.queue.size() == 1 && gate.queue.begin()->second.ticket == later.ticket);
+        });
         section("a request whose time ran out while it waited does not start", [] {
             TargetGate gate = busyGate();
             const auto waiting = offerRequest(gate, makeRequest(0, milliseconds(100), milliseconds(60), true), kStart);
