Admit by the work that requests cause at each service

Cause: admission was steered for each entry service apart.

Ruled out: the limits of the homes (slots of the only target left were busy at 0.95 to 1.0 all the time); the attribution of calls in proportion to running requests alone (uploads would need minutes of fluctuation to be told apart).

Change: homes learn which calls the requests of a route make, by the deadline that calls share with their request; reports carry that, service times and the work that arrives by class; entries admit what fits into a service's slots, team priority first, then the route's, with least parts for all.

--- a/mesh/admission_control.cpp
+++ b/mesh/admission_control.cpp
@@ -4,7 +4,9 @@
 
 #include <algorithm>
 #include <cmath>
+#include <numeric>
 #include <set>
+#include <utility>
 
 namespace snipestream
 {
@@ -12,126 +14,199 @@
 namespace
 {
 
-/// Time over which arrivals of the classes are compared.
-constexpr double kArrivalSeconds = 1.0;
-/// Fewest arrivals that tell anything about the classes' shares.
-constexpr double kLeastArrivals = 0.5;
+/// Time over which arrivals are averaged: some tens of requests at one node, and short against an overload.
+constexpr double kArrivalSeconds = 0.5;
+/// Slots of work below which nothing is shed.
+constexpr double kLeastWork = 0.01;
 
-auto highestLoad(const PeerTable &table, const ServiceName &service, TimePoint now, std::set<ServiceName> &visited) -> double
+auto decayFactor(const AdmissionControl &control, TimePoint now) -> double
 {
-    if (!visited.insert(service).second) {
-        return 0;
-    }
-    double busy = 0;
-    double slots = 0;
-    std::set<ServiceName> called;
-    for (const auto &[address, row] : table.rows) {
-        if (!row.report || row.report->service != service || (address != table.ownAddress && !isAlive(table, row, now))) {
-            continue;
-        }
-        if (row.report->serving && !row.report->leaving) {
-            busy += row.report->offeredLoad * row.report->load.limit;
-            slots += row.report->load.limit;
-        }
-        called.insert(row.report->calledServices.begin(), row.report->calledServices.end());
+    const double passed = std::chrono::duration<double>(now - control.decayedAt).count();
+    return std::exp(-std::max(passed, 0.0) / kArrivalSeconds);
+}
+
+void addTo(std::vector<double> &sums, const std::vector<double> &values)
+{
+    if (sums.size() < values.size()) {
+        sums.resize(values.size(), 0);
     }
-    double load = slots > 0 ? busy / slots : 0;
-    for (const auto &next : called) {
-        load = std::max(load, highestLoad(table, next, now, visited));
+    for (size_t i = 0; i < values.size(); ++i) {
+        sums[i] += values[i];
     }
-    return load;
 }
 
-void decay(AdmissionControl &control, TimePoint now)
+auto sumOf(const std::vector<double> &values) -> double
 {
-    const double passed = std::chrono::duration<double>(now - control.decayedAt).count();
-    const double factor = std::exp(-std::max(passed, 0.0) / kArrivalSeconds);
-    for (double &count : control.arrivals) {
-        count *= factor;
+    return std::accumulate(values.begin(), values.end(), 0.0);
+}
+
+/// Returns the part of each class that is shed: the admitted work is divided among the priorities, and the part of each
+/// among its classes.
+auto shedParts(const AdmissionControl &control, const AdmissionControlSettings &settings, const std::vector<Importance> &known) -> std::vector<double>
+{
+    // Class i has the importance known[i / 2]; other nodes may already tell of classes of a newer policy.
+    std::vector<std::vector<double>> byPriority;
+    std::vector<double> wanted;
+    for (size_t i = 0; i < control.wanted.size(); ++i) {
+        const size_t place = i / 2;
+        const bool isNext = i == 0 || (i % 2 == 0 && place < known.size() && known[place].priority != known[place - 1].priority);
+        if (isNext) {
+            byPriority.emplace_back();
+            wanted.push_back(0);
+        }
+        byPriority.back().push_back(control.wanted[i]);
+        wanted.back() += control.wanted[i];
     }
-    control.decayedAt = now;
+    const auto given = divideWork(control.admitted * sumOf(wanted), wanted, settings.leastPriorityPart);
+    std::vector<double> shed;
+    for (size_t group = 0; group < byPriority.size(); ++group) {
+        const auto parts = divideWork(given[group], byPriority[group], settings.leastClassPart);
+        for (size_t i = 0; i < parts.size(); ++i) {
+            const double work = byPriority[group][i];
+            const double idle = control.admitted > 0 ? 0 : 1;
+            shed.push_back(work > 0 ? std::clamp(1 - parts[i] / work, 0.0, 1.0) : idle);
+        }
+    }
+    return shed;
 }
 
 } // namespace
 
-auto clientPriorities(const Policy &policy) -> std::vector<int>
+auto clientImportance(const Policy &policy) -> std::vector<Importance>
 {
-    std::set<int> priorities;
+    std::set<Importance> known;
     for (const auto &route : policy.routes) {
-        if (!route.isOpen || policy.teams.empty()) {
-            priorities.insert(route.priority);
+        if (policy.teams.empty()) {
+            known.insert(importanceOf(route, nullptr));
+            continue;
         }
-    }
-    for (const auto &team : policy.teams) {
-        if (team.priority) {
-            priorities.insert(*team.priority);
+        for (const auto &team : policy.teams) {
+            // Routes that need no key are those of running requests, which are not shed.
+            if (!route.isOpen) {
+                known.insert(importanceOf(route, &team));
+            }
         }
     }
-    return {priorities.rbegin(), priorities.rend()};
+    return {known.rbegin(), known.rend()};
+}
+
+auto importanceOf(const RoutePolicy &route, const TeamPolicy *team) -> Importance
+{
+    return {team != nullptr ? team->priority.value_or(route.priority) : route.priority, route.priority};
 }
 
-auto shedClass(const std::vector<int> &priorities, int priority, bool isReturning) -> size_t
+auto shedClass(const std::vector<Importance> &known, const Importance &importance, bool isReturning) -> size_t
 {
-    const auto found = std::find(priorities.begin(), priorities.end(), priority);
-    const auto place = static_cast<size_t>(found - priorities.begin());
+    const auto found = std::find(known.begin(), known.end(), importance);
+    const auto place = static_cast<size_t>(found - known.begin());
     return place * 2 + (isReturning ? 1 : 0);
 }
 
-auto serviceLoad(const PeerTable &table, const ServiceName &service, TimePoint now) -> double
+auto serviceRoom(const PeerTable &table, const ServiceName &service, TimePoint now) -> ServiceRoom
 {
-    std::set<ServiceName> visited;
-    return highestLoad(table, service, now, visited);
+    ServiceRoom room;
+    double busy = 0;
+    for (const auto &[address, row] : table.rows) {
+        if (!row.report || row.report->service != service) {
+            continue;
+        }
+        room.isKnown = true;
+        const bool alive = address == table.ownAddress || isAlive(table, row, now);
+        if (alive && row.report->serving && !row.report->leaving) {
+            busy += row.report->offeredLoad * row.report->load.limit;
+            room.slots += row.report->load.limit;
+        }
+    }
+    room.load = room.slots > 0 ? busy / room.slots : 0;
+    return room;
 }
 
-void countArrival(AdmissionControl &control, size_t shedClass, TimePoint now)
+void countArrival(AdmissionControl &control, size_t shedClass, double slotSeconds, TimePoint now)
 {
+    control.arrivals = arrivingWork(control, now);
     if (control.arrivals.size() <= shedClass) {
         control.arrivals.resize(shedClass + 1, 0);
     }
-    decay(control, now);
-    control.arrivals[shedClass] += 1;
+    control.arrivals[shedClass] += slotSeconds / kArrivalSeconds;
+    control.decayedAt = now;
+}
+
+auto arrivingWork(const AdmissionControl &control, TimePoint now) -> std::vector<double>
+{
+    std::vector<double> result = control.arrivals;
+    const double factor = decayFactor(control, now);
+    for (double &work : result) {
+        work *= factor;
+    }
+    return result;
+}
+
+auto wantedWork(const PeerTable &table, const ServiceName &service, const AdmissionControl &own, TimePoint now) -> std::vector<double>
+{
+    std::vector<double> wanted = arrivingWork(own, now);
+    for (const auto &[address, row] : table.rows) {
+        if (address == table.ownAddress || !row.report || !isAlive(table, row, now)) {
+            continue;
+        }
+        for (const auto &told : row.report->wantedWork) {
+            if (told.service == service) {
+                addTo(wanted, told.slotsByClass);
+            }
+        }
+    }
+    return wanted;
 }
 
-void stepAdmission(AdmissionControl &control, const AdmissionControlSettings &settings, double load, TimePoint now)
+auto divideWork(double fits, const std::vector<double> &wanted, double leastPart) -> std::vector<double>
+{
+    const double mean = std::min(fits / std::max(sumOf(wanted), kLeastWork), 1.0);
+    std::vector<double> given;
+    for (const double work : wanted) {
+        given.push_back(work * mean * leastPart);
+    }
+    double left = fits - sumOf(given);
+    for (size_t i = wanted.size(); i-- > 0;) {
+        const double more = std::min(left, wanted[i] - given[i]);
+        given[i] += more;
+        left -= more;
+    }
+    return given;
+}
+
+void stepAdmission(AdmissionControl &control, const AdmissionControlSettings &settings, const std::vector<Importance> &known, const ServiceRoom &room,
+                   std::vector<double> wanted, TimePoint now)
 {
     if (now - control.steppedAt < settings.window) {
         return;
     }
     control.steppedAt = now;
-    const double before = control.history.empty() ? 1.0 : control.history.front();
-    const double growth = std::min(settings.wantedLoad / std::max(load, 0.01), settings.mostGrowth);
-    const double wanted = std::clamp(before * growth, settings.leastAdmitted, 1.0);
-    control.admitted += (wanted - control.admitted) * settings.gain;
-    control.history.push_back(control.admitted);
-    while (control.history.size() > static_cast<size_t>(settings.reportDelay / settings.window)) {
-        control.history.pop_front();
+    control.wanted = std::move(wanted);
+    const double estimated = sumOf(control.wanted);
+    if (room.isKnown && room.slots <= 0) {
+        control.admitted = 0;
+    } else if (!room.isKnown || estimated < kLeastWork) {
+        control.admitted = 1;
+    } else {
+        // Little load while nothing is shed says nothing about the estimate; the correction then returns to none.
+        const bool tells = control.admitted < 1 || room.load > settings.wantedLoad;
+        const double error = tells ? settings.wantedLoad / std::max(room.load, 0.1) - 1 : 1 - control.correction;
+        control.correction += settings.gain * std::clamp(error, -1.0, 1.0) * control.correction;
+        control.correction = std::clamp(control.correction, settings.leastCorrection, settings.mostCorrection);
+        control.admitted = std::clamp(room.slots * settings.wantedLoad * control.correction / estimated, 0.0, 1.0);
     }
+    control.shed = shedParts(control, settings, known);
 }
 
 auto shedPart(const AdmissionControl &control, size_t shedClass) -> double
 {
-    double total = 0;
-    double before = 0;
-    for (size_t i = 0; i < control.arrivals.size(); ++i) {
-        total += control.arrivals[i];
-        before += i < shedClass ? control.arrivals[i] : 0;
-    }
-    if (total < kLeastArrivals || shedClass >= control.arrivals.size() || control.arrivals[shedClass] <= 0) {
-        return 0;
-    }
-    const double shed = (1 - control.admitted) * total - before;
-    return std::clamp(shed / control.arrivals[shedClass], 0.0, 1.0);
+    // A class that did not come lately takes no room from the others; without any room, it fails all the same.
+    return shedClass < control.shed.size() ? control.shed[shedClass] : (control.admitted > 0 ? 0 : 1);
 }
 
-auto isShed(const AdmissionControl &control, size_t shedClass, std::string_view requestId) -> bool
+auto isShed(double part, std::string_view requestId) -> bool
 {
-    /// Admission approaches one from below; the rest would only shed a request now and then.
-    constexpr double kAll = 0.99;
-    if (control.admitted >= kAll) {
-        return false;
-    }
     constexpr uint64_t kCohorts = 1024;
-    return static_cast<double>(stableHash(requestId) % kCohorts) < shedPart(control, shedClass) * kCohorts;
+    return static_cast<double>(stableHash(requestId) % kCohorts) < part * kCohorts;
 }
 
 } // namespace snipestream
--- a/mesh/admission_control.h
+++ b/mesh/admission_control.h
@@ -5,65 +5,114 @@
 #include "mesh/peer_table.h"
 #include "mesh/policy.h"
 
-#include <deque>
+#include <map>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace snipestream
 {
 
-/// Constants of the admission of callers' requests to one service.
+/// Constants of the admission of callers' requests.
 struct AdmissionControlSettings {
     /// Time between two steps.
     Duration window = milliseconds(100);
-    /// Load of the slots that the admitted part is steered to. Below one, so that a queue gets shorter again.
+    /// Load of the slots that the admitted work is steered to. Below one, so that a queue gets shorter again.
     double wantedLoad = 0.95;
-    /// Time from the admission of a request to the report of the load that it caused below: a report's interval, the
-    /// averaging of the load, and the calls in between.
-    Duration reportDelay = milliseconds(500);
-    /// Part of the difference to the right admission that one window corrects.
-    double gain = 0.3;
-    /// Largest growth against the admission that caused the load, since little load says little about much.
-    double mostGrowth = 1.5;
-    /// Part that is always let through, so that the end of an overload is noticed.
-    double leastAdmitted = 0.03;
+    /// Part by which one window corrects the estimate of the work that requests cause. Its effect shows in the load half
+    /// a second later, so ten windows must not correct much more than the error.
+    double gain = 0.05;
+    /// Bounds of that correction. Estimates are means of measured runs; beyond a factor of two, something else is wrong.
+    double leastCorrection = 0.4;
+    double mostCorrection = 1.6;
+    /// Part of the mean admission that every priority gets, and in it every class. A team or a kind of request counts as
+    /// starved if it is served a quarter as often as all; the difference is for what fails later.
+    double leastPriorityPart = 0.4;
+    double leastClassPart = 0.3;
 };
 
-/// Admission of callers' requests to one service at the node where they enter: before any work was done for them, and
-/// the least important first.
+/// Admission, at the node where they enter, of callers' requests that cause work at one service, directly or by the
+/// calls that they lead to: before any work was done for them, and the least important first.
 struct AdmissionControl {
-    /// Part of the arriving requests that is let through.
-    double admitted = 1;
-    TimePoint steppedAt;
-    /// Admitted part of the last windows, the latest one last.
-    std::deque<double> history;
-    /// Arrivals by class, decayed over about a second. Classes are in the order in which they are shed.
+    /// Work of this node's arriving requests by class, in slots, averaged over a fraction of a second. Classes are in the
+    /// order in which they are shed.
     std::vector<double> arrivals;
     TimePoint decayedAt;
+    /// Work that arrives at all nodes, by class.
+    std::vector<double> wanted;
+    /// Part of that work that is let through.
+    double admitted = 1;
+    /// Part of each class that is shed.
+    std::vector<double> shed;
+    /// Measured effect of the admitted work on the service's load, against the estimated one.
+    double correction = 1;
+    TimePoint steppedAt;
 };
 
-/// Returns the priorities that callers' requests can have under the policy, the least important one first.
-auto clientPriorities(const Policy &policy) -> std::vector<int>;
+/// Room of a service's targets.
+struct ServiceRoom {
+    /// Slots of those that take requests.
+    double slots = 0;
+    /// Work that arrives there, as a part of the slots.
+    double load = 0;
+    /// Targets of the service are known, whether they take requests or not.
+    bool isKnown = false;
+};
+
+/// Importance of a caller's request. Lower numbers are more important; the first one decides.
+struct Importance {
+    /// Priority of the team, or of the route if the team has none.
+    int priority = 0;
+    /// Orders requests of one priority.
+    int routePriority = 0;
 
-/// Returns the class of a request. Within a priority, a request that comes back after a refusal is shed after those that
+    friend auto operator==(const Importance &a, const Importance &b) -> bool
+    {
+        return a.priority == b.priority && a.routePriority == b.routePriority;
+    }
+    friend auto operator<(const Importance &a, const Importance &b) -> bool
+    {
+        return std::tie(a.priority, a.routePriority) < std::tie(b.priority, b.routePriority);
+    }
+};
+
+/// Returns the importance that callers' requests can have under the policy, the least important first.
+auto clientImportance(const Policy &policy) -> std::vector<Importance>;
+
+/// Returns the importance of a request; `team` is null if the request has none.
+auto importanceOf(const RoutePolicy &route, const TeamPolicy *team) -> Importance;
+
+/// Returns the class of a request. Within an importance, a request that comes back after a refusal is shed after those that
 /// come for the first time: its caller was told to come back, and waits already.
-auto shedClass(const std::vector<int> &priorities, int priority, bool isReturning) -> size_t;
+auto shedClass(const std::vector<Importance> &known, const Importance &importance, bool isReturning) -> size_t;
+
+/// Returns the room of the service, by the reports of nodes that are alive.
+auto serviceRoom(const PeerTable &table, const ServiceName &service, TimePoint now) -> ServiceRoom;
+
+/// Counts an arrival that causes the given slot time at the service.
+void countArrival(AdmissionControl &control, size_t shedClass, double slotSeconds, TimePoint now);
+
+/// Returns the work of this node's arrivals by class, as of now.
+auto arrivingWork(const AdmissionControl &control, TimePoint now) -> std::vector<double>;
 
-/// Returns the load of the targets of the service together, or of the service called by them, at any depth, where it is
-/// highest.
-auto serviceLoad(const PeerTable &table, const ServiceName &service, TimePoint now) -> double;
+/// Sums the work that arrives for the service at this node and, by their reports, at the others that are alive.
+auto wantedWork(const PeerTable &table, const ServiceName &service, const AdmissionControl &own, TimePoint now) -> std::vector<double>;
 
-/// Counts an arrival.
-void countArrival(AdmissionControl &control, size_t shedClass, TimePoint now);
+/// Sets what is admitted, if a window has passed: the part of the wanted work that fits into the room, most important
+/// first. `known` gives the importance of the classes. Without a target that takes requests, nothing is admitted:
+/// requests would fail after their work began.
+void stepAdmission(AdmissionControl &control, const AdmissionControlSettings &settings, const std::vector<Importance> &known, const ServiceRoom &room,
+                   std::vector<double> wanted, TimePoint now);
 
-/// Moves the admitted part towards the one that causes the wanted load, if a window has passed. `load` was caused by what
-/// was admitted before the report delay; correcting what is admitted now by it would make the admission swing.
-void stepAdmission(AdmissionControl &control, const AdmissionControlSettings &settings, double load, TimePoint now);
+/// Divides work that fits among those that want it, the least important first. Each gets `leastPart` of the mean; what is
+/// left goes to the most important.
+auto divideWork(double fits, const std::vector<double> &wanted, double leastPart) -> std::vector<double>;
 
 /// Returns the part of the class that is shed.
 auto shedPart(const AdmissionControl &control, size_t shedClass) -> double;
 
-/// Returns whether a request of the class is shed; which ones are, the hash of the request id decides.
-auto isShed(const AdmissionControl &control, size_t shedClass, std::string_view requestId) -> bool;
+/// Returns whether a request is shed if `part` of its class is; the hash of the request id decides, so that services
+/// that shed the same part shed the same requests.
+auto isShed(double part, std::string_view requestId) -> bool;
 
 } // namespace snipestream
--- a/mesh/peer_table.h
+++ b/mesh/peer_table.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/random.h"
 #include "core/time.h"
+#include "mesh/call_pattern.h"
 
 #include <cstdint>
 #include <map>
@@ -40,6 +41,33 @@
     }
 };
 
+/// What requests of one kind cause at a target.
+struct KindReport {
+    WorkKind kind = 0;
+    double runsPerSecond = 0;
+    /// Mean time that a run takes, in seconds, its calls included.
+    double secondsPerRun = 0;
+    /// Mean number of calls of a run, by the kind of work called.
+    std::map<WorkKind, double> callsPerRun;
+
+    friend auto operator==(const KindReport &a, const KindReport &b) -> bool
+    {
+        return a.kind == b.kind && a.runsPerSecond == b.runsPerSecond && a.secondsPerRun == b.secondsPerRun && a.callsPerRun == b.callsPerRun;
+    }
+};
+
+/// Work at one service that a node's arriving requests would cause, before any was shed.
+struct WantedWork {
+    ServiceName service;
+    /// Slots that the work would keep busy, by class, in the order in which classes are shed.
+    std::vector<double> slotsByClass;
+
+    friend auto operator==(const WantedWork &a, const WantedWork &b) -> bool
+    {
+        return a.service == b.service && a.slotsByClass == b.slotsByClass;
+    }
+};
+
 /// What a node tells all other nodes several times a second.
 struct NodeReport {
     NodeName node;
@@ -63,8 +91,10 @@
     Duration coldLeft{};
     /// Work that arrives at the target, as a part of what its slots can do; see offered_load.h.
     double offeredLoad = 0;
-    /// Services that the target called in the last seconds.
-    std::vector<ServiceName> calledServices;
+    /// What the target does for requests of each kind.
+    std::vector<KindReport> kinds;
+    /// Work that arrives at the node from callers, by the service that does it.
+    std::vector<WantedWork> wantedWork;
     uint64_t policyVersion = 0;
     std::vector<TeamDemand> demand;
 
@@ -72,7 +102,7 @@
     {
         return a.node == b.node && a.address == b.address && a.incarnation == b.incarnation && a.sequence == b.sequence && a.domain == b.domain
             && a.service == b.service && a.instance == b.instance && a.serving == b.serving && a.leaving == b.leaving && a.load == b.load
-            && a.serviceMs == b.serviceMs && a.coldLeft == b.coldLeft && a.offeredLoad == b.offeredLoad && a.calledServices == b.calledServices
+            && a.serviceMs == b.serviceMs && a.coldLeft == b.coldLeft && a.offeredLoad == b.offeredLoad && a.kinds == b.kinds && a.wantedWork == b.wantedWork
             && a.policyVersion == b.policyVersion && a.demand == b.demand;
     }
 };
--- a/mesh/report_codec.cpp
+++ b/mesh/report_codec.cpp
@@ -2,7 +2,9 @@
 
 #include "core/json_fields.h"
 
+#include <algorithm>
 #include <limits>
+#include <utility>
 
 #include <nlohmann/json.hpp>
 
@@ -15,7 +17,7 @@
 using nlohmann::json;
 
 /// Format of the report; a node ignores reports of another one.
-constexpr int kReportVersion = 1;
+constexpr int kReportVersion = 2;
 constexpr int64_t kMostSlots = 1000000;
 
 auto finite(const json &object, const char *name, JsonFields &fields) -> double
@@ -33,6 +35,75 @@
     return value;
 }
 
+auto isAmount(const json &value) -> bool
+{
+    return value.is_number() && value.get<double>() >= 0 && value.get<double>() <= std::numeric_limits<int>::max();
+}
+
+auto isKind(const json &value) -> bool
+{
+    return value.is_number_unsigned() && value.get<uint64_t>() <= std::numeric_limits<WorkKind>::max();
+}
+
+auto toJson(const std::vector<KindReport> &kinds) -> json
+{
+    json rows = json::array();
+    for (const auto &row : kinds) {
+        json calls = json::array();
+        for (const auto &[called, perRun] : row.callsPerRun) {
+            calls.push_back({called, static_cast<float>(perRun)});
+        }
+        rows.push_back({row.kind, static_cast<float>(row.runsPerSecond), static_cast<float>(row.secondsPerRun), std::move(calls)});
+    }
+    return rows;
+}
+
+/// Reads `[kind, runs a second, seconds a run, [[called kind, calls a run], ...]]` of each kind of work.
+auto readKinds(const json &object, JsonFields &fields) -> std::vector<KindReport>
+{
+    std::vector<KindReport> kinds;
+    const auto rows = object.find("k");
+    if (rows == object.end() || !rows->is_array()) {
+        fields.reject("k is no list");
+        return kinds;
+    }
+    for (const auto &row : *rows) {
+        if (!row.is_array() || row.size() != 4 || !isKind(row[0]) || !isAmount(row[1]) || !isAmount(row[2]) || !row[3].is_array()) {
+            fields.reject("a kind of work is " + row.dump());
+            return kinds;
+        }
+        KindReport kind{row[0].get<WorkKind>(), row[1].get<double>(), row[2].get<double>(), {}};
+        for (const auto &call : row[3]) {
+            if (!call.is_array() || call.size() != 2 || !isKind(call[0]) || !isAmount(call[1])) {
+                fields.reject("a call of a kind of work is " + call.dump());
+                return kinds;
+            }
+            kind.callsPerRun[call[0].get<WorkKind>()] = call[1].get<double>();
+        }
+        kinds.push_back(std::move(kind));
+    }
+    return kinds;
+}
+
+/// Reads the lists of slots by class, one for each service.
+void readWantedWork(const json &object, JsonFields &fields, NodeReport &report)
+{
+    /// Two for each priority; policies have a handful of them.
+    constexpr size_t kMostClasses = 64;
+    const auto rows = object.find("e");
+    if (rows == object.end() || !rows->is_object()) {
+        fields.reject("e is no map");
+        return;
+    }
+    for (const auto &[service, slots] : rows->items()) {
+        if (!slots.is_array() || slots.size() > kMostClasses || !std::all_of(slots.begin(), slots.end(), isAmount)) {
+            fields.reject("the wanted work at " + service + " is " + slots.dump());
+            return;
+        }
+        report.wantedWork.push_back({ServiceName(service), slots.get<std::vector<double>>()});
+    }
+}
+
 /// Reports are sent a few times a second to every node, so their field names are short.
 auto toJson(const NodeReport &report) -> json
 {
@@ -40,9 +111,13 @@
     for (const auto &row : report.demand) {
         demand[row.team.value] = {static_cast<float>(row.perSecond), static_cast<float>(row.share)};
     }
-    json called = json::array();
-    for (const auto &service : report.calledServices) {
-        called.push_back(service.value);
+    json wanted = json::object();
+    for (const auto &row : report.wantedWork) {
+        json slots = json::array();
+        for (const double value : row.slotsByClass) {
+            slots.push_back(static_cast<float>(value));
+        }
+        wanted[row.service.value] = std::move(slots);
     }
     return json{
         {"v", kReportVersion},
@@ -61,7 +136,8 @@
         {"ms", static_cast<float>(report.serviceMs)},
         {"c", duration_cast<milliseconds>(report.coldLeft).count()},
         {"u", static_cast<float>(report.offeredLoad)},
-        {"o", std::move(called)},
+        {"k", toJson(report.kinds)},
+        {"e", std::move(wanted)},
         {"pv", report.policyVersion},
         {"m", std::move(demand)},
     };
@@ -98,11 +174,8 @@
     report.serviceMs = finite(object, "ms", fields);
     report.coldLeft = milliseconds(fields.integer("c", 0, std::numeric_limits<int>::max()));
     report.offeredLoad = finite(object, "u", fields);
-    for (const auto &service : fields.array("o")) {
-        if (service.is_string()) {
-            report.calledServices.emplace_back(service.get<std::string>());
-        }
-    }
+    report.kinds = readKinds(object, fields);
+    readWantedWork(object, fields, report);
     report.policyVersion = fields.unsignedInteger("pv");
     const auto demand = object.find("m");
     if (demand == object.end() || !demand->is_object()) {
@@ -122,4 +195,24 @@
     return report;
 }
 
+auto encodeKinds(const std::vector<KindReport> &kinds) -> std::string
+{
+    const auto bytes = json::to_cbor(json{{"k", toJson(kinds)}});
+    return {bytes.begin(), bytes.end()};
+}
+
+auto decodeKinds(std::string_view bytes) -> Result<std::vector<KindReport>>
+{
+    const json object = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (!object.is_object()) {
+        return failure(ErrorCode::InvalidInput, "kinds of work of " + std::to_string(bytes.size()) + " bytes are no CBOR map");
+    }
+    JsonFields fields(object);
+    auto kinds = readKinds(object, fields);
+    if (fields.failed()) {
+        return fields.error();
+    }
+    return kinds;
+}
+
 } // namespace snipestream
--- a/mesh/target_gate.cpp
+++ b/mesh/target_gate.cpp
@@ -26,7 +26,7 @@
     gate.limit = std::max(1, static_cast<int>(std::floor(slots * gate.settings.usedSlots)));
 }
 
-auto expectedService(const TargetGate &gate, uint64_t workKind) -> Duration
+auto expectedService(const TargetGate &gate, WorkKind workKind) -> Duration
 {
     const auto found = gate.serviceByKind.find(workKind);
     return toDuration(found == gate.serviceByKind.end() ? gate.meanService : found->second);
@@ -67,7 +67,7 @@
     return {GateVerdict::Wait, ticket};
 }
 
-void finishRun(TargetGate &gate, uint64_t workKind, Duration service)
+void finishRun(TargetGate &gate, WorkKind workKind, Duration service)
 {
     gate.running = std::max(0, gate.running - 1);
     if (service <= Duration::zero()) {
--- a/mesh/target_gate.h
+++ b/mesh/target_gate.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/time.h"
+#include "mesh/call_pattern.h"
 #include "mesh/offered_load.h"
 
 #include <cstdint>
@@ -38,7 +39,7 @@
     /// The request is part of one that already runs; refusing it wastes that one's work.
     bool isInner = false;
     /// Kind of work, such as the route, whose service time is measured apart from others.
-    uint64_t workKind = 0;
+    WorkKind workKind = 0;
 };
 
 /// A request that waits.
@@ -59,7 +60,7 @@
     std::map<std::pair<int, std::pair<TimePoint, GateTicket>>, GateWaiter> queue;
     /// Mean time that the target takes for a request, in seconds: of all, and by kind of work.
     double meanService = 0;
-    std::unordered_map<uint64_t, double> serviceByKind;
+    std::unordered_map<WorkKind, double> serviceByKind;
 };
 
 /// Answer to an offer.
@@ -85,7 +86,7 @@
 auto offerRequest(TargetGate &gate, const GateRequest &request, TimePoint now) -> GateOffer;
 
 /// Frees the slot of a run that took `service`; zero if its duration says nothing about the target.
-void finishRun(TargetGate &gate, uint64_t workKind, Duration service);
+void finishRun(TargetGate &gate, WorkKind workKind, Duration service);
 
 /// A waiting request that was taken from the queue.
 struct GateDecision {
@@ -108,6 +109,6 @@
 auto expectedWait(const TargetGate &gate, int rank) -> Duration;
 
 /// Returns the mean service time of this kind of work, or of all if none was measured.
-auto expectedService(const TargetGate &gate, uint64_t workKind) -> Duration;
+auto expectedService(const TargetGate &gate, WorkKind workKind) -> Duration;
 
 } // namespace snipestream
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -37,11 +37,16 @@
     std::shared_ptr<const Policy> policy;
     /// A call of the target on this VM for a request that it runs, rather than a caller's own request.
     bool isInner = false;
-    int priority = 0;
+    Importance importance;
     TimePoint deadline;
     bool tokenTaken = false;
 };
 
+auto workKindOf(const RoutePolicy &route) -> WorkKind
+{
+    return static_cast<WorkKind>(stableHash(route.name.value) >> 32U);
+}
+
 auto makeRefusal(const EntryCall &call, int status, Duration retryAfter) -> AnswerMessage
 {
     AnswerMessage answer;
@@ -105,7 +110,6 @@
     if (call.route == nullptr) {
         return isCurrent ? refuse(state, call, 404, "no-route", {}) : refuse(state, call, 503, "no-route-in-old-policy", kNoPolicyRetryAfter);
     }
-    call.priority = call.route->priority;
     call.isInner = call.route->isOpen && !call.policy->teams.empty();
     if (!call.policy->teams.empty() && !call.route->isOpen) {
         if (!mayServeKeys(state, now)) {
@@ -115,8 +119,8 @@
         if (call.team == nullptr) {
             return refuse(state, call, 401, "unknown-key", {});
         }
-        call.priority = call.team->priority.value_or(call.priority);
     }
+    call.importance = importanceOf(*call.route, call.team);
     const Duration asked = std::min(call.caller.timeLeft.value_or(kLongestWait), call.route->timeout);
     call.deadline = now + asked;
     const uint64_t held = state.callerServer->heldBytes() + state.peerServer->heldBytes();
@@ -132,10 +136,17 @@
         call.tokenTaken = call.team->ratePerSecond > 0;
     }
     if (!call.isInner) {
-        auto &control = state.admission[call.service];
-        const size_t kind = shedClass(state.priorities, call.priority, isReturning(state, call));
-        countArrival(control, kind, now);
-        if (isShed(control, kind, call.caller.requestId)) {
+        const size_t kind = shedClass(state.importance, call.importance, isReturning(state, call));
+        const auto work = state.workByKind.find(workKindOf(*call.route));
+        double part = 0;
+        if (work != state.workByKind.end()) {
+            for (const auto &[service, slotSeconds] : work->second) {
+                auto &control = state.admission[service];
+                countArrival(control, kind, slotSeconds, now);
+                part = std::max(part, shedPart(control, kind));
+            }
+        }
+        if (isShed(part, call.caller.requestId)) {
             return refuse(state, call, 503, "shed", overloadRetryAfter(state, *call.route));
         }
     }
@@ -148,11 +159,12 @@
     routed.requestId = call.caller.requestId;
     routed.team = call.team != nullptr ? call.team->name : TeamName();
     routed.callerService = state.settings.service;
-    const bool isLeast = state.priorities.size() > 1 && call.priority == state.priorities.front();
+    const bool isLeast = !state.importance.empty() && call.importance.priority == state.importance.front().priority
+        && !(state.importance.back().priority == call.importance.priority);
     routed.rank = !call.isInner && isLeast ? 1 : 0;
     routed.targetLatency = call.route->targetLatency;
     routed.isInner = call.isInner;
-    routed.workKind = stableHash(call.route->name.value) >> 32U;
+    routed.workKind = workKindOf(*call.route);
     routed.deadline = call.deadline;
     // The key never leaves this node, and fields that the system answers for are set at the target.
     setTargetFields(request.headers, {"-", call.deadline - call.startedAt, routed.team, routed.callerService});
@@ -269,7 +281,8 @@
         return refusal;
     }
     if (call.isInner) {
-        state.calledServices[call.service] = call.startedAt;
+        const TimePoint theirs = call.caller.timeLeft ? call.startedAt + *call.caller.timeLeft : call.deadline;
+        countCall(state.calls, workKindOf(*call.route), theirs);
     }
     const RequestOrigin origin{call.caller.requestId, call.route, call.team, call.service, call.policy->version};
     RoutedRequest routed = makeRouted(state, call, std::move(request));
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -100,7 +100,7 @@
     for (const auto &[address, row] : state.peers.rows) {
         targets += row.report && row.report->service == state.settings.service ? 1 : 0;
     }
-    const bool isLeaf = state.calledServices.empty();
+    const bool isLeaf = !makesCalls(state.calls);
     const double part = (isLeaf ? kLeafPart : kCallerPart) * (request.isInner ? kInnerPart : 1);
     state.repeats.settings.ratio = state.settings.retryRatio * part;
     state.repeats.settings.leastRetries = static_cast<int>(state.settings.retrySlack * kSlackPart * part / static_cast<double>(std::max<size_t>(targets, 1)));
@@ -111,7 +111,10 @@
 {
     RequestMessage message = request.message;
     setTargetFields(message.headers, {request.instance, request.deadline - BootClock::now(), request.team, request.callerService});
+    const RunTicket run = beginRun(state.calls, request.workKind, request.deadline);
     CallResult called = state.targetPool.call(state.target.latest->endpoint, message, cancel, request.deadline);
+    const bool succeeded = called.status == CallStatus::Answered && called.answer.status / 100 == 2;
+    endRun(state.calls, run, succeeded, BootClock::now());
     TargetResult result;
     switch (called.status) {
     case CallStatus::Answered: {
--- a/sidecar/home.h
+++ b/sidecar/home.h
@@ -22,7 +22,7 @@
     int rank = 0;
     Duration targetLatency{};
     bool isInner = false;
-    uint64_t workKind = 0;
+    WorkKind workKind = 0;
     TimePoint deadline;
     /// Targets that saw the request before this one.
     int earlierArrivals = 0;
--- a/sidecar/policy_reader.h
+++ b/sidecar/policy_reader.h
@@ -12,10 +12,4 @@
 /// Takes a configuration into force if it is newer. One that cannot be read leaves the present one in force.
 void applyPolicyDocument(SidecarState &state, const std::string &document);
 
-/// Writes this node's address to the store and reads those of the others. Runs in a fiber of its own.
-void followRoster(SidecarState &state);
-
-/// Returns the client of the store.
-auto storeClient(SidecarState &state) -> StoreClient;
-
 } // namespace snipestream
--- a/sidecar/reports.cpp
+++ b/sidecar/reports.cpp
@@ -2,7 +2,9 @@
 
 #include "core/events.h"
 #include "mesh/report_codec.h"
+#include "sidecar/work_record.h"
 
+#include <algorithm>
 #include <array>
 
 #include <boost/asio/ip/udp.hpp>
@@ -15,9 +17,8 @@
 namespace
 {
 
-/// How long a service counts as called after the target's last call. Longer than the pauses between calls under any load
-/// that matters for shedding.
-constexpr Duration kCalledFor = seconds(5);
+/// Work below which no demand is told, in slots.
+constexpr double kLeastSlots = 0.001;
 /// Reports of one node a second, over all peers, at most; the interval grows with the number of nodes beyond that.
 constexpr double kReportsPerSecond = 120;
 constexpr Duration kLeastInterval = milliseconds(300);
@@ -73,9 +74,13 @@
     report.load = localLoad(state);
     report.serviceMs = state.gate.meanService * 1000;
     report.offeredLoad = reportedLoad(state, now);
-    for (const auto &[service, calledAt] : state.calledServices) {
-        if (now - calledAt < kCalledFor) {
-            report.calledServices.push_back(service);
+    report.kinds = kindReports(state);
+    for (const auto &[service, control] : state.admission) {
+        const auto arriving = arrivingWork(control, now);
+        if (std::any_of(arriving.begin(), arriving.end(), [](double slots) {
+                return slots >= kLeastSlots;
+            })) {
+            report.wantedWork.push_back({service, arriving});
         }
     }
     report.policyVersion = state.policy ? state.policy->version : 0;
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -7,7 +7,9 @@
 #include "sidecar/peer_call.h"
 #include "sidecar/policy_reader.h"
 #include "sidecar/reports.h"
+#include "sidecar/roster.h"
 #include "sidecar/state.h"
+#include "sidecar/work_record.h"
 
 #include <algorithm>
 #include <csignal>
@@ -27,6 +29,8 @@
 /// How often queues, levels and reports are looked at. Requests start without it; it only bounds how late news is.
 constexpr Duration kTick = milliseconds(25);
 constexpr Duration kSampleInterval = seconds(1);
+/// How often the work of requests is derived from the reports anew; what targets do changes slowly.
+constexpr Duration kWorkInterval = milliseconds(250);
 /// How often the parts of the rates are divided anew.
 constexpr Duration kShareInterval = milliseconds(250);
 /// After the stop signal, callers learn within two questions, a second apart, that the node takes no new work.
@@ -216,9 +220,18 @@
 
 void Sidecar::State::stepLoad(TimePoint now)
 {
+    if (now - sidecar.workBuiltAt >= kWorkInterval) {
+        sidecar.workBuiltAt = now;
+        const WorkGraph graph = buildWorkGraph(sidecar.peers);
+        sidecar.workByKind.clear();
+        for (const auto &[kind, row] : graph.kinds) {
+            sidecar.workByKind[kind] = workOf(graph, kind);
+        }
+    }
     for (auto &[service, control] : sidecar.admission) {
         if (now - control.steppedAt >= sidecar.admissionSettings.window) {
-            stepAdmission(control, sidecar.admissionSettings, serviceLoad(sidecar.peers, service, now), now);
+            stepAdmission(control, sidecar.admissionSettings, sidecar.importance, serviceRoom(sidecar.peers, service, now),
+                          wantedWork(sidecar.peers, service, control, now), now);
         }
     }
 }
@@ -233,6 +246,7 @@
     std::string admitted;
     for (const auto &[service, control] : sidecar.admission) {
         admitted.append(admitted.empty() ? "" : ",").append(service.value).append(":").append(std::to_string(control.admitted));
+        admitted.append("/").append(std::to_string(control.correction));
     }
     // Only teams at their limit; a fleet can have hundreds of others.
     std::string limited;
@@ -360,6 +374,9 @@
     sidecar.runtime.spawn([&sidecar] {
         followRoster(sidecar);
     });
+    sidecar.runtime.spawn([&sidecar] {
+        followWork(sidecar);
+    });
     logEvent(EventId::NodeStarted,
              {{"node", sidecar.settings.node.value},
               {"domain", sidecar.settings.domain.value},
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -13,6 +13,7 @@
 #include "mesh/split.h"
 #include "mesh/target_gate.h"
 #include "mesh/target_state.h"
+#include "mesh/work_graph.h"
 #include "net/fiber_event.h"
 #include "net/fiber_runtime.h"
 #include "platform/store_client.h"
@@ -55,7 +56,8 @@
 
     /// Empty until the store or a peer gave one.
     std::shared_ptr<const Policy> policy;
-    std::vector<int> priorities;
+    /// Importance of callers' requests under the policy, the least important first.
+    std::vector<Importance> importance;
     /// When the read that confirmed the policy was sent: keys withdrawn before are known here.
     TimePoint policyConfirmedAt;
     bool keyedSuspended = true;
@@ -65,8 +67,11 @@
     SplitTable splits;
     RateTable rates;
     AdmissionControlSettings admissionSettings;
-    /// By service that callers ask for.
-    std::unordered_map<ServiceName, AdmissionControl> admission;
+    /// By service that does work for callers' requests, directly or by calls.
+    std::map<ServiceName, AdmissionControl> admission;
+    /// Work that a caller's request causes, by its kind; rebuilt from the reports several times a second.
+    std::unordered_map<WorkKind, WorkByService> workByKind;
+    TimePoint workBuiltAt;
     /// Longest time that callers of a route gave; one who gives clearly less comes back after a refusal.
     std::unordered_map<RouteName, Duration> longestTimeLeft;
     /// The other nodes were read from the store.
@@ -79,8 +84,8 @@
     /// First and repeated requests that reached the local target.
     RetryRatio repeats;
     std::unordered_map<GateTicket, GateWait *> waits;
-    /// When the target last called a service.
-    std::map<ServiceName, TimePoint> calledServices;
+    /// Calls that the local target makes.
+    CallPattern calls;
 
     CallPool peerPool;
     CallPool targetPool;
