--- a/mesh/admission_control.cpp
+++ b/mesh/admission_control.cpp
@@ -160,10 +160,10 @@
 auto divideWork(double fits, const std::vector<double> &wanted, double leastPart) -> std::vector<double>
 {
     const double mean = std::min(fits / std::max(sumOf(wanted), kLeastWork), 1.0);
-    std::vector<double> given;
-    for (const double work : wanted) {
-        given.push_back(work * mean * leastPart);
-    }
+    std::vector<double> given(wanted.size());
+    std::transform(wanted.begin(), wanted.end(), given.begin(), [mean, leastPart](double work) {
+        return work * mean * leastPart;
+    });
     double left = fits - sumOf(given);
     for (size_t i = wanted.size(); i-- > 0;) {
         const double more = std::min(left, wanted[i] - given[i]);
