--- a/mesh/admission_control.h
+++ b/mesh/admission_control.h
@@ -5,7 +5,6 @@
 #include "mesh/peer_table.h"
 #include "mesh/policy.h"
 
-#include <map>
 #include <string_view>
 #include <tuple>
 #include <vector>
--- a/mesh/placement.cpp
+++ b/mesh/placement.cpp
@@ -92,15 +92,4 @@
     return best;
 }
 
-auto freeSlots(const PeerTable &table, const ServiceName &service, TimePoint now) -> int
-{
-    int free = 0;
-    for (const auto &[address, row] : table.rows) {
-        if (isCandidate(row, service, {}) && (address == table.ownAddress || isAlive(table, row, now))) {
-            free += row.load.limit - row.load.running - row.load.waiting;
-        }
-    }
-    return free;
-}
-
 } // namespace snipestream
--- a/mesh/placement.h
+++ b/mesh/placement.h
@@ -30,7 +30,4 @@
 auto choosePeer(PeerTable &table, const PlacementSettings &settings, const ServiceName &service, const std::vector<std::string> &tried, Random &random,
                 TimePoint now) -> PeerRow *;
 
-/// Returns how many slots of the service's targets are free, by what is known; negative if more requests wait.
-auto freeSlots(const PeerTable &table, const ServiceName &service, TimePoint now) -> int;
-
 } // namespace snipestream
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -42,6 +42,7 @@
     bool tokenTaken = false;
 };
 
+/// Half of the hash names a kind: a configuration has some hundred routes, and reports carry the names often.
 auto workKindOf(const RoutePolicy &route) -> WorkKind
 {
     return static_cast<WorkKind>(stableHash(route.name.value) >> 32U);
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -122,8 +122,7 @@
     const bool succeeded = called.status == CallStatus::Answered && called.answer.status / 100 == 2;
     endRun(state.calls, run, succeeded, BootClock::now());
     TargetResult result;
-    switch (called.status) {
-    case CallStatus::Answered: {
+    if (called.status == CallStatus::Answered) {
         result = judgeAnswer(request, std::move(called.answer));
         if (result.outcome == TargetOutcome::Unknown) {
             logEvent(EventId::TargetAnswerInvalid, {{"request", request.requestId}, {"instance", request.instance}, {"reason", result.reason}});
@@ -132,24 +131,15 @@
         }
         return result;
     }
-    case CallStatus::NotSent:
+    if (called.status == CallStatus::NotSent) {
         if (!state.target.unreachable) {
             logEvent(EventId::TargetUnreachable, {{"instance", request.instance}, {"detail", called.detail}});
             state.target.unreachable = true;
             state.reportSoon = true;
         }
         return notRun("target-unreachable", false);
-    case CallStatus::Broken:
-    case CallStatus::Malformed:
-        result.outcome = TargetOutcome::Unknown;
-        break;
-    case CallStatus::TimedOut:
-        result.outcome = TargetOutcome::TimedOut;
-        break;
-    case CallStatus::Cancelled:
-        result.outcome = TargetOutcome::Cancelled;
-        break;
     }
+    result.outcome = outcomeOf(called.status);
     result.arrived = true;
     result.reason = std::string(callStatusName(called.status)) + (called.detail.empty() ? "" : ": " + called.detail);
     return result;
@@ -157,6 +147,24 @@
 
 } // namespace
 
+auto outcomeOf(CallStatus status) -> TargetOutcome
+{
+    switch (status) {
+    case CallStatus::Answered:
+        return TargetOutcome::Answered;
+    case CallStatus::NotSent:
+        return TargetOutcome::NotRun;
+    case CallStatus::Broken:
+    case CallStatus::Malformed:
+        return TargetOutcome::Unknown;
+    case CallStatus::TimedOut:
+        return TargetOutcome::TimedOut;
+    case CallStatus::Cancelled:
+        return TargetOutcome::Cancelled;
+    }
+    return TargetOutcome::Unknown;
+}
+
 auto targetOutcomeName(TargetOutcome outcome) -> const char *
 {
     switch (outcome) {
--- a/sidecar/home.h
+++ b/sidecar/home.h
@@ -41,6 +41,9 @@
     Cancelled,
 };
 
+/// Returns what the end of a call means for the request; an answered call needs its answer judged.
+auto outcomeOf(CallStatus status) -> TargetOutcome;
+
 /// Returns the name for logs and for the wire, such as "not-run".
 auto targetOutcomeName(TargetOutcome outcome) -> const char *;
 
--- a/sidecar/peer_call.cpp
+++ b/sidecar/peer_call.cpp
@@ -137,25 +137,14 @@
 {
     const Endpoint endpoint{address, state.settings.peerListen.port};
     CallResult called = state.peerPool.call(endpoint, encodeRouted(request, BootClock::now()), cancel, request.deadline + kAnswerSlack);
+    if (called.status == CallStatus::Answered) {
+        return decodeOutcome(std::move(called.answer));
+    }
     TargetResult result;
-    result.arrived = true;
+    result.outcome = outcomeOf(called.status);
+    result.arrived = called.status != CallStatus::NotSent;
     result.reason = std::string("peer-") + callStatusName(called.status) + (called.detail.empty() ? "" : ": " + called.detail);
-    switch (called.status) {
-    case CallStatus::Answered:
-        return decodeOutcome(std::move(called.answer));
-    case CallStatus::NotSent:
-        result.outcome = TargetOutcome::NotRun;
-        result.arrived = false;
-        break;
-    case CallStatus::Broken:
-    case CallStatus::Malformed:
-        result.outcome = TargetOutcome::Unknown;
-        break;
-    case CallStatus::TimedOut:
-        result.outcome = TargetOutcome::TimedOut;
-        break;
-    case CallStatus::Cancelled:
-        result.outcome = TargetOutcome::Cancelled;
+    if (called.status == CallStatus::Cancelled) {
         return result;
     }
     const auto row = state.peers.rows.find(address);
--- a/tests/mesh/admission_control_test.cpp
+++ b/tests/mesh/admission_control_test.cpp
@@ -156,8 +156,8 @@
                 CPPUNIT_ASSERT(world.longestQueue < 0.5);
             });
             section("sheds the least important first", [&] {
-                CPPUNIT_ASSERT(partAdmitted(world, 2) < 0.4);
-                CPPUNIT_ASSERT(partAdmitted(world, 1) < 0.6);
+                CPPUNIT_ASSERT(partAdmitted(world, 2) < 0.27);
+                CPPUNIT_ASSERT(partAdmitted(world, 1) > partAdmitted(world, 2) * 1.3);
                 CPPUNIT_ASSERT(partAdmitted(world, 0) > 0.999);
             });
             section("starves none: the least important gets two fifths of what all get on average", [&] {
