Run the idempotent requests of a connection at the same time

MessageServer read and ran the requests of a connection one after the other. A slow request held up all requests behind it; its watch for a caller that leaves fired once, so with a second request in the buffer a closed connection was noticed only when the first response was written; a response that closes the connection was sent while requests behind it were already read.

A server that closes answers what runs and says so in the last response; what has not started is dropped unread.

Request bodies in progress share a limit and get 503 beyond it. A response that exceeds a bound is CallStatus::TooLarge; the request may have run. Idle connections on which a server keeps sending are closed within a second.

Ruled out: a watch of idle connections by async_wait, which costs an epoll_ctl for each call; the search for expired connections, once a second, looks at them instead.

--- a/http/call_pool.cpp
+++ b/http/call_pool.cpp
@@ -27,12 +27,16 @@
 
 /// How often call deadlines are checked. A timer for each call would cost more than its precision is worth.
 constexpr Duration kSweepInterval = milliseconds(20);
-/// Number of sweeps between two searches for expired idle connections, which makes one search per second.
+/// Number of sweeps between two searches for idle connections that can no longer be used, which makes one search per second.
 constexpr int kSweepsPerIdleCheck = 50;
+/// Received bytes that may wait to be parsed, in addition to the longest head. Bodies are parsed as they arrive, but the head
+/// of a chunk only when it is complete.
+constexpr size_t kReadAheadBytes = size_t{64} * 1024;
 
 struct Connection {
-    explicit Connection(asio::io_context &context)
+    Connection(asio::io_context &context, size_t maxBufferedBytes)
         : socket(context)
+        , buffer(maxBufferedBytes)
     {
     }
 
@@ -47,9 +51,23 @@
     TimePoint usableUntil;
     TimePoint deadline;
     bool timedOut = false;
+    /// The connection was closed because its response took too much memory.
+    bool exceedsMemory = false;
 };
 
 using ConnectionPtr = std::shared_ptr<Connection>;
+using ResponseParser = http::response_parser<http::string_body>;
+
+/// Returns the status of a call whose response could not be read.
+auto failureStatus(const Connection &connection, const boost::system::error_code &error) -> CallStatus
+{
+    if (connection.exceedsMemory || error == http::error::header_limit || error == http::error::body_limit || error == http::error::buffer_overflow) {
+        return CallStatus::TooLarge;
+    }
+    const bool isProtocolError = error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream
+        && error != http::error::partial_message;
+    return isProtocolError ? CallStatus::Malformed : CallStatus::Broken;
+}
 
 /// Returns whether an idle connection is open and has no unread bytes. Unread bytes do not belong to any request, so they
 /// make the connection unusable.
@@ -91,6 +109,8 @@
         return "broken";
     case CallStatus::Malformed:
         return "malformed";
+    case CallStatus::TooLarge:
+        return "too-large";
     case CallStatus::TimedOut:
         return "timed-out";
     case CallStatus::Cancelled:
@@ -102,7 +122,7 @@
 struct CallPool::State : std::enable_shared_from_this<CallPool::State> {
     State(FiberRuntime &fiberRuntime, CallPoolOptions poolOptions)
         : runtime(fiberRuntime)
-        , options(poolOptions)
+        , options(std::move(poolOptions))
         , sweepTimer(fiberRuntime.context())
     {
     }
@@ -110,6 +130,8 @@
     auto acquireIdle(const Endpoint &server) -> ConnectionPtr;
     auto connect(const Endpoint &server, CancelSignal &cancel, TimePoint deadline, std::string &detail) -> ConnectionPtr;
     auto exchange(const ConnectionPtr &connection, const RequestMessage &request, CallResult &result) -> bool;
+    auto readResponse(const ConnectionPtr &connection, bool withoutBody, std::optional<ResponseParser> &parser) -> boost::system::error_code;
+    auto readBody(const ConnectionPtr &connection, ResponseParser &parser) -> boost::system::error_code;
     void scheduleSweep();
     void closeExpiredIdle(TimePoint now);
 
@@ -152,7 +174,7 @@
         return nullptr;
     }
     ++openedCount;
-    auto connection = std::make_shared<Connection>(runtime.context());
+    auto connection = std::make_shared<Connection>(runtime.context(), options.maxHeaderBytes + kReadAheadBytes);
     cancel.onCancel([connection] {
         connection->close();
     });
@@ -191,21 +213,11 @@
         pendingWrite->done = true;
         pendingWrite->failed = static_cast<bool>(error);
     });
-    std::optional<http::response_parser<http::string_body>> parser;
-    IoResult read;
-    do {
-        parser.emplace();
-        parser->body_limit(options.maxResponseBytes);
-        parser->skip(request.method == "HEAD");
-        read = awaitIo([&](auto done) {
-            http::async_read(connection->socket, connection->buffer, *parser, done);
-        });
-    } while (!read.error && parser->get().result_int() / 100 == 1);
-    if (read.error) {
-        const bool isProtocolError = read.error.category() == http::make_error_code(http::error::bad_method).category()
-            && read.error != http::error::end_of_stream && read.error != http::error::partial_message;
-        result.status = isProtocolError ? CallStatus::Malformed : CallStatus::Broken;
-        result.detail = read.error.message();
+    std::optional<ResponseParser> parser;
+    const auto error = readResponse(connection, request.method == "HEAD", parser);
+    if (error) {
+        result.status = failureStatus(*connection, error);
+        result.detail = error.message();
         return false;
     }
     auto &parsed = parser->get();
@@ -218,6 +230,54 @@
     return result.response.keepAlive && pendingWrite->done && !pendingWrite->failed && connection->buffer.size() == 0;
 }
 
+/// Reads the response, leaving out interim ones.
+auto CallPool::State::readResponse(const ConnectionPtr &connection, bool withoutBody, std::optional<ResponseParser> &parser) -> boost::system::error_code
+{
+    for (int i = 0; i <= options.maxInterimResponses; ++i) {
+        parser.emplace();
+        parser->eager(true);
+        parser->header_limit(options.maxHeaderBytes);
+        parser->body_limit(options.maxResponseBytes);
+        parser->skip(withoutBody);
+        const IoResult head = awaitIo([&](auto done) {
+            http::async_read_header(connection->socket, connection->buffer, *parser, done);
+        });
+        if (head.error) {
+            return head.error;
+        }
+        const auto &fields = parser->get().base();
+        if (static_cast<size_t>(std::distance(fields.begin(), fields.end())) > options.maxFields) {
+            return http::error::header_limit;
+        }
+        const auto error = readBody(connection, *parser);
+        if (error || parser->get().result_int() / 100 != 1) {
+            return error;
+        }
+    }
+    return http::error::header_limit;
+}
+
+auto CallPool::State::readBody(const ConnectionPtr &connection, ResponseParser &parser) -> boost::system::error_code
+{
+    if (parser.is_done()) {
+        return {};
+    }
+    auto &memory = *options.memory;
+    const PartialResponseId id = addPartialResponse(memory, [connection] {
+        connection->exceedsMemory = true;
+        connection->close();
+    });
+    boost::system::error_code error;
+    while (!error && !parser.is_done()) {
+        setReceivedBytes(memory, id, parser.get().body().size());
+        error = awaitIo([&](auto done) {
+                    http::async_read_some(connection->socket, connection->buffer, parser, done);
+                }).error;
+    }
+    removePartialResponse(memory, id);
+    return error;
+}
+
 void CallPool::State::scheduleSweep()
 {
     if (sweeping || closed) {
@@ -246,13 +306,15 @@
     });
 }
 
+/// Closes the idle connections that can no longer be used, so that a server that keeps sending after its response is not
+/// kept until the next call.
 void CallPool::State::closeExpiredIdle(TimePoint now)
 {
     for (auto server = idle.begin(); server != idle.end();) {
         auto &connections = server->second;
         connections.erase(std::remove_if(connections.begin(), connections.end(),
                                          [now](const ConnectionPtr &connection) {
-                                             return connection->usableUntil <= now;
+                                             return connection->usableUntil <= now || !isUsable(*connection);
                                          }),
                           connections.end());
         server = connections.empty() ? idle.erase(server) : std::next(server);
@@ -260,8 +322,11 @@
 }
 
 CallPool::CallPool(FiberRuntime &runtime, CallPoolOptions options)
-    : state_(std::make_shared<State>(runtime, options))
+    : state_(std::make_shared<State>(runtime, std::move(options)))
 {
+    if (!state_->options.memory) {
+        state_->options.memory = std::make_shared<ResponseMemory>();
+    }
 }
 
 CallPool::~CallPool()
--- a/http/call_pool.h
+++ b/http/call_pool.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "http/message.h"
+#include "http/response_memory.h"
 #include "net/fiber_runtime.h"
 
 #include <cstddef>
@@ -21,6 +22,8 @@
     Broken,
     /// The server sent bytes that are not a valid HTTP response; it may have run the request.
     Malformed,
+    /// The response exceeded a limit of CallPoolOptions; the server may have run the request.
+    TooLarge,
     /// The deadline passed; the server may have run the request.
     TimedOut,
     /// The caller cancelled the call; the server may have run the request if it was sent.
@@ -50,7 +53,15 @@
     double idleTimeoutFraction = 0.6;
     /// See setTcpOptions.
     Duration deadPeerTimeout{};
+    /// Maximum size of the head of a response, in bytes, and its maximum number of fields.
+    uint32_t maxHeaderBytes = 16 * 1024;
+    size_t maxFields = 200;
+    /// Maximum number of interim responses (1xx) before a response.
+    int maxInterimResponses = 8;
+    /// Maximum size of the body of a response, in bytes.
     uint64_t maxResponseBytes = 64ULL * 1024 * 1024;
+    /// Shared with other pools of the process. If it is empty, the pool has a memory limit of its own.
+    std::shared_ptr<ResponseMemory> memory;
 };
 
 /// Pool of HTTP/1.1 connections to any number of servers; each call reuses an idle connection or opens a new one.
--- /dev/null
+++ b/http/message_connection.cpp
@@ -0,0 +1,465 @@
+#include "http/message_connection.h"
+
+#include "core/events.h"
+#include "http/http_fields.h"
+
+#include <algorithm>
+#include <array>
+#include <string_view>
+#include <utility>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/string.hpp>
+#include <boost/beast/http/error.hpp>
+
+namespace snipestream
+{
+
+namespace http = boost::beast::http;
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Number of bytes that one system call reads at most.
+constexpr size_t kReadBytes = size_t{16} * 1024;
+/// Number of bytes that a connection may receive before other connections get their turn.
+constexpr size_t kReadBytesPerTurn = size_t{128} * 1024;
+/// Number of requests of one connection that are parsed before other connections get their turn.
+constexpr int kRequestsPerTurn = 4;
+/// Received bytes that may wait to be parsed, in addition to the longest head. As long as there is room, the connection
+/// keeps reading and so notices that its caller has closed it.
+constexpr size_t kReadAheadBytes = size_t{16} * 1024;
+/// Fraction of maxConnections above which every response asks its caller to close the connection. A caller that was
+/// refused retries on a new connection and leaves the old one open, which would use up the limit.
+constexpr double kCloseAboveFraction = 0.5;
+/// Maximum time for which the server discards incoming bytes before it closes a connection. Closing a socket with unread
+/// bytes resets the connection, which could discard the response before the caller reads it.
+constexpr Duration kMaxLingerTime = seconds(1);
+
+auto toMessage(http::request<http::string_body> &&parsed) -> RequestMessage
+{
+    RequestMessage request;
+    request.method = std::string(parsed.method_string());
+    request.target = std::string(parsed.target());
+    request.headers = copyEndToEndFields(parsed);
+    request.keepAlive = parsed.keep_alive();
+    request.body = std::move(parsed.body());
+    return request;
+}
+
+auto countFields(const http::fields &fields) -> size_t
+{
+    return static_cast<size_t>(std::distance(fields.begin(), fields.end()));
+}
+
+} // namespace
+
+/// A request that has been read, with its response once there is one.
+struct MessageConnection::Request {
+    PipelinedRequestId id = 0;
+    RequestMessage message;
+    CancelSignal cancel;
+    /// Empty while the handler runs, and if the handler returned no response.
+    std::optional<ResponseMessage> response;
+    uint64_t bodyBytes = 0;
+    bool withoutBody = false;
+    bool keepAlive = true;
+    /// The handler was started, so the request counts in MessageServerShared::activeRequests.
+    bool isStarted = false;
+    bool isFinished = false;
+};
+
+MessageConnection::MessageConnection(asio::ip::tcp::socket socket, std::shared_ptr<MessageServerShared> shared)
+    : socket_(std::move(socket))
+    , shared_(std::move(shared))
+{
+    pipeline_.limits = shared_->options.pipeline;
+}
+
+void MessageConnection::start(std::function<void()> onEnd)
+{
+    onEnd_ = std::move(onEnd);
+    boost::system::error_code error;
+    socket_.non_blocking(true, error);
+    updateIdleDeadline();
+    awaitBytes();
+}
+
+auto MessageConnection::isOverdue(TimePoint now) const -> bool
+{
+    return now > writeDeadline_ || now > readDeadline_;
+}
+
+void MessageConnection::handleTimeout(TimePoint now)
+{
+    if (now > writeDeadline_ || (requests_.empty() && !isSending_)) {
+        close();
+        return;
+    }
+    // Earlier requests are still in progress, so the connection closes after the last of their responses.
+    stopReading();
+}
+
+void MessageConnection::closeIfIdle()
+{
+    if (requests_.empty() && !parser_ && !isSending_) {
+        close();
+    }
+}
+
+void MessageConnection::awaitBytes()
+{
+    const size_t maxBuffered = shared_->options.maxHeaderBytes + kReadAheadBytes;
+    if (isAwaitingBytes_ || hasEnded_ || buffer_.size() >= maxBuffered) {
+        return;
+    }
+    isAwaitingBytes_ = true;
+    socket_.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code &error) {
+        self->isAwaitingBytes_ = false;
+        if (self->hasEnded_) {
+            return;
+        }
+        if (error) {
+            self->close();
+            return;
+        }
+        self->handleReadable();
+    });
+}
+
+void MessageConnection::handleReadable()
+{
+    if (isLingering_) {
+        discardBytes();
+        return;
+    }
+    const size_t maxBuffered = shared_->options.maxHeaderBytes + kReadAheadBytes;
+    size_t received = 0;
+    while (received < kReadBytesPerTurn && buffer_.size() < maxBuffered) {
+        boost::system::error_code error;
+        const size_t bytes = socket_.read_some(buffer_.prepare(kReadBytes), error);
+        if (error == asio::error::would_block) {
+            break;
+        }
+        if (error) {
+            // A caller that has closed the connection does not wait for responses any more.
+            close();
+            return;
+        }
+        buffer_.commit(bytes);
+        received += bytes;
+        parseRequests();
+        if (hasEnded_) {
+            return;
+        }
+        if (bytes < kReadBytes) {
+            break;
+        }
+    }
+    if (parser_ && buffer_.size() >= maxBuffered) {
+        // The head of a chunk does not end.
+        addErrorResponse(400);
+        return;
+    }
+    awaitBytes();
+}
+
+void MessageConnection::discardBytes()
+{
+    std::array<char, 4096> discarded{};
+    boost::system::error_code error;
+    while (!error) {
+        socket_.read_some(asio::buffer(discarded), error);
+    }
+    if (error == asio::error::would_block) {
+        awaitBytes();
+        return;
+    }
+    close();
+}
+
+void MessageConnection::parseRequests()
+{
+    for (int parsed = 0; parsed < kRequestsPerTurn; ++parsed) {
+        if (!parseRequest()) {
+            updateIdleDeadline();
+            return;
+        }
+    }
+    updateIdleDeadline();
+    asio::post(socket_.get_executor(), [self = shared_from_this()] {
+        if (!self->hasEnded_) {
+            self->parseRequests();
+            self->awaitBytes();
+        }
+    });
+}
+
+/// Parses the received bytes. Returns whether a whole request has been read.
+auto MessageConnection::parseRequest() -> bool
+{
+    if (isReadingStopped_ || buffer_.size() == 0 || (!parser_ && !mayReadRequest(pipeline_))) {
+        return false;
+    }
+    if (!parser_) {
+        parser_.emplace();
+        parser_->eager(true);
+        parser_->header_limit(shared_->options.maxHeaderBytes);
+        parser_->body_limit(shared_->options.maxBodyBytes);
+        isHeadParsed_ = false;
+        readDeadline_ = BootClock::now() + shared_->options.headTimeout;
+    }
+    boost::system::error_code error;
+    while (!error && !parser_->is_done() && buffer_.size() > 0) {
+        buffer_.consume(parser_->put(buffer_.data(), error));
+        if (!isHeadParsed_ && parser_->is_header_done() && (!error || error == http::error::need_more)) {
+            handleHead();
+        }
+        if (!parser_) {
+            return false;
+        }
+    }
+    if (error && error != http::error::need_more) {
+        handleParseError(error);
+        return false;
+    }
+    setIncomingBytes(parser_->get().body().size());
+    if (shared_->options.maxIncomingBytes != 0 && shared_->incomingBytes > shared_->options.maxIncomingBytes) {
+        logEvent(EventId::MemoryShort, {{"server", shared_->options.name}, {"incoming", std::to_string(shared_->incomingBytes)}});
+        addErrorResponse(503);
+        return false;
+    }
+    if (!parser_->is_done()) {
+        return false;
+    }
+    addParsedRequest();
+    return true;
+}
+
+/// Checks a head that has just been parsed.
+void MessageConnection::handleHead()
+{
+    isHeadParsed_ = true;
+    readDeadline_ = BootClock::now() + shared_->options.bodyTimeout;
+    if (countFields(parser_->get()) > shared_->options.maxFields) {
+        addErrorResponse(431);
+        return;
+    }
+    const bool expectsContinue = !parser_->is_done() && boost::beast::iequals(parser_->get()[http::field::expect], "100-continue");
+    // Behind other requests, the interim response would arrive in front of theirs. The caller sends the body anyway after
+    // a while.
+    if (expectsContinue && requests_.empty() && !isSending_) {
+        sendBytes("HTTP/1.1 100 Continue\r\n\r\n", false);
+    }
+}
+
+void MessageConnection::handleParseError(const boost::system::error_code &error)
+{
+    if (error == http::error::header_limit) {
+        addErrorResponse(431);
+    } else if (error == http::error::body_limit) {
+        addErrorResponse(413);
+    } else {
+        addErrorResponse(400);
+    }
+}
+
+void MessageConnection::addParsedRequest()
+{
+    const auto request = std::make_shared<Request>();
+    request->message = toMessage(parser_->release());
+    parser_.reset();
+    setIncomingBytes(0);
+    request->withoutBody = request->message.method == "HEAD";
+    request->keepAlive = request->message.keepAlive;
+    request->bodyBytes = request->message.body.size();
+    const bool isConcurrent = shared_->options.mayRunConcurrently && shared_->options.mayRunConcurrently(request->message);
+    shared_->pipelineCounts.pipelined += requests_.empty() ? 0 : 1;
+    request->id = addRequest(pipeline_, request->bodyBytes, isConcurrent);
+    requests_.emplace(request->id, request);
+    startRequests();
+}
+
+/// Responds to a request that cannot be read, after the responses to the requests before it. The connection closes then,
+/// since the start of the next request is not known.
+void MessageConnection::addErrorResponse(int status)
+{
+    logEvent(EventId::HttpRequestInvalid, {{"server", shared_->options.name}, {"status", std::to_string(status)}});
+    stopReading();
+    const auto request = std::make_shared<Request>();
+    request->response.emplace();
+    request->response->status = status;
+    request->keepAlive = false;
+    request->id = addRequest(pipeline_, 0, true);
+    requests_.emplace(request->id, request);
+    finishRequest(pipeline_, request->id, 0);
+    sendResponses();
+}
+
+void MessageConnection::setIncomingBytes(uint64_t bytes)
+{
+    shared_->incomingBytes += bytes - incomingBytes_;
+    incomingBytes_ = bytes;
+}
+
+void MessageConnection::stopReading()
+{
+    isReadingStopped_ = true;
+    parser_.reset();
+    setIncomingBytes(0);
+    readDeadline_ = TimePoint::max();
+}
+
+void MessageConnection::startRequests()
+{
+    for (const PipelinedRequestId id : snipestream::startRequests(pipeline_)) {
+        const auto request = requests_.at(id);
+        request->isStarted = true;
+        ++shared_->activeRequests;
+        shared_->activeRequestBytes += request->bodyBytes;
+        shared_->runtime.spawn([self = shared_from_this(), request] {
+            self->runRequest(request);
+        });
+    }
+}
+
+void MessageConnection::runRequest(const std::shared_ptr<Request> &request)
+{
+    if (!request->cancel.isCancelled()) {
+        request->response = shared_->handler(request->message, request->cancel);
+    }
+    shared_->activeRequestBytes -= request->bodyBytes;
+    request->message = RequestMessage();
+    finishRequest(pipeline_, request->id, request->response ? request->response->body.size() : 0);
+    request->isFinished = true;
+    if (hasEnded_) {
+        --shared_->activeRequests;
+        return;
+    }
+    sendResponses();
+}
+
+void MessageConnection::sendResponses()
+{
+    while (!isSending_ && !hasEnded_ && !isLingering_) {
+        const auto id = takeFinished(pipeline_);
+        if (!id) {
+            break;
+        }
+        const auto request = requests_.at(*id);
+        requests_.erase(*id);
+        shared_->activeRequests -= request->isStarted ? 1 : 0;
+        if (!request->response) {
+            close();
+            return;
+        }
+        const bool isCrowded = static_cast<double>(shared_->connections) > kCloseAboveFraction * static_cast<double>(shared_->options.maxConnections);
+        if (shared_->closing || isCrowded) {
+            stopReading();
+        }
+        if (isReadingStopped_ || !request->keepAlive) {
+            // Requests that have not started are not read; their callers send them again on another connection.
+            for (const PipelinedRequestId dropped : dropWaiting(pipeline_)) {
+                requests_.erase(dropped);
+                ++shared_->pipelineCounts.dropped;
+            }
+        }
+        // Responses of requests that are already running are still sent, since those may have run.
+        const bool closeAfter = !request->keepAlive || (isReadingStopped_ && requests_.empty());
+        sendBytes(serializeResponse(*request->response, closeAfter, request->withoutBody), closeAfter);
+    }
+    if (hasEnded_ || isLingering_) {
+        return;
+    }
+    if (isReadingStopped_) {
+        if (requests_.empty() && !isSending_) {
+            beginLinger();
+        }
+        return;
+    }
+    startRequests();
+    parseRequests();
+    awaitBytes();
+}
+
+void MessageConnection::sendBytes(std::string bytes, bool closeAfter)
+{
+    boost::system::error_code error;
+    const size_t sent = socket_.write_some(asio::buffer(bytes), error);
+    if (error && error != asio::error::would_block) {
+        close();
+        return;
+    }
+    if (sent == bytes.size()) {
+        handleSent(closeAfter);
+        return;
+    }
+    isSending_ = true;
+    writeDeadline_ = BootClock::now() + shared_->options.bodyTimeout;
+    const auto rest = std::make_shared<std::string>(bytes.substr(sent));
+    asio::async_write(socket_, asio::buffer(*rest), [self = shared_from_this(), rest, closeAfter](const boost::system::error_code &failed, size_t) {
+        self->isSending_ = false;
+        self->writeDeadline_ = TimePoint::max();
+        if (failed) {
+            self->close();
+            return;
+        }
+        self->handleSent(closeAfter);
+        self->sendResponses();
+    });
+}
+
+void MessageConnection::handleSent(bool closeAfter)
+{
+    if (closeAfter && !hasEnded_) {
+        beginLinger();
+    }
+}
+
+void MessageConnection::beginLinger()
+{
+    stopReading();
+    isLingering_ = true;
+    for (const auto &[id, request] : requests_) {
+        // Only a caller that asked for the close itself has requests left behind it.
+        request->cancel.cancel();
+    }
+    boost::system::error_code ignored;
+    socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+    readDeadline_ = BootClock::now() + kMaxLingerTime;
+    buffer_.consume(buffer_.size());
+    awaitBytes();
+}
+
+void MessageConnection::close()
+{
+    if (hasEnded_) {
+        return;
+    }
+    hasEnded_ = true;
+    const auto self = shared_from_this();
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    stopReading();
+    const auto requests = std::exchange(requests_, {});
+    for (const auto &[id, request] : requests) {
+        // The fiber of a running request counts it out when it ends.
+        shared_->activeRequests -= request->isStarted && request->isFinished ? 1 : 0;
+        request->cancel.cancel();
+    }
+    if (onEnd_) {
+        std::exchange(onEnd_, nullptr)();
+    }
+}
+
+void MessageConnection::updateIdleDeadline()
+{
+    if (parser_ || isLingering_) {
+        return;
+    }
+    readDeadline_ = requests_.empty() && !isSending_ ? BootClock::now() + shared_->options.idleTimeout : TimePoint::max();
+}
+
+} // namespace snipestream
--- /dev/null
+++ b/http/message_connection.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "http/message_server.h"
+#include "http/request_pipeline.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+namespace snipestream
+{
+
+/// What the connections of one server share.
+struct MessageServerShared {
+    FiberRuntime &runtime;
+    MessageServerOptions options;
+    MessageHandler handler;
+    size_t connections = 0;
+    size_t activeRequests = 0;
+    uint64_t activeRequestBytes = 0;
+    /// Size of the request bodies that are being received, in bytes.
+    uint64_t incomingBytes = 0;
+    /// Every connection closes after its next response.
+    bool closing = false;
+    PipelineCounts pipelineCounts;
+};
+
+/// A caller's connection. It reads requests as they arrive, also while earlier ones run, and sends the responses in the
+/// order of the requests. While it reads, it notices at once that the caller has closed the connection. It needs a fiber
+/// only while a handler runs.
+class MessageConnection : public std::enable_shared_from_this<MessageConnection>
+{
+public:
+    MessageConnection(boost::asio::ip::tcp::socket socket, std::shared_ptr<MessageServerShared> shared);
+
+    /// Starts to wait for requests. `onEnd` is called once when the connection has ended.
+    void start(std::function<void()> onEnd);
+
+    /// Returns whether one of the timeouts of the connection has passed.
+    [[nodiscard]] auto isOverdue(TimePoint now) const -> bool;
+    /// Closes an overdue connection, or lets it close after its last response if only the time to receive a request has
+    /// passed.
+    void handleTimeout(TimePoint now);
+
+    /// Closes the connection unless a request is in progress.
+    void closeIfIdle();
+
+    /// Closes the connection at once and cancels the requests in progress.
+    void close();
+
+private:
+    struct Request;
+
+    void awaitBytes();
+    void handleReadable();
+    void discardBytes();
+    void parseRequests();
+    auto parseRequest() -> bool;
+    void handleHead();
+    void handleParseError(const boost::system::error_code &error);
+    void addParsedRequest();
+    void addErrorResponse(int status);
+    void setIncomingBytes(uint64_t bytes);
+    void stopReading();
+    void startRequests();
+    void runRequest(const std::shared_ptr<Request> &request);
+    void sendResponses();
+    auto prepareResponse(Request &request) -> std::string;
+    void sendBytes(std::string bytes, bool closeAfter);
+    void handleSent(bool closeAfter);
+    void beginLinger();
+    void updateIdleDeadline();
+
+    boost::asio::ip::tcp::socket socket_;
+    std::shared_ptr<MessageServerShared> shared_;
+    std::function<void()> onEnd_;
+    boost::beast::flat_buffer buffer_;
+    using Parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+    /// Set while a request is being received.
+    std::optional<Parser> parser_;
+    RequestPipeline pipeline_;
+    std::map<PipelinedRequestId, std::shared_ptr<Request>> requests_;
+    uint64_t incomingBytes_ = 0;
+    /// End of the time to receive the head or body that is being read, to wait for a request, or to discard bytes.
+    TimePoint readDeadline_ = TimePoint::max();
+    TimePoint writeDeadline_ = TimePoint::max();
+    bool isHeadParsed_ = false;
+    bool isAwaitingBytes_ = false;
+    bool isSending_ = false;
+    /// No further request of this connection is parsed.
+    bool isReadingStopped_ = false;
+    /// The last response has been sent; bytes that still arrive are discarded.
+    bool isLingering_ = false;
+    bool hasEnded_ = false;
+};
+
+} // namespace snipestream
--- a/http/message_server.cpp
+++ b/http/message_server.cpp
@@ -1,23 +1,21 @@
 #include "http/message_server.h"
 
 #include "core/events.h"
-#include "http/http_fields.h"
+#include "http/message_connection.h"
 #include "http/tcp_options.h"
-#include "net/await.h"
 
-#include <array>
+#include <algorithm>
+#include <iterator>
 #include <set>
 #include <utility>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/http.hpp>
 
 namespace snipestream
 {
 
-namespace http = boost::beast::http;
 namespace asio = boost::asio;
 
 namespace
@@ -28,102 +26,30 @@
 constexpr Duration kSweepInterval = milliseconds(250);
 /// Delay before the next accept after an error such as too many open files.
 constexpr Duration kAcceptBackoff = milliseconds(50);
-/// Fraction of maxConnections above which every response asks its caller to close the connection. A caller that was
-/// refused retries on a new connection and leaves the old one open, which would use up the limit.
-constexpr double kCloseAboveFraction = 0.5;
-/// Maximum time for which the server discards incoming bytes before it closes a connection. Closing a socket with unread
-/// bytes resets the connection, which could discard the response before the caller reads it.
-constexpr Duration kMaxLingerTime = seconds(1);
-
-struct Connection;
 
 } // namespace
 
 struct MessageServer::State : std::enable_shared_from_this<MessageServer::State> {
-    State(FiberRuntime &fiberRuntime, MessageServerOptions serverOptions, MessageHandler requestHandler)
-        : runtime(fiberRuntime)
-        , options(std::move(serverOptions))
-        , handler(std::move(requestHandler))
-        , acceptor(fiberRuntime.context())
-        , sweepTimer(fiberRuntime.context())
+    State(FiberRuntime &runtime, MessageServerOptions options, MessageHandler handler)
+        : shared(std::make_shared<MessageServerShared>(MessageServerShared{runtime, std::move(options), std::move(handler), 0, 0, 0, 0, false, {}}))
+        , acceptor(runtime.context())
+        , sweepTimer(runtime.context())
     {
     }
 
     void acceptNext();
     void addConnection(asio::ip::tcp::socket socket);
     void scheduleSweep();
-    void awaitRequest(const std::shared_ptr<Connection> &connection);
-    void serveRequests(const std::shared_ptr<Connection> &connection);
-    auto serveRequest(const std::shared_ptr<Connection> &connection) -> bool;
-    void respondInvalid(Connection &connection, int status);
-    void closeConnection(const std::shared_ptr<Connection> &connection);
+    /// Returns a copy of the set, since connections remove themselves when they end.
+    [[nodiscard]] auto allConnections() const -> std::vector<std::shared_ptr<MessageConnection>>;
 
-    FiberRuntime &runtime;
-    MessageServerOptions options;
-    MessageHandler handler;
+    std::shared_ptr<MessageServerShared> shared;
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer sweepTimer;
-    std::set<std::shared_ptr<Connection>> connections;
-    size_t activeRequests = 0;
-    uint64_t activeRequestBytes = 0;
-    bool closing = false;
+    std::set<std::shared_ptr<MessageConnection>> connections;
     bool stopped = false;
 };
 
-namespace
-{
-
-struct Connection {
-    explicit Connection(asio::ip::tcp::socket acceptedSocket)
-        : socket(std::move(acceptedSocket))
-    {
-    }
-
-    void close()
-    {
-        boost::system::error_code ignored;
-        socket.close(ignored);
-    }
-
-    asio::ip::tcp::socket socket;
-    boost::beast::flat_buffer buffer;
-    /// The first sweep after this time closes the connection.
-    TimePoint deadline = TimePoint::max();
-    bool busy = false;
-    /// Set while a handler runs; it is cancelled when the caller closes the connection.
-    CancelSignal *signal = nullptr;
-};
-
-/// Cancels the running request when the caller closes the connection. Bytes of a pipelined request do not count as a
-/// close.
-void watchForClose(const std::shared_ptr<Connection> &connection)
-{
-    connection->socket.async_wait(asio::ip::tcp::socket::wait_read, [connection](const boost::system::error_code &error) {
-        if (error == asio::error::operation_aborted || connection->signal == nullptr) {
-            return;
-        }
-        boost::system::error_code failed = error;
-        char byte = 0;
-        const size_t peekedBytes = failed ? 0 : connection->socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, failed);
-        if ((peekedBytes == 0 || failed) && failed != asio::error::would_block) {
-            connection->signal->cancel();
-        }
-    });
-}
-
-auto toMessage(http::request<http::string_body> &&parsed) -> RequestMessage
-{
-    RequestMessage request;
-    request.method = std::string(parsed.method_string());
-    request.target = std::string(parsed.target());
-    request.headers = copyEndToEndFields(parsed);
-    request.keepAlive = parsed.keep_alive();
-    request.body = std::move(parsed.body());
-    return request;
-}
-
-} // namespace
-
 void MessageServer::State::acceptNext()
 {
     acceptor.async_accept([self = shared_from_this()](const boost::system::error_code &error, asio::ip::tcp::socket socket) {
@@ -131,8 +57,8 @@
             return;
         }
         if (error) {
-            logEvent(EventId::AcceptFailed, {{"server", self->options.name}, {"error", error.message()}});
-            auto timer = std::make_shared<asio::steady_timer>(self->runtime.context(), kAcceptBackoff);
+            logEvent(EventId::AcceptFailed, {{"server", self->shared->options.name}, {"error", error.message()}});
+            auto timer = std::make_shared<asio::steady_timer>(self->shared->runtime.context(), kAcceptBackoff);
             timer->async_wait([self, timer](const boost::system::error_code &) {
                 self->acceptNext();
             });
@@ -145,150 +71,23 @@
 
 void MessageServer::State::addConnection(asio::ip::tcp::socket socket)
 {
+    const auto &options = shared->options;
     if (connections.size() >= options.maxConnections) {
         logEvent(EventId::ConnectionRefused, {{"server", options.name}, {"connections", std::to_string(connections.size())}});
         return;
     }
     setTcpOptions(socket, options.deadPeerTimeout);
-    const auto connection = std::make_shared<Connection>(std::move(socket));
+    const auto connection = std::make_shared<MessageConnection>(std::move(socket), shared);
     connections.insert(connection);
-    awaitRequest(connection);
-}
-
-void MessageServer::State::awaitRequest(const std::shared_ptr<Connection> &connection)
-{
-    connection->busy = false;
-    connection->deadline = BootClock::now() + options.idleTimeout;
-    connection->socket.async_wait(asio::ip::tcp::socket::wait_read, [self = shared_from_this(), connection](const boost::system::error_code &error) {
-        if (error) {
-            self->closeConnection(connection);
-            return;
+    shared->connections = connections.size();
+    connection->start([state = weak_from_this(), weak = std::weak_ptr<MessageConnection>(connection)] {
+        if (const auto self = state.lock()) {
+            self->connections.erase(weak.lock());
+            self->shared->connections = self->connections.size();
         }
-        connection->busy = true;
-        self->runtime.spawn([self, connection] {
-            self->serveRequests(connection);
-        });
     });
 }
 
-void MessageServer::State::serveRequests(const std::shared_ptr<Connection> &connection)
-{
-    bool isReusable = true;
-    do {
-        connection->busy = true;
-        isReusable = serveRequest(connection);
-    } while (isReusable && connection->buffer.size() > 0);
-    if (isReusable) {
-        awaitRequest(connection);
-        return;
-    }
-    closeConnection(connection);
-}
-
-auto MessageServer::State::serveRequest(const std::shared_ptr<Connection> &connection) -> bool
-{
-    http::request_parser<http::string_body> parser;
-    parser.header_limit(options.maxHeaderBytes);
-    parser.body_limit(options.maxBodyBytes);
-    connection->deadline = BootClock::now() + options.headTimeout;
-    const IoResult head = awaitIo([&](auto done) {
-        http::async_read_header(connection->socket, connection->buffer, parser, done);
-    });
-    if (head.error) {
-        if (head.error == http::error::header_limit) {
-            respondInvalid(*connection, 431);
-        } else if (head.error == http::error::body_limit) {
-            respondInvalid(*connection, 413);
-        } else if (head.error.category() == http::make_error_code(http::error::bad_method).category() && head.error != http::error::end_of_stream
-                   && head.error != http::error::partial_message) {
-            respondInvalid(*connection, 400);
-        }
-        return false;
-    }
-    connection->deadline = BootClock::now() + options.bodyTimeout;
-    if (!parser.is_done()) {
-        if (boost::beast::iequals(parser.get()[http::field::expect], "100-continue")) {
-            const std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
-            awaitIo([&](auto done) {
-                asio::async_write(connection->socket, asio::buffer(kContinue), done);
-            });
-        }
-        const IoResult body = awaitIo([&](auto done) {
-            http::async_read(connection->socket, connection->buffer, parser, done);
-        });
-        if (body.error) {
-            if (body.error == http::error::body_limit) {
-                respondInvalid(*connection, 413);
-            } else if (body.error == http::error::bad_chunk || body.error == http::error::bad_chunk_extension) {
-                respondInvalid(*connection, 400);
-            }
-            return false;
-        }
-    }
-    RequestMessage request = toMessage(parser.release());
-    const bool withoutBody = request.method == "HEAD";
-    const uint64_t bytes = request.body.size();
-    CancelSignal cancel;
-    connection->signal = &cancel;
-    connection->deadline = TimePoint::max();
-    ++activeRequests;
-    activeRequestBytes += bytes;
-    watchForClose(connection);
-    std::optional<ResponseMessage> response = handler(request, cancel);
-    connection->signal = nullptr;
-    boost::system::error_code ignored;
-    connection->socket.cancel(ignored);
-    activeRequestBytes -= bytes;
-    if (!response || cancel.isCancelled()) {
-        --activeRequests;
-        return false;
-    }
-    const bool isCrowded = static_cast<double>(connections.size()) > kCloseAboveFraction * static_cast<double>(options.maxConnections);
-    const bool closeAfter = closing || !request.keepAlive || isCrowded;
-    const std::string out = serializeResponse(*response, closeAfter, withoutBody);
-    connection->deadline = BootClock::now() + options.bodyTimeout;
-    const IoResult sent = awaitIo([&](auto done) {
-        asio::async_write(connection->socket, asio::buffer(out), done);
-    });
-    --activeRequests;
-    if (sent.error) {
-        return false;
-    }
-    if (closeAfter) {
-        connection->socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-        connection->deadline = BootClock::now() + kMaxLingerTime;
-        std::array<char, 4096> discarded{};
-        while (!awaitIo([&](auto done) {
-                    connection->socket.async_read_some(asio::buffer(discarded), done);
-                }).error) { }
-    }
-    return !closeAfter;
-}
-
-void MessageServer::State::respondInvalid(Connection &connection, int status)
-{
-    logEvent(EventId::HttpRequestInvalid, {{"server", options.name}, {"status", std::to_string(status)}});
-    ResponseMessage response;
-    response.status = status;
-    const std::string out = serializeResponse(response, true, false);
-    connection.deadline = BootClock::now() + kMaxLingerTime;
-    awaitIo([&](auto done) {
-        asio::async_write(connection.socket, asio::buffer(out), done);
-    });
-    boost::system::error_code ignored;
-    connection.socket.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
-    std::array<char, 4096> discarded{};
-    while (!awaitIo([&](auto done) {
-                connection.socket.async_read_some(asio::buffer(discarded), done);
-            }).error) { }
-}
-
-void MessageServer::State::closeConnection(const std::shared_ptr<Connection> &connection)
-{
-    connection->close();
-    connections.erase(connection);
-}
-
 void MessageServer::State::scheduleSweep()
 {
     sweepTimer.expires_after(kSweepInterval);
@@ -297,16 +96,22 @@
             return;
         }
         const TimePoint now = BootClock::now();
-        for (const auto &connection : self->connections) {
-            if (connection->deadline < now) {
-                // This ends the pending operation; its fiber or handler then removes the connection.
-                connection->close();
-            }
+        std::vector<std::shared_ptr<MessageConnection>> overdue;
+        std::copy_if(self->connections.begin(), self->connections.end(), std::back_inserter(overdue), [now](const auto &connection) {
+            return connection->isOverdue(now);
+        });
+        for (const auto &connection : overdue) {
+            connection->handleTimeout(now);
         }
         self->scheduleSweep();
     });
 }
 
+auto MessageServer::State::allConnections() const -> std::vector<std::shared_ptr<MessageConnection>>
+{
+    return {connections.begin(), connections.end()};
+}
+
 MessageServer::MessageServer(FiberRuntime &runtime, MessageServerOptions options, MessageHandler handler)
     : state_(std::make_shared<State>(runtime, std::move(options), std::move(handler)))
 {
@@ -318,18 +123,19 @@
     boost::system::error_code ignored;
     state_->acceptor.close(ignored);
     state_->sweepTimer.cancel();
-    for (const auto &connection : state_->connections) {
+    for (const auto &connection : state_->allConnections()) {
         connection->close();
     }
 }
 
 auto MessageServer::listen() -> Result<uint16_t>
 {
-    const auto port = listenOn(state_->acceptor, state_->options.listen);
+    const auto &options = state_->shared->options;
+    const auto port = listenOn(state_->acceptor, options.listen);
     if (!port) {
         return port.error();
     }
-    logEvent(EventId::HttpListening, {{"server", state_->options.name}, {"address", toString({state_->options.listen.address, port.value()})}});
+    logEvent(EventId::HttpListening, {{"server", options.name}, {"address", toString({options.listen.address, port.value()})}});
     state_->acceptNext();
     state_->scheduleSweep();
     return port.value();
@@ -337,39 +143,43 @@
 
 void MessageServer::setLimits(uint32_t maxHeaderBytes, uint64_t maxBodyBytes, Duration headTimeout, Duration idleTimeout)
 {
-    state_->options.maxHeaderBytes = maxHeaderBytes;
-    state_->options.maxBodyBytes = maxBodyBytes;
-    state_->options.headTimeout = headTimeout;
-    state_->options.idleTimeout = idleTimeout;
+    auto &options = state_->shared->options;
+    options.maxHeaderBytes = maxHeaderBytes;
+    options.maxBodyBytes = maxBodyBytes;
+    options.headTimeout = headTimeout;
+    options.idleTimeout = idleTimeout;
 }
 
 void MessageServer::announceClose()
 {
-    state_->closing = true;
+    state_->shared->closing = true;
 }
 
 void MessageServer::closeIdle()
 {
     state_->stopped = true;
-    state_->closing = true;
+    state_->shared->closing = true;
     boost::system::error_code ignored;
     state_->acceptor.close(ignored);
     state_->sweepTimer.cancel();
-    for (const auto &connection : state_->connections) {
-        if (!connection->busy) {
-            connection->close();
-        }
+    for (const auto &connection : state_->allConnections()) {
+        connection->closeIfIdle();
     }
 }
 
 auto MessageServer::activeRequests() const -> size_t
 {
-    return state_->activeRequests;
+    return state_->shared->activeRequests;
 }
 
 auto MessageServer::activeRequestBytes() const -> uint64_t
 {
-    return state_->activeRequestBytes;
+    return state_->shared->activeRequestBytes;
+}
+
+auto MessageServer::pipelineCounts() const -> PipelineCounts
+{
+    return state_->shared->pipelineCounts;
 }
 
 } // namespace snipestream
--- a/http/message_server.h
+++ b/http/message_server.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/result.h"
 #include "http/message.h"
+#include "http/request_pipeline.h"
 #include "net/fiber_runtime.h"
 
 #include <cstdint>
@@ -27,6 +28,16 @@
     /// Maximum time for which a connection may stay open without a request.
     Duration idleTimeout = seconds(60);
     size_t maxConnections = 3000;
+    /// Maximum number of header fields of a request.
+    size_t maxFields = 200;
+    /// Maximum total size of the bodies that are being received on all connections, in bytes. Beyond it, requests get
+    /// status 503. Zero means no limit.
+    uint64_t maxIncomingBytes = 0;
+    /// Bounds on the requests of one connection that are in progress at once.
+    PipelineLimits pipeline;
+    /// Returns whether a request may run while other requests of its connection do. Without this function, the requests
+    /// of a connection run one after the other.
+    std::function<bool(const RequestMessage &)> mayRunConcurrently;
     /// See setTcpOptions; zero leaves the timeouts of the operating system in place.
     Duration deadPeerTimeout{};
 };
@@ -35,7 +46,22 @@
 /// The signal is cancelled when the caller closes its connection.
 using MessageHandler = std::function<std::optional<ResponseMessage>(RequestMessage &request, CancelSignal &cancel)>;
 
-/// HTTP/1.1 server that reads whole requests and sends whole responses. An idle connection occupies no fiber.
+/// Numbers of requests since the server was created.
+struct PipelineCounts {
+    /// Requests that were read while earlier ones of their connection were in progress.
+    uint64_t pipelined = 0;
+    /// Requests that were read but not run, because a response before them closed the connection.
+    uint64_t dropped = 0;
+
+    friend auto operator==(const PipelineCounts &a, const PipelineCounts &b) -> bool
+    {
+        return a.pipelined == b.pipelined && a.dropped == b.dropped;
+    }
+};
+
+/// HTTP/1.1 server that reads whole requests and sends whole responses. An idle connection occupies no fiber. Requests that
+/// arrive on a connection before earlier ones have been answered run at the same time if they are concurrent, and are
+/// answered in the order in which they arrived.
 class MessageServer
 {
 public:
@@ -50,7 +76,8 @@
     /// Replaces the limits for requests that are read from now on.
     void setLimits(uint32_t maxHeaderBytes, uint64_t maxBodyBytes, Duration headTimeout, Duration idleTimeout);
 
-    /// Closes every connection after its next response. New connections are still accepted.
+    /// Closes every connection after its next response, or after those of all its requests that have already started.
+    /// New connections are still accepted.
     void announceClose();
 
     /// Stops accepting and closes connections without a request in progress.
@@ -60,6 +87,7 @@
     [[nodiscard]] auto activeRequests() const -> size_t;
     /// Returns the total body size of the requests whose handler is running, in bytes.
     [[nodiscard]] auto activeRequestBytes() const -> uint64_t;
+    [[nodiscard]] auto pipelineCounts() const -> PipelineCounts;
 
 private:
     struct State;
