Share the quota node between both interfaces

The routing of a node's own quota messages, the open requests and the decisions stood in node/quota_service, tied to its links. quota/quota_node now holds them without a network, so that the node on the users' platform can run the same code. Entry nodes can take back the token of a request that is refused for another reason, and the parameters bound the messages of a team that sends many times its rate (exhaustedRequestInterval, shortLoanBackoff) and tolerate a lost datagram (timeoutsBeforeBackoff); their defaults leave the links of node/ as they were.

--- a/node/quota_service.cpp
+++ b/node/quota_service.cpp
@@ -24,8 +24,6 @@
 constexpr const char *kWeightsAckMethod = "quota.weights-ack";
 
 constexpr Duration kTickInterval = milliseconds(5);
-/// Requests that get no response, for example because they only carry a report, are dropped after this time.
-constexpr Duration kOpenRequestLifetime = seconds(2);
 /// Maximum number of past domain weights that are stored. An increase is confirmed within seconds unless a domain is partitioned.
 constexpr size_t kMaxWeightHistoryEntries = 32;
 /// How long a request waits for a holder during the handover of its range. A planned handover takes about half a
@@ -36,8 +34,6 @@
 /// within 32 MB.
 constexpr size_t kMaxHandoverWaiters = 256;
 
-void processQuota(NodeState &state);
-
 /// Updates the team rates in the holder's inputs if the configuration changed.
 void refreshRules(NodeState &state)
 {
@@ -46,16 +42,16 @@
         return;
     }
     quota.rulesRevision = state.fold.state.revision;
-    quota.holderInputs.rules.clear();
+    quota.node.holderInputs.rules.clear();
     for (const auto &[name, rule] : state.fold.state.index.teams) {
-        quota.holderInputs.rules[name] = TeamQuota{static_cast<MicroTokens>(rule.rate) * kOneToken, static_cast<MicroTokens>(rule.burst) * kOneToken};
+        quota.node.holderInputs.rules[name] = TeamQuota{static_cast<MicroTokens>(rule.rate) * kOneToken, static_cast<MicroTokens>(rule.burst) * kOneToken};
     }
 }
 
 /// Updates the ranges for which this node has a valid lease, and the holders of the same ranges in other domains.
 void refreshLeases(NodeState &state, TimePoint now)
 {
-    auto &inputs = state.quota.holderInputs;
+    auto &inputs = state.quota.node.holderInputs;
     inputs.validRanges.clear();
     inputs.peers.clear();
     for (const auto &[key, held] : state.leaseNode.holder.leases) {
@@ -104,103 +100,36 @@
     });
 }
 
-void receiveQuotaRequest(NodeState &state, const QuotaRequest &request)
-{
-    if (request.requestedAmount > 0) {
-        state.quota.openQuotaRequests[{request.from, request.number}] = {request.mayBorrow, BootClock::now()};
-    }
-    state.quota.holderInputs.requests.push_back(request);
-}
-
-/// Sends a response of the holder side to the side that sent the request.
-void sendQuotaResponse(NodeState &state, const NodeName &to, const QuotaResponse &response)
-{
-    const auto openRequest = state.quota.openQuotaRequests.find({to, response.requestNumber});
-    const bool toEntry = openRequest == state.quota.openQuotaRequests.end() || openRequest->second.first;
-    if (openRequest != state.quota.openQuotaRequests.end()) {
-        state.quota.openQuotaRequests.erase(openRequest);
-    }
-    if (to != state.settings.node) {
-        sendNotice(state, to, toEntry ? kGrantMethod : kLoanMethod, toJson(response));
-    } else if (toEntry) {
-        state.quota.entryInputs.responses.push_back(response);
-    } else {
-        state.quota.holderInputs.responses.push_back(response);
-    }
-}
-
-void sendQuotaRequest(NodeState &state, const NodeName &to, const QuotaRequest &request)
+void sendOutputs(NodeState &state, const QuotaNodeOutputs &out)
 {
-    if (to == state.settings.node) {
-        receiveQuotaRequest(state, request);
-    } else {
+    for (const auto &[to, request] : out.requests) {
         sendNotice(state, to, kRequestMethod, toJson(request));
     }
-}
-
-void runHolder(NodeState &state, TimePoint now)
-{
-    QuotaState &quota = state.quota;
-    refreshRules(state);
-    refreshLeases(state, now);
-    if (quota.holderInputs.weights.empty() || quota.holderInputs.weights.back().weights.empty()) {
-        return;
-    }
-    const HolderOutputs outputs = tickHolder(quota.holder, quota.params, now, quota.holderInputs);
-    quota.holderInputs.requests.clear();
-    quota.holderInputs.responses.clear();
-    quota.holderInputs.weightsRequests.clear();
-    quota.holderInputs.weightsAcks.clear();
-    for (const auto &[to, response] : outputs.responses) {
-        sendQuotaResponse(state, to, response);
+    for (const auto &[to, side, response] : out.responses) {
+        sendNotice(state, to, side == QuotaSide::Entry ? kGrantMethod : kLoanMethod, toJson(response));
     }
-    for (const auto &[to, request] : outputs.peerRequests) {
-        sendQuotaRequest(state, to, request);
-    }
-    for (const auto &[to, request] : outputs.weightsRequests) {
+    for (const auto &[to, request] : out.weightsRequests) {
         sendNotice(state, to, kWeightsRequestMethod, toJson(request));
     }
-    for (const auto &[to, ack] : outputs.weightsAcks) {
+    for (const auto &[to, ack] : out.weightsAcks) {
         sendNotice(state, to, kWeightsAckMethod, toJson(ack));
     }
 }
 
-void runEntry(NodeState &state, TimePoint now)
-{
-    QuotaState &quota = state.quota;
-    const EntryOutputs outputs = tickEntry(quota.entry, quota.params, now, quota.entryInputs);
-    quota.entryInputs.responses.clear();
-    for (const auto &decision : outputs.decisions) {
-        const auto wait = quota.waits.find(decision.tokenRequestId);
-        if (wait != quota.waits.end()) {
-            wait->second->decision = decision;
-            wait->second->isDecided = true;
-            wait->second->event.notify();
-        }
-    }
-    for (const auto &[to, request] : outputs.requests) {
-        sendQuotaRequest(state, to, request);
-    }
-}
-
-/// Runs both sides until no messages of this node to itself are left. The limit of rounds only prevents an endless
-/// loop.
 void processQuota(NodeState &state)
 {
     QuotaState &quota = state.quota;
-    if (quota.isProcessing) {
-        return;
-    }
-    quota.isProcessing = true;
     const TimePoint now = BootClock::now();
-    for (int round = 0; round < 4; ++round) {
-        runEntry(state, now);
-        runHolder(state, now);
-        if (quota.entryInputs.responses.empty() && quota.holderInputs.responses.empty() && quota.holderInputs.requests.empty()) {
-            break;
+    refreshRules(state);
+    refreshLeases(state, now);
+    const QuotaNodeOutputs out = processQuotaNode(quota.node, now);
+    for (const auto &decision : out.decisions) {
+        const auto wait = quota.waits.find(decision.tokenRequestId);
+        if (wait != quota.waits.end()) {
+            wait->second->decide(decision);
         }
     }
-    quota.isProcessing = false;
+    sendOutputs(state, out);
 }
 
 /// Registers the handler of a notice: parses the payload with `fromJson`, passes it to `handle` and runs both sides.
@@ -229,7 +158,7 @@
 {
     QuotaState &quota = state.quota;
     const uint64_t tokenRequestId = quota.nextTokenRequestId++;
-    const TokenDecision first = requestToken(quota.entry, quota.params, team, tokenRequestId, BootClock::now(), deadline);
+    const TokenDecision first = requestToken(quota.node.entry, quota.node.params, team, tokenRequestId, BootClock::now(), deadline);
     if (first.state == TokenState::Admitted) {
         return std::nullopt;
     }
@@ -242,7 +171,7 @@
     waitFor(state.runtime.context(), wait.event, deadline - BootClock::now(), wait.isDecided);
     quota.waits.erase(tokenRequestId);
     if (!wait.isDecided) {
-        cancelRequest(quota.entry, team, tokenRequestId);
+        cancelRequest(quota.node.entry, team, tokenRequestId);
         return Refusal{RefusalReason::DeadlinePassed, RunState::NotRun, {}, "the deadline passed before a token came"};
     }
     if (wait.decision.state == TokenState::Admitted) {
@@ -255,16 +184,15 @@
 
 void startQuota(NodeState &state)
 {
-    state.quota.holder = makeHolderTable(state.settings.node, state.settings.domain, state.incarnation);
-    state.quota.entry = makeEntryTable(state.settings.node, state.incarnation);
-    state.quota.entryInputs.holders = [&state](uint32_t range) {
+    startQuotaNode(state.quota.node, state.settings.node, state.settings.domain, state.incarnation);
+    state.quota.node.entryInputs.holders = [&state](uint32_t range) {
         return holdersOf(state, range);
     };
 }
 
 void recordDomainWeights(NodeState &state)
 {
-    auto &history = state.quota.holderInputs.weights;
+    auto &history = state.quota.node.holderInputs.weights;
     DomainWeights current;
     current.version = domainListRevision(state);
     for (const auto &[domain, weight] : domainWeights(state.fold.state)) {
@@ -282,7 +210,7 @@
 auto dumpWeightHistory(const QuotaState &quota) -> nlohmann::json
 {
     nlohmann::json history = nlohmann::json::array();
-    for (const auto &entry : quota.holderInputs.weights) {
+    for (const auto &entry : quota.node.holderInputs.weights) {
         nlohmann::json weights = nlohmann::json::object();
         for (const auto &[domain, weight] : entry.weights) {
             weights[domain.value] = weight;
@@ -304,7 +232,7 @@
             }
             history.push_back(std::move(entry));
         }
-        quota.holderInputs.weights = std::move(history);
+        quota.node.holderInputs.weights = std::move(history);
         return success();
     } catch (const nlohmann::json::exception &error) {
         return failure(ErrorCode::InvalidInput, std::string("domain weights: ") + error.what());
@@ -314,32 +242,28 @@
 void serveQuota(NodeState &state)
 {
     QuotaState &quota = state.quota;
-    onQuotaNotice(state, kRequestMethod, quotaRequestFromJson, [&state](const QuotaRequest &request) {
-        receiveQuotaRequest(state, request);
+    onQuotaNotice(state, kRequestMethod, quotaRequestFromJson, [&quota](const QuotaRequest &request) {
+        receiveQuotaRequest(quota.node, request, BootClock::now());
     });
     onQuotaNotice(state, kGrantMethod, quotaResponseFromJson, [&quota](const QuotaResponse &response) {
-        quota.entryInputs.responses.push_back(response);
+        receiveQuotaResponse(quota.node, QuotaSide::Entry, response);
     });
     onQuotaNotice(state, kLoanMethod, quotaResponseFromJson, [&quota](const QuotaResponse &response) {
-        quota.holderInputs.responses.push_back(response);
+        receiveQuotaResponse(quota.node, QuotaSide::Holder, response);
     });
     onQuotaNotice(state, kWeightsRequestMethod, weightsRequestFromJson, [&quota](const WeightsRequest &request) {
-        quota.holderInputs.weightsRequests.push_back(request);
+        quota.node.holderInputs.weightsRequests.push_back(request);
     });
     onQuotaNotice(state, kWeightsAckMethod, weightsAckFromJson, [&quota](const WeightsAck &ack) {
-        quota.holderInputs.weightsAcks.push_back(ack);
+        quota.node.holderInputs.weightsAcks.push_back(ack);
     });
 }
 
 void runQuota(NodeState &state)
 {
     while (!state.ending) {
-        const TimePoint now = BootClock::now();
         processQuota(state);
-        auto &open = state.quota.openQuotaRequests;
-        for (auto row = open.begin(); row != open.end();) {
-            row = now - row->second.second > kOpenRequestLifetime ? open.erase(row) : std::next(row);
-        }
+        dropUnansweredRequests(state.quota.node, BootClock::now());
         state.runtime.sleepFor(kTickInterval);
     }
 }
--- a/node/quota_service.h
+++ b/node/quota_service.h
@@ -4,15 +4,12 @@
 #include "core/refusal.h"
 #include "core/result.h"
 #include "core/time.h"
-#include "net/fiber_event.h"
-#include "quota/entry.h"
-#include "quota/holder.h"
+#include "net/decision_wait.h"
+#include "quota/quota_node.h"
 
 #include <cstdint>
-#include <map>
 #include <optional>
 #include <unordered_map>
-#include <utility>
 
 #include <nlohmann/json_fwd.hpp>
 
@@ -22,32 +19,18 @@
 struct NodeState;
 
 /// A fiber that waits for the decision on its token request.
-struct TokenWait {
-    FiberEvent event;
-    TokenDecision decision;
-    bool isDecided = false;
-};
+using TokenWait = DecisionWait<TokenDecision>;
 
-/// Quota state of one node: as the holder of ranges, and as the entry node of requests that need tokens.
+/// Quota state of this node.
 struct QuotaState {
-    QuotaParams params;
-    HolderTable holder;
-    HolderInputs holderInputs;
-    EntryTable entry;
-    EntryInputs entryInputs;
+    QuotaNode node;
     /// By id of the token request.
     std::unordered_map<uint64_t, TokenWait *> waits;
     uint64_t nextTokenRequestId = 1;
-    /// Configuration revision from which the rules in `holderInputs` were taken.
+    /// Configuration revision from which the rules in `node` were taken.
     uint64_t rulesRevision = 0;
-    /// Quota requests that this node received as holder and has not answered yet, by sender and number: whether the
-    /// response goes to the sender's entry side (otherwise to its holder side), and when the request arrived.
-    std::map<std::pair<NodeName, uint64_t>, std::pair<bool, TimePoint>> openQuotaRequests;
     /// Requests that wait for the handover of a range to another holder.
     size_t handoverWaiters = 0;
-    /// Set while messages are processed, so that messages of this node to itself are queued instead of processed
-    /// recursively.
-    bool isProcessing = false;
 };
 
 /// Initializes the quota state for the current incarnation of this node.
--- a/quota/accounts.cpp
+++ b/quota/accounts.cpp
@@ -184,6 +184,8 @@
         if (response.outcome == QuotaOutcome::Unavailable) {
             peer->retryAt = now + params.peerBackoff;
             peer->level = 0;
+        } else if (response.amount < peer->requestedAmount) {
+            peer->retryAt = now + params.shortLoanBackoff;
         }
     }
     if (response.amount <= 0) {
--- a/quota/entry.cpp
+++ b/quota/entry.cpp
@@ -28,6 +28,14 @@
     return sum;
 }
 
+/// Notes that the holder has to be told what happened to the grant's tokens.
+void markUnreported(CachedGrant &grant, TimePoint now)
+{
+    if (!grant.holder.empty()) {
+        grant.unreportedSince = grant.unreportedSince.value_or(now);
+    }
+}
+
 /// Spends one token from grants that have not expired, those that expire first before the others.
 auto spendToken(EntryTeam &team, TimePoint now) -> bool
 {
@@ -43,7 +51,7 @@
         if (taken > 0) {
             grant.remaining -= taken;
             grant.spent += taken;
-            grant.unreportedSince = grant.unreportedSince.value_or(now);
+            markUnreported(grant, now);
             due -= taken;
         }
     }
@@ -70,10 +78,13 @@
     const bool expected = team.pending && team.pending->number == response.requestNumber && team.pending->holder == response.from;
     TimePoint expiresAt = now;
     if (expected) {
+        team.timeouts = 0;
+        team.lastHolder = response.from;
+        team.lastResponseAt = now;
         expiresAt = (params.lifetimeFromReceipt ? now : team.pending->sentAt) + response.lifetime;
         team.pending.reset();
         team.tokenInterval = response.tokenInterval;
-        team.nextTokenAt = response.outcome == QuotaOutcome::Insufficient ? now + response.retryAfter : TimePoint{};
+        team.nextTokenAt = response.outcome == QuotaOutcome::Insufficient ? now + std::max(response.retryAfter, params.exhaustedRequestInterval) : TimePoint{};
         if (response.outcome == QuotaOutcome::Unavailable) {
             table.holderBackoffUntil[response.from] = now + params.holderBackoff;
             team.nextRequestAt = now;
@@ -115,11 +126,20 @@
         if (grant.remaining > 0 && (idle || now >= grant.expiresAt)) {
             grant.returned += grant.remaining;
             grant.remaining = 0;
-            grant.unreportedSince = grant.unreportedSince.value_or(now);
+            markUnreported(grant, now);
         }
     }
 }
 
+void removeUsedGrants(EntryTeam &team)
+{
+    team.grants.erase(std::remove_if(team.grants.begin(), team.grants.end(),
+                                     [](const CachedGrant &grant) {
+                                         return grant.remaining == 0 && !grant.unreportedSince;
+                                     }),
+                      team.grants.end());
+}
+
 /// Adds the unreported amounts of a holder's grants to a message, and removes the grants that are used up.
 void addReports(EntryTeam &team, const NodeName &holder, QuotaRequest &request)
 {
@@ -129,11 +149,7 @@
             grant.unreportedSince.reset();
         }
     }
-    team.grants.erase(std::remove_if(team.grants.begin(), team.grants.end(),
-                                     [](const CachedGrant &grant) {
-                                         return grant.remaining == 0 && !grant.unreportedSince;
-                                     }),
-                      team.grants.end());
+    removeUsedGrants(team);
 }
 
 void sendReports(EntryTable &table, const QuotaParams &params, const TeamName &name, EntryTeam &team, bool batchReports, TimePoint now, EntryOutputs &out)
@@ -225,6 +241,19 @@
     out.requests.emplace_back(*holder, std::move(request));
 }
 
+/// Abandons a request without a response. After several of them, no more are sent to the holder for a while.
+void abandonOverdueRequest(EntryTable &table, const QuotaParams &params, EntryTeam &team, TimePoint now)
+{
+    if (!team.pending || now - team.pending->sentAt < params.requestTimeout) {
+        return;
+    }
+    if (++team.timeouts >= params.timeoutsBeforeBackoff) {
+        team.timeouts = 0;
+        table.holderBackoffUntil[team.pending->holder] = now + params.holderBackoff;
+    }
+    team.pending.reset();
+}
+
 void removeExpired(EntryTable &table, TimePoint now)
 {
     const auto drop = [now](auto &times) {
@@ -269,6 +298,15 @@
     return TokenDecision{tokenRequestId, TokenState::Queued};
 }
 
+void returnToken(EntryTable &table, const QuotaParams &params, const TeamName &team, TimePoint now)
+{
+    CachedGrant grant;
+    grant.remaining = kOneToken;
+    grant.receivedAt = now;
+    grant.expiresAt = now + params.grantLifetime;
+    table.teams[team].grants.push_back(std::move(grant));
+}
+
 void cancelRequest(EntryTable &table, const TeamName &team, uint64_t tokenRequestId)
 {
     const auto found = table.teams.find(team);
@@ -295,15 +333,13 @@
             out.decisions.push_back(TokenDecision{team.queue.front().tokenRequestId, TokenState::Admitted});
             team.queue.pop_front();
         }
-        if (team.pending && now - team.pending->sentAt >= params.requestTimeout) {
-            table.holderBackoffUntil[team.pending->holder] = now + params.holderBackoff;
-            team.pending.reset();
-        }
+        abandonOverdueRequest(table, params, team, now);
         const int64_t demand = recentDemand(team, params, now);
         refuseOverdue(team, params, now, out);
         returnUnusedTokens(team, params, demand, now);
         sendRequest(table, params, name, team, demand, now, inputs, out);
         sendReports(table, params, name, team, demand >= params.minPrefetchDemand, now, out);
+        removeUsedGrants(team);
     }
     return out;
 }
--- a/quota/entry.h
+++ b/quota/entry.h
@@ -14,8 +14,9 @@
 namespace snipestream
 {
 
-/// The tokens of one grant that an entry node received.
+/// The tokens of one grant that an entry node received, or of a request that was refused after it had spent a token.
 struct CachedGrant {
+    /// Empty for the token of a refused request. Its grant has been reported as spent, so it is not reported again.
     NodeName holder;
     uint64_t number = 0;
     MicroTokens remaining = 0;
@@ -46,6 +47,11 @@
     std::vector<CachedGrant> grants;
     std::deque<QueuedTokenRequest> queue;
     std::optional<PendingQuotaRequest> pending;
+    /// Requests without a response since the last response.
+    int timeouts = 0;
+    /// Holder that sent the last response, and when it arrived.
+    NodeName lastHolder;
+    TimePoint lastResponseAt{};
     /// Times of the token requests in the last demand window.
     std::deque<TimePoint> requestTimes;
     TimePoint nextRequestAt{};
@@ -106,6 +112,10 @@
 auto requestToken(EntryTable &table, const QuotaParams &params, const TeamName &team, uint64_t tokenRequestId, TimePoint now, TimePoint deadline)
     -> TokenDecision;
 
+/// Takes back the token of a request that was refused after its token had been spent. The team's next request at this node
+/// can use it for as long as a grant.
+void returnToken(EntryTable &table, const QuotaParams &params, const TeamName &team, TimePoint now);
+
 /// Removes a queued token request whose caller has left.
 void cancelRequest(EntryTable &table, const TeamName &team, uint64_t tokenRequestId);
 
--- a/quota/holder.cpp
+++ b/quota/holder.cpp
@@ -59,6 +59,12 @@
         }
         auto &share = tick.table.ranges.at(range).share;
         share.current = tick.params.raiseWithoutConfirmation ? share.desired : share.current;
+        const auto voted = tick.inputs.votedShares.find(range);
+        if (voted != tick.inputs.votedShares.end()) {
+            share.current = voted->second;
+            share.desired = voted->second;
+            share.unconfirmedDomains.clear();
+        }
     }
 }
 
--- a/quota/holder.h
+++ b/quota/holder.h
@@ -115,6 +115,9 @@
     /// Rules and weights from the log, read at least up to the lease record of this holder. The weights are not empty.
     std::map<TeamName, TeamQuota> rules;
     std::vector<DomainWeights> weights;
+    /// Shares of the ranges whose lease follows from votes instead of the log; such a share may change at any time. For
+    /// these ranges the weights only serve to estimate the levels of other holders.
+    std::map<uint32_t, Share> votedShares;
     /// The holders of each range in the other domains.
     std::map<uint32_t, std::map<DomainName, NodeName>> peers;
     std::vector<QuotaRequest> requests;
--- a/quota/params.h
+++ b/quota/params.h
@@ -43,10 +43,17 @@
     /// Minimum time between two rounds in which a holder fetches tokens in advance from holders with a full share.
     Duration minLevelingInterval = milliseconds(100);
 
-    /// Minimum time between two requests of one entry node for one team.
+    /// Minimum time between two requests of one entry node for one team, and that after a holder had too few tokens. The
+    /// latter bounds the messages that a team causes which sends many times its rate.
     Duration minRequestInterval = milliseconds(5);
+    Duration exhaustedRequestInterval = milliseconds(5);
+    /// Time for which a holder asks another one for no further loan after it got less than it had asked for.
+    Duration shortLoanBackoff = Duration::zero();
     /// A request without a response is abandoned after this time.
     Duration requestTimeout = milliseconds(100);
+    /// Number of requests in a row without a response after which a holder counts as unreachable. More than one is needed
+    /// where requests travel in datagrams, which get lost.
+    int timeoutsBeforeBackoff = 1;
     /// How long an entry node sends no requests to a node that did not respond or is not the holder.
     Duration holderBackoff = milliseconds(500);
     /// Maximum time that a queued token request waits for tokens to be minted.
