Take tokens of the rates from voted holders in the sidecar

Replaces mesh/rate_share: the division of every rate by demand, and the lists of all teams in the reports. Records of members in the store now hold domain and service, which the votes need. Datagrams between nodes have a kind, and one socket carries reports, votes and quota messages. Requests of idempotent routes that are pipelined run at the same time. Responses in progress, and request bodies that are being received, take at most 15% of the memory limit each.

--- a/mesh/peer_table.cpp
+++ b/mesh/peer_table.cpp
@@ -18,15 +18,21 @@
 
 } // namespace
 
-void addAddress(PeerTable &table, const std::string &address)
+auto addMember(PeerTable &table, const Member &member) -> bool
 {
-    table.rows.try_emplace(address).first->second.address = address;
+    auto &row = table.rows[member.address];
+    row.address = member.address;
+    if (row.member == member) {
+        return false;
+    }
+    row.member = member;
+    return true;
 }
 
 auto applyReport(PeerTable &table, const NodeReport &report, TimePoint now) -> bool
 {
-    addAddress(table, report.address);
     auto &row = table.rows[report.address];
+    row.address = report.address;
     if (row.report) {
         if (report.incarnation == row.previousIncarnation) {
             return false;
--- a/mesh/peer_table.h
+++ b/mesh/peer_table.h
@@ -4,6 +4,7 @@
 #include "core/random.h"
 #include "core/time.h"
 #include "mesh/call_pattern.h"
+#include "mesh/member.h"
 
 #include <cstdint>
 #include <map>
@@ -29,20 +30,6 @@
     }
 };
 
-/// Demand of one team at one node, before any request is refused.
-struct TeamDemand {
-    TeamName team;
-    /// Requests per second.
-    double perSecond = 0;
-    /// The node's share of the team's rate, in requests per second.
-    double share = 0;
-
-    friend auto operator==(const TeamDemand &a, const TeamDemand &b) -> bool
-    {
-        return a.team == b.team && a.perSecond == b.perSecond && a.share == b.share;
-    }
-};
-
 /// Cost of the requests of one kind at a target.
 struct KindReport {
     WorkKind kind = 0;
@@ -99,21 +86,21 @@
     /// Work that callers' requests at this node would cause, by the service that would do it.
     std::vector<ServiceDemand> serviceDemand;
     uint64_t policyVersion = 0;
-    /// Demand by team.
-    std::vector<TeamDemand> demand;
 
     friend auto operator==(const NodeReport &a, const NodeReport &b) -> bool
     {
         return a.node == b.node && a.address == b.address && a.incarnation == b.incarnation && a.sequence == b.sequence && a.domain == b.domain
             && a.service == b.service && a.instance == b.instance && a.serving == b.serving && a.leaving == b.leaving && a.load == b.load
             && a.serviceMs == b.serviceMs && a.warmupLeft == b.warmupLeft && a.offeredLoad == b.offeredLoad && a.kinds == b.kinds
-            && a.serviceDemand == b.serviceDemand && a.policyVersion == b.policyVersion && a.demand == b.demand;
+            && a.serviceDemand == b.serviceDemand && a.policyVersion == b.policyVersion;
     }
 };
 
 /// State of one node as observed by this node.
 struct PeerRow {
     std::string address;
+    /// Empty fields if only the address is known.
+    Member member;
     /// Latest report; empty until the first one arrives.
     std::optional<NodeReport> report;
     /// Incarnation before the current one, whose delayed reports are ignored.
@@ -141,8 +128,8 @@
     Duration reportInterval = milliseconds(300);
 };
 
-/// Adds a node of which only the address is known.
-void addAddress(PeerTable &table, const std::string &address);
+/// Adds a node, or updates what is known of it. Returns whether the membership has changed.
+auto addMember(PeerTable &table, const Member &member) -> bool;
 
 /// Stores a report and adds its node if the address is new. Returns false and changes nothing if the report is
 /// not newer than the stored one.
--- a/mesh/report_codec.cpp
+++ b/mesh/report_codec.cpp
@@ -17,7 +17,7 @@
 using nlohmann::json;
 
 /// Version of the report format; a node ignores reports of other versions.
-constexpr int kReportVersion = 2;
+constexpr int kReportVersion = 3;
 /// Maximum of the slots, running and queued requests in a report.
 constexpr int64_t kMaxSlots = 1000000;
 
@@ -109,10 +109,6 @@
 /// Field names are short since every node gets a few reports per second from every other node.
 auto toJson(const NodeReport &report) -> json
 {
-    json demand = json::object();
-    for (const auto &row : report.demand) {
-        demand[row.team.value] = {static_cast<float>(row.perSecond), static_cast<float>(row.share)};
-    }
     json serviceDemand = json::object();
     for (const auto &row : report.serviceDemand) {
         json slots = json::array();
@@ -141,7 +137,6 @@
         {"k", toJson(report.kinds)},
         {"e", std::move(serviceDemand)},
         {"pv", report.policyVersion},
-        {"m", std::move(demand)},
     };
 }
 
@@ -179,18 +174,6 @@
     report.kinds = readKinds(object, fields);
     readServiceDemand(object, fields, report);
     report.policyVersion = fields.unsignedInteger("pv");
-    const auto demand = object.find("m");
-    if (demand == object.end() || !demand->is_object()) {
-        fields.reject("m is not a map");
-    } else {
-        for (const auto &[team, row] : demand->items()) {
-            if (!row.is_array() || row.size() != 2 || !row[0].is_number() || !row[1].is_number() || row[0] < 0 || row[1] < 0) {
-                fields.reject("demand of team " + team + " is not a pair of non-negative numbers");
-                break;
-            }
-            report.demand.push_back({TeamName(team), row[0].get<double>(), row[1].get<double>()});
-        }
-    }
     if (fields.failed()) {
         return fields.error();
     }
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -41,6 +41,8 @@
     Importance importance;
     TimePoint deadline;
     bool tokenTaken = false;
+    /// What a refusal was based on, for the log.
+    std::string detail;
 };
 
 /// Returns the upper 32 bits of the hash of the route's name. They are enough for the few hundred routes of a
@@ -61,11 +63,11 @@
 auto refuse(SidecarState &state, EntryCall &call, int status, const char *reason, Duration retryAfter) -> ResponseMessage
 {
     if (call.tokenTaken) {
-        returnToken(state.rates, *call.team);
+        giveBackToken(state, *call.team);
         call.tokenTaken = false;
     }
-    logRefusal(state, {call.caller.requestId, call.route, call.team, call.service, call.policy ? call.policy->version : 0}, status, reason, retryAfter,
-               BootClock::now() - call.startedAt);
+    logRefusal(state, {call.caller.requestId, call.route, call.team, call.service, call.policy ? call.policy->version : 0, call.detail}, status, reason,
+               retryAfter, BootClock::now() - call.startedAt);
     return makeRefusal(call, status, retryAfter);
 }
 
@@ -94,8 +96,26 @@
     return maxTimeLeft - *call.caller.timeLeft > call.route->targetLatency / kMinWaitDivisor;
 }
 
+/// Takes a token of the team's rate. Returns a refusal if there is none.
+auto acquireToken(SidecarState &state, EntryCall &call, CancelSignal &cancel) -> std::optional<ResponseMessage>
+{
+    if (call.team == nullptr) {
+        return std::nullopt;
+    }
+    const TokenDecision decision = takeToken(state, *call.team, call.deadline, cancel);
+    if (decision.state == TokenState::Admitted) {
+        call.tokenTaken = true;
+        return std::nullopt;
+    }
+    call.detail = describeHolder(state, call.team->name, BootClock::now());
+    if (decision.reason == RefusalReason::RateExceeded) {
+        return refuse(state, call, 429, "rate-exceeded", decision.retryAfter);
+    }
+    return refuse(state, call, 503, "quota-unavailable", decision.retryAfter);
+}
+
 /// Finds the route, team and service of the request. Returns a refusal if it cannot be served.
-auto admit(SidecarState &state, const RequestMessage &request, EntryCall &call) -> std::optional<ResponseMessage>
+auto admit(SidecarState &state, const RequestMessage &request, EntryCall &call, CancelSignal &cancel) -> std::optional<ResponseMessage>
 {
     /// A node without a configuration gets one within a fraction of a second once the store is available.
     constexpr Duration kNoPolicyRetryAfter = milliseconds(300);
@@ -132,11 +152,8 @@
         return refuse(state, call, 503, "memory-short", kNoPolicyRetryAfter);
     }
     call.service = chooseService(state.splits, *call.route);
-    if (call.team != nullptr) {
-        if (!takeToken(state.rates, *call.team, state.peers, now)) {
-            return refuse(state, call, 429, "rate-exceeded", rateRetryAfter(state.rates, *call.team));
-        }
-        call.tokenTaken = call.team->ratePerSecond > 0;
+    if (auto refusal = acquireToken(state, call, cancel)) {
+        return refusal;
     }
     if (!call.isNested) {
         const size_t sheddingClass = shedClass(state.importance, call.importance, isRetry(state, call));
@@ -272,20 +289,30 @@
 
 } // namespace
 
+auto mayRunConcurrently(const SidecarState &state, const RequestMessage &request) -> bool
+{
+    if (!state.policy) {
+        return false;
+    }
+    const auto authority = findHeader(request.headers, "Host");
+    const RoutePolicy *const route = findRoute(*state.policy, authority.value_or(std::string_view()), request.target);
+    return route != nullptr && route->idempotent;
+}
+
 auto serveCaller(SidecarState &state, RequestMessage &request, CancelSignal &cancel) -> std::optional<ResponseMessage>
 {
     EntryCall call;
     call.startedAt = BootClock::now();
     state.lastRequestAt = call.startedAt;
     call.caller = readCallerFields(request.headers);
-    if (auto refusal = admit(state, request, call)) {
+    if (auto refusal = admit(state, request, call, cancel)) {
         return refusal;
     }
     if (call.isNested) {
         const TimePoint callerDeadline = call.caller.timeLeft ? call.startedAt + *call.caller.timeLeft : call.deadline;
         countCall(state.callPattern, workKindOf(*call.route), callerDeadline);
     }
-    const RequestOrigin origin{call.caller.requestId, call.route, call.team, call.service, call.policy->version};
+    const RequestOrigin origin{call.caller.requestId, call.route, call.team, call.service, call.policy->version, {}};
     RoutedRequest routed = makeRoutedRequest(state, call, std::move(request));
     Attempts attempts;
     while (true) {
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -159,6 +159,7 @@
         return TargetOutcome::NotRun;
     case CallStatus::Broken:
     case CallStatus::Malformed:
+    case CallStatus::TooLarge:
         return TargetOutcome::Unknown;
     case CallStatus::TimedOut:
         return TargetOutcome::TimedOut;
--- a/sidecar/membership.cpp
+++ b/sidecar/membership.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/membership.h"
 
 #include "core/events.h"
+#include "mesh/member.h"
 #include "sidecar/store_access.h"
 
 namespace snipestream
@@ -14,6 +15,19 @@
 constexpr Duration kMembershipReadInterval = seconds(30);
 constexpr int kMaxMembershipReadJitterMs = 5000;
 
+void applyMemberRecord(SidecarState &state, const KeyedRecord &record)
+{
+    if (record.value.empty()) {
+        return;
+    }
+    const auto member = decodeMember(record.key, record.value);
+    if (!member) {
+        logEvent(EventId::MemberRecordInvalid, {{"address", record.key}, {"error", member.error().message}});
+        return;
+    }
+    addMember(state.peers, member.value());
+}
+
 } // namespace
 
 void followMembership(SidecarState &state)
@@ -22,7 +36,7 @@
     bool written = false;
     while (!state.ended) {
         if (!written) {
-            const auto result = writeRecord(store, nodesTopic(), state.settings.address, state.settings.node.value);
+            const auto result = writeRecord(store, nodesTopic(), state.settings.address, encodeMember(ownMember(state.settings)));
             written = result.has_value();
             if (!written) {
                 pauseAfterFailure(state);
@@ -35,10 +49,9 @@
             continue;
         }
         for (const auto &record : page.value().records) {
-            if (!record.value.empty()) {
-                addAddress(state.peers, record.key);
-            }
+            applyMemberRecord(state, record);
         }
+        updateTokenMembers(state);
         state.reportDue = true;
         state.isMembershipRead = true;
         logEvent(EventId::MembershipRead, {{"nodes", std::to_string(page.value().records.size())}});
--- a/sidecar/policy_reader.cpp
+++ b/sidecar/policy_reader.cpp
@@ -47,10 +47,7 @@
     const auto policy = std::make_shared<const Policy>(std::move(decoded).value());
     state.policy = policy;
     state.importance = importanceLevels(*policy);
-    // Without the list of the other nodes, this node would take every team's whole rate for itself.
-    if (const TimePoint now = BootClock::now(); isMembershipComplete(state, now)) {
-        updateRateShares(state.rates, *policy, state.peers, now);
-    }
+    updateTokenMembers(state);
     const auto &limits = policy->limits;
     state.callerServer->setLimits(limits.maxHeaderBytes, limits.maxBodyBytes, limits.headerTimeout, limits.idleTimeout);
     logEvent(
--- a/sidecar/reports.cpp
+++ b/sidecar/reports.cpp
@@ -2,18 +2,14 @@
 
 #include "core/events.h"
 #include "mesh/report_codec.h"
+#include "sidecar/state.h"
 #include "sidecar/work_record.h"
 
 #include <algorithm>
-#include <array>
-
-#include <boost/asio/ip/udp.hpp>
 
 namespace snipestream
 {
 
-namespace asio = boost::asio;
-
 namespace
 {
 
@@ -26,22 +22,6 @@
 
 } // namespace
 
-struct ReportExchange::State : std::enable_shared_from_this<ReportExchange::State> {
-    explicit State(SidecarState &sidecarState)
-        : sidecar(sidecarState)
-        , socket(sidecarState.runtime.context())
-    {
-    }
-
-    void receive();
-    void handleDatagram(std::string_view bytes);
-
-    SidecarState &sidecar;
-    asio::ip::udp::socket socket;
-    asio::ip::udp::endpoint sender;
-    std::array<char, 65536> buffer{};
-};
-
 namespace
 {
 
@@ -87,111 +67,64 @@
         }
     }
     report.policyVersion = state.policy ? state.policy->version : 0;
-    report.demand = reportDemand(state.rates, now);
     return report;
 }
 
-void ReportExchange::State::handleDatagram(std::string_view bytes)
+namespace
+{
+
+void handleReport(SidecarState &state, const std::string &from, std::string_view bytes)
 {
     const auto report = decodeReport(bytes);
     if (!report) {
-        logEvent(EventId::ReportInvalid, {{"from", sender.address().to_string()}, {"error", report.error().message}});
+        logEvent(EventId::DatagramInvalid, {{"from", from}, {"error", report.error().message}});
         return;
     }
     const auto &received = report.value();
-    if (received.address == sidecar.settings.address) {
+    if (received.address == state.settings.address) {
         return;
     }
-    const auto row = sidecar.peers.rows.find(received.address);
-    const bool isNew = row == sidecar.peers.rows.end() || !row->second.report || row->second.report->incarnation != received.incarnation;
-    if (!applyReport(sidecar.peers, received, BootClock::now()) || !isNew) {
+    const auto row = state.peers.rows.find(received.address);
+    const bool isNew = row == state.peers.rows.end() || !row->second.report || row->second.report->incarnation != received.incarnation;
+    if (!applyReport(state.peers, received, BootClock::now()) || !isNew) {
         return;
     }
     logEvent(EventId::PeerFound,
              {{"peer", received.address}, {"node", received.node.value}, {"service", received.service.value}, {"instance", received.instance}});
-    if (sidecar.firstReportAt == TimePoint()) {
-        sidecar.firstReportAt = BootClock::now();
+    if (state.firstReportAt == TimePoint()) {
+        state.firstReportAt = BootClock::now();
+    }
+    if (addMember(state.peers, {received.address, received.node, received.domain, received.service})) {
+        updateTokenMembers(state);
     }
-    sidecar.peerPool.closeIdle({received.address, sidecar.settings.peerListen.port});
+    state.peerPool.closeIdle({received.address, state.settings.peerListen.port});
     // The new node has no reports yet, so it gets one now instead of after the report interval.
-    sidecar.reportDue = true;
-}
-
-void ReportExchange::State::receive()
-{
-    socket.async_wait(asio::ip::udp::socket::wait_read, [self = shared_from_this()](const boost::system::error_code &error) {
-        if (error) {
-            return;
-        }
-        while (true) {
-            boost::system::error_code failed;
-            const size_t size = self->socket.receive_from(asio::buffer(self->buffer), self->sender, 0, failed);
-            if (failed) {
-                break;
-            }
-            self->handleDatagram({self->buffer.data(), size});
-        }
-        self->receive();
-    });
+    state.reportDue = true;
 }
 
-ReportExchange::ReportExchange(SidecarState &state)
-    : state_(std::make_shared<State>(state))
-{
-}
-
-ReportExchange::~ReportExchange()
-{
-    close();
-}
-
-void ReportExchange::close()
-{
-    boost::system::error_code ignored;
-    state_->socket.close(ignored);
-}
+} // namespace
 
-auto ReportExchange::open() -> Result<void>
+void startReports(SidecarState &state)
 {
-    boost::system::error_code error;
-    const auto address = asio::ip::make_address(state_->sidecar.settings.address, error);
-    if (!error) {
-        state_->socket.open(asio::ip::udp::v4(), error);
-    }
-    if (!error) {
-        state_->socket.bind({address, state_->sidecar.settings.reportPort}, error);
-    }
-    if (!error) {
-        state_->socket.non_blocking(true, error);
-    }
-    if (error) {
-        return failure(ErrorCode::Unavailable, "cannot bind the report port " + std::to_string(state_->sidecar.settings.reportPort) + ": " + error.message());
-    }
-    state_->receive();
-    return success();
+    state.datagrams.onReceive(DatagramKind::Report, [&state](const std::string &from, std::string_view bytes) {
+        handleReport(state, from, bytes);
+    });
 }
 
-void ReportExchange::send(TimePoint now)
+void sendReports(SidecarState &state, TimePoint now)
 {
-    auto &sidecar = state_->sidecar;
-    const auto nodes = static_cast<double>(sidecar.peers.rows.size());
+    const auto nodes = static_cast<double>(state.peers.rows.size());
     const auto minInterval = duration_cast<Duration>(std::chrono::duration<double>(nodes / kMaxReportsPerSecond));
-    sidecar.peers.reportInterval = std::max(kMinReportInterval, minInterval);
-    const NodeReport report = makeReport(sidecar, now);
-    applyReport(sidecar.peers, report, now);
+    state.peers.reportInterval = std::max(kMinReportInterval, minInterval);
+    const NodeReport report = makeReport(state, now);
+    applyReport(state.peers, report, now);
     const auto bytes = encodeReport(report);
-    for (const auto &[address, row] : sidecar.peers.rows) {
-        if (address == sidecar.settings.address) {
-            continue;
-        }
-        boost::system::error_code error;
-        const auto to = asio::ip::make_address(address, error);
-        if (!error) {
-            // A failed send is ignored like a lost datagram, since the next report follows soon.
-            state_->socket.send_to(asio::buffer(bytes), {to, sidecar.settings.reportPort}, 0, error);
+    for (const auto &[address, row] : state.peers.rows) {
+        if (address != state.settings.address) {
+            state.datagrams.send(address, DatagramKind::Report, bytes);
         }
     }
-    sidecar.reportDue = false;
+    state.reportDue = false;
 }
 
 } // namespace snipestream
--- a/sidecar/reports.h
+++ b/sidecar/reports.h
@@ -1,37 +1,20 @@
 #pragma once
 
-#include "core/result.h"
-#include "sidecar/state.h"
-
-#include <memory>
+#include "core/time.h"
+#include "mesh/peer_table.h"
 
 namespace snipestream
 {
 
-/// Exchanges reports with all other nodes over UDP. Each report replaces the previous one, so lost datagrams are neither
-/// retransmitted nor acknowledged.
-class ReportExchange
-{
-public:
-    explicit ReportExchange(SidecarState &state);
-    ~ReportExchange();
-    ReportExchange(const ReportExchange &) = delete;
-    auto operator=(const ReportExchange &) -> ReportExchange & = delete;
-
-    /// Binds the report port. Returns ErrorCode::Unavailable if it cannot be bound.
-    auto open() -> Result<void>;
-
-    void close();
+struct SidecarState;
 
-    /// Sends a report to all other nodes. Called when the report interval has passed or `SidecarState::reportDue` is set.
-    void send(TimePoint now);
+/// Starts to handle the reports of other nodes.
+void startReports(SidecarState &state);
 
-private:
-    struct State;
-    std::shared_ptr<State> state_;
-};
+/// Sends a report to all other nodes and stores it in the own row. Datagrams can be lost; the next report follows soon.
+void sendReports(SidecarState &state, TimePoint now);
 
-/// Returns the current report of this node, with the next sequence number.
+/// Returns the node's report as of now.
 auto makeReport(SidecarState &state, TimePoint now) -> NodeReport;
 
 } // namespace snipestream
--- a/sidecar/request_log.cpp
+++ b/sidecar/request_log.cpp
@@ -78,6 +78,7 @@
               {"policy", std::to_string(origin.policyVersion)},
               {"policy-age-ms", toMs(BootClock::now() - state.policyConfirmedAt)},
               {"admitted", admittedText(state, origin.service)},
+              {"detail", origin.detail.empty() ? "-" : origin.detail},
               {"retry-after-ms", toMs(retryAfter)},
               {"ms", toMs(elapsed)}},
              LineImportance::High);
--- a/sidecar/request_log.h
+++ b/sidecar/request_log.h
@@ -19,6 +19,8 @@
     const TeamPolicy *team = nullptr;
     ServiceName service;
     uint64_t policyVersion = 0;
+    /// What a refusal was based on, such as the holder that has no tokens; may be empty.
+    std::string detail;
 };
 
 /// Logs and counts a refusal. The request has not run.
--- a/sidecar/settings.cpp
+++ b/sidecar/settings.cpp
@@ -68,6 +68,11 @@
     return !(a == b);
 }
 
+auto ownMember(const SidecarSettings &settings) -> Member
+{
+    return {settings.address, settings.node, settings.domain, settings.service};
+}
+
 auto parseSidecarSettings(const std::string &text) -> Result<SidecarSettings>
 {
     const json object = json::parse(text, nullptr, false);
--- a/sidecar/settings.h
+++ b/sidecar/settings.h
@@ -3,6 +3,7 @@
 #include "core/ids.h"
 #include "core/result.h"
 #include "core/time.h"
+#include "mesh/member.h"
 
 #include <cstdint>
 #include <string>
@@ -39,7 +40,8 @@
     /// Retries that a service may receive per request, and a number of retries that is always allowed.
     double retryRatio = 0.2;
     double retrySlack = 50;
-    /// How far the sum over all nodes may exceed a team's rate; see RateTolerance.
+    /// By how much the requests passed by all nodes may exceed a team's rate and burst in any window: by a fraction of what
+    /// rate and burst allow, and by a number of requests. Set by the operator for the whole fleet.
     Duration rateWindow = seconds(5);
     double rateOvershoot = 0.1;
     double rateSlack = 20;
@@ -48,6 +50,9 @@
     friend auto operator!=(const SidecarSettings &a, const SidecarSettings &b) -> bool;
 };
 
+/// Returns the node as a member of the fleet.
+auto ownMember(const SidecarSettings &settings) -> Member;
+
 /// Reads the settings from JSON text. Returns ErrorCode::InvalidInput with the name of the field that is missing or invalid.
 auto parseSidecarSettings(const std::string &text) -> Result<SidecarSettings>;
 
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -32,8 +32,10 @@
 constexpr Duration kLoadSampleInterval = seconds(1);
 /// Interval at which the work of requests is derived from the reports again. It is long because the work changes slowly.
 constexpr Duration kWorkGraphInterval = milliseconds(250);
-/// Interval at which the teams' rates are divided among the nodes again.
-constexpr Duration kRateShareInterval = milliseconds(250);
+/// Interval at which silent nodes are searched for.
+constexpr Duration kLivenessInterval = milliseconds(250);
+/// Interval of ticks while requests wait for a token.
+constexpr Duration kTokenTickInterval = milliseconds(10);
 /// Minimum time between the stop signal and the end. Callers check readiness once a second, and within two checks they have
 /// learned that the node accepts no new requests.
 constexpr Duration kMinStopTime = milliseconds(2600);
@@ -44,6 +46,11 @@
 constexpr Duration kMarginBeforeKill = milliseconds(400);
 /// Descriptors reserved for files and listening sockets.
 constexpr uint64_t kReservedDescriptors = 250;
+/// Fraction of the process's memory limit that request bodies may take while they are being received. While a body grows,
+/// its buffer takes up to three times its size.
+constexpr double kMaxIncomingFraction = 0.15;
+/// Maximum number of connections of each server that callers do not use, such as those for readiness checks.
+constexpr size_t kMaxControlConnections = 64;
 constexpr int kExitSettings = 2;
 constexpr int kExitUnavailable = 3;
 constexpr int kExitRequestsAborted = 4;
@@ -60,7 +67,6 @@
 struct Sidecar::State : std::enable_shared_from_this<Sidecar::State> {
     State(FiberRuntime &runtime, SidecarSettings settings)
         : sidecar(runtime, std::move(settings))
-        , reports(sidecar)
         , tickTimer(runtime.context())
     {
     }
@@ -79,11 +85,11 @@
     void end();
 
     SidecarState sidecar;
-    ReportExchange reports;
     asio::steady_timer tickTimer;
     TimePoint reportedAt;
     TimePoint stopRequestedAt;
     TimePoint loadSampledAt;
+    TimePoint livenessUpdatedAt;
     std::map<std::string, bool> wasPeerAlive;
     std::function<void(size_t)> onEnded;
 };
@@ -96,24 +102,33 @@
     // Callers may use half of the descriptors and peers a quarter. The rest is for connections that this node opens.
     const size_t maxCallerConnections = descriptors / 2;
     const size_t maxPeerConnections = descriptors / 4;
-    const auto make = [&](const char *name, const Endpoint &listen, MessageHandler handler, size_t connections = 64) {
+    const auto maxIncomingBytes = static_cast<uint64_t>(static_cast<double>(settings.memoryMb) * 1024 * 1024 * kMaxIncomingFraction);
+    const auto make = [&](const char *name, const Endpoint &listen, MessageHandler handler) {
         MessageServerOptions options;
         options.name = name;
         options.listen = listen;
-        options.maxConnections = connections;
+        options.maxConnections = kMaxControlConnections;
         return std::make_unique<MessageServer>(runtime, options, std::move(handler));
     };
-    sidecar.callerServer = make(
-        "caller", settings.callerListen,
-        [this](RequestMessage &request, CancelSignal &cancel) {
+    {
+        MessageServerOptions options;
+        options.name = "caller";
+        options.listen = settings.callerListen;
+        options.maxConnections = maxCallerConnections;
+        options.maxIncomingBytes = maxIncomingBytes;
+        options.mayRunConcurrently = [this](const RequestMessage &request) {
+            return mayRunConcurrently(sidecar, request);
+        };
+        sidecar.callerServer = std::make_unique<MessageServer>(runtime, options, [this](RequestMessage &request, CancelSignal &cancel) {
             return serveCaller(sidecar, request, cancel);
-        },
-        maxCallerConnections);
+        });
+    }
     {
         MessageServerOptions options;
         options.name = "peer";
         options.listen = settings.peerListen;
         options.maxConnections = maxPeerConnections;
+        options.maxIncomingBytes = maxIncomingBytes;
         // Longer than the other nodes keep idle connections, so that this node never closes one that is about to be used.
         options.idleTimeout = seconds(60);
         options.maxHeaderBytes = 64 * 1024;
@@ -251,13 +266,11 @@
         admitted.append(admitted.empty() ? "" : ",").append(service.value).append(":").append(std::to_string(control.admittedFraction));
         admitted.append("/").append(std::to_string(control.correction));
     }
-    // Only teams at their limit are logged, since a fleet can have hundreds of others.
+    // Only teams whose tokens are used up are logged, since a fleet can have hundreds of others.
     std::string limited;
-    for (const auto &[team, row] : sidecar.rates.rows) {
-        if (row.tokens < 1 && row.demand > 0) {
-            limited.append(limited.empty() ? "" : ",").append(team.value).append(":").append(std::to_string(row.demand));
-            limited.append("/").append(std::to_string(row.share));
-            limited.append("/").append(std::to_string(row.tokensTaken));
+    for (const auto &[team, row] : sidecar.tokens.quota.node.entry.teams) {
+        if (row.nextTokenAt > now) {
+            limited.append(limited.empty() ? "" : ",").append(team.value).append(":").append(row.lastHolder.value);
         }
     }
     logEvent(EventId::TargetLoadSampled,
@@ -327,20 +340,21 @@
     updateServiceAdmission(now);
     updateKeyedService(now);
     logLoadSample(now);
-    if (sidecar.policy && isMembershipComplete(sidecar, now) && now - sidecar.rates.sharesUpdatedAt >= kRateShareInterval) {
-        updateRateShares(sidecar.rates, *sidecar.policy, sidecar.peers, now);
+    tickTokens(sidecar, now);
+    if (now - livenessUpdatedAt >= kLivenessInterval) {
+        livenessUpdatedAt = now;
         updatePeerLiveness(now);
     }
     if (sidecar.reportDue || now - reportedAt >= sidecar.peers.reportInterval) {
         reportedAt = now;
-        reports.send(now);
+        sendReports(sidecar, now);
     }
     flushLines(sidecar.log);
     checkStop(now);
     if (sidecar.ended) {
         return;
     }
-    tickTimer.expires_after(kTickInterval);
+    tickTimer.expires_after(sidecar.tokens.waits.empty() ? kTickInterval : kTokenTickInterval);
     tickTimer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
         if (!error) {
             self->tick();
@@ -370,7 +384,9 @@
     if (sidecar.metricsServer) {
         BOOST_OUTCOME_TRY(sidecar.metricsServer->listen());
     }
-    BOOST_OUTCOME_TRY(state.reports.open());
+    startReports(sidecar);
+    startTokens(sidecar);
+    BOOST_OUTCOME_TRY(sidecar.datagrams.open(sidecar.settings.address, sidecar.settings.reportPort));
     sidecar.runtime.spawn([&sidecar] {
         followPolicy(sidecar);
     });
@@ -393,7 +409,8 @@
 {
     sidecar.ended = true;
     tickTimer.cancel();
-    reports.close();
+    sidecar.datagrams.close();
+    refuseTokenRequests(sidecar);
     for (MessageServer *const server :
          {sidecar.callerServer.get(), sidecar.peerServer.get(), sidecar.readyServer.get(), sidecar.targetServer.get(), sidecar.metricsServer.get()}) {
         if (server != nullptr) {
@@ -432,7 +449,10 @@
     sidecar.settings.memoryMb = settings.memoryMb;
     sidecar.settings.retryRatio = settings.retryRatio;
     sidecar.settings.retrySlack = settings.retrySlack;
-    sidecar.rates.tolerance = {settings.rateWindow, settings.rateOvershoot, settings.rateSlack};
+    sidecar.settings.rateWindow = settings.rateWindow;
+    sidecar.settings.rateOvershoot = settings.rateOvershoot;
+    sidecar.settings.rateSlack = settings.rateSlack;
+    updateTokenMembers(sidecar);
     logEvent(EventId::SettingsReloaded, {{"node", sidecar.settings.node.value}});
 }
 
--- a/sidecar/state.cpp
+++ b/sidecar/state.cpp
@@ -12,17 +12,35 @@
 /// A connection on the same VM opens in about a millisecond, so a target that takes a second accepts none.
 constexpr Duration kTargetConnectTimeout = milliseconds(1000);
 
-auto peerPoolOptions() -> CallPoolOptions
+/// Fraction of the process's memory limit that responses in progress may take together, and a single one. While a body
+/// grows, its buffer takes up to three times its size.
+constexpr double kResponseMemoryFraction = 0.15;
+constexpr double kMaxResponseFraction = 0.1;
+
+auto memoryFraction(const SidecarSettings &settings, double fraction) -> uint64_t
+{
+    return static_cast<uint64_t>(static_cast<double>(settings.memoryMb) * 1024 * 1024 * fraction);
+}
+
+auto poolOptions(const SidecarSettings &settings, const std::shared_ptr<ResponseMemory> &memory) -> CallPoolOptions
 {
     CallPoolOptions options;
+    options.memory = memory;
+    options.maxResponseBytes = memoryFraction(settings, kMaxResponseFraction);
+    return options;
+}
+
+auto peerPoolOptions(const SidecarSettings &settings, const std::shared_ptr<ResponseMemory> &memory) -> CallPoolOptions
+{
+    CallPoolOptions options = poolOptions(settings, memory);
     options.deadPeerTimeout = kDeadPeerTimeout;
     options.idleTimeout = seconds(25);
     return options;
 }
 
-auto targetPoolOptions() -> CallPoolOptions
+auto targetPoolOptions(const SidecarSettings &settings, const std::shared_ptr<ResponseMemory> &memory) -> CallPoolOptions
 {
-    CallPoolOptions options;
+    CallPoolOptions options = poolOptions(settings, memory);
     options.connectTimeout = kTargetConnectTimeout;
     return options;
 }
@@ -33,15 +51,17 @@
     : runtime(fiberRuntime)
     , settings(std::move(initialSettings))
     , random(systemSeed())
-    , peerPool(fiberRuntime, peerPoolOptions())
-    , targetPool(fiberRuntime, targetPoolOptions())
-    , storePool(fiberRuntime, peerPoolOptions())
+    , datagrams(fiberRuntime.context())
+    , responseMemory(std::make_shared<ResponseMemory>())
+    , peerPool(fiberRuntime, peerPoolOptions(settings, responseMemory))
+    , targetPool(fiberRuntime, targetPoolOptions(settings, responseMemory))
+    , storePool(fiberRuntime, peerPoolOptions(settings, responseMemory))
 {
     incarnation = random();
+    responseMemory->maxBytes = memoryFraction(settings, kResponseMemoryFraction);
     peers.ownAddress = settings.address;
     peers.ownDomain = settings.domain;
-    addAddress(peers, settings.address);
-    rates.tolerance = {settings.rateWindow, settings.rateOvershoot, settings.rateSlack};
+    addMember(peers, ownMember(settings));
     splits.phase = static_cast<double>(drawBelow(random, 1000)) / 1000;
 }
 
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -10,7 +10,6 @@
 #include "mesh/load_balancing.h"
 #include "mesh/peer_table.h"
 #include "mesh/policy.h"
-#include "mesh/rate_share.h"
 #include "mesh/split.h"
 #include "mesh/target_state.h"
 #include "mesh/work_graph.h"
@@ -18,7 +17,9 @@
 #include "net/fiber_runtime.h"
 #include "platform/store_client.h"
 #include "retry/ratio.h"
+#include "sidecar/datagram_socket.h"
 #include "sidecar/settings.h"
+#include "sidecar/token_service.h"
 
 #include <map>
 #include <memory>
@@ -66,7 +67,7 @@
     PeerTable peers;
     LoadBalancingSettings loadBalancing;
     SplitTable splits;
-    RateTable rates;
+    SidecarTokens tokens;
     AdmissionControlSettings admissionSettings;
     /// By service that does work for callers' requests, directly or through nested calls.
     std::map<ServiceName, AdmissionControl> admission;
@@ -88,6 +89,9 @@
     /// Calls that the local target makes.
     CallPattern callPattern;
 
+    DatagramSocket datagrams;
+    /// Shared by the three pools.
+    std::shared_ptr<ResponseMemory> responseMemory;
     CallPool peerPool;
     CallPool targetPool;
     CallPool storePool;
