--- a/core/events.h
+++ b/core/events.h
@@ -45,6 +45,7 @@
     WorkRecordNotWritten = 2013,
     WorkRecordInvalid = 2014,
     MemberRecordInvalid = 2015,
+    MemberRecordNotRemoved = 2016,
     LeaseAcquired = 3001,
     LeaseLost = 3002,
     LeaseClaimed = 3003,
--- a/mesh/admission_control.cpp
+++ b/mesh/admission_control.cpp
@@ -108,15 +108,17 @@
 {
     ServiceCapacity capacity;
     double busy = 0;
-    for (const auto &[address, row] : table.rows) {
-        if (!row.report || row.report->service != service) {
+    for (const PeerRow *const row : homesOf(table, service)) {
+        if (!row->report) {
             continue;
         }
         capacity.hasTargets = true;
-        const bool alive = address == table.ownAddress || isAlive(table, row, now);
-        if (alive && row.report->serving && !row.report->leaving) {
-            busy += row.report->offeredLoad * row.report->load.limit;
-            capacity.slots += row.report->load.limit;
+        const bool alive = row->address == table.ownAddress || isAlive(*row, now);
+        if (alive && isServing(*row)) {
+            busy += row->report->offeredLoad * row->report->load.limit;
+            capacity.queuedSlotSeconds += std::chrono::duration<double>(row->report->queueDelay).count() * row->report->load.limit;
+            capacity.slots += row->report->load.limit;
+            addTo(capacity.demand, row->report->demand);
         }
     }
     capacity.load = capacity.slots > 0 ? busy / capacity.slots : 0;
@@ -143,22 +145,6 @@
     return result;
 }
 
-auto totalDemand(const PeerTable &table, const ServiceName &service, const AdmissionControl &own, TimePoint now) -> std::vector<double>
-{
-    std::vector<double> demand = arrivingWork(own, now);
-    for (const auto &[address, row] : table.rows) {
-        if (address == table.ownAddress || !row.report || !isAlive(table, row, now)) {
-            continue;
-        }
-        for (const auto &reported : row.report->serviceDemand) {
-            if (reported.service == service) {
-                addTo(demand, reported.slotsByClass);
-            }
-        }
-    }
-    return demand;
-}
-
 auto divideCapacity(double capacity, const std::vector<double> &demand, double minFraction) -> std::vector<double>
 {
     const double mean = std::min(capacity / std::max(sumOf(demand), kMinDemandSlots), 1.0);
@@ -175,26 +161,48 @@
     return allocated;
 }
 
+namespace
+{
+
+/// Corrects the estimated work of requests by comparing the load with the work that was admitted. The load lags behind
+/// admission, and the demand does so by itself, so that a surge does not look like a wrong estimate.
+void updateCorrection(AdmissionControl &control, const AdmissionControlSettings &settings, const ServiceCapacity &capacity, Duration elapsed)
+{
+    const double weight = 1 - std::exp(-std::chrono::duration<double>(elapsed) / settings.loadDelay);
+    control.delayedFraction += (control.admittedFraction - control.delayedFraction) * weight;
+    const double expected = control.delayedFraction * sumOf(control.demand);
+    const double measured = capacity.load * capacity.slots;
+    if (expected < settings.minConclusiveSlots || measured < settings.minConclusiveSlots) {
+        return;
+    }
+    const double error = expected / measured / control.correction - 1;
+    control.correction += settings.gain * std::clamp(error, -1.0, 1.0) * control.correction;
+    control.correction = std::clamp(control.correction, settings.minCorrection, settings.maxCorrection);
+}
+
+} // namespace
+
 void updateAdmission(AdmissionControl &control, const AdmissionControlSettings &settings, const std::vector<Importance> &classes,
-                     const ServiceCapacity &capacity, std::vector<double> demand, TimePoint now)
+                     const ServiceCapacity &capacity, TimePoint now)
 {
-    if (now - control.updatedAt < settings.window) {
+    const Duration elapsed = now - control.updatedAt;
+    if (elapsed < settings.window) {
         return;
     }
     control.updatedAt = now;
-    control.demand = std::move(demand);
+    control.demand = capacity.demand;
+    if (elapsed < settings.loadDelay) {
+        updateCorrection(control, settings, capacity, elapsed);
+    }
     const double estimated = sumOf(control.demand);
     if (capacity.hasTargets && capacity.slots <= 0) {
         control.admittedFraction = 0;
     } else if (!capacity.hasTargets || estimated < kMinDemandSlots) {
         control.admittedFraction = 1;
     } else {
-        // A low load while nothing is shed says nothing about the estimate, so the correction then returns to 1.
-        const bool isConclusive = control.admittedFraction < 1 || capacity.load > settings.desiredUtilization;
-        const double error = isConclusive ? settings.desiredUtilization / std::max(capacity.load, 0.1) - 1 : 1 - control.correction;
-        control.correction += settings.gain * std::clamp(error, -1.0, 1.0) * control.correction;
-        control.correction = std::clamp(control.correction, settings.minCorrection, settings.maxCorrection);
-        control.admittedFraction = std::clamp(capacity.slots * settings.desiredUtilization * control.correction / estimated, 0.0, 1.0);
+        const double draining = capacity.queuedSlotSeconds / std::chrono::duration<double>(settings.queueDrainTime).count();
+        const double available = capacity.slots * settings.desiredUtilization - draining;
+        control.admittedFraction = std::clamp(available * control.correction / estimated, 0.0, 1.0);
     }
     control.shedFractions = calculateShedFractions(control, settings, classes);
 }
@@ -207,9 +215,10 @@
 
 auto isShed(double fraction, std::string_view requestId) -> bool
 {
-    /// Number of groups that request ids are hashed into; fractions are rounded up to multiples of its inverse.
+    /// Number of groups that request ids are hashed into; fractions are rounded to multiples of its inverse, so that the
+    /// rounding error of a fraction that should be zero sheds nothing.
     constexpr uint64_t kCohorts = 1024;
-    return static_cast<double>(stableHash(requestId) % kCohorts) < fraction * kCohorts;
+    return stableHash(requestId) % kCohorts < static_cast<uint64_t>(std::llround(fraction * kCohorts));
 }
 
 } // namespace snipestream
--- a/mesh/admission_control.h
+++ b/mesh/admission_control.h
@@ -18,9 +18,16 @@
     Duration window = milliseconds(100);
     /// Utilization of the service's slots that admission aims at. It is below 1 so that queues drain.
     double desiredUtilization = 0.95;
-    /// Fraction of the relative error by which one update corrects the estimated work of requests. The effect shows in
-    /// the load half a second later, so ten updates must not correct much more than the error.
+    /// Time in which queued work is drained, by admitting less. The reports of queues are up to half a second old; if they
+    /// were drained faster, admission would swing.
+    Duration queueDrainTime = seconds(1);
+    /// Time from the admission of requests until their work shows in the reported load: that of calls in between and of a
+    /// report.
+    Duration loadDelay = milliseconds(500);
+    /// Fraction of the relative error by which one update corrects the estimated work of requests.
     double gain = 0.05;
+    /// Work in slots below which the load says too little about the estimate.
+    double minConclusiveSlots = 1;
     /// Bounds of the correction. Estimates are means of measured runs, so an error by more than a factor of about two
     /// has another cause.
     double minCorrection = 0.4;
@@ -39,24 +46,30 @@
     /// Classes are in the order in which they are shed.
     std::vector<double> arrivals;
     TimePoint decayedAt;
-    /// Work of the requests that arrive at all nodes by class, in slots.
+    /// Work of the requests that arrive at all nodes by class, in slots, at the targets that this node knows.
     std::vector<double> demand;
     /// Fraction of the demand that is admitted.
     double admittedFraction = 1;
     /// Fraction of the requests of each class that is shed.
     std::vector<double> shedFractions;
+    /// `admittedFraction` as a mean that lags behind like the reported load.
+    double delayedFraction = 1;
     /// Factor on the work that may be admitted, which corrects the estimated work of requests by the measured load of
     /// the service.
     double correction = 1;
     TimePoint updatedAt;
 };
 
-/// Capacity and load of the targets of a service.
+/// Capacity and load of the targets of a service, or of those that this node knows.
 struct ServiceCapacity {
     /// Total slots of the targets that take requests.
     double slots = 0;
+    /// Work that callers' requests at all nodes would cause at these targets, before any is shed, in slots by class.
+    std::vector<double> demand;
     /// Work that arrives at these targets, as a ratio to their slots.
     double load = 0;
+    /// Work that is queued at these targets, in slot seconds.
+    double queuedSlotSeconds = 0;
     /// Some node has reported a target of the service, whether it takes requests or not.
     bool hasTargets = false;
 };
@@ -89,8 +102,8 @@
 /// and have already waited.
 auto shedClass(const std::vector<Importance> &classes, const Importance &importance, bool isRetry) -> size_t;
 
-/// Returns the capacity of the service according to the reports of all nodes. Only targets whose nodes are alive count
-/// in its slots and load.
+/// Returns the capacity of the service according to the reports of its nodes. Only targets whose nodes are alive count in
+/// its slots, load and demand.
 auto serviceCapacity(const PeerTable &table, const ServiceName &service, TimePoint now) -> ServiceCapacity;
 
 /// Counts the arrival of a request that would take the given slot time at the service, in seconds.
@@ -99,15 +112,11 @@
 /// Returns `arrivals` decayed to `now`, in slots by class.
 auto arrivingWork(const AdmissionControl &control, TimePoint now) -> std::vector<double>;
 
-/// Returns the demand for the service by class, in slots: the work of the requests that arrive at this node and at the
-/// other nodes that are alive, according to their reports.
-auto totalDemand(const PeerTable &table, const ServiceName &service, const AdmissionControl &own, TimePoint now) -> std::vector<double>;
-
 /// Updates the fraction of each class that is shed if a window has passed since the last update. Demand that exceeds
 /// the capacity is shed, the least important first. `classes` is the result of `importanceLevels`. If no target takes
 /// requests, nothing is admitted, since requests would fail after work has been done for them.
 void updateAdmission(AdmissionControl &control, const AdmissionControlSettings &settings, const std::vector<Importance> &classes,
-                     const ServiceCapacity &capacity, std::vector<double> demand, TimePoint now);
+                     const ServiceCapacity &capacity, TimePoint now);
 
 /// Divides capacity among demands that are ordered from the least to the most important. Each demand gets `minFraction`
 /// of its proportional share; the rest goes to the most important ones.
--- a/mesh/concurrency_limiter.cpp
+++ b/mesh/concurrency_limiter.cpp
@@ -32,6 +32,11 @@
     return toDuration(found == limiter.serviceSecondsByKind.end() ? limiter.meanServiceSeconds : found->second);
 }
 
+auto queueDelay(const ConcurrencyLimiter &limiter) -> Duration
+{
+    return toDuration(static_cast<double>(limiter.queue.size()) * limiter.meanServiceSeconds / limiter.limit);
+}
+
 auto expectedQueueDelay(const ConcurrencyLimiter &limiter, int rank) -> Duration
 {
     if (limiter.running < limiter.limit) {
--- a/mesh/concurrency_limiter.h
+++ b/mesh/concurrency_limiter.h
@@ -107,6 +107,9 @@
 /// Removes a request that is no longer needed from the queue. Returns false if it is not queued.
 auto cancelQueued(ConcurrencyLimiter &limiter, LimiterRequestId id) -> bool;
 
+/// Returns the time in which the queue would be worked off if no request were added.
+auto queueDelay(const ConcurrencyLimiter &limiter) -> Duration;
+
 /// Returns the expected queue delay of a request of this rank that is offered now.
 auto expectedQueueDelay(const ConcurrencyLimiter &limiter, int rank) -> Duration;
 
--- a/mesh/load_balancing.cpp
+++ b/mesh/load_balancing.cpp
@@ -18,10 +18,9 @@
 /// requests is measured again.
 constexpr uint64_t kRequestsPerExploration = 40;
 
-auto isCandidate(const PeerRow &row, const ServiceName &service, const std::vector<std::string> &tried) -> bool
+auto isCandidate(const PeerRow &row, const std::vector<std::string> &tried) -> bool
 {
-    return row.report && row.report->service == service && row.report->serving && !row.report->leaving
-        && std::find(tried.begin(), tried.end(), row.address) == tried.end();
+    return isServing(row) && std::find(tried.begin(), tried.end(), row.address) == tried.end();
 }
 
 auto utilizationOf(const PeerRow &row) -> double
@@ -36,7 +35,7 @@
 auto scoreOf(const PeerTable &table, const LoadBalancingSettings &settings, const PeerRow &row, double fastestMs, TimePoint now) -> double
 {
     double score = utilizationOf(row);
-    if (row.report->domain != table.ownDomain) {
+    if (row.member.domain != table.ownDomain) {
         score += settings.maxCrossDomainUtilizationGap;
     }
     if (fastestMs > 0 && row.report->serviceMs > fastestMs) {
@@ -46,7 +45,7 @@
     if (row.report->warmupLeft > Duration::zero() && now - row.lastReportAt < row.report->warmupLeft) {
         score += settings.warmupPenalty;
     }
-    if (now < row.avoidUntil || (row.address != table.ownAddress && !isAlive(table, row, now))) {
+    if (now < row.avoidUntil || (row.address != table.ownAddress && !isAlive(row, now))) {
         score += settings.silencePenalty;
     }
     return score;
@@ -60,13 +59,13 @@
     std::vector<PeerRow *> candidates;
     double fastestMs = 0;
     const bool isExploration = drawBelow(random, kRequestsPerExploration) == 0;
-    for (auto &[address, row] : table.rows) {
-        if (!isCandidate(row, service, tried)) {
+    for (PeerRow *const row : homesOf(table, service)) {
+        if (!isCandidate(*row, tried)) {
             continue;
         }
-        candidates.push_back(&row);
-        if (row.report->serviceMs > 0 && (fastestMs == 0 || row.report->serviceMs < fastestMs)) {
-            fastestMs = row.report->serviceMs;
+        candidates.push_back(row);
+        if (row->report->serviceMs > 0 && (fastestMs == 0 || row->report->serviceMs < fastestMs)) {
+            fastestMs = row->report->serviceMs;
         }
     }
     if (candidates.size() > kSampledTargets * 2) {
@@ -74,10 +73,10 @@
         // separately.
         std::shuffle(candidates.begin(), candidates.end(), random);
         std::stable_partition(candidates.begin(), candidates.end(), [&table](const PeerRow *row) {
-            return row->report->domain == table.ownDomain;
+            return row->member.domain == table.ownDomain;
         });
         const size_t localCount = std::count_if(candidates.begin(), candidates.end(), [&table](const PeerRow *row) {
-            return row->report->domain == table.ownDomain;
+            return row->member.domain == table.ownDomain;
         });
         const size_t sampledLocal = std::min(localCount, kSampledTargets);
         candidates.erase(candidates.begin() + static_cast<std::ptrdiff_t>(sampledLocal), candidates.begin() + static_cast<std::ptrdiff_t>(localCount));
--- a/mesh/load_balancing.h
+++ b/mesh/load_balancing.h
@@ -26,7 +26,7 @@
     double silencePenalty = 100.0;
 };
 
-/// Returns the node to send a request for the service to, or nullptr if no node that is not in `tried` serves it.
+/// Returns the home to send a request for the service to, or nullptr if no home that is not in `tried` serves it.
 /// `tried` holds addresses. The target with the lowest sum of utilization and penalties is chosen. If there are many
 /// targets, only a random sample is compared, so that nodes that have the same reports do not all choose the same
 /// target.
--- a/mesh/peer_table.cpp
+++ b/mesh/peer_table.cpp
@@ -1,5 +1,9 @@
 #include "mesh/peer_table.h"
 
+#include "core/hash.h"
+
+#include <utility>
+
 namespace snipestream
 {
 
@@ -8,9 +12,6 @@
 
 /// Reports that may be missing before a node counts as silent. Single datagrams get lost, but not four in a row.
 constexpr int kMaxMissedReports = 4;
-/// How long a silent node stays in the table, so that it is still there when a partition ends. The platform describes
-/// partitions of up to 12 s.
-constexpr Duration kSilentPeerRetention = seconds(60);
 /// How long a node is avoided after a failed connection: about the time that a killed process takes to restart.
 constexpr Duration kAvoidDuration = milliseconds(700);
 /// Weight of the latest outcome in the failure rate, which thus covers about 20 requests.
@@ -25,14 +26,37 @@
     if (row.member == member) {
         return false;
     }
+    table.members[row.member.service].erase(member.address);
+    table.members[member.service].insert(member.address);
     row.member = member;
+    row.affinity = stableHash(member.address, stableHash(table.ownAddress));
+    ++table.revision;
     return true;
 }
 
+void removeMember(PeerTable &table, const std::string &address)
+{
+    const auto found = table.rows.find(address);
+    if (found == table.rows.end() || address == table.ownAddress) {
+        return;
+    }
+    ++table.revision;
+    table.members[found->second.member.service].erase(address);
+    if (found->second.inFlight == 0) {
+        table.rows.erase(found);
+        return;
+    }
+    forgetReport(found->second);
+    found->second.member = Member();
+}
+
 auto applyReport(PeerTable &table, const NodeReport &report, TimePoint now) -> bool
 {
-    auto &row = table.rows[report.address];
-    row.address = report.address;
+    const auto found = table.rows.find(report.address);
+    if (found == table.rows.end() || found->second.member.address.empty()) {
+        return false;
+    }
+    auto &row = found->second;
     if (row.report) {
         if (report.incarnation == row.previousIncarnation) {
             return false;
@@ -50,28 +74,52 @@
     }
     row.report = report;
     row.lastReportAt = now;
+    if (!report.kinds.empty()) {
+        row.kinds = report.kinds;
+    }
     observeLoad(row, report.load);
     return true;
 }
 
-auto removeSilentPeers(PeerTable &table, TimePoint now) -> std::vector<std::string>
+void forgetReport(PeerRow &row)
 {
-    std::vector<std::string> removed;
-    for (auto row = table.rows.begin(); row != table.rows.end();) {
-        const bool silent = row->second.report && now - row->second.lastReportAt > kSilentPeerRetention;
-        if (silent && row->first != table.ownAddress && row->second.inFlight == 0) {
-            removed.push_back(row->first);
-            row = table.rows.erase(row);
-        } else {
-            ++row;
+    row.report.reset();
+    row.kinds.clear();
+}
+
+auto homesOf(const PeerTable &table, const ServiceName &service) -> std::vector<const PeerRow *>
+{
+    std::vector<const PeerRow *> rows;
+    const auto homes = table.homes.find(service);
+    if (homes == table.homes.end()) {
+        return rows;
+    }
+    for (const auto &address : homes->second) {
+        const auto row = table.rows.find(address);
+        if (row != table.rows.end()) {
+            rows.push_back(&row->second);
         }
     }
-    return removed;
+    return rows;
+}
+
+auto homesOf(PeerTable &table, const ServiceName &service) -> std::vector<PeerRow *>
+{
+    std::vector<PeerRow *> rows;
+    for (const PeerRow *const row : homesOf(std::as_const(table), service)) {
+        rows.push_back(&table.rows.at(row->address));
+    }
+    return rows;
+}
+
+auto isAlive(const PeerRow &row, TimePoint now) -> bool
+{
+    return row.report && now - row.lastReportAt <= row.report->interval * kMaxMissedReports;
 }
 
-auto isAlive(const PeerTable &table, const PeerRow &row, TimePoint now) -> bool
+auto isServing(const PeerRow &row) -> bool
 {
-    return row.report && now - row.lastReportAt <= table.reportInterval * kMaxMissedReports;
+    return row.report && row.report->serving && !row.report->leaving;
 }
 
 void observeLoad(PeerRow &row, const TargetLoad &load)
--- a/mesh/peer_table.h
+++ b/mesh/peer_table.h
@@ -9,6 +9,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -45,29 +46,14 @@
     }
 };
 
-/// Work that the requests arriving at a node would cause at one service, before any is shed.
-struct ServiceDemand {
-    ServiceName service;
-    /// Number of slots that the work would keep busy, by class, in the order in which classes are shed.
-    std::vector<double> slotsByClass;
-
-    friend auto operator==(const ServiceDemand &a, const ServiceDemand &b) -> bool
-    {
-        return a.service == b.service && a.slotsByClass == b.slotsByClass;
-    }
-};
-
-/// Report that a node sends to all other nodes several times a second.
+/// Report that a node sends several times a second to the nodes that subscribe to its target.
 struct NodeReport {
-    NodeName node;
     /// IP address of the VM; ports are the same on all VMs.
     std::string address;
     /// Random number drawn at each start of the process.
     uint64_t incarnation = 0;
     /// Increases with each report of an incarnation.
     uint64_t sequence = 0;
-    DomainName domain;
-    ServiceName service;
     /// Empty if the target has not announced itself to this incarnation.
     std::string instance;
     /// New requests may be sent to the target.
@@ -81,28 +67,34 @@
     Duration warmupLeft{};
     /// Work that arrives at the target, as a ratio to the capacity of its slots; see offered_load.h.
     double offeredLoad = 0;
-    /// Cost of the target's requests by kind.
+    /// Time in which the target would work off its queue.
+    Duration queueDelay{};
+    /// Work that callers' requests at the subscribers would cause at this target, before any is shed, in slots by class;
+    /// see subscriptions.h.
+    std::vector<double> demand;
+    /// Time until the next report to the receiver.
+    Duration interval = milliseconds(300);
+    /// Cost of the target's requests by kind; empty in most reports, since it changes slowly.
     std::vector<KindReport> kinds;
-    /// Work that callers' requests at this node would cause, by the service that would do it.
-    std::vector<ServiceDemand> serviceDemand;
-    uint64_t policyVersion = 0;
 
     friend auto operator==(const NodeReport &a, const NodeReport &b) -> bool
     {
-        return a.node == b.node && a.address == b.address && a.incarnation == b.incarnation && a.sequence == b.sequence && a.domain == b.domain
-            && a.service == b.service && a.instance == b.instance && a.serving == b.serving && a.leaving == b.leaving && a.load == b.load
-            && a.serviceMs == b.serviceMs && a.warmupLeft == b.warmupLeft && a.offeredLoad == b.offeredLoad && a.kinds == b.kinds
-            && a.serviceDemand == b.serviceDemand && a.policyVersion == b.policyVersion;
+        return a.address == b.address && a.incarnation == b.incarnation && a.sequence == b.sequence && a.instance == b.instance && a.serving == b.serving
+            && a.leaving == b.leaving && a.load == b.load && a.serviceMs == b.serviceMs && a.warmupLeft == b.warmupLeft && a.offeredLoad == b.offeredLoad
+            && a.queueDelay == b.queueDelay && a.demand == b.demand && a.interval == b.interval && a.kinds == b.kinds;
     }
 };
 
 /// State of one node as observed by this node.
 struct PeerRow {
     std::string address;
-    /// Empty fields if only the address is known.
     Member member;
+    /// Order in which this node subscribes to the members of a service, drawn from both addresses.
+    uint64_t affinity = 0;
     /// Latest report; empty until the first one arrives.
     std::optional<NodeReport> report;
+    /// Cost of the target's requests according to the latest report that contained it.
+    std::vector<KindReport> kinds;
     /// Incarnation before the current one, whose delayed reports are ignored.
     uint64_t previousIncarnation = 0;
     TimePoint lastReportAt;
@@ -124,22 +116,36 @@
     DomainName ownDomain;
     /// By address.
     std::map<std::string, PeerRow> rows;
-    /// Interval between the reports of one node. A node counts as silent after several intervals without a report.
-    Duration reportInterval = milliseconds(300);
+    /// Addresses of the members by service.
+    std::map<ServiceName, std::set<std::string>> members;
+    /// Addresses of the nodes that this node subscribes to, by service; see subscriptions.h. Requests are sent to them only.
+    std::map<ServiceName, std::vector<std::string>> homes;
+    /// Increases with each change of the members.
+    uint64_t revision = 0;
 };
 
-/// Adds a node, or updates what is known of it. Returns whether the membership has changed.
+/// Adds a member, or updates what is known of it. Returns whether the members have changed.
 auto addMember(PeerTable &table, const Member &member) -> bool;
 
-/// Stores a report and adds its node if the address is new. Returns false and changes nothing if the report is
-/// not newer than the stored one.
+/// Removes a member. A member with requests in progress stays until they have ended and gets no new ones.
+void removeMember(PeerTable &table, const std::string &address);
+
+/// Stores the report of a member. Returns false and changes nothing if its node is not a member, or if the report is not
+/// newer than the stored one.
 auto applyReport(PeerTable &table, const NodeReport &report, TimePoint now) -> bool;
 
-/// Removes nodes that have sent no report for a long time. Returns their addresses.
-auto removeSilentPeers(PeerTable &table, TimePoint now) -> std::vector<std::string>;
+/// Forgets the report of a node that sends no more of them, since this node no longer subscribes to it.
+void forgetReport(PeerRow &row);
+
+/// Returns the rows of the homes of a service.
+auto homesOf(const PeerTable &table, const ServiceName &service) -> std::vector<const PeerRow *>;
+auto homesOf(PeerTable &table, const ServiceName &service) -> std::vector<PeerRow *>;
+
+/// Returns whether the node has sent a report recently, as often as it said that it would.
+auto isAlive(const PeerRow &row, TimePoint now) -> bool;
 
-/// Returns whether the node has sent a report recently.
-auto isAlive(const PeerTable &table, const PeerRow &row, TimePoint now) -> bool;
+/// Returns whether new requests may be sent to the node's target according to its latest report.
+auto isServing(const PeerRow &row) -> bool;
 
 /// Records the load that a response or report carried.
 void observeLoad(PeerRow &row, const TargetLoad &load);
--- a/mesh/report_codec.cpp
+++ b/mesh/report_codec.cpp
@@ -16,8 +16,8 @@
 
 using nlohmann::json;
 
-/// Version of the report format; a node ignores reports of other versions.
-constexpr int kReportVersion = 3;
+/// Maximum interval between two reports or subscriptions.
+constexpr int64_t kMaxIntervalMs = 60000;
 /// Maximum of the slots, running and queued requests in a report.
 constexpr int64_t kMaxSlots = 1000000;
 
@@ -87,44 +87,35 @@
     return kinds;
 }
 
-/// Reads the slots by class of each service.
-void readServiceDemand(const json &object, JsonFields &fields, NodeReport &report)
+/// Reads the slots by class.
+auto readSlots(const json &object, const char *name, JsonFields &fields) -> std::vector<double>
 {
     /// Maximum number of classes: two for each importance, of which policies have a handful.
     constexpr size_t kMaxClasses = 64;
-    const auto rows = object.find("e");
-    if (rows == object.end() || !rows->is_object()) {
-        fields.reject("e is not a map");
-        return;
+    const auto slots = object.find(name);
+    if (slots == object.end() || !slots->is_array() || slots->size() > kMaxClasses || !std::all_of(slots->begin(), slots->end(), isAmount)) {
+        fields.reject(std::string(name) + " is not a list of slots by class");
+        return {};
     }
-    for (const auto &[service, slots] : rows->items()) {
-        if (!slots.is_array() || slots.size() > kMaxClasses || !std::all_of(slots.begin(), slots.end(), isAmount)) {
-            fields.reject("invalid demand for service " + service + ": " + slots.dump());
-            return;
-        }
-        report.serviceDemand.push_back({ServiceName(service), slots.get<std::vector<double>>()});
+    return slots->get<std::vector<double>>();
+}
+
+auto toJson(const std::vector<double> &slots) -> json
+{
+    json values = json::array();
+    for (const double value : slots) {
+        values.push_back(static_cast<float>(value));
     }
+    return values;
 }
 
-/// Field names are short since every node gets a few reports per second from every other node.
+/// Field names are short since a node sends many of these messages.
 auto toJson(const NodeReport &report) -> json
 {
-    json serviceDemand = json::object();
-    for (const auto &row : report.serviceDemand) {
-        json slots = json::array();
-        for (const double value : row.slotsByClass) {
-            slots.push_back(static_cast<float>(value));
-        }
-        serviceDemand[row.service.value] = std::move(slots);
-    }
-    return json{
-        {"v", kReportVersion},
-        {"n", report.node.value},
+    json object{
         {"a", report.address},
         {"i", report.incarnation},
         {"q", report.sequence},
-        {"d", report.domain.value},
-        {"s", report.service.value},
         {"t", report.instance},
         {"on", report.serving},
         {"off", report.leaving},
@@ -134,17 +125,26 @@
         {"ms", static_cast<float>(report.serviceMs)},
         {"c", duration_cast<milliseconds>(report.warmupLeft).count()},
         {"u", static_cast<float>(report.offeredLoad)},
-        {"k", toJson(report.kinds)},
-        {"e", std::move(serviceDemand)},
-        {"pv", report.policyVersion},
+        {"g", duration_cast<milliseconds>(report.queueDelay).count()},
+        {"d", toJson(report.demand)},
+        {"n", duration_cast<milliseconds>(report.interval).count()},
     };
+    if (!report.kinds.empty()) {
+        object["k"] = toJson(report.kinds);
+    }
+    return object;
+}
+
+auto toBytes(const json &object) -> std::vector<uint8_t>
+{
+    return json::to_cbor(object);
 }
 
 } // namespace
 
 auto encodeReport(const NodeReport &report) -> std::vector<uint8_t>
 {
-    return json::to_cbor(toJson(report));
+    return toBytes(toJson(report));
 }
 
 auto decodeReport(std::string_view bytes) -> Result<NodeReport>
@@ -155,13 +155,9 @@
     }
     JsonFields fields(object);
     NodeReport report;
-    fields.integer("v", kReportVersion, kReportVersion);
-    report.node = NodeName(fields.shortText("n"));
     report.address = fields.shortText("a");
     report.incarnation = fields.unsignedInteger("i");
     report.sequence = fields.unsignedInteger("q");
-    fields.read("d", report.domain);
-    fields.read("s", report.service);
     report.instance = fields.text("t");
     report.serving = fields.flag("on");
     report.leaving = fields.flag("off");
@@ -171,15 +167,48 @@
     report.serviceMs = readAmount(object, "ms", fields);
     report.warmupLeft = milliseconds(fields.integer("c", 0, std::numeric_limits<int>::max()));
     report.offeredLoad = readAmount(object, "u", fields);
-    report.kinds = readKinds(object, fields);
-    readServiceDemand(object, fields, report);
-    report.policyVersion = fields.unsignedInteger("pv");
+    report.queueDelay = milliseconds(fields.integer("g", 0, std::numeric_limits<int>::max()));
+    report.demand = readSlots(object, "d", fields);
+    report.interval = milliseconds(fields.integer("n", 1, kMaxIntervalMs));
+    if (object.contains("k")) {
+        report.kinds = readKinds(object, fields);
+    }
     if (fields.failed()) {
         return fields.error();
     }
     return report;
 }
 
+auto encodeSubscription(const Subscription &subscription) -> std::vector<uint8_t>
+{
+    return toBytes(json{{"a", subscription.address},
+                        {"i", subscription.incarnation},
+                        {"q", subscription.sequence},
+                        {"d", toJson(subscription.demand)},
+                        {"n", duration_cast<milliseconds>(subscription.interval).count()},
+                        {"e", subscription.ends}});
+}
+
+auto decodeSubscription(std::string_view bytes) -> Result<Subscription>
+{
+    const json object = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    if (!object.is_object()) {
+        return failure(ErrorCode::InvalidInput, "subscription of " + std::to_string(bytes.size()) + " bytes is not a CBOR map");
+    }
+    JsonFields fields(object);
+    Subscription subscription;
+    subscription.address = fields.shortText("a");
+    subscription.incarnation = fields.unsignedInteger("i");
+    subscription.sequence = fields.unsignedInteger("q");
+    subscription.demand = readSlots(object, "d", fields);
+    subscription.interval = milliseconds(fields.integer("n", 1, kMaxIntervalMs));
+    subscription.ends = fields.flag("e");
+    if (fields.failed()) {
+        return fields.error();
+    }
+    return subscription;
+}
+
 auto encodeKinds(const std::vector<KindReport> &kinds) -> std::string
 {
     const auto bytes = json::to_cbor(json{{"k", toJson(kinds)}});
--- /dev/null
+++ b/mesh/store_readers.cpp
@@ -0,0 +1,108 @@
+#include "mesh/store_readers.h"
+
+#include "core/hash.h"
+
+#include <algorithm>
+
+namespace snipestream
+{
+
+namespace
+{
+
+auto membersByDomain(const PeerTable &peers) -> std::map<DomainName, std::vector<std::string>>
+{
+    std::map<DomainName, std::vector<std::string>> members;
+    for (const auto &[address, row] : peers.rows) {
+        if (!row.member.domain.empty()) {
+            members[row.member.domain].push_back(address);
+        }
+    }
+    return members;
+}
+
+/// Returns the names in the order of their rendezvous hash for the key, at most `count` of them.
+auto inRendezvousOrder(const std::string &key, const std::vector<std::string> &names, size_t count) -> std::vector<std::string>
+{
+    std::vector<std::string> ordered;
+    for (const size_t index : rendezvousOrder(key, names, std::min(count, names.size()))) {
+        ordered.push_back(names[index]);
+    }
+    return ordered;
+}
+
+} // namespace
+
+auto readersOf(const std::vector<std::string> &members, const ReaderSettings &settings) -> std::vector<std::string>
+{
+    const size_t count = (members.size() + settings.membersPerReader - 1) / settings.membersPerReader;
+    return inRendezvousOrder("store-reader", members, count);
+}
+
+auto isReader(const PeerTable &peers, const ReaderSettings &settings) -> bool
+{
+    const auto members = membersByDomain(peers);
+    const auto own = members.find(peers.ownDomain);
+    if (own == members.end()) {
+        return true;
+    }
+    const auto readers = readersOf(own->second, settings);
+    return std::find(readers.begin(), readers.end(), peers.ownAddress) != readers.end();
+}
+
+auto readerCandidates(const PeerTable &peers, const ReaderSettings &settings) -> std::vector<std::string>
+{
+    std::vector<std::string> own;
+    std::vector<std::string> others;
+    for (const auto &[domain, members] : membersByDomain(peers)) {
+        const auto readers = readersOf(members, settings);
+        const auto ordered = inRendezvousOrder("follower-" + peers.ownAddress, readers, readers.size());
+        if (domain == peers.ownDomain) {
+            own = ordered;
+        } else if (!ordered.empty()) {
+            others.push_back(ordered.front());
+        }
+    }
+    others = inRendezvousOrder("follower-" + peers.ownAddress, others, others.size());
+    own.insert(own.end(), others.begin(), others.end());
+    own.erase(std::remove(own.begin(), own.end(), peers.ownAddress), own.end());
+    return own;
+}
+
+auto nextPoll(ReaderPolls &polls, const PeerTable &peers, const ReaderSettings &settings, TimePoint now) -> std::optional<std::string>
+{
+    if (now < polls.nextPollAt) {
+        return std::nullopt;
+    }
+    polls.nextPollAt = now + settings.pollInterval;
+    if (polls.revision != peers.revision) {
+        polls.revision = peers.revision;
+        polls.candidates = readerCandidates(peers, settings);
+    }
+    if (polls.missed >= settings.maxMissedPolls) {
+        polls.avoidedUntil[polls.current] = now + settings.avoidDuration;
+        polls.missed = 0;
+    }
+    const auto found = std::find_if(polls.candidates.begin(), polls.candidates.end(), [&](const std::string &candidate) {
+        const auto avoided = polls.avoidedUntil.find(candidate);
+        return avoided == polls.avoidedUntil.end() || now >= avoided->second;
+    });
+    if (found == polls.candidates.end()) {
+        return std::nullopt;
+    }
+    if (*found != polls.current) {
+        polls.current = *found;
+        polls.missed = 0;
+    }
+    ++polls.missed;
+    return *found;
+}
+
+void observeAnswer(ReaderPolls &polls, const std::string &reader)
+{
+    if (reader == polls.current) {
+        polls.missed = 0;
+    }
+}
+
+} // namespace snipestream
--- a/mesh/work_graph.cpp
+++ b/mesh/work_graph.cpp
@@ -51,14 +51,11 @@
     WorkGraph graph;
     std::map<WorkKind, double> weights;
     for (const auto &[address, peer] : table.rows) {
-        if (!peer.report) {
-            continue;
-        }
-        for (const KindReport &reported : peer.report->kinds) {
+        for (const KindReport &reported : peer.kinds) {
             const double rate = std::max(reported.runsPerSecond, kMinRunsPerSecond);
             KindWork &row = graph.kinds[reported.kind];
-            row.runsPerSecond[peer.report->service] += rate;
-            row.slotSeconds[peer.report->service] += rate * reported.secondsPerRun;
+            row.runsPerSecond[peer.member.service] += rate;
+            row.slotSeconds[peer.member.service] += rate * reported.secondsPerRun;
             weights[reported.kind] += rate;
             for (const auto &[called, calls] : reported.callsPerRun) {
                 row.callsPerRun[called] += rate * calls;
--- a/sidecar/datagram_socket.cpp
+++ b/sidecar/datagram_socket.cpp
@@ -67,6 +67,12 @@
         return "quota-grant";
     case DatagramKind::QuotaLoan:
         return "quota-loan";
+    case DatagramKind::Subscription:
+        return "subscription";
+    case DatagramKind::PolicyQuery:
+        return "policy-query";
+    case DatagramKind::PolicyState:
+        return "policy-state";
     }
     return "unknown";
 }
--- a/sidecar/datagram_socket.h
+++ b/sidecar/datagram_socket.h
@@ -27,10 +27,13 @@
     QuotaGrant = 5,
     /// Response to the holder side of a node.
     QuotaLoan = 6,
+    Subscription = 7,
+    PolicyQuery = 8,
+    PolicyState = 9,
 };
 
 /// Number of datagram kinds, including the unused zero.
-inline constexpr size_t kDatagramKinds = 7;
+inline constexpr size_t kDatagramKinds = 10;
 
 /// Returns the name of the kind as a metric label.
 auto datagramKindName(DatagramKind kind) -> const char *;
--- /dev/null
+++ b/sidecar/distribution.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "core/time.h"
+#include "http/message.h"
+#include "mesh/store_readers.h"
+#include "platform/store_client.h"
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace snipestream
+{
+
+struct SidecarState;
+
+/// What this node knows of the store's contents, and passes on to others or gets from them.
+struct StoreView {
+    /// The operator's document of the policy in force.
+    std::shared_ptr<const std::string> policyDocument;
+    /// Newest records of the members by address, including removed ones, and the offset up to which they are known.
+    std::map<std::string, KeyedRecord> memberRecords;
+    uint64_t membersOffset = 0;
+    /// When the members were last confirmed by the store or a reader.
+    TimePoint membersConfirmedAt;
+
+    ReaderSettings readerSettings;
+    ReaderPolls polls;
+    /// Followers of this node and when they last asked.
+    std::map<std::string, TimePoint> followers;
+    TimePoint nextNotificationAt;
+    /// The last read of the store by this node failed.
+    bool isStoreFailing = false;
+    bool isFetchingPolicy = false;
+    bool isFetchingMembers = false;
+};
+
+/// Starts to handle the questions and answers of other nodes.
+void startDistribution(SidecarState &state);
+
+/// Asks a reader for news if this node does not read the store itself. Must be called with each tick.
+void tickDistribution(SidecarState &state, TimePoint now);
+
+/// Gets the members and the policy from a node that has sent a message, if this node has started while it cannot read them
+/// from the store.
+void learnFromPeer(SidecarState &state, const std::string &address);
+
+/// Tells the followers at once that there is a newer policy or that members have changed.
+void notifyFollowers(SidecarState &state);
+
+/// Responds to a request of another node for the policy or the members; an empty value if the request is neither.
+auto serveStoreView(const SidecarState &state, const RequestMessage &request) -> std::optional<ResponseMessage>;
+
+} // namespace snipestream
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -5,6 +5,7 @@
 #include "platform/request_fields.h"
 #include "sidecar/home.h"
 #include "sidecar/peer_call.h"
+#include "sidecar/reports.h"
 #include "sidecar/request_log.h"
 
 #include <algorithm>
@@ -202,7 +203,7 @@
 auto runAttempt(SidecarState &state, const std::string &address, const RoutedRequest &routed, CancelSignal &cancel) -> TargetResult
 {
     {
-        auto &row = state.peers.rows[address];
+        auto &row = state.peers.rows.at(address);
         ++row.inFlight;
         ++row.sentSinceLoadUpdate;
     }
@@ -312,6 +313,7 @@
         const TimePoint callerDeadline = call.caller.timeLeft ? call.startedAt + *call.caller.timeLeft : call.deadline;
         countCall(state.callPattern, workKindOf(*call.route), callerDeadline);
     }
+    requireService(state, call.service);
     const RequestOrigin origin{call.caller.requestId, call.route, call.team, call.service, call.policy->version, {}};
     RoutedRequest routed = makeRoutedRequest(state, call, std::move(request));
     Attempts attempts;
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -104,10 +104,8 @@
     constexpr double kNestedCallFraction = 0.5;
     /// Fraction of the absolute allowance that all targets of a service share.
     constexpr double kSlackFraction = 0.3;
-    size_t targets = 0;
-    for (const auto &[address, row] : state.peers.rows) {
-        targets += row.report && row.report->service == state.settings.service ? 1 : 0;
-    }
+    const auto members = state.peers.members.find(state.settings.service);
+    const size_t targets = members == state.peers.members.end() ? 1 : members->second.size();
     const bool isLeaf = !makesCalls(state.callPattern);
     const double fraction = (isLeaf ? kLeafFraction : kCallingServiceFraction) * (request.isNested ? kNestedCallFraction : 1);
     state.retryRatio.settings.ratio = state.settings.retryRatio * fraction;
--- a/sidecar/membership.cpp
+++ b/sidecar/membership.cpp
@@ -2,61 +2,146 @@
 
 #include "core/events.h"
 #include "mesh/member.h"
+#include "sidecar/state.h"
 #include "sidecar/store_access.h"
 
+#include <algorithm>
+
 namespace snipestream
 {
 
 namespace
 {
 
-/// Interval between reads of the membership, which find nodes whose first reports were lost. It is long because the
-/// platform charges for reads.
-constexpr Duration kMembershipReadInterval = seconds(30);
-constexpr int kMaxMembershipReadJitterMs = 5000;
+/// How long a reader waits for a change of the members.
+constexpr Duration kLongPollWait = seconds(20);
+/// Time without an answer of a reader after which a node reads the members itself.
+constexpr Duration kFollowTimeout = seconds(15);
+constexpr Duration kFollowCheckInterval = seconds(1);
+/// Time in which all nodes write their records when the whole system starts for the first time.
+constexpr Duration kFirstStartDelay = seconds(1);
+constexpr int kMaxJitterMs = 500;
 
-void applyMemberRecord(SidecarState &state, const KeyedRecord &record)
+/// Counts the failures in a row and pauses after each of them. Returns whether the call succeeded.
+template<typename T>
+auto checkCall(SidecarState &state, const Result<T> &result, int &failures) -> bool
 {
-    if (record.value.empty()) {
-        return;
+    failures = result ? 0 : failures + 1;
+    if (!result) {
+        pauseAfterFailure(state, failures);
     }
-    const auto member = decodeMember(record.key, record.value);
-    if (!member) {
-        logEvent(EventId::MemberRecordInvalid, {{"address", record.key}, {"error", member.error().message}});
-        return;
+    return result.has_value();
+}
+
+/// Reads all records. Returns false after a failure.
+auto readMembers(SidecarState &state, const StoreClient &store, int &failures) -> bool
+{
+    const auto page = readNewest(store, nodesTopic());
+    if (!checkCall(state, page, failures)) {
+        return false;
+    }
+    applyMemberRecords(state, page.value().records, page.value().nextOffset);
+    return true;
+}
+
+auto isRecorded(const SidecarState &state) -> bool
+{
+    const auto found = state.storeView.memberRecords.find(state.settings.address);
+    return found != state.storeView.memberRecords.end() && found->second.value == encodeMember(ownMember(state.settings));
+}
+
+/// Reads the members and makes sure that this node is among them.
+void joinMembership(SidecarState &state, const StoreClient &store)
+{
+    int failures = 0;
+    bool isWritten = false;
+    bool isRead = false;
+    while (!state.ended && !(isWritten && isRead)) {
+        // A node that starts again is usually recorded. When all nodes start for the first time, none is.
+        if (!isRead && (isWritten || !state.settings.isFirstStart)) {
+            isRead = readMembers(state, store, failures);
+            isWritten = isWritten || isRecorded(state);
+            continue;
+        }
+        const auto written = writeRecord(store, nodesTopic(), state.settings.address, encodeMember(ownMember(state.settings)));
+        isWritten = checkCall(state, written, failures);
+        if (isWritten && state.settings.isFirstStart) {
+            state.runtime.sleepFor(kFirstStartDelay + milliseconds(drawBelow(state.random, kMaxJitterMs)));
+        }
+    }
+}
+
+/// Waits for changes of the members as a reader.
+void awaitChanges(SidecarState &state, const StoreClient &store, int &failures)
+{
+    const auto page = readChanges(store, nodesTopic(), state.storeView.membersOffset, kLongPollWait);
+    if (!page && page.error().code == ErrorCode::Expired) {
+        readMembers(state, store, failures);
+    } else if (checkCall(state, page, failures)) {
+        applyMemberRecords(state, page.value().records, page.value().nextOffset);
     }
-    addMember(state.peers, member.value());
 }
 
 } // namespace
 
-void followMembership(SidecarState &state)
+void applyMemberRecords(SidecarState &state, const std::vector<KeyedRecord> &records, uint64_t offset)
 {
-    const StoreClient store = storeClient(state);
-    bool written = false;
-    while (!state.ended) {
-        if (!written) {
-            const auto result = writeRecord(store, nodesTopic(), state.settings.address, encodeMember(ownMember(state.settings)));
-            written = result.has_value();
-            if (!written) {
-                pauseAfterFailure(state);
-                continue;
-            }
+    auto &view = state.storeView;
+    const uint64_t revision = state.peers.revision;
+    for (const auto &record : records) {
+        auto &known = view.memberRecords[record.key];
+        if (!known.key.empty() && known.offset >= record.offset) {
+            continue;
         }
-        const auto page = readNewest(store, nodesTopic());
-        if (!page) {
-            pauseAfterFailure(state);
+        known = record;
+        if (record.value.empty()) {
+            removeMember(state.peers, record.key);
             continue;
         }
-        for (const auto &record : page.value().records) {
-            applyMemberRecord(state, record);
+        const auto member = decodeMember(record.key, record.value);
+        if (!member) {
+            logEvent(EventId::MemberRecordInvalid, {{"address", record.key}, {"error", member.error().message}});
+            continue;
         }
-        updateTokenMembers(state);
-        state.reportDue = true;
-        state.isMembershipRead = true;
-        logEvent(EventId::MembershipRead, {{"nodes", std::to_string(page.value().records.size())}});
-        waitUnlessEnded(state, kMembershipReadInterval + milliseconds(drawBelow(state.random, kMaxMembershipReadJitterMs)));
+        addMember(state.peers, member.value());
     }
+    view.membersOffset = std::max(view.membersOffset, offset);
+    view.membersConfirmedAt = BootClock::now();
+    const bool isFirst = !state.isMembershipRead;
+    state.isMembershipRead = true;
+    if (!isFirst && revision == state.peers.revision) {
+        return;
+    }
+    logEvent(EventId::MembershipRead, {{"nodes", std::to_string(state.peers.rows.size())}, {"offset", std::to_string(view.membersOffset)}});
+    state.isStoreReader = isReader(state.peers, view.readerSettings);
+    updateTokenMembers(state);
+    notifyFollowers(state);
+}
+
+void followMembership(SidecarState &state)
+{
+    const StoreClient store = storeClient(state);
+    joinMembership(state, store);
+    int failures = 0;
+    while (!state.ended) {
+        if (state.isStoreReader) {
+            awaitChanges(state, store, failures);
+        } else if (BootClock::now() - state.storeView.membersConfirmedAt > kFollowTimeout) {
+            readMembers(state, store, failures);
+        } else {
+            waitUnlessEnded(state, kFollowCheckInterval);
+        }
+    }
+}
+
+void leaveMembership(SidecarState &state)
+{
+    state.runtime.spawn([&state] {
+        const auto removed = writeRecord(storeClient(state), nodesTopic(), state.settings.address, {});
+        if (!removed) {
+            logEvent(EventId::MemberRecordNotRemoved, {{"address", state.settings.address}, {"error", removed.error().message}});
+        }
+    });
 }
 
 } // namespace snipestream
--- a/sidecar/policy_reader.cpp
+++ b/sidecar/policy_reader.cpp
@@ -2,6 +2,7 @@
 
 #include "core/events.h"
 #include "platform/policy_document.h"
+#include "sidecar/distribution.h"
 #include "sidecar/store_access.h"
 
 #include <algorithm>
@@ -13,9 +14,20 @@
 namespace
 {
 
-/// How long a read waits for a change. The end of a read confirms the policy as of the start of the read, so two reads in
-/// a row must end well before a withdrawn key has to stop working.
-constexpr Duration kPolicyLongPollWait = milliseconds(1700);
+/// How long a read waits for a change, as a fraction of the time for which a withdrawn key may work. The end of a read
+/// confirms the policy as of its start, so the confirmation is up to two reads old, and a poll older at a follower.
+constexpr double kLongPollFraction = 0.24;
+constexpr Duration kMaxLongPollWait = milliseconds(1700);
+/// Age of the last confirmation at which a node that is no reader reads the store itself, as a fraction of the time for which
+/// a withdrawn key may work: at least the first one, and up to the second one more.
+constexpr double kFallbackAgeFraction = 0.65;
+constexpr double kFallbackAgeSpread = 0.1;
+constexpr Duration kFollowCheckInterval = milliseconds(100);
+
+auto fractionOf(Duration duration, double fraction) -> Duration
+{
+    return duration_cast<Duration>(std::chrono::duration<double>(duration) * fraction);
+}
 
 /// Logs when the store becomes unreachable and when it becomes reachable again, once each.
 void logStoreReachability(bool &reachable, const Result<KeyedPage> &page)
@@ -46,6 +58,7 @@
     }
     const auto policy = std::make_shared<const Policy>(std::move(decoded).value());
     state.policy = policy;
+    state.storeView.policyDocument = std::make_shared<const std::string>(document);
     state.importance = importanceLevels(*policy);
     updateTokenMembers(state);
     const auto &limits = policy->limits;
@@ -55,36 +68,52 @@
         {{"version", std::to_string(policy->version)}, {"routes", std::to_string(policy->routes.size())}, {"teams", std::to_string(policy->teams.size())}});
 }
 
+void confirmPolicy(SidecarState &state, TimePoint confirmedAt)
+{
+    state.policyConfirmedAt = std::max(state.policyConfirmedAt, confirmedAt);
+}
+
 void followPolicy(SidecarState &state)
 {
     const StoreClient store = storeClient(state);
     std::optional<uint64_t> offset;
     bool reachable = true;
-    bool lastReadFailed = false;
+    int failures = 0;
+    // Nodes whose reader is silent do not all read the store at the same time.
+    const double fallbackFraction = kFallbackAgeFraction + kFallbackAgeSpread * static_cast<double>(drawBelow(state.random, 1000)) / 1000;
     while (!state.ended) {
         const TimePoint sentAt = BootClock::now();
+        if (!state.isStoreReader && state.policy && sentAt - state.policyConfirmedAt < fractionOf(state.settings.keyWithdrawal, fallbackFraction)) {
+            state.runtime.sleepFor(kFollowCheckInterval);
+            continue;
+        }
+        const Duration longPollWait = std::min(fractionOf(state.settings.keyWithdrawal, kLongPollFraction), kMaxLongPollWait);
         // After a failure, a read without a wait confirms the policy sooner.
-        const Duration wait = lastReadFailed ? Duration::zero() : kPolicyLongPollWait;
+        const Duration wait = failures == 0 && state.isStoreReader ? longPollWait : Duration::zero();
         const auto page = offset ? readChanges(store, operatorTopic(), *offset, wait) : readNewest(store, operatorTopic());
         logStoreReachability(reachable, page);
-        lastReadFailed = !page;
+        if (!page && page.error().code == ErrorCode::Expired) {
+            offset.reset();
+            continue;
+        }
+        failures = page ? 0 : failures + 1;
+        state.storeView.isStoreFailing = failures > 0;
         if (!page) {
-            if (page.error().code == ErrorCode::Expired) {
-                offset.reset();
-                continue;
-            }
-            pauseAfterFailure(state);
+            pauseAfterFailure(state, failures);
             continue;
         }
+        const uint64_t versionBefore = state.policy ? state.policy->version : 0;
         for (const auto &record : page.value().records) {
             if (record.key == configurationKey()) {
                 applyPolicyDocument(state, record.value);
             }
         }
         offset = page.value().nextOffset;
-        state.policyConfirmedAt = std::max(state.policyConfirmedAt, sentAt);
+        confirmPolicy(state, sentAt);
         if (!state.policy) {
-            pauseAfterFailure(state);
+            pauseAfterFailure(state, 1);
+        } else if (state.policy->version != versionBefore) {
+            notifyFollowers(state);
         }
     }
 }
--- a/sidecar/reports.cpp
+++ b/sidecar/reports.cpp
@@ -6,6 +6,7 @@
 #include "sidecar/work_record.h"
 
 #include <algorithm>
+#include <set>
 
 namespace snipestream
 {
@@ -13,42 +14,27 @@
 namespace
 {
 
-/// Demand for a service below which it is left out of the report, in slots.
-constexpr double kMinReportedSlots = 0.001;
-/// Maximum number of reports that a node sends per second, over all peers. The report interval grows with the number of
-/// nodes to stay within it.
-constexpr double kMaxReportsPerSecond = 120;
-constexpr Duration kMinReportInterval = milliseconds(300);
-
-} // namespace
-
-namespace
-{
-
-/// Returns the load that arrives at the target, increased while requests are queued, so that the queue is drained.
-auto reportedLoad(const SidecarState &state, TimePoint now) -> double
-{
-    /// Time in which a queue should be drained. The length of the queue is measured as a time. When it was measured in
-    /// requests, a queue of 20 ms at a target with few, fast slots looked like an overload by a third.
-    constexpr double kQueueDrainSeconds = 0.3;
-    const TargetLoad load = localLoad(state);
-    const double queued = load.waiting * state.limiter.meanServiceSeconds / std::max(load.limit, 1);
-    return offeredLoadAt(state.limiter.offered, now) + queued / kQueueDrainSeconds;
-}
+/// Maximum number of services of a policy that a node subscribes to before it has requests for them.
+constexpr size_t kMaxPreloadedServices = 16;
+/// How long a node stays subscribed to a service that it has no requests for.
+constexpr Duration kServiceRetention = seconds(60);
+/// How often the homes are chosen again, so that silent ones are replaced.
+constexpr Duration kHomeUpdateInterval = milliseconds(500);
+/// How often the node updates its own row.
+constexpr Duration kOwnReportInterval = milliseconds(100);
+/// How long the first request for a service waits for a report of one of its homes.
+constexpr Duration kFirstReportTimeout = milliseconds(100);
+constexpr Duration kFirstReportCheckInterval = milliseconds(5);
 
 } // namespace
 
 auto makeReport(SidecarState &state, TimePoint now) -> NodeReport
 {
     NodeReport report;
-    report.node = state.settings.node;
     report.address = state.settings.address;
     report.incarnation = state.incarnation;
     report.sequence = ++state.reportSequence;
-    report.domain = state.settings.domain;
-    report.service = state.settings.service;
     if (state.target.latest) {
-        report.service = state.target.latest->service;
         report.instance = state.target.latest->instance;
         report.warmupLeft = std::max(Duration::zero(), state.target.warmupUntil - now);
     }
@@ -56,17 +42,9 @@
     report.leaving = state.isStopping;
     report.load = localLoad(state);
     report.serviceMs = state.limiter.meanServiceSeconds * 1000;
-    report.offeredLoad = reportedLoad(state, now);
-    report.kinds = kindReports(state);
-    for (const auto &[service, control] : state.admission) {
-        const auto arriving = arrivingWork(control, now);
-        if (std::any_of(arriving.begin(), arriving.end(), [](double slots) {
-                return slots >= kMinReportedSlots;
-            })) {
-            report.serviceDemand.push_back({service, arriving});
-        }
-    }
-    report.policyVersion = state.policy ? state.policy->version : 0;
+    report.offeredLoad = offeredLoadAt(state.limiter.offered, now);
+    report.queueDelay = queueDelay(state.limiter);
+    report.demand = totalDemand(state.subscribers);
     return report;
 }
 
@@ -89,17 +67,114 @@
     if (!applyReport(state.peers, received, BootClock::now()) || !isNew) {
         return;
     }
-    logEvent(EventId::PeerFound,
-             {{"peer", received.address}, {"node", received.node.value}, {"service", received.service.value}, {"instance", received.instance}});
-    if (state.firstReportAt == TimePoint()) {
-        state.firstReportAt = BootClock::now();
+    const auto &member = state.peers.rows.at(received.address).member;
+    logEvent(EventId::PeerFound, {{"peer", received.address}, {"node", member.node.value}, {"service", member.service.value}, {"instance", received.instance}});
+    state.peerPool.closeIdle({received.address, state.settings.peerListen.port});
+}
+
+void handleSubscription(SidecarState &state, const std::string &from, std::string_view bytes)
+{
+    const auto subscription = decodeSubscription(bytes);
+    if (!subscription) {
+        logEvent(EventId::DatagramInvalid, {{"from", from}, {"error", subscription.error().message}});
+        return;
     }
-    if (addMember(state.peers, {received.address, received.node, received.domain, received.service})) {
-        updateTokenMembers(state);
+    learnFromPeer(state, from);
+    applySubscription(state.subscribers, subscription.value(), BootClock::now());
+}
+
+/// Returns the services whose targets this node needs to know: those of its requests, those that they call, and in small
+/// deployments all.
+auto neededServices(SidecarState &state, TimePoint now) -> std::vector<ServiceName>
+{
+    std::set<ServiceName> needed;
+    if (state.policy) {
+        std::set<ServiceName> all;
+        for (const auto &route : state.policy->routes) {
+            for (const auto &weighted : route.weightedServices) {
+                all.insert(weighted.service);
+            }
+        }
+        if (all.size() <= kMaxPreloadedServices) {
+            needed = std::move(all);
+        }
     }
-    state.peerPool.closeIdle({received.address, state.settings.peerListen.port});
-    // The new node has no reports yet, so it gets one now instead of after the report interval.
-    state.reportDue = true;
+    for (auto used = state.usedServices.begin(); used != state.usedServices.end();) {
+        if (now - used->second > kServiceRetention) {
+            used = state.usedServices.erase(used);
+            continue;
+        }
+        needed.insert(used->first);
+        ++used;
+    }
+    for (const auto &[service, control] : state.admission) {
+        if (!arrivingWork(control, now).empty()) {
+            needed.insert(service);
+        }
+    }
+    return {needed.begin(), needed.end()};
+}
+
+void updateHomes(SidecarState &state, TimePoint now)
+{
+    if (now - state.homesUpdatedAt < kHomeUpdateInterval && state.homesRevision == state.peers.revision && !state.areServicesRequired) {
+        return;
+    }
+    state.homesUpdatedAt = now;
+    state.homesRevision = state.peers.revision;
+    state.areServicesRequired = false;
+    for (const auto &home : updateSubscriptions(state.subscriptions, state.peers, neededServices(state, now), now)) {
+        Subscription end;
+        end.address = state.settings.address;
+        end.incarnation = state.incarnation;
+        end.sequence = ++state.subscriptions.sequence;
+        end.ends = true;
+        state.datagrams.send(home, DatagramKind::Subscription, encodeSubscription(end));
+    }
+}
+
+void sendSubscriptions(SidecarState &state, TimePoint now)
+{
+    std::map<ServiceName, std::vector<double>> demand;
+    for (const auto &[service, control] : state.admission) {
+        demand[service] = arrivingWork(control, now);
+    }
+    for (const auto &[home, subscription] : dueSubscriptions(state.subscriptions, state.peers, demand, state.incarnation, now)) {
+        if (home == state.settings.address) {
+            applySubscription(state.subscribers, subscription, now);
+        } else {
+            state.datagrams.send(home, DatagramKind::Subscription, encodeSubscription(subscription));
+        }
+    }
+}
+
+void sendReports(SidecarState &state, TimePoint now)
+{
+    expireSubscribers(state.subscribers, now);
+    const auto due = dueReports(state.subscribers, state.reportDue, now);
+    state.reportDue = false;
+    if (due.empty() && now - state.ownReportAt < kOwnReportInterval) {
+        return;
+    }
+    state.ownReportAt = now;
+    NodeReport report = makeReport(state, now);
+    const auto kinds = kindReports(state);
+    // Most subscribers get the same bytes.
+    std::map<std::pair<Duration, bool>, std::vector<uint8_t>> encoded;
+    for (const auto &[address, interval, withKinds] : due) {
+        if (address == state.settings.address) {
+            continue;
+        }
+        auto &bytes = encoded[{interval, withKinds}];
+        if (bytes.empty()) {
+            report.interval = interval;
+            report.kinds = withKinds ? kinds : std::vector<KindReport>();
+            bytes = encodeReport(report);
+        }
+        state.datagrams.send(address, DatagramKind::Report, bytes);
+    }
+    report.kinds = kinds;
+    applyReport(state.peers, report, now);
 }
 
 } // namespace
@@ -109,22 +184,35 @@
     state.datagrams.onReceive(DatagramKind::Report, [&state](const std::string &from, std::string_view bytes) {
         handleReport(state, from, bytes);
     });
+    state.datagrams.onReceive(DatagramKind::Subscription, [&state](const std::string &from, std::string_view bytes) {
+        handleSubscription(state, from, bytes);
+    });
 }
 
-void sendReports(SidecarState &state, TimePoint now)
+void tickReports(SidecarState &state, TimePoint now)
 {
-    const auto nodes = static_cast<double>(state.peers.rows.size());
-    const auto minInterval = duration_cast<Duration>(std::chrono::duration<double>(nodes / kMaxReportsPerSecond));
-    state.peers.reportInterval = std::max(kMinReportInterval, minInterval);
-    const NodeReport report = makeReport(state, now);
-    applyReport(state.peers, report, now);
-    const auto bytes = encodeReport(report);
-    for (const auto &[address, row] : state.peers.rows) {
-        if (address != state.settings.address) {
-            state.datagrams.send(address, DatagramKind::Report, bytes);
-        }
+    updateHomes(state, now);
+    sendSubscriptions(state, now);
+    sendReports(state, now);
+}
+
+void requireService(SidecarState &state, const ServiceName &service)
+{
+    state.usedServices[service] = BootClock::now();
+    const auto hasReport = [&state, &service] {
+        const auto homes = homesOf(std::as_const(state.peers), service);
+        return std::any_of(homes.begin(), homes.end(), [](const PeerRow *row) {
+            return row->report.has_value();
+        });
+    };
+    if (hasReport()) {
+        return;
+    }
+    state.areServicesRequired = true;
+    const TimePoint end = BootClock::now() + kFirstReportTimeout;
+    while (!state.ended && BootClock::now() < end && !hasReport()) {
+        state.runtime.sleepFor(kFirstReportCheckInterval);
     }
-    state.reportDue = false;
 }
 
 } // namespace snipestream
--- a/sidecar/settings.h
+++ b/sidecar/settings.h
@@ -31,6 +31,8 @@
     /// UDP port of the reports between nodes; the same on all VMs.
     uint16_t reportPort = 0;
     uint16_t metricsPort = 0;
+    /// The whole system starts for the first time, so the store has no records of it.
+    bool isFirstStart = false;
     uint64_t memoryMb = 256;
     uint64_t maxDescriptors = 1024;
     /// Maximum time for which a key may still work after the operator received the confirmation of its withdrawal.
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -86,11 +86,10 @@
 
     SidecarState sidecar;
     asio::steady_timer tickTimer;
-    TimePoint reportedAt;
     TimePoint stopRequestedAt;
     TimePoint loadSampledAt;
     TimePoint livenessUpdatedAt;
-    std::map<std::string, bool> wasPeerAlive;
+    std::map<std::string, bool> wasHomeAlive;
     std::function<void(size_t)> onEnded;
 };
 
@@ -224,6 +223,9 @@
 
 auto Sidecar::State::handlePeerRequest(RequestMessage &request, CancelSignal &cancel) -> std::optional<ResponseMessage>
 {
+    if (auto response = serveStoreView(sidecar, request)) {
+        return response;
+    }
     auto routed = decodeRoutedRequest(std::move(request), BootClock::now());
     if (!routed) {
         logEvent(EventId::HttpRequestInvalid, {{"server", "peer"}, {"error", routed.error().message}});
@@ -248,8 +250,7 @@
     }
     for (auto &[service, control] : sidecar.admission) {
         if (now - control.updatedAt >= sidecar.admissionSettings.window) {
-            updateAdmission(control, sidecar.admissionSettings, sidecar.importance, serviceCapacity(sidecar.peers, service, now),
-                            totalDemand(sidecar.peers, service, control, now), now);
+            updateAdmission(control, sidecar.admissionSettings, sidecar.importance, serviceCapacity(sidecar.peers, service, now), now);
         }
     }
 }
@@ -286,20 +287,22 @@
 
 void Sidecar::State::updatePeerLiveness(TimePoint now)
 {
-    for (const auto &[address, row] : sidecar.peers.rows) {
-        if (!row.report || address == sidecar.settings.address) {
-            continue;
-        }
-        const bool alive = isAlive(sidecar.peers, row, now);
-        bool &before = wasPeerAlive[address];
-        if (before && !alive) {
-            logEvent(EventId::PeerSilent, {{"peer", address}, {"instance", row.report->instance}});
+    std::map<std::string, bool> isHomeAlive;
+    for (const auto &[service, homes] : sidecar.peers.homes) {
+        for (const auto &address : homes) {
+            const auto row = sidecar.peers.rows.find(address);
+            if (row == sidecar.peers.rows.end() || !row->second.report || address == sidecar.settings.address) {
+                continue;
+            }
+            const bool alive = isAlive(row->second, now);
+            const auto before = wasHomeAlive.find(address);
+            if (before != wasHomeAlive.end() && before->second && !alive) {
+                logEvent(EventId::PeerSilent, {{"peer", address}, {"instance", row->second.report->instance}});
+            }
+            isHomeAlive[address] = alive;
         }
-        before = alive;
-    }
-    for (const auto &address : removeSilentPeers(sidecar.peers, now)) {
-        wasPeerAlive.erase(address);
     }
+    wasHomeAlive = std::move(isHomeAlive);
 }
 
 void Sidecar::State::updateKeyedService(TimePoint now)
@@ -345,10 +348,8 @@
         livenessUpdatedAt = now;
         updatePeerLiveness(now);
     }
-    if (sidecar.reportDue || now - reportedAt >= sidecar.peers.reportInterval) {
-        reportedAt = now;
-        sendReports(sidecar, now);
-    }
+    tickDistribution(sidecar, now);
+    tickReports(sidecar, now);
     flushLines(sidecar.log);
     checkStop(now);
     if (sidecar.ended) {
@@ -386,6 +387,7 @@
     }
     startReports(sidecar);
     startTokens(sidecar);
+    startDistribution(sidecar);
     BOOST_OUTCOME_TRY(sidecar.datagrams.open(sidecar.settings.address, sidecar.settings.reportPort));
     sidecar.runtime.spawn([&sidecar] {
         followPolicy(sidecar);
@@ -434,6 +436,9 @@
     logEvent(EventId::NodeStopping, {{"node", sidecar.settings.node.value}});
     sidecar.isStopping = true;
     sidecar.reportDue = true;
+    if (!sidecar.target.latest && !sidecar.target.departedInstance.empty()) {
+        leaveMembership(sidecar);
+    }
     state_->onEnded = std::move(ended);
     state_->stopRequestedAt = BootClock::now();
     sidecar.callerServer->announceClose();
--- a/sidecar/state.cpp
+++ b/sidecar/state.cpp
@@ -65,16 +65,9 @@
     splits.phase = static_cast<double>(drawBelow(random, 1000)) / 1000;
 }
 
-auto isMembershipComplete(const SidecarState &state, TimePoint now) -> bool
-{
-    /// Report intervals after which a report of every other node has arrived, even if some of its reports were lost.
-    constexpr int kDiscoveryIntervals = 4;
-    return state.isMembershipRead || (state.firstReportAt != TimePoint() && now - state.firstReportAt > state.peers.reportInterval * kDiscoveryIntervals);
-}
-
 auto mayServeKeyedRequests(const SidecarState &state, TimePoint now) -> bool
 {
-    return state.policy && isMembershipComplete(state, now) && now - state.policyConfirmedAt < state.settings.keyWithdrawal;
+    return state.policy && state.isMembershipRead && now - state.policyConfirmedAt < state.settings.keyWithdrawal;
 }
 
 auto isReady(const SidecarState &state, TimePoint now) -> bool
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -11,6 +11,7 @@
 #include "mesh/peer_table.h"
 #include "mesh/policy.h"
 #include "mesh/split.h"
+#include "mesh/subscriptions.h"
 #include "mesh/target_state.h"
 #include "mesh/work_graph.h"
 #include "net/fiber_event.h"
@@ -18,6 +19,7 @@
 #include "platform/store_client.h"
 #include "retry/ratio.h"
 #include "sidecar/datagram_socket.h"
+#include "sidecar/distribution.h"
 #include "sidecar/settings.h"
 #include "sidecar/token_service.h"
 
@@ -65,6 +67,20 @@
     bool isKeyedServiceSuspended = true;
 
     PeerTable peers;
+    /// The homes that this node subscribes to, and the nodes that subscribe to this one.
+    SubscriptionTable subscriptions;
+    SubscriberTable subscribers;
+    /// When requests for each service arrived last.
+    std::map<ServiceName, TimePoint> usedServices;
+    /// A request for a service that this node does not subscribe to has arrived since the homes were updated.
+    bool areServicesRequired = false;
+    TimePoint homesUpdatedAt;
+    /// Revision of the members from which the homes were chosen.
+    uint64_t homesRevision = 0;
+    TimePoint ownReportAt;
+    StoreView storeView;
+    /// This node reads the store on behalf of others.
+    bool isStoreReader = true;
     LoadBalancingSettings loadBalancing;
     SplitTable splits;
     SidecarTokens tokens;
@@ -76,10 +92,8 @@
     TimePoint workGraphBuiltAt;
     /// Maximum time to the deadline seen on a route. A request with clearly less is a retry after a refusal.
     std::unordered_map<RouteName, Duration> maxTimeLeft;
-    /// The list of the fleet's nodes has been read from the store.
+    /// The list of the members has been read from the store or got from another node.
     bool isMembershipRead = false;
-    /// When the first report of another node arrived; TimePoint() before that.
-    TimePoint firstReportAt;
 
     TargetState target;
     ConcurrencyLimiter limiter;
@@ -105,7 +119,7 @@
     /// The node has ended; its fibers end after their next wait.
     bool ended = false;
     TimePoint lastRequestAt;
-    /// Set after a change that other nodes should know at once; the next tick sends a report and clears it.
+    /// Set after a change that the subscribers should know at once; the next tick sends reports and clears it.
     bool reportDue = false;
 };
 
@@ -116,10 +130,6 @@
 /// Returns whether the node accepts requests of callers.
 auto isReady(const SidecarState &state, TimePoint now) -> bool;
 
-/// Returns whether the list of the other nodes is complete: it was read from the store, or enough time has passed since the
-/// first report for all nodes to report. Right after the first report, the node would take half of every team's rate.
-auto isMembershipComplete(const SidecarState &state, TimePoint now) -> bool;
-
 /// Returns the load of the local target.
 auto localLoad(const SidecarState &state) -> TargetLoad;
 
--- a/sidecar/store_access.cpp
+++ b/sidecar/store_access.cpp
@@ -11,17 +11,20 @@
 /// Timeout of a store call, in addition to the wait that the call requests. The store answers in 4 ms, or in 250 ms
 /// when it is slow.
 constexpr Duration kStoreTimeout = milliseconds(700);
-/// Pause after a failed call. It has jitter, since the calls of all nodes fail together when the store is down.
+/// Pause after the first failed call and the longest one; it doubles in between. It has jitter, since the calls of all nodes
+/// fail together when the store is down.
 constexpr Duration kFailurePause = milliseconds(150);
-constexpr int kFailurePauseSpreadMs = 200;
+constexpr Duration kMaxFailurePause = milliseconds(800);
+constexpr int kMaxDoublings = 4;
 /// How often a long wait checks whether the node has ended. A graceful stop takes longer than this.
 constexpr Duration kEndCheckInterval = seconds(1);
 
 } // namespace
 
-void pauseAfterFailure(SidecarState &state)
+void pauseAfterFailure(SidecarState &state, int failures)
 {
-    state.runtime.sleepFor(kFailurePause + milliseconds(drawBelow(state.random, kFailurePauseSpreadMs)));
+    const Duration pause = std::min(kFailurePause * (1 << std::clamp(failures - 1, 0, kMaxDoublings)), kMaxFailurePause);
+    state.runtime.sleepFor(pause / 2 + Duration(drawBelow(state.random, static_cast<uint64_t>(pause.count()))));
 }
 
 auto waitUnlessEnded(SidecarState &state, Duration span) -> bool
--- a/sidecar/token_service.cpp
+++ b/sidecar/token_service.cpp
@@ -125,7 +125,7 @@
 auto isSilent(const SidecarState &state, const NodeName &node, TimePoint now) -> bool
 {
     const auto row = state.peers.rows.find(node.value);
-    return row != state.peers.rows.end() && row->second.report && node.value != state.peers.ownAddress && !isAlive(state.peers, row->second, now);
+    return row != state.peers.rows.end() && row->second.report && node.value != state.peers.ownAddress && !isAlive(row->second, now);
 }
 
 void handleQuotaRequest(SidecarState &state, const std::string &from, std::string_view bytes)
--- a/sidecar/work_record.cpp
+++ b/sidecar/work_record.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/work_record.h"
 
 #include "core/events.h"
+#include "core/hash.h"
 #include "mesh/report_codec.h"
 #include "sidecar/store_access.h"
 
@@ -28,14 +29,26 @@
 /// figure.
 constexpr double kMinRelativeDifference = 0.3;
 
-/// Returns whether this node writes the record of its service. Among the service's nodes that are alive, only the one with
-/// the first address does.
-auto isWriter(const SidecarState &state, TimePoint now) -> bool
+/// Number of nodes of a service that keep its record up to date. The second one does so less often, in case that the first
+/// one does not run.
+constexpr size_t kRecordNodes = 2;
+constexpr int kSecondNodeIntervals = 4;
+
+/// Returns the position of this node among those that keep the record of its service, or `kRecordNodes` if it does not.
+auto recordRank(const SidecarState &state) -> size_t
 {
-    return std::none_of(state.peers.rows.begin(), state.peers.rows.end(), [&state, now](const auto &entry) {
-        const auto &[address, row] = entry;
-        return address < state.peers.ownAddress && row.report && row.report->service == state.settings.service && isAlive(state.peers, row, now);
-    });
+    const auto members = state.peers.members.find(state.settings.service);
+    if (members == state.peers.members.end()) {
+        return kRecordNodes;
+    }
+    const std::vector<std::string> addresses(members->second.begin(), members->second.end());
+    const auto order = rendezvousOrder("work-record-" + state.settings.service.value, addresses, std::min(kRecordNodes, addresses.size()));
+    for (size_t rank = 0; rank < order.size(); ++rank) {
+        if (addresses[order[rank]] == state.settings.address) {
+            return rank;
+        }
+    }
+    return kRecordNodes;
 }
 
 auto differs(double stored, double measured) -> bool
@@ -121,20 +134,28 @@
 {
     const StoreClient store = storeClient(state);
     std::optional<std::vector<KindReport>> stored;
+    int failures = 0;
     while (!state.ended && !stored) {
         stored = readStoredKinds(state, store);
         if (!stored) {
-            pauseAfterFailure(state);
+            pauseAfterFailure(state, ++failures);
         }
     }
     for (const auto &kind : stored.value_or(std::vector<KindReport>())) {
         seedKind(state.callPattern, kind.kind, kind.callsPerRun);
         state.limiter.serviceSecondsByKind.emplace(kind.kind, kind.secondsPerRun);
     }
-    state.reportDue = true;
-    while (waitUnlessEnded(state, kCheckInterval)) {
+    for (int interval = 1; waitUnlessEnded(state, kCheckInterval); ++interval) {
+        const size_t rank = recordRank(state);
+        if (rank >= kRecordNodes || (rank > 0 && interval % kSecondNodeIntervals != 0)) {
+            continue;
+        }
+        if (rank > 0) {
+            // The first node may have written the record since.
+            stored = readStoredKinds(state, store).value_or(*stored);
+        }
         const auto kinds = mergeMeasuredKinds(*stored, kindReports(state));
-        if (!kinds || !isWriter(state, BootClock::now())) {
+        if (!kinds) {
             continue;
         }
         const auto written = writeRecord(store, workTopic(), state.settings.service.value, encodeKinds(*kinds));
--- a/tests/sidecar/sidecar_test.cpp
+++ b/tests/sidecar/sidecar_test.cpp
@@ -216,6 +216,18 @@
                 runtime.sleepFor(milliseconds(200));
                 CPPUNIT_ASSERT_EQUAL(200, fleet->sendRequest("GET", "/stock/7", "k1").response.status);
             });
+            section("a node that starts while the store is away gets the members and the policy from other nodes", [&] {
+                fleet->store.failWith(503);
+                fleet->nodes.front()->end();
+                fleet->nodes.front() = std::make_unique<Sidecar>(runtime, makeSettings(2, "diary", fleet->store.endpoint()));
+                CPPUNIT_ASSERT(fleet->nodes.front()->start().has_value());
+                fleet->waitUntil([&] {
+                    return fleet->sendRequest("GET", "/stock/7", "k1").response.status == 200;
+                });
+                CPPUNIT_ASSERT_EQUAL(401, fleet->sendRequest("GET", "/stock/7", "k2").response.status);
+                fleet->store.failWith(std::nullopt);
+                runtime.sleepFor(milliseconds(1000));
+            });
             section("a node that the store refuses rejects keyed requests before a withdrawn key could work too long", [&] {
                 fleet->store.failWith(503);
                 const TimePoint start = BootClock::now();
