Stop nodes without cutting requests that were taken late

Cause: the stop ended the process after 300 ms without a request or 400 ms before SIGKILL, and never refused a request. Under steady traffic only the second part applies, and it dropped what was in progress. A request stopped counting when the node began to write its response.

Ruled out: callers that ignore Connection: close (they leave the connection and come back to the address on a new one), a target that ends first (it works on), a shorter idle time (it only moves the end).

Change: mesh/stop_schedule decides the steps of a stop. A request counts until its response is written; connections linger for a moment, so that unread bytes do not reset them. SNS1012 and SNS1005 say what was ended, SNS1003 when. A second signal and a reload do not lead back to an earlier step.

Related paths: the stop of node/ waits for runningRequests and its HTTP server streams, so a response counts until it is written there. A request that waits in another node's queue at the end of the stop time gets 502 though it has not run, since the node can only close the connection.

--- a/core/events.cpp
+++ b/core/events.cpp
@@ -50,6 +50,8 @@
         {EventId::SettingsReloaded, Severity::Info, "settings-reloaded", "The settings file was read again; limits that can change at run time are in force."},
         {EventId::MemoryShort, Severity::Warning, "memory-short", "A request was refused because the requests in progress hold too much memory."},
         {EventId::LinesLeftOut, Severity::Warning, "lines-left-out", "Log lines were dropped to bound the log volume."},
+        {EventId::StopTimeShort, Severity::Warning, "stop-time-short",
+         "Requests were still in progress near the end of the stop time; they get their final responses."},
         {EventId::ConfigChangeApplied, Severity::Info, "config-change-applied", "A change came into force on this node."},
         {EventId::ConfigChangeRejected, Severity::Warning, "config-change-rejected", "A change conflicted with an earlier one or was invalid."},
         {EventId::ConfigRecordUnreadable, Severity::Error, "config-record-unreadable", "A record of the log cannot be parsed and is skipped."},
--- a/core/events.h
+++ b/core/events.h
@@ -30,6 +30,7 @@
     SettingsReloaded = 1008,
     MemoryShort = 1009,
     LinesLeftOut = 1011,
+    StopTimeShort = 1012,
     ConfigChangeApplied = 2001,
     ConfigChangeRejected = 2002,
     ConfigRecordUnreadable = 2003,
--- a/http/message_connection.cpp
+++ b/http/message_connection.cpp
@@ -109,6 +109,19 @@
     }
 }
 
+auto MessageConnection::isBusy() const -> bool
+{
+    return !requests_.empty() || isSending_ || isLingering_;
+}
+
+void MessageConnection::cancelRequests()
+{
+    const auto requests = requests_;
+    for (const auto &[id, request] : requests) {
+        request->cancel.cancel();
+    }
+}
+
 void MessageConnection::awaitBytes()
 {
     const size_t maxBuffered = shared_->options.maxHeaderBytes + kReadAheadBytes;
@@ -327,7 +340,7 @@
 
 void MessageConnection::runRequest(const std::shared_ptr<Request> &request)
 {
-    if (!request->cancel.isCancelled()) {
+    if (!hasEnded_ && !isLingering_) {
         request->response = shared_->handler(request->message, request->cancel);
     }
     shared_->activeRequestBytes -= request->bodyBytes;
@@ -350,7 +363,7 @@
         }
         const auto request = requests_.at(*id);
         requests_.erase(*id);
-        shared_->activeRequests -= request->isStarted ? 1 : 0;
+        unsentRequests_ += request->isStarted ? 1 : 0;
         if (!request->response) {
             close();
             return;
@@ -373,10 +386,12 @@
     if (hasEnded_ || isLingering_) {
         return;
     }
+    const bool isDone = requests_.empty() && !isSending_;
+    if (isDone && (isReadingStopped_ || (shared_->closesIdle && !parser_))) {
+        beginLinger();
+        return;
+    }
     if (isReadingStopped_) {
-        if (requests_.empty() && !isSending_) {
-            beginLinger();
-        }
         return;
     }
     startRequests();
@@ -413,11 +428,17 @@
 
 void MessageConnection::handleSent(bool closeAfter)
 {
+    countSentRequests();
     if (closeAfter && !hasEnded_) {
         beginLinger();
     }
 }
 
+void MessageConnection::countSentRequests()
+{
+    shared_->activeRequests -= std::exchange(unsentRequests_, 0);
+}
+
 void MessageConnection::beginLinger()
 {
     stopReading();
@@ -443,6 +464,7 @@
     boost::system::error_code ignored;
     socket_.close(ignored);
     stopReading();
+    countSentRequests();
     const auto requests = std::exchange(requests_, {});
     for (const auto &[id, request] : requests) {
         // The fiber of a running request counts it out when it ends.
--- a/http/message_connection.h
+++ b/http/message_connection.h
@@ -22,12 +22,15 @@
     MessageServerOptions options;
     MessageHandler handler;
     size_t connections = 0;
+    /// Requests whose handler has been started and whose response has not been sent completely.
     size_t activeRequests = 0;
     uint64_t activeRequestBytes = 0;
     /// Size of the request bodies that are being received, in bytes.
     uint64_t incomingBytes = 0;
     /// Every connection closes after its next response.
     bool closing = false;
+    /// Connections without a request in progress are closed.
+    bool closesIdle = false;
     PipelineCounts pipelineCounts;
 };
 
@@ -51,6 +54,12 @@
     /// Closes the connection unless a request is in progress.
     void closeIfIdle();
 
+    /// Returns whether a request is in progress, or a response is being sent or may not have arrived yet.
+    [[nodiscard]] auto isBusy() const -> bool;
+
+    /// Cancels the requests in progress. Their responses are still sent.
+    void cancelRequests();
+
     /// Closes the connection at once and cancels the requests in progress.
     void close();
 
@@ -74,6 +83,7 @@
     auto prepareResponse(Request &request) -> std::string;
     void sendBytes(std::string bytes, bool closeAfter);
     void handleSent(bool closeAfter);
+    void countSentRequests();
     void beginLinger();
     void updateIdleDeadline();
 
@@ -87,6 +97,8 @@
     RequestPipeline pipeline_;
     std::map<PipelinedRequestId, std::shared_ptr<Request>> requests_;
     uint64_t incomingBytes_ = 0;
+    /// Requests that still count in MessageServerShared::activeRequests because their response is being sent.
+    size_t unsentRequests_ = 0;
     /// End of the time to receive the head or body that is being read, to wait for a request, or to discard bytes.
     TimePoint readDeadline_ = TimePoint::max();
     TimePoint writeDeadline_ = TimePoint::max();
--- a/http/message_server.cpp
+++ b/http/message_server.cpp
@@ -31,7 +31,7 @@
 
 struct MessageServer::State : std::enable_shared_from_this<MessageServer::State> {
     State(FiberRuntime &runtime, MessageServerOptions options, MessageHandler handler)
-        : shared(std::make_shared<MessageServerShared>(MessageServerShared{runtime, std::move(options), std::move(handler), 0, 0, 0, 0, false, {}}))
+        : shared(std::make_shared<MessageServerShared>(MessageServerShared{runtime, std::move(options), std::move(handler), 0, 0, 0, 0, false, false, {}}))
         , acceptor(runtime.context())
         , sweepTimer(runtime.context())
     {
@@ -155,23 +155,44 @@
     state_->shared->closing = true;
 }
 
-void MessageServer::closeIdle()
+void MessageServer::stopAccepting()
 {
     state_->stopped = true;
     state_->shared->closing = true;
+    state_->shared->closesIdle = true;
     boost::system::error_code ignored;
     state_->acceptor.close(ignored);
-    state_->sweepTimer.cancel();
     for (const auto &connection : state_->allConnections()) {
         connection->closeIfIdle();
     }
 }
 
+void MessageServer::closeIdle()
+{
+    stopAccepting();
+    state_->sweepTimer.cancel();
+}
+
+void MessageServer::cancelRequests()
+{
+    for (const auto &connection : state_->allConnections()) {
+        connection->cancelRequests();
+    }
+}
+
 auto MessageServer::activeRequests() const -> size_t
 {
     return state_->shared->activeRequests;
 }
 
+auto MessageServer::busyConnections() const -> size_t
+{
+    const auto &connections = state_->connections;
+    return static_cast<size_t>(std::count_if(connections.begin(), connections.end(), [](const auto &connection) {
+        return connection->isBusy();
+    }));
+}
+
 auto MessageServer::activeRequestBytes() const -> uint64_t
 {
     return state_->shared->activeRequestBytes;
--- a/http/message_server.h
+++ b/http/message_server.h
@@ -80,11 +80,20 @@
     /// New connections are still accepted.
     void announceClose();
 
-    /// Stops accepting and closes connections without a request in progress.
+    /// Stops accepting and closes connections without a request in progress. The other connections close after their
+    /// last response.
+    void stopAccepting();
+
+    /// Like stopAccepting(), and no longer enforces timeouts.
     void closeIdle();
 
-    /// Returns the number of requests whose response has not been sent yet.
+    /// Cancels the requests in progress. The responses of their handlers are still sent.
+    void cancelRequests();
+
+    /// Returns the number of requests in progress, including those whose response has not been sent completely.
     [[nodiscard]] auto activeRequests() const -> size_t;
+    /// Returns the number of connections with a request in progress or a response that may not have arrived yet.
+    [[nodiscard]] auto busyConnections() const -> size_t;
     /// Returns the total body size of the requests whose handler is running, in bytes.
     [[nodiscard]] auto activeRequestBytes() const -> uint64_t;
     [[nodiscard]] auto pipelineCounts() const -> PipelineCounts;
--- /dev/null
+++ b/mesh/stop_schedule.cpp
@@ -0,0 +1,77 @@
+#include "mesh/stop_schedule.h"
+
+#include <algorithm>
+
+namespace snipestream
+{
+
+namespace
+{
+
+auto servingTime(const StopSettings &settings) -> Duration
+{
+    return duration_cast<Duration>(std::chrono::duration<double>(settings.stopTime) * settings.servingFraction);
+}
+
+/// Returns the step that follows from the time and the load alone.
+auto dueStep(const StopSchedule &schedule, const StopSettings &settings, const StopLoad &load, TimePoint now) -> StopStep
+{
+    const Duration since = now - schedule.requestedAt;
+    if (since >= settings.stopTime - settings.endMargin) {
+        return StopStep::Ended;
+    }
+    if (schedule.step == StopStep::Closing) {
+        const bool isLingerTimeOver = now - schedule.closingSince >= settings.maxLingerTime;
+        return load.requests == 0 && (load.lingering == 0 || isLingerTimeOver) ? StopStep::Ended : StopStep::Closing;
+    }
+    const bool isServing = since < servingTime(settings);
+    const bool isIdle = load.requests == 0 && now - load.lastRequestAt > settings.idleTime;
+    if (isServing ? isIdle && since >= settings.minTime : load.requests == 0) {
+        return StopStep::Closing;
+    }
+    if (since >= settings.stopTime - settings.conclusionMargin) {
+        return StopStep::Concluding;
+    }
+    return isServing ? StopStep::Serving : StopStep::Refusing;
+}
+
+} // namespace
+
+void beginStop(StopSchedule &schedule, TimePoint now)
+{
+    if (schedule.step != StopStep::None) {
+        return;
+    }
+    schedule.step = StopStep::Serving;
+    schedule.requestedAt = now;
+}
+
+void advanceStop(StopSchedule &schedule, const StopSettings &settings, const StopLoad &load, TimePoint now)
+{
+    if (schedule.step == StopStep::None) {
+        return;
+    }
+    // The stop time may be changed by a reload, but requests that were refused must not be served again.
+    const StopStep step = std::max(schedule.step, dueStep(schedule, settings, load, now));
+    if (step == StopStep::Closing && schedule.step != StopStep::Closing) {
+        schedule.closingSince = now;
+    }
+    schedule.step = step;
+}
+
+auto isStopping(const StopSchedule &schedule) -> bool
+{
+    return schedule.step != StopStep::None;
+}
+
+auto refusesRequests(const StopSchedule &schedule) -> bool
+{
+    return schedule.step >= StopStep::Refusing;
+}
+
+auto conclusionTime(const StopSchedule &schedule, const StopSettings &settings) -> TimePoint
+{
+    return schedule.step == StopStep::None ? TimePoint::max() : schedule.requestedAt + settings.stopTime - settings.conclusionMargin;
+}
+
+} // namespace snipestream
--- a/sidecar/distribution.cpp
+++ b/sidecar/distribution.cpp
@@ -232,11 +232,11 @@
 void tickDistribution(SidecarState &state, TimePoint now)
 {
     StoreView &view = state.storeView;
-    if (state.isStoreReader && !state.isStopping) {
+    if (state.isStoreReader && !isStopping(state.stop)) {
         notifySilentMembers(state, now);
     }
     const bool readsStore = state.isStoreReader && !view.isStoreFailing;
-    if (readsStore || state.isStopping) {
+    if (readsStore || isStopping(state.stop)) {
         return;
     }
     if (const auto reader = nextPoll(view.polls, state.peers, view.readerSettings, now)) {
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -115,6 +115,23 @@
     return refuse(state, call, 503, "quota-unavailable", decision.retryAfter);
 }
 
+/// Returns whether the node, which stops, must refuse the request. Calls of a request that runs at the local target are
+/// served as long as they probably end in time, since that request would fail without them.
+auto isRefusedAtStop(const SidecarState &state, const EntryCall &call) -> bool
+{
+    if (!refusesRequests(state.stop)) {
+        return false;
+    }
+    return !call.isNested || call.startedAt + call.route->targetLatency > conclusionTime(state.stop, state.stopSettings);
+}
+
+/// Returns how long a caller that was refused because the node stops should wait: about the time until the node has ended
+/// and started again, with jitter.
+auto restartRetryAfter(SidecarState &state) -> Duration
+{
+    return milliseconds(1200) + milliseconds(drawBelow(state.random, 600));
+}
+
 /// Finds the route, team and service of the request. Returns a refusal if it cannot be served.
 auto admit(SidecarState &state, const RequestMessage &request, EntryCall &call, CancelSignal &cancel) -> std::optional<ResponseMessage>
 {
@@ -146,7 +163,11 @@
     }
     call.importance = importanceOf(*call.route, call.team);
     const Duration timeout = std::min(call.caller.timeLeft.value_or(kDefaultCallerTimeout), call.route->timeout);
-    call.deadline = now + timeout;
+    // While the node stops, the deadline lets queues and targets give up while the response can still be sent.
+    call.deadline = std::min(now + timeout, conclusionTime(state.stop, state.stopSettings));
+    if (isRefusedAtStop(state, call)) {
+        return refuse(state, call, 503, "node-stopping", restartRetryAfter(state));
+    }
     const uint64_t held = state.callerServer->activeRequestBytes() + state.peerServer->activeRequestBytes();
     if (static_cast<double>(held) > kMaxHeldMemoryFraction * static_cast<double>(state.settings.memoryMb) * 1024 * 1024) {
         logEvent(EventId::MemoryShort, {{"held", std::to_string(held)}});
@@ -327,7 +348,15 @@
         routed.instance = peer->report->instance;
         routed.previousAttempts = attempts.targetAttempts;
         attempts.last = runAttempt(state, address, routed, cancel);
-        if (cancel.isCancelled() || attempts.last.outcome == TargetOutcome::Cancelled) {
+        const bool isCancelled = cancel.isCancelled() || attempts.last.outcome == TargetOutcome::Cancelled;
+        if (isCancelled && state.stop.step >= StopStep::Concluding) {
+            if (attempts.last.outcome == TargetOutcome::Cancelled) {
+                attempts.last = concludeAtStop(state, call.caller.requestId, std::move(attempts.last));
+            }
+            attempts.mayHaveRun = attempts.mayHaveRun || attempts.last.outcome == TargetOutcome::Unknown;
+            break;
+        }
+        if (isCancelled) {
             logAbandoned(state, origin, address, BootClock::now() - call.startedAt);
             return std::nullopt;
         }
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -226,6 +226,24 @@
     return result;
 }
 
+auto refuseAtStop(const SidecarState &state) -> TargetResult
+{
+    TargetResult result = notRun("node-stopping", false);
+    result.load = localLoad(state);
+    return result;
+}
+
+auto concludeAtStop(SidecarState &state, const std::string &requestId, TargetResult cancelled) -> TargetResult
+{
+    cancelled.outcome = cancelled.reachedTarget ? TargetOutcome::Unknown : TargetOutcome::NotRun;
+    cancelled.reason = "node-stopping";
+    if (cancelled.reachedTarget) {
+        ++state.requestsCutByStop;
+        logEvent(EventId::RequestCutAtStop, {{"request", requestId}});
+    }
+    return cancelled;
+}
+
 namespace
 {
 
--- a/sidecar/home.h
+++ b/sidecar/home.h
@@ -63,6 +63,13 @@
 /// it.
 auto runAtTarget(SidecarState &state, const RoutedRequest &request, CancelSignal &cancel) -> TargetResult;
 
+/// Returns the result of a request that this node refuses because it stops. The request has not run.
+auto refuseAtStop(const SidecarState &state) -> TargetResult;
+
+/// Returns the final result of a request that was cancelled because the node must end. Counts and logs it if it may have
+/// run.
+auto concludeAtStop(SidecarState &state, const std::string &requestId, TargetResult cancelled) -> TargetResult;
+
 /// Starts or refuses queued requests as slots become free or their time runs out. Must be called after each change of the
 /// concurrency limiter and with each tick.
 void advanceLimiter(SidecarState &state, TimePoint now);
--- a/sidecar/reports.cpp
+++ b/sidecar/reports.cpp
@@ -39,7 +39,7 @@
         report.warmupLeft = std::max(Duration::zero(), state.target.warmupUntil - now);
     }
     report.serving = isServing(state.target);
-    report.leaving = state.isStopping;
+    report.leaving = isStopping(state.stop);
     report.load = localLoad(state);
     report.serviceMs = state.limiter.meanServiceSeconds * 1000;
     report.offeredLoad = offeredLoadAt(state.limiter.offered, now);
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -36,14 +36,6 @@
 constexpr Duration kLivenessInterval = milliseconds(250);
 /// Interval of ticks while requests wait for a token.
 constexpr Duration kTokenTickInterval = milliseconds(10);
-/// Minimum time between the stop signal and the end. Callers check readiness once a second, and within two checks they have
-/// learned that the node accepts no new requests.
-constexpr Duration kMinStopTime = milliseconds(2600);
-/// The node ends after this time without a request. A caller that still sends requests was not moved to another node by the
-/// platform, so the node keeps serving it as long as it can.
-constexpr Duration kIdleTimeBeforeEnd = milliseconds(300);
-/// The process ends by itself this long before it would be killed, so that it can still send responses.
-constexpr Duration kMarginBeforeKill = milliseconds(400);
 /// Descriptors reserved for files and listening sockets.
 constexpr uint64_t kReservedDescriptors = 250;
 /// Fraction of the process's memory limit that request bodies may take while they are being received. While a body grows,
@@ -81,12 +73,12 @@
     void updatePeerLiveness(TimePoint now);
     void logLoadSample(TimePoint now);
     void updateKeyedService(TimePoint now);
+    [[nodiscard]] auto stopLoad() const -> StopLoad;
     void checkStop(TimePoint now);
     void end();
 
     SidecarState sidecar;
     asio::steady_timer tickTimer;
-    TimePoint stopRequestedAt;
     TimePoint loadSampledAt;
     TimePoint livenessUpdatedAt;
     std::map<std::string, bool> wasHomeAlive;
@@ -231,9 +223,15 @@
         logEvent(EventId::HttpRequestInvalid, {{"server", "peer"}, {"error", routed.error().message}});
         return emptyResponse(400);
     }
+    if (refusesRequests(sidecar.stop)) {
+        return encodeOutcome(refuseAtStop(sidecar));
+    }
     TargetResult result = runAtTarget(sidecar, routed.value(), cancel);
     if (result.outcome == TargetOutcome::Cancelled) {
-        return std::nullopt;
+        if (sidecar.stop.step < StopStep::Concluding) {
+            return std::nullopt;
+        }
+        result = concludeAtStop(sidecar, routed.value().requestId, std::move(result));
     }
     return encodeOutcome(std::move(result));
 }
@@ -317,22 +315,50 @@
     logEvent(suspended ? EventId::KeyedServiceSuspended : EventId::KeyedServiceResumed, {{"policy", version}, {"policy-age-ms", age}});
 }
 
+auto Sidecar::State::stopLoad() const -> StopLoad
+{
+    const size_t requests = sidecar.callerServer->activeRequests() + sidecar.peerServer->activeRequests();
+    return {requests, sidecar.callerServer->busyConnections() + sidecar.peerServer->busyConnections(), sidecar.lastRequestAt};
+}
+
 void Sidecar::State::checkStop(TimePoint now)
 {
-    if (!sidecar.isStopping) {
+    if (!isStopping(sidecar.stop)) {
         return;
     }
-    const Duration since = now - stopRequestedAt;
-    const size_t active = sidecar.callerServer->activeRequests() + sidecar.peerServer->activeRequests();
-    const bool isIdle = active == 0 && now - sidecar.lastRequestAt > kIdleTimeBeforeEnd;
-    const bool isOverdue = since > sidecar.settings.stopTime - kMarginBeforeKill;
-    if (!isOverdue && (since < kMinStopTime || !isIdle)) {
+    const StopStep before = sidecar.stop.step;
+    const StopLoad load = stopLoad();
+    advanceStop(sidecar.stop, sidecar.stopSettings, load, now);
+    if (sidecar.stop.step == before) {
         return;
     }
-    logEvent(EventId::NodeStopped, {{"cut", std::to_string(active)}});
-    flushLines(sidecar.log);
-    end();
-    onEnded(active);
+    switch (sidecar.stop.step) {
+    case StopStep::Concluding:
+        logEvent(EventId::StopTimeShort,
+                 {{"requests", std::to_string(load.requests)},
+                  {"waiting-for-slot", std::to_string(sidecar.limiter.queue.size())},
+                  {"waiting-for-token", std::to_string(sidecar.tokens.waits.size())}});
+        sidecar.callerServer->cancelRequests();
+        sidecar.peerServer->cancelRequests();
+        break;
+    case StopStep::Closing:
+        sidecar.callerServer->stopAccepting();
+        sidecar.peerServer->stopAccepting();
+        break;
+    case StopStep::Ended: {
+        const size_t cut = sidecar.requestsCutByStop + load.requests;
+        logEvent(EventId::NodeStopped,
+                 {{"cut", std::to_string(cut)}, {"after-ms", std::to_string(duration_cast<milliseconds>(now - sidecar.stop.requestedAt).count())}});
+        flushLines(sidecar.log);
+        end();
+        onEnded(cut);
+        break;
+    }
+    case StopStep::None:
+    case StopStep::Serving:
+    case StopStep::Refusing:
+        break;
+    }
 }
 
 void Sidecar::State::tick()
@@ -430,17 +456,16 @@
 void Sidecar::requestStop(std::function<void(size_t aborted)> ended)
 {
     auto &sidecar = state_->sidecar;
-    if (sidecar.isStopping) {
+    if (isStopping(sidecar.stop)) {
         return;
     }
     logEvent(EventId::NodeStopping, {{"node", sidecar.settings.node.value}});
-    sidecar.isStopping = true;
+    beginStop(sidecar.stop, BootClock::now());
     sidecar.reportDue = true;
     if (!sidecar.target.latest && !sidecar.target.departedInstance.empty()) {
         leaveMembership(sidecar);
     }
     state_->onEnded = std::move(ended);
-    state_->stopRequestedAt = BootClock::now();
     sidecar.callerServer->announceClose();
     sidecar.peerServer->announceClose();
 }
@@ -451,6 +476,7 @@
     // Addresses and names cannot change while the process runs. The bounds can.
     sidecar.settings.keyWithdrawal = settings.keyWithdrawal;
     sidecar.settings.stopTime = settings.stopTime;
+    sidecar.stopSettings.stopTime = settings.stopTime;
     sidecar.settings.memoryMb = settings.memoryMb;
     sidecar.settings.retryRatio = settings.retryRatio;
     sidecar.settings.retrySlack = settings.retrySlack;
--- a/sidecar/state.cpp
+++ b/sidecar/state.cpp
@@ -59,6 +59,7 @@
 {
     incarnation = random();
     responseMemory->maxBytes = memoryFraction(settings, kResponseMemoryFraction);
+    stopSettings.stopTime = settings.stopTime;
     peers.ownAddress = settings.address;
     peers.ownDomain = settings.domain;
     addMember(peers, ownMember(settings));
@@ -72,7 +73,7 @@
 
 auto isReady(const SidecarState &state, TimePoint now) -> bool
 {
-    return state.policy && !state.isStopping && (state.policy->teams.empty() || mayServeKeyedRequests(state, now));
+    return state.policy && !isStopping(state.stop) && (state.policy->teams.empty() || mayServeKeyedRequests(state, now));
 }
 
 auto localLoad(const SidecarState &state) -> TargetLoad
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -11,6 +11,7 @@
 #include "mesh/peer_table.h"
 #include "mesh/policy.h"
 #include "mesh/split.h"
+#include "mesh/stop_schedule.h"
 #include "mesh/subscriptions.h"
 #include "mesh/target_state.h"
 #include "mesh/work_graph.h"
@@ -115,7 +116,10 @@
     std::unique_ptr<MessageServer> targetServer;
     std::unique_ptr<MessageServer> metricsServer;
 
-    bool isStopping = false;
+    StopSchedule stop;
+    StopSettings stopSettings;
+    /// Requests that may have run and that the stop has ended.
+    size_t requestsCutByStop = 0;
     /// The node has ended; its fibers end after their next wait.
     bool ended = false;
     TimePoint lastRequestAt;
--- a/tests/http/message_test.cpp
+++ b/tests/http/message_test.cpp
@@ -122,6 +122,7 @@
     CPPUNIT_TEST(testBrokenAnswers);
     CPPUNIT_TEST(testEarlyAnswer);
     CPPUNIT_TEST(testServer);
+    CPPUNIT_TEST(testSlowReader);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -229,6 +230,38 @@
             runtime.sleepFor(milliseconds(50));
         });
     }
+
+    /// Guards against a stop that ends the process while a response is still being sent to a slow reader.
+    void testSlowReader()
+    {
+        FiberRuntime runtime;
+        runtime.runToEnd([&] {
+            const size_t size = size_t{32} * 1024 * 1024;
+            MessageServerOptions options;
+            options.listen = {"127.0.0.1", 0};
+            MessageServer server(runtime, options, [size](RequestMessage &, CancelSignal &) {
+                ResponseMessage response;
+                response.body = std::string(size, 'x');
+                return response;
+            });
+            testing::RawClient client(runtime, server.listen().value());
+            client.send("GET / HTTP/1.1\r\n\r\n");
+            runtime.sleepFor(milliseconds(200));
+            section("a request counts until its response has been sent", [&] {
+                CPPUNIT_ASSERT_EQUAL(size_t{1}, server.activeRequests());
+                CPPUNIT_ASSERT_EQUAL(size_t{1}, server.busyConnections());
+            });
+            section("a server that no longer accepts sends the rest and then closes the connection", [&] {
+                server.stopAccepting();
+                CPPUNIT_ASSERT(client.readAll().size() > size);
+                runtime.sleepFor(milliseconds(50));
+                CPPUNIT_ASSERT_EQUAL(size_t{0}, server.activeRequests());
+            });
+            client.close();
+            runtime.sleepFor(milliseconds(50));
+            CPPUNIT_ASSERT_EQUAL(size_t{0}, server.busyConnections());
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(MessageTest);
--- /dev/null
+++ b/tests/sidecar/fleet.h
@@ -0,0 +1,144 @@
+#pragma once
+
+#include "http/call_pool.h"
+#include "sidecar/sidecar.h"
+
+#include "tests/sidecar/platform_standin.h"
+
+#include <algorithm>
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include <cppunit/TestAssert.h>
+
+namespace snipestream::testing
+{
+
+/// Ports of the nodes. All nodes use the same ports, each at its own loopback address.
+inline constexpr uint16_t kCallerPort = 18548;
+inline constexpr uint16_t kPeerPort = 18543;
+inline constexpr uint16_t kReadyPort = 18546;
+inline constexpr uint16_t kTargetPort = 18540;
+inline constexpr uint16_t kAppPort = 18547;
+inline constexpr uint16_t kReportPort = 18000;
+inline constexpr Duration kKeyWithdrawal = milliseconds(4000);
+
+inline auto configuration(const std::string &version, const std::string &keys, int timeoutMs = 2000) -> std::string
+{
+    return R"({"Version":")" + version + R"(","Resources":[
+{"Type":"Routes","Metadata":{"Name":"r-stock"},"Spec":{"Authority":"studio.example","PathPrefix":"/stock/","Kind":"idempotent","TimeoutMs":)"
+        + std::to_string(timeoutMs) + R"(,
+ "TargetLatencyMs":1000,"Priority":2,"Service":"catalogue","MaxAttempts":2,"Public":false}},
+{"Type":"Routes","Metadata":{"Name":"r-deposit"},"Spec":{"Authority":"studio.example","PathPrefix":"/deposit/","Kind":"non_idempotent","TimeoutMs":)"
+        + std::to_string(timeoutMs) + R"(,
+ "TargetLatencyMs":1000,"Priority":0,"Service":"catalogue","MaxAttempts":2,"Public":false}},
+{"Type":"Tenants","Metadata":{"Name":"studio"},"Spec":{"ApiKeys":[)"
+        + keys + R"(]}},{"Type":"Limits","Metadata":{},"Spec":{"IdleTimeoutMs":15000}}]})";
+}
+
+inline auto makeSettings(int number, const std::string &service, const Endpoint &store) -> SidecarSettings
+{
+    SidecarSettings settings;
+    settings.address = "127.0.0." + std::to_string(number);
+    settings.node = NodeName("node" + std::to_string(number));
+    settings.domain = DomainName("east");
+    settings.service = ServiceName(service);
+    settings.target = {settings.address, kAppPort};
+    settings.callerListen = {settings.address, kCallerPort};
+    settings.peerListen = {settings.address, kPeerPort};
+    settings.readyListen = {settings.address, kReadyPort};
+    settings.targetListen = {settings.address, kTargetPort};
+    settings.store = store;
+    settings.reportPort = kReportPort;
+    settings.keyWithdrawal = kKeyWithdrawal;
+    return settings;
+}
+
+/// An entry node of another service and two nodes beside targets of the service `catalogue`.
+struct Fleet {
+    explicit Fleet(FiberRuntime &fiberRuntime)
+        : runtime(fiberRuntime)
+        , store(fiberRuntime)
+        , firstTarget(fiberRuntime, "i-1", {"127.0.0.3", kAppPort})
+        , secondTarget(fiberRuntime, "i-2", {"127.0.0.4", kAppPort})
+        , callers(fiberRuntime, CallPoolOptions())
+    {
+        store.put("keyed.op", "config", configuration("00000001", "\"k1\",\"k2\""));
+        for (const auto &[number, service] : std::map<int, std::string>{{2, "diary"}, {3, "catalogue"}, {4, "catalogue"}}) {
+            nodes.push_back(std::make_unique<Sidecar>(runtime, makeSettings(number, service, store.endpoint())));
+            CPPUNIT_ASSERT(nodes.back()->start().has_value());
+        }
+        CPPUNIT_ASSERT_EQUAL(200, firstTarget.announce({"127.0.0.3", kTargetPort}, "catalogue", "ready"));
+        CPPUNIT_ASSERT_EQUAL(200, secondTarget.announce({"127.0.0.4", kTargetPort}, "catalogue", "ready"));
+        waitUntil([this] {
+            return sendRequest("GET", "/stock/0", "k1").response.status == 200;
+        });
+        runtime.sleepFor(milliseconds(700));
+        firstTarget.runs.clear();
+        secondTarget.runs.clear();
+    }
+
+    void waitUntil(const std::function<bool()> &condition)
+    {
+        for (int i = 0; i < 100 && !condition(); ++i) {
+            runtime.sleepFor(milliseconds(50));
+        }
+        CPPUNIT_ASSERT(condition());
+    }
+
+    /// Sends a request to the entry node, or to another one.
+    auto sendRequest(const std::string &method, const std::string &path, const std::string &key, const std::string &node = "127.0.0.2",
+                     Duration timeLeft = milliseconds(1500)) -> CallResult
+    {
+        RequestMessage request;
+        request.method = method;
+        request.target = path;
+        request.headers = {{"Host", "studio.example"},
+                           {"X-Snipestream-Request-Id", "request-" + std::to_string(++requestCount)},
+                           {"X-Snipestream-Deadline-Ms", std::to_string(duration_cast<milliseconds>(timeLeft).count())},
+                           {"X-Snipestream-Caller-Service", "forged"},
+                           {"Api-Key", key}};
+        CancelSignal cancel;
+        return callers.call({node, kCallerPort}, request, cancel, BootClock::now() + timeLeft + milliseconds(1500));
+    }
+
+    [[nodiscard]] auto runs() const -> size_t
+    {
+        return firstTarget.runs.size() + secondTarget.runs.size();
+    }
+
+    /// Returns how often the targets ran the request with the id.
+    [[nodiscard]] auto runsOf(const std::string &id) const -> size_t
+    {
+        return static_cast<size_t>(std::count(firstTarget.runs.begin(), firstTarget.runs.end(), id)
+                                   + std::count(secondTarget.runs.begin(), secondTarget.runs.end(), id));
+    }
+
+    void forEachTarget(const std::function<void(TargetBehaviour &)> &change)
+    {
+        change(firstTarget.behaviour);
+        change(secondTarget.behaviour);
+    }
+
+    /// Ends the nodes. Reads of the store that wait for a change must end before the nodes are destroyed.
+    void end()
+    {
+        for (const auto &node : nodes) {
+            node->end();
+        }
+        runtime.sleepFor(milliseconds(2500));
+    }
+
+    FiberRuntime &runtime;
+    StoreStandin store;
+    TargetStandin firstTarget;
+    TargetStandin secondTarget;
+    CallPool callers;
+    std::vector<std::unique_ptr<Sidecar>> nodes;
+    int requestCount = 0;
+};
+
+} // namespace snipestream::testing
--- /dev/null
+++ b/tests/sidecar/stop_test.cpp
@@ -0,0 +1,210 @@
+#include "tests/sidecar/fleet.h"
+#include "tests/support/section.h"
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace snipestream
+{
+
+using testing::Fleet;
+using testing::section;
+
+namespace
+{
+
+/// Stop time of a node that is started with the default settings.
+const Duration kStopTime = SidecarSettings().stopTime;
+
+struct SentRequest {
+    std::string id;
+    Duration sentAfterStop{};
+    CallResult result;
+};
+
+/// Callers that send one request after the other, and what became of the requests.
+struct Callers {
+    Callers(Fleet &callersFleet, const std::string &callersNode, int count)
+        : fleet(callersFleet)
+        , node(callersNode)
+        , startedAt(BootClock::now())
+    {
+        for (int i = 0; i < count; ++i) {
+            fleet.runtime.spawn([this] {
+                ++running;
+                while (!isEnding) {
+                    SentRequest sent;
+                    sent.id = "request-" + std::to_string(fleet.requestCount + 1);
+                    sent.sentAfterStop = BootClock::now() - startedAt;
+                    sent.result = fleet.sendRequest("POST", "/deposit/1", "k1", node, timeLeft);
+                    requests.push_back(sent);
+                    fleet.runtime.sleepFor(milliseconds(20));
+                }
+                --running;
+            });
+        }
+    }
+
+    void end()
+    {
+        isEnding = true;
+        fleet.waitUntil([this] {
+            return running == 0;
+        });
+    }
+
+    [[nodiscard]] auto count(int status) const -> size_t
+    {
+        return static_cast<size_t>(std::count_if(requests.begin(), requests.end(), [status](const SentRequest &sent) {
+            return sent.result.status == CallStatus::Answered && sent.result.response.status == status;
+        }));
+    }
+
+    Fleet &fleet;
+    std::string node;
+    Duration timeLeft = milliseconds(1500);
+    TimePoint startedAt;
+    std::vector<SentRequest> requests;
+    int running = 0;
+    bool isEnding = false;
+};
+
+/// Stops a node, waits until it ends and returns the number of requests that it cut. The node must end before it would be
+/// killed.
+auto stopNode(Fleet &fleet, size_t number) -> size_t
+{
+    std::optional<size_t> cut;
+    fleet.nodes[number]->requestStop([&cut](size_t aborted) {
+        cut = aborted;
+    });
+    const TimePoint end = BootClock::now() + kStopTime;
+    while (!cut && BootClock::now() < end) {
+        fleet.runtime.sleepFor(milliseconds(10));
+    }
+    CPPUNIT_ASSERT_MESSAGE("the node has not ended within the stop time", cut.has_value());
+    return *cut;
+}
+
+/// Checks that every request got a response, that those with status 503 did not run, and that the others ran at most once.
+void checkResponses(const Fleet &fleet, const Callers &callers)
+{
+    for (const auto &sent : callers.requests) {
+        const auto milliSeconds = std::to_string(duration_cast<milliseconds>(sent.sentAfterStop).count());
+        CPPUNIT_ASSERT_MESSAGE(sent.id + " was cut, sent " + milliSeconds + " ms after the stop began", sent.result.status == CallStatus::Answered);
+        if (sent.result.response.status == 503) {
+            CPPUNIT_ASSERT(findHeader(sent.result.response.headers, "Retry-After"));
+            CPPUNIT_ASSERT_EQUAL(size_t{0}, fleet.runsOf(sent.id));
+        } else {
+            CPPUNIT_ASSERT(fleet.runsOf(sent.id) <= 1);
+        }
+    }
+}
+
+void withFleet(const std::function<void(Fleet &)> &body)
+{
+    FiberRuntime runtime;
+    runtime.runToEnd([&] {
+        auto fleet = std::make_unique<Fleet>(runtime);
+        body(*fleet);
+        fleet->end();
+    });
+}
+
+} // namespace
+
+/// A planned stop must not cut requests, whatever they are waiting for.
+class StopTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(StopTest);
+    CPPUNIT_TEST(testCallersThatGoOn);
+    CPPUNIT_TEST(testLongRequests);
+    CPPUNIT_TEST(testNodeOfTarget);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against requests that are taken late in the stop time and cut when the node ends.
+    void testCallersThatGoOn()
+    {
+        withFleet([](Fleet &fleet) {
+            fleet.forEachTarget([](auto &behaviour) {
+                behaviour.runTime = milliseconds(300);
+            });
+            Callers callers(fleet, "127.0.0.2", 12);
+            const size_t cut = stopNode(fleet, 0);
+            const Duration stoppedAfter = BootClock::now() - callers.startedAt;
+            callers.isEnding = true;
+            fleet.runtime.sleepFor(milliseconds(500));
+            section("requests are served, then refused, and none is cut", [&] {
+                CPPUNIT_ASSERT_EQUAL(size_t{0}, cut);
+                callers.requests.erase(std::remove_if(callers.requests.begin(), callers.requests.end(),
+                                                      [&](const SentRequest &sent) {
+                                                          return sent.result.status == CallStatus::NotSent;
+                                                      }),
+                                       callers.requests.end());
+                checkResponses(fleet, callers);
+                CPPUNIT_ASSERT(callers.count(200) > 50);
+                CPPUNIT_ASSERT(callers.count(503) > 0);
+            });
+            section("the node ends soon after the last response instead of refusing requests until it is killed", [&] {
+                CPPUNIT_ASSERT(stoppedAfter < kStopTime * 2 / 3);
+            });
+            callers.end();
+        });
+    }
+
+    /// Guards against closed connections of requests that run, or wait for a slot, for longer than the stop takes.
+    void testLongRequests()
+    {
+        withFleet([](Fleet &fleet) {
+            fleet.forEachTarget([](auto &behaviour) {
+                behaviour.runTime = kStopTime * 2;
+            });
+            fleet.store.put("keyed.op", "config", testing::configuration("00000002", "\"k1\"", 20000));
+            fleet.runtime.sleepFor(milliseconds(500));
+            // The entry node is also the node of a target, so that some of the requests wait in its own queue.
+            Callers callers(fleet, "127.0.0.3", 30);
+            callers.timeLeft = kStopTime * 2;
+            fleet.runtime.sleepFor(milliseconds(200));
+            callers.isEnding = true;
+            CPPUNIT_ASSERT(fleet.runs() > 0);
+            CPPUNIT_ASSERT(fleet.runs() < 30);
+            stopNode(fleet, 1);
+            fleet.runtime.sleepFor(milliseconds(300));
+            section("a request that runs gets a response that promises nothing, one that waits gets 503", [&] {
+                CPPUNIT_ASSERT_EQUAL(size_t{30}, callers.requests.size());
+                checkResponses(fleet, callers);
+                CPPUNIT_ASSERT(callers.count(502) + callers.count(504) > 0);
+                CPPUNIT_ASSERT(callers.count(503) > 0);
+            });
+            callers.end();
+        });
+    }
+
+    /// Guards against requests of other nodes that are cut when the node beside their target ends.
+    void testNodeOfTarget()
+    {
+        withFleet([](Fleet &fleet) {
+            fleet.forEachTarget([](auto &behaviour) {
+                behaviour.runTime = milliseconds(300);
+            });
+            Callers callers(fleet, "127.0.0.2", 6);
+            fleet.runtime.sleepFor(milliseconds(500));
+            const size_t cut = stopNode(fleet, 1);
+            fleet.runtime.sleepFor(milliseconds(500));
+            callers.end();
+            section("all requests are served by the targets", [&] {
+                CPPUNIT_ASSERT_EQUAL(size_t{0}, cut);
+                checkResponses(fleet, callers);
+                CPPUNIT_ASSERT_EQUAL(callers.requests.size(), callers.count(200));
+            });
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(StopTest);
+
+} // namespace snipestream
