Keep the departure of a target across restarts of its node

Cause: the departure stood in the memory of one process. Two more ways back were found: a departure without a start time at a node that had not heard of the target yet was kept with the start 0, so that any heartbeat counted as newer; and a second departure replaced the first one.

A topic of its own for departures was considered: the store reads no single key, so that every start would read those of the whole fleet.

Change: the departures are part of the VM's record in keyed.nodes, which a node has before it uses its target. The record has one writer, is written again if another value appears under its address, and is marked instead of removed when the node leaves. A departure without a start time covers all starts until then. The last four departures are kept. CallPool::close() ends calls of a node that ends, so that they do not outlive it in tests.

Before the fix DepartureTest failed in its first section (11 requests at the departed target).

--- a/http/call_pool.cpp
+++ b/http/call_pool.cpp
@@ -330,6 +330,11 @@
 }
 
 CallPool::~CallPool()
+{
+    close();
+}
+
+void CallPool::close()
 {
     state_->closed = true;
     state_->sweepTimer.cancel();
@@ -347,6 +352,10 @@
         result.status = CallStatus::Cancelled;
         return result;
     }
+    if (state->closed) {
+        result.detail = "the pool is closed";
+        return result;
+    }
     ConnectionPtr connection = state->acquireIdle(server);
     result.reusedConnection = connection != nullptr;
     if (!connection) {
--- a/http/call_pool.h
+++ b/http/call_pool.h
@@ -80,6 +80,9 @@
     /// Closes the idle connections to a server, for example after it restarted.
     void closeIdle(const Endpoint &server);
 
+    /// Ends the calls in progress as if their connections had broken. Later calls are not sent.
+    void close();
+
     /// Returns the number of connection attempts so far, including failed ones.
     [[nodiscard]] auto openedConnections() const -> uint64_t;
 
--- a/mesh/member.h
+++ b/mesh/member.h
@@ -2,15 +2,17 @@
 
 #include "core/ids.h"
 #include "core/result.h"
+#include "mesh/target_state.h"
 
 #include <string>
 #include <string_view>
 #include <tuple>
+#include <vector>
 
 namespace snipestream
 {
 
-/// A node of the fleet, as it is recorded in the store.
+/// A node of the fleet.
 struct Member {
     /// IP address of the VM; ports are the same on all VMs.
     std::string address;
@@ -29,10 +31,24 @@
     }
 };
 
-/// Returns the value of the member's record in the store, whose key is the address.
-auto encodeMember(const Member &member) -> std::string;
+/// Contents of a VM's record in the store, whose key is the address.
+struct MemberRecord {
+    Member member;
+    /// Targets of the VM that leave or have left. A node that starts again must not use them.
+    std::vector<DepartedTarget> departures;
+    /// The node is no longer a member. Its record keeps the departures in case the VM starts again.
+    bool hasLeft = false;
 
-/// Decodes the record of a member. Returns ErrorCode::InvalidInput if a field is missing or has another type.
-auto decodeMember(const std::string &address, std::string_view value) -> Result<Member>;
+    friend auto operator==(const MemberRecord &a, const MemberRecord &b) -> bool
+    {
+        return a.member == b.member && a.departures == b.departures && a.hasLeft == b.hasLeft;
+    }
+};
+
+/// Returns the value of the record.
+auto encodeMemberRecord(const MemberRecord &record) -> std::string;
+
+/// Decodes the value of a record. Returns ErrorCode::InvalidInput if a field is missing, has another type or is out of range.
+auto decodeMemberRecord(const std::string &address, std::string_view value) -> Result<MemberRecord>;
 
 } // namespace snipestream
--- a/mesh/target_state.cpp
+++ b/mesh/target_state.cpp
@@ -1,14 +1,38 @@
 #include "mesh/target_state.h"
 
+#include <algorithm>
+#include <utility>
+
 namespace snipestream
 {
 
 namespace
 {
 
+/// Number of departures that are kept. A delayed announcement is seconds late, and a VM gets no more new targets in that time.
+constexpr size_t kMaxDepartures = 4;
+
 auto hasDeparted(const TargetState &state, const std::string &instance, int64_t startedAtMs) -> bool
 {
-    return !state.departedInstance.empty() && state.departedInstance == instance && startedAtMs <= state.departedStartedAtMs;
+    return std::any_of(state.departures.begin(), state.departures.end(), [&](const DepartedTarget &departed) {
+        return departed.instance == instance && startedAtMs <= departed.startedAtMs;
+    });
+}
+
+void addDeparture(TargetState &state, const std::string &instance, int64_t startedAtMs)
+{
+    auto &departures = state.departures;
+    const auto found = std::find_if(departures.begin(), departures.end(), [&](const DepartedTarget &departed) {
+        return departed.instance == instance;
+    });
+    if (found != departures.end()) {
+        found->startedAtMs = std::max(found->startedAtMs, startedAtMs);
+        return;
+    }
+    departures.push_back({instance, startedAtMs});
+    if (departures.size() > kMaxDepartures) {
+        departures.erase(departures.begin());
+    }
 }
 
 auto isOlder(const TargetAnnouncement &announcement, const TargetAnnouncement &latest) -> bool
@@ -23,8 +47,10 @@
 
 auto applyAnnouncement(TargetState &state, const TargetAnnouncement &announcement, TimePoint now) -> AnnouncementEffect
 {
-    if (hasDeparted(state, announcement.instance, announcement.startedAtMs)) {
-        return AnnouncementEffect::Stale;
+    const bool isDeparted = hasDeparted(state, announcement.instance, announcement.startedAtMs);
+    if (announcement.draining) {
+        // The target is told that it gets no more requests, so this must hold even if the announcement is a delayed one.
+        addDeparture(state, announcement.instance, announcement.startedAtMs);
     }
     const bool hasLatest = state.latest.has_value();
     if (hasLatest && isOlder(announcement, *state.latest)) {
@@ -32,13 +58,15 @@
     }
     const bool sameStart = hasLatest && state.latest->instance == announcement.instance && state.latest->startedAtMs == announcement.startedAtMs;
     // A target never stops draining before it restarts, so an announcement that says so is a delayed one.
-    if (sameStart && state.latest->draining && !announcement.draining) {
+    const bool leaves = isDeparted || (sameStart && state.latest->draining);
+    if (leaves && !(sameStart && announcement.draining)) {
         return AnnouncementEffect::Stale;
     }
     const bool wasServing = sameStart && isServing(state);
     const bool wasDraining = sameStart && state.latest->draining;
     state.latest = announcement;
     state.lastAnnouncementAt = now;
+    state.hasDeregistered = false;
     state.unreachable = false;
     state.warmupUntil = now + announcement.warmupLeft;
     if (announcement.draining) {
@@ -47,17 +75,32 @@
     return wasServing ? AnnouncementEffect::Renewed : AnnouncementEffect::Ready;
 }
 
-auto applyDeparture(TargetState &state, const std::string &instance, int64_t startedAtMs) -> bool
+auto applyDeparture(TargetState &state, const std::string &instance, int64_t startedAtMs, int64_t nowMs) -> bool
 {
-    if (startedAtMs == 0 && state.latest && state.latest->instance == instance) {
-        startedAtMs = state.latest->startedAtMs;
+    if (startedAtMs == 0) {
+        startedAtMs = state.latest && state.latest->instance == instance ? state.latest->startedAtMs : nowMs;
     }
-    state.departedInstance = instance;
-    state.departedStartedAtMs = startedAtMs;
+    addDeparture(state, instance, startedAtMs);
     if (!state.latest || state.latest->instance != instance || state.latest->startedAtMs > startedAtMs) {
         return false;
     }
     state.latest.reset();
+    state.hasDeregistered = true;
+    return true;
+}
+
+auto restoreDepartures(TargetState &state, const std::vector<DepartedTarget> &departures) -> bool
+{
+    const auto later = std::exchange(state.departures, {});
+    for (const auto *const list : {&departures, &later}) {
+        for (const auto &departed : *list) {
+            addDeparture(state, departed.instance, departed.startedAtMs);
+        }
+    }
+    if (!state.latest || state.latest->draining || !hasDeparted(state, state.latest->instance, state.latest->startedAtMs)) {
+        return false;
+    }
+    state.latest.reset();
     return true;
 }
 
--- a/mesh/target_state.h
+++ b/mesh/target_state.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace snipestream
 {
@@ -35,13 +36,27 @@
     }
 };
 
+/// A target that leaves or has left. It gets no new requests, whatever arrives from it later.
+struct DepartedTarget {
+    std::string instance;
+    /// Announcements of this and earlier starts are ignored. In milliseconds since the Unix epoch, or 0 if the target does not
+    /// tell its start.
+    int64_t startedAtMs = 0;
+
+    friend auto operator==(const DepartedTarget &a, const DepartedTarget &b) -> bool
+    {
+        return a.instance == b.instance && a.startedAtMs == b.startedAtMs;
+    }
+};
+
 /// State of the target on this node's VM, according to its announcements.
 struct TargetState {
     /// Empty if no target has announced itself, or if it has left.
     std::optional<TargetAnnouncement> latest;
-    /// Instance that left last. Its delayed announcements are ignored, so that they do not bring it back.
-    std::string departedInstance;
-    int64_t departedStartedAtMs = 0;
+    /// Targets that left last, the latest one at the end. Their delayed announcements are ignored.
+    std::vector<DepartedTarget> departures;
+    /// The target has deregistered and no other has announced itself since.
+    bool hasDeregistered = false;
     /// When the latest announcement that was not stale arrived.
     TimePoint lastAnnouncementAt;
     /// The target has refused a connection since its latest announcement.
@@ -66,8 +81,13 @@
 auto applyAnnouncement(TargetState &state, const TargetAnnouncement &announcement, TimePoint now) -> AnnouncementEffect;
 
 /// Records that the instance leaves, after which it gets no new requests. `startedAtMs` is its start in milliseconds
-/// since the Unix epoch, or 0 if the message does not give it. Returns false if the instance is not the current one.
-auto applyDeparture(TargetState &state, const std::string &instance, int64_t startedAtMs) -> bool;
+/// since the Unix epoch, or 0 if the message does not give it. If it is not known either, all starts until `nowMs`, the time
+/// of day, count as departed. Returns false if the instance is not the current one.
+auto applyDeparture(TargetState &state, const std::string &instance, int64_t startedAtMs, int64_t nowMs) -> bool;
+
+/// Adds departures that an earlier process of this node recorded. Returns whether the current target is one of them and gets
+/// no more requests.
+auto restoreDepartures(TargetState &state, const std::vector<DepartedTarget> &departures) -> bool;
 
 /// Returns whether new requests may be sent to the target.
 auto isServing(const TargetState &state) -> bool;
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -188,7 +188,7 @@
 {
     const TimePoint arrivedAt = BootClock::now();
     const auto isIntendedTarget = [&state, &request] {
-        return isServing(state.target) && state.target.latest->instance == request.instance;
+        return isTargetServing(state) && state.target.latest->instance == request.instance;
     };
     if (!isIntendedTarget()) {
         return notRun("target-not-serving", false);
--- a/sidecar/membership.cpp
+++ b/sidecar/membership.cpp
@@ -2,6 +2,7 @@
 
 #include "core/events.h"
 #include "mesh/member.h"
+#include "sidecar/own_record.h"
 #include "sidecar/state.h"
 #include "sidecar/store_access.h"
 
@@ -21,6 +22,8 @@
 /// Time in which all nodes write their records when the whole system starts for the first time.
 constexpr Duration kFirstStartDelay = seconds(1);
 constexpr int kMaxJitterMs = 500;
+/// How often a node that joins checks whether its record has been written.
+constexpr Duration kWriteCheckInterval = seconds(1);
 
 /// Counts the failures in a row and pauses after each of them. Returns whether the call succeeded.
 template<typename T>
@@ -44,27 +47,23 @@
     return true;
 }
 
-auto isRecorded(const SidecarState &state) -> bool
-{
-    const auto found = state.storeView.memberRecords.find(state.settings.address);
-    return found != state.storeView.memberRecords.end() && found->second.value == encodeMember(ownMember(state.settings));
-}
-
 /// Reads the members and makes sure that this node is among them.
 void joinMembership(SidecarState &state, const StoreClient &store)
 {
     int failures = 0;
     bool isWritten = false;
     bool isRead = false;
+    // When the whole system starts for the first time, no earlier process has recorded departures.
+    state.ownRecord.isWritable = state.settings.isFirstStart;
     while (!state.ended && !(isWritten && isRead)) {
         // A node that starts again is usually recorded. When all nodes start for the first time, none is.
         if (!isRead && (isWritten || !state.settings.isFirstStart)) {
             isRead = readMembers(state, store, failures);
-            isWritten = isWritten || isRecorded(state);
+            state.ownRecord.isWritable = state.ownRecord.isWritable || isRead;
+            isWritten = isWritten || isOwnRecordStored(state);
             continue;
         }
-        const auto written = writeRecord(store, nodesTopic(), state.settings.address, encodeMember(ownMember(state.settings)));
-        isWritten = checkCall(state, written, failures);
+        isWritten = awaitOwnRecord(state, kWriteCheckInterval);
         if (isWritten && state.settings.isFirstStart) {
             state.runtime.sleepFor(kFirstStartDelay + milliseconds(drawBelow(state.random, kMaxJitterMs)));
         }
@@ -94,16 +93,23 @@
             continue;
         }
         known = record;
+        if (record.key == state.settings.address) {
+            applyOwnRecord(state, record.value);
+        }
         if (record.value.empty()) {
             removeMember(state.peers, record.key);
             continue;
         }
-        const auto member = decodeMember(record.key, record.value);
-        if (!member) {
-            logEvent(EventId::MemberRecordInvalid, {{"address", record.key}, {"error", member.error().message}});
+        const auto decoded = decodeMemberRecord(record.key, record.value);
+        if (!decoded) {
+            logEvent(EventId::MemberRecordInvalid, {{"address", record.key}, {"error", decoded.error().message}});
             continue;
         }
-        addMember(state.peers, member.value());
+        if (decoded.value().hasLeft) {
+            removeMember(state.peers, record.key);
+        } else {
+            addMember(state.peers, decoded.value().member);
+        }
     }
     view.membersOffset = std::max(view.membersOffset, offset);
     view.membersConfirmedAt = BootClock::now();
@@ -136,12 +142,8 @@
 
 void leaveMembership(SidecarState &state)
 {
-    state.runtime.spawn([&state] {
-        const auto removed = writeRecord(storeClient(state), nodesTopic(), state.settings.address, {});
-        if (!removed) {
-            logEvent(EventId::MemberRecordNotRemoved, {{"address", state.settings.address}, {"error", removed.error().message}});
-        }
-    });
+    state.ownRecord.hasLeft = true;
+    storeOwnRecord(state);
 }
 
 } // namespace snipestream
--- a/sidecar/reports.cpp
+++ b/sidecar/reports.cpp
@@ -38,7 +38,7 @@
         report.instance = state.target.latest->instance;
         report.warmupLeft = std::max(Duration::zero(), state.target.warmupUntil - now);
     }
-    report.serving = isServing(state.target);
+    report.serving = isTargetServing(state);
     report.leaving = isStopping(state.stop);
     report.load = localLoad(state);
     report.serviceMs = state.limiter.meanServiceSeconds * 1000;
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -36,6 +36,8 @@
 constexpr Duration kLivenessInterval = milliseconds(250);
 /// Interval of ticks while requests wait for a token.
 constexpr Duration kTokenTickInterval = milliseconds(10);
+/// Maximum time to record a departure before the target is answered; it waits a second for the answer.
+constexpr Duration kDepartureTimeout = milliseconds(850);
 /// Descriptors reserved for files and listening sockets.
 constexpr uint64_t kReservedDescriptors = 250;
 /// Fraction of the process's memory limit that request bodies may take while they are being received. While a body grows,
@@ -164,7 +166,14 @@
         logEvent(EventId::TargetMessageInvalid, {{"path", request.target}, {"error", decoded->error().message}});
         return emptyResponse(400);
     }
-    applyTargetMessage(decoded->value());
+    const TargetMessage &message = decoded->value();
+    applyTargetMessage(message);
+    const bool leaves = !message.announcement || message.announcement->draining;
+    if (leaves && !awaitOwnRecord(sidecar, kDepartureTimeout)) {
+        // An acknowledgement would not bind a process that follows this one. The target repeats its message.
+        logEvent(EventId::DepartureNotRecorded, {{"instance", message.instance}});
+        return emptyResponse(503);
+    }
     ResponseMessage response;
     response.headers.emplace_back("Content-Type", "application/json");
     response.body = "{}";
@@ -175,7 +184,7 @@
 {
     const TimePoint now = BootClock::now();
     if (!message.announcement) {
-        if (applyDeparture(sidecar.target, message.instance, message.startedAtMs)) {
+        if (applyDeparture(sidecar.target, message.instance, message.startedAtMs, wallClockMs())) {
             logEvent(EventId::TargetLeft, {{"instance", message.instance}});
             drainLimiterQueue(sidecar);
             sidecar.reportDue = true;
@@ -439,6 +448,7 @@
     tickTimer.cancel();
     sidecar.datagrams.close();
     refuseTokenRequests(sidecar);
+    sidecar.storePool.close();
     for (MessageServer *const server :
          {sidecar.callerServer.get(), sidecar.peerServer.get(), sidecar.readyServer.get(), sidecar.targetServer.get(), sidecar.metricsServer.get()}) {
         if (server != nullptr) {
@@ -462,7 +472,7 @@
     logEvent(EventId::NodeStopping, {{"node", sidecar.settings.node.value}});
     beginStop(sidecar.stop, BootClock::now());
     sidecar.reportDue = true;
-    if (!sidecar.target.latest && !sidecar.target.departedInstance.empty()) {
+    if (sidecar.target.hasDeregistered) {
         leaveMembership(sidecar);
     }
     state_->onEnded = std::move(ended);
--- a/sidecar/state.cpp
+++ b/sidecar/state.cpp
@@ -76,6 +76,11 @@
     return state.policy && !isStopping(state.stop) && (state.policy->teams.empty() || mayServeKeyedRequests(state, now));
 }
 
+auto isTargetServing(const SidecarState &state) -> bool
+{
+    return state.isMembershipRead && isServing(state.target);
+}
+
 auto localLoad(const SidecarState &state) -> TargetLoad
 {
     return {state.limiter.running, static_cast<int>(state.limiter.queue.size()), state.limiter.limit};
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -21,6 +21,7 @@
 #include "retry/ratio.h"
 #include "sidecar/datagram_socket.h"
 #include "sidecar/distribution.h"
+#include "sidecar/own_record.h"
 #include "sidecar/settings.h"
 #include "sidecar/token_service.h"
 
@@ -96,6 +97,7 @@
     /// The list of the members has been read from the store or got from another node.
     bool isMembershipRead = false;
 
+    OwnRecord ownRecord;
     TargetState target;
     ConcurrencyLimiter limiter;
     /// First attempts and retries at the local target.
@@ -134,6 +136,10 @@
 /// Returns whether the node accepts requests of callers.
 auto isReady(const SidecarState &state, TimePoint now) -> bool;
 
+/// Returns whether new requests may be sent to the local target: it serves, and what an earlier process of this node has
+/// recorded about its departure is known.
+auto isTargetServing(const SidecarState &state) -> bool;
+
 /// Returns the load of the local target.
 auto localLoad(const SidecarState &state) -> TargetLoad;
 
--- a/tests/mesh/target_test.cpp
+++ b/tests/mesh/target_test.cpp
@@ -59,6 +59,7 @@
 {
     CPPUNIT_TEST_SUITE(TargetTest);
     CPPUNIT_TEST(testAnnouncements);
+    CPPUNIT_TEST(testDepartures);
     CPPUNIT_TEST(testQueueOrder);
     CPPUNIT_TEST(testQueueRefusals);
     CPPUNIT_TEST_SUITE_END();
@@ -86,7 +87,7 @@
             CPPUNIT_ASSERT(isServing(state));
         });
         section("a delayed announcement does not bring back a target that left", [&] {
-            CPPUNIT_ASSERT(applyDeparture(state, "i-1", 900));
+            CPPUNIT_ASSERT(applyDeparture(state, "i-1", 900, 5000));
             CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 2, 900), kStart) == AnnouncementEffect::Stale);
             CPPUNIT_ASSERT(!isServing(state));
             section("the next instance at the same address takes requests", [&] {
@@ -96,6 +97,62 @@
         });
     }
 
+    /// Guards against requests to a target that has left and whose delayed announcements arrive.
+    void testDepartures()
+    {
+        section("a target that deregisters without its start before it was heard stays departed", [] {
+            TargetState state;
+            CPPUNIT_ASSERT(!applyDeparture(state, "i-1", 0, 5000));
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 7, 500), kStart) == AnnouncementEffect::Stale);
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 7, 0), kStart) == AnnouncementEffect::Stale);
+            CPPUNIT_ASSERT(!isServing(state));
+            section("a later start under the same id takes requests", [&] {
+                CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 1, 5001), kStart) == AnnouncementEffect::Ready);
+            });
+        });
+        section("a target without a start in its messages stays departed too", [] {
+            TargetState state;
+            applyAnnouncement(state, announce("i-1", 7, 0), kStart);
+            CPPUNIT_ASSERT(applyDeparture(state, "i-1", 0, 5000));
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 8, 0), kStart) == AnnouncementEffect::Stale);
+        });
+        section("another departure does not let an earlier one be forgotten", [] {
+            TargetState state;
+            applyDeparture(state, "i-1", 500, 5000);
+            applyAnnouncement(state, announce("i-2", 1, 700), kStart);
+            applyDeparture(state, "i-2", 700, 5000);
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 9, 500), kStart) == AnnouncementEffect::Stale);
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-2", 9, 700), kStart) == AnnouncementEffect::Stale);
+        });
+        section("a delayed message that a target drains holds, although another has followed it", [] {
+            TargetState state;
+            applyAnnouncement(state, announce("i-2", 1, 700), kStart);
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 9, 500, true), kStart) == AnnouncementEffect::Stale);
+            CPPUNIT_ASSERT(isServing(state));
+            CPPUNIT_ASSERT(state.departures == std::vector<DepartedTarget>({{"i-1", 500}}));
+        });
+        section("restored departures end the use of a target that was heard before them", [] {
+            TargetState state;
+            applyAnnouncement(state, announce("i-1", 3, 500), kStart);
+            CPPUNIT_ASSERT(restoreDepartures(state, {{"i-1", 500}, {"i-0", 100}}));
+            CPPUNIT_ASSERT(!isServing(state));
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 4, 500), kStart) == AnnouncementEffect::Stale);
+            section("they do not end that of another one", [&] {
+                applyAnnouncement(state, announce("i-2", 1, 700), kStart);
+                CPPUNIT_ASSERT(!restoreDepartures(state, {{"i-1", 500}}));
+                CPPUNIT_ASSERT(isServing(state));
+            });
+        });
+        section("the number of departures that are kept is bounded, and the latest are kept", [] {
+            TargetState state;
+            for (int i = 0; i < 20; ++i) {
+                applyDeparture(state, "i-" + std::to_string(i), 500, 5000);
+            }
+            CPPUNIT_ASSERT_EQUAL(size_t{4}, state.departures.size());
+            CPPUNIT_ASSERT(state.departures.back() == (DepartedTarget{"i-19", 500}));
+        });
+    }
+
     void testQueueOrder()
     {
         section("queued requests start by rank, then by the end of their target latency", [] {
--- /dev/null
+++ b/tests/sidecar/departure_test.cpp
@@ -0,0 +1,126 @@
+#include "tests/sidecar/fleet.h"
+#include "tests/support/section.h"
+
+#include <memory>
+
+namespace snipestream
+{
+
+using testing::Fleet;
+using testing::kTargetPort;
+using testing::section;
+
+namespace
+{
+
+const Endpoint kFirstNode{"127.0.0.3", kTargetPort};
+
+/// Sends requests and checks that the first target gets none and the other one answers them.
+void checkIsUnused(Fleet &fleet)
+{
+    const size_t before = fleet.firstTarget.runs.size();
+    for (int i = 0; i < 30; ++i) {
+        CPPUNIT_ASSERT_EQUAL(200, fleet.sendRequest("GET", "/stock/7", "k1").response.status);
+        fleet.runtime.sleepFor(milliseconds(20));
+    }
+    CPPUNIT_ASSERT_EQUAL(before, fleet.firstTarget.runs.size());
+}
+
+/// Starts the first target again under its id, which makes it usable.
+void startFirstTarget(Fleet &fleet)
+{
+    ++fleet.firstTarget.startedAtMs;
+    CPPUNIT_ASSERT_EQUAL(200, fleet.firstTarget.announce(kFirstNode, "catalogue", "ready"));
+    const size_t before = fleet.firstTarget.runs.size();
+    fleet.waitUntil([&fleet, before] {
+        fleet.sendRequest("GET", "/stock/7", "k1");
+        return fleet.firstTarget.runs.size() > before;
+    });
+}
+
+} // namespace
+
+/// A target whose departure was acknowledged gets no more requests, whatever happens to the node beside it.
+class DepartureTest : public CppUnit::TestFixture
+{
+    CPPUNIT_TEST_SUITE(DepartureTest);
+    CPPUNIT_TEST(testDepartures);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    /// Guards against a restarted node that takes a delayed announcement of a departed target for that of a new one.
+    void testDepartures()
+    {
+        FiberRuntime runtime;
+        runtime.runToEnd([&] {
+            auto fleet = std::make_unique<Fleet>(runtime);
+            section("a target deregisters, its node starts again, and a delayed announcement arrives", [&] {
+                CPPUNIT_ASSERT_EQUAL(200, fleet->firstTarget.deregister(kFirstNode));
+                fleet->restartNode(1, 3, "catalogue");
+                CPPUNIT_ASSERT_EQUAL(200, fleet->firstTarget.announceLate(kFirstNode, "catalogue", "ready", 90));
+                runtime.sleepFor(milliseconds(700));
+                CPPUNIT_ASSERT_EQUAL(200, fleet->firstTarget.announceLate(kFirstNode, "catalogue", "ready", 91));
+                checkIsUnused(*fleet);
+                section("a later start under the same id is used", [&] {
+                    startFirstTarget(*fleet);
+                });
+            });
+            section("the same with a target that drains", [&] {
+                CPPUNIT_ASSERT_EQUAL(200, fleet->firstTarget.announce(kFirstNode, "catalogue", "draining"));
+                fleet->restartNode(1, 3, "catalogue");
+                runtime.sleepFor(milliseconds(700));
+                CPPUNIT_ASSERT_EQUAL(200, fleet->firstTarget.announceLate(kFirstNode, "catalogue", "ready", 90));
+                checkIsUnused(*fleet);
+                startFirstTarget(*fleet);
+            });
+            section("the same with a target that deregisters before the restarted node has heard of it", [&] {
+                fleet->restartNode(1, 3, "catalogue");
+                CPPUNIT_ASSERT_EQUAL(200, fleet->firstTarget.deregister(kFirstNode));
+                CPPUNIT_ASSERT_EQUAL(200, fleet->firstTarget.announceLate(kFirstNode, "catalogue", "ready", 90));
+                checkIsUnused(*fleet);
+            });
+            section("the same with a planned restart", [&] {
+                fleet->nodes[1]->requestStop([](size_t) {});
+                runtime.sleepFor(milliseconds(3500));
+                fleet->restartNode(1, 3, "catalogue");
+                runtime.sleepFor(milliseconds(700));
+                CPPUNIT_ASSERT_EQUAL(200, fleet->firstTarget.announceLate(kFirstNode, "catalogue", "ready", 90));
+                checkIsUnused(*fleet);
+                fleet->firstTarget.startedAtMs = wallClockMs();
+                startFirstTarget(*fleet);
+            });
+            section("while the store is away, a departure holds but is not acknowledged", [&] {
+                fleet->store.failWith(503);
+                CPPUNIT_ASSERT_EQUAL(503, fleet->firstTarget.deregister(kFirstNode));
+                CPPUNIT_ASSERT_EQUAL(200, fleet->firstTarget.announceLate(kFirstNode, "catalogue", "ready", 90));
+                checkIsUnused(*fleet);
+                fleet->store.failWith(std::nullopt);
+                runtime.sleepFor(milliseconds(1000));
+                CPPUNIT_ASSERT_EQUAL(200, fleet->firstTarget.deregister(kFirstNode));
+                section("it holds after a restart while the store is away, as other nodes know of it", [&] {
+                    runtime.sleepFor(milliseconds(500));
+                    fleet->store.failWith(503);
+                    fleet->restartNode(1, 3, "catalogue");
+                    CPPUNIT_ASSERT_EQUAL(200, fleet->firstTarget.announceLate(kFirstNode, "catalogue", "ready", 90));
+                    runtime.sleepFor(milliseconds(700));
+                    checkIsUnused(*fleet);
+                    fleet->store.failWith(std::nullopt);
+                });
+            });
+            section("a record that another writer has overwritten is written again", [&] {
+                runtime.sleepFor(milliseconds(1500));
+                fleet->store.put("keyed.nodes", "127.0.0.3", R"({"node":"node3","domain":"east","service":"catalogue"})");
+                runtime.sleepFor(milliseconds(1000));
+                fleet->restartNode(1, 3, "catalogue");
+                runtime.sleepFor(milliseconds(700));
+                CPPUNIT_ASSERT_EQUAL(200, fleet->firstTarget.announceLate(kFirstNode, "catalogue", "ready", 90));
+                checkIsUnused(*fleet);
+            });
+            fleet->end();
+        });
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(DepartureTest);
+
+} // namespace snipestream
--- a/tests/sidecar/fleet.h
+++ b/tests/sidecar/fleet.h
@@ -123,6 +123,16 @@
         change(secondTarget.behaviour);
     }
 
+    /// Replaces a node by one that knows nothing of before, like a process that was killed and started again.
+    void restartNode(size_t index, int number, const std::string &service)
+    {
+        nodes[index]->end();
+        endedNodes.push_back(std::move(nodes[index]));
+        runtime.sleepFor(milliseconds(200));
+        nodes[index] = std::make_unique<Sidecar>(runtime, makeSettings(number, service, store.endpoint()));
+        CPPUNIT_ASSERT(nodes[index]->start().has_value());
+    }
+
     /// Ends the nodes. Reads of the store that wait for a change must end before the nodes are destroyed.
     void end()
     {
@@ -138,6 +148,8 @@
     TargetStandin secondTarget;
     CallPool callers;
     std::vector<std::unique_ptr<Sidecar>> nodes;
+    /// Nodes that were replaced; their fibers end later.
+    std::vector<std::unique_ptr<Sidecar>> endedNodes;
     int requestCount = 0;
 };
 
--- a/tests/sidecar/platform_standin.cpp
+++ b/tests/sidecar/platform_standin.cpp
@@ -154,14 +154,37 @@
 }
 
 auto TargetStandin::announce(const Endpoint &node, const std::string &service, const std::string &state) -> int
+{
+    return announceLate(node, service, state, ++sequence_);
+}
+
+auto TargetStandin::announceLate(const Endpoint &node, const std::string &service, const std::string &state, uint64_t sequence) -> int
+{
+    return post(node, "/-/Instances.Heartbeat/" + instance_,
+                json{{"Service", service},
+                     {"Address", toString(listen_)},
+                     {"Zone", "east"},
+                     {"Version", "v1"},
+                     {"Slots", 8},
+                     {"State", state},
+                     {"ColdLeftMs", 0},
+                     {"Seq", sequence},
+                     {"born", startedAtMs}}
+                    .dump());
+}
+
+auto TargetStandin::deregister(const Endpoint &node) -> int
+{
+    return post(node, "/-/Instances.Deregister/" + instance_, {});
+}
+
+auto TargetStandin::post(const Endpoint &node, const std::string &path, const std::string &body) -> int
 {
     CallPool pool(runtime_, CallPoolOptions());
     RequestMessage request;
     request.method = "POST";
-    request.target = "/-/Instances.Heartbeat/" + instance_;
-    request.body = json{{"Service", service}, {"Address", toString(listen_)}, {"Zone", "east"}, {"Version", "v1"}, {"Slots", 8}, {"State", state},
-                        {"ColdLeftMs", 0},    {"Seq", ++sequence_},           {"born", 1000}}
-                       .dump();
+    request.target = path;
+    request.body = body;
     CancelSignal cancel;
     const CallResult result = pool.call(node, request, cancel, BootClock::now() + seconds(1));
     return result.status == CallStatus::Answered ? result.response.status : 0;
--- a/tests/sidecar/platform_standin.h
+++ b/tests/sidecar/platform_standin.h
@@ -61,6 +61,13 @@
     [[nodiscard]] auto endpoint() const -> Endpoint;
     /// Sends an announcement to the node at the endpoint. Returns the status of the response, or zero if there is none.
     auto announce(const Endpoint &node, const std::string &service, const std::string &state) -> int;
+    /// Sends an announcement with this sequence number, like one that was delayed.
+    auto announceLate(const Endpoint &node, const std::string &service, const std::string &state, uint64_t sequence) -> int;
+    /// Tells the node that the target leaves, without its start. Returns the status like announce().
+    auto deregister(const Endpoint &node) -> int;
+
+    /// Time of the start that the announcements contain, in milliseconds since the Unix epoch.
+    int64_t startedAtMs = 1000;
 
     TargetBehaviour behaviour;
     /// Ids of the requests that the target ran, in order.
@@ -69,6 +76,8 @@
     HeaderList latestHeaders;
 
 private:
+    auto post(const Endpoint &node, const std::string &path, const std::string &body) -> int;
+
     FiberRuntime &runtime_;
     std::string instance_;
     Endpoint listen_;
