Act on configurations that are confirmed within the fleet's bound

Cause: followers counted only missing answers, so a reader that the store turned away was believed as long as it answered, and two such readers asked each other. A follower read the store itself when the confirmation was 0.65 to 0.75 of the time for a withdrawn key old, 3.25 to 3.75 s; the bound for configurations (2 s there) was not known to the node. A reader noticed a silent store only when its read had timed out and did not pass on what it got from other nodes; one transfer at a time meant that a node without an answer held up the others for a second.

Ruled out: wrong ages (counted from the start of a read, passed on without loss) and lost datagrams (asked again after 400 ms).

Change: the age of the confirmation decides, whoever answers. From 0.55 of the bound on, a node asks all its candidates at once and avoids its reader for 2 s; from 0.65 to 0.72 on, it reads the store. Reads wait 0.15 of the bound. The bound is the new setting policyApplyMs. Every newer configuration is announced to followers, up to three nodes are asked for it at once, and again if a newer one was announced meanwhile. 401 and 404 need a confirmation within the bound, otherwise the answer is 503.

A longer read with answers pushed to followers was considered and not taken; shorter reads need no further message.

Before the fix FreshnessTest failed (a key worked or was not known to be withdrawn 2 s later while the readers got no answer).

--- a/mesh/store_readers.cpp
+++ b/mesh/store_readers.cpp
@@ -69,16 +69,12 @@
     return own;
 }
 
-auto nextPoll(ReaderPolls &polls, const PeerTable &peers, const ReaderSettings &settings, TimePoint now) -> std::optional<std::string>
+namespace
+{
+
+/// Returns the reader that is asked while it answers, or an empty string if all are avoided.
+auto chooseReader(ReaderPolls &polls, const ReaderSettings &settings, TimePoint now) -> std::string
 {
-    if (now < polls.nextPollAt) {
-        return std::nullopt;
-    }
-    polls.nextPollAt = now + settings.pollInterval;
-    if (polls.revision != peers.revision) {
-        polls.revision = peers.revision;
-        polls.candidates = readerCandidates(peers, settings);
-    }
     if (polls.missed >= settings.maxMissedPolls) {
         polls.avoidedUntil[polls.current] = now + settings.avoidDuration;
         polls.missed = 0;
@@ -88,7 +84,7 @@
         return avoided == polls.avoidedUntil.end() || now >= avoided->second;
     });
     if (found == polls.candidates.end()) {
-        return std::nullopt;
+        return {};
     }
     if (*found != polls.current) {
         polls.current = *found;
@@ -98,6 +94,67 @@
     return *found;
 }
 
+/// Returns the candidates without those of the node's own failure domain that are too many to ask at once.
+auto boundedCandidates(const ReaderPolls &polls, const PeerTable &peers, const ReaderSettings &settings) -> std::vector<std::string>
+{
+    std::vector<std::string> bounded;
+    size_t own = 0;
+    for (const auto &candidate : polls.candidates) {
+        const auto row = peers.rows.find(candidate);
+        const bool isOwn = row != peers.rows.end() && row->second.member.domain == peers.ownDomain;
+        if (!isOwn || ++own <= settings.maxOwnCandidates) {
+            bounded.push_back(candidate);
+        }
+    }
+    return bounded;
+}
+
+} // namespace
+
+auto freshnessLimits(Duration policyApply, Duration keyWithdrawal, double spread) -> FreshnessLimits
+{
+    // A read confirms the configuration as of its start when it ends, so the confirmation of a follower gets as old as two reads
+    // and one poll. The limits leave that much, and enough time after them to ask, to read and to fetch a large configuration.
+    constexpr double kReadWaitFraction = 0.15;
+    constexpr double kAskAllFraction = 0.55;
+    constexpr double kOwnReadFraction = 0.65;
+    constexpr double kOwnReadSpread = 0.07;
+    constexpr Duration kMaxReadWait = milliseconds(1700);
+    const Duration shortest = std::min(policyApply, keyWithdrawal);
+    const auto fraction = [shortest](double part) {
+        return duration_cast<Duration>(std::chrono::duration<double>(shortest) * part);
+    };
+    FreshnessLimits limits;
+    limits.readWait = std::min(fraction(kReadWaitFraction), kMaxReadWait);
+    limits.askAllAge = fraction(kAskAllFraction);
+    limits.ownReadAge = fraction(kOwnReadFraction + kOwnReadSpread * spread);
+    return limits;
+}
+
+auto duePolls(ReaderPolls &polls, const PeerTable &peers, const ReaderSettings &settings, bool isFresh, TimePoint now) -> std::vector<std::string>
+{
+    const bool hasAged = !isFresh && !polls.asksAll;
+    if (now < polls.nextPollAt && !hasAged) {
+        return {};
+    }
+    polls.asksAll = !isFresh;
+    polls.nextPollAt = now + settings.pollInterval;
+    if (polls.revision != peers.revision) {
+        polls.revision = peers.revision;
+        polls.candidates = readerCandidates(peers, settings);
+    }
+    if (!isFresh) {
+        if (!polls.current.empty()) {
+            // The reader may answer, but what it answers does not renew the confirmation.
+            polls.avoidedUntil[polls.current] = now + settings.avoidDuration;
+            polls.current.clear();
+        }
+        return boundedCandidates(polls, peers, settings);
+    }
+    const std::string reader = chooseReader(polls, settings, now);
+    return reader.empty() ? std::vector<std::string>() : std::vector<std::string>{reader};
+}
+
 void observeAnswer(ReaderPolls &polls, const std::string &reader)
 {
     if (reader == polls.current) {
--- a/mesh/store_readers.h
+++ b/mesh/store_readers.h
@@ -5,13 +5,33 @@
 
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <string>
 #include <vector>
 
 namespace snipestream
 {
 
+/// How old the confirmation of the configuration may become. A confirmation is as old as the read of the store on which it is
+/// based, whoever sent it, so an answer of a node that cannot read the store renews nothing.
+struct FreshnessLimits {
+    /// How long a read of the store waits for a change.
+    Duration readWait{};
+    /// Age from which a node asks all its candidates at once instead of one reader.
+    Duration askAllAge{};
+    /// Age from which a node that is no reader reads the store itself.
+    Duration ownReadAge{};
+
+    friend auto operator==(const FreshnessLimits &a, const FreshnessLimits &b) -> bool
+    {
+        return a.readWait == b.readWait && a.askAllAge == b.askAllAge && a.ownReadAge == b.ownReadAge;
+    }
+};
+
+/// Returns the limits for a fleet in which a change must be in force `policyApply` after its acknowledgement, and a withdrawn
+/// key must not work longer than `keyWithdrawal`. `spread`, from 0 to 1, differs between nodes, so that they do not all read
+/// the store at the same time.
+auto freshnessLimits(Duration policyApply, Duration keyWithdrawal, double spread) -> FreshnessLimits;
+
 /// Settings of the readers: the nodes that read the configuration and the members from the store, and that the other nodes,
 /// the followers, ask for what they have read. Their number is bounded, so the calls to the store do not grow with every
 /// node.
@@ -24,6 +44,8 @@
     /// Polls without an answer after which a follower asks another reader, and for how long it does not ask the former one.
     int maxMissedPolls = 2;
     Duration avoidDuration = seconds(2);
+    /// Number of readers of its own failure domain that a node asks when it asks all candidates.
+    size_t maxOwnCandidates = 4;
 };
 
 /// Returns the readers among the members of one failure domain.
@@ -47,10 +69,13 @@
     int missed = 0;
     /// Readers that did not answer, and until when they are not asked.
     std::map<std::string, TimePoint> avoidedUntil;
+    /// The last poll found the confirmation too old.
+    bool asksAll = false;
 };
 
-/// Returns the reader to ask now, if a poll is due and there is one.
-auto nextPoll(ReaderPolls &polls, const PeerTable &peers, const ReaderSettings &settings, TimePoint now) -> std::optional<std::string>;
+/// Returns the readers to ask now: none if no poll is due, and all candidates if the confirmation is too old. `isFresh` says
+/// that it is not.
+auto duePolls(ReaderPolls &polls, const PeerTable &peers, const ReaderSettings &settings, bool isFresh, TimePoint now) -> std::vector<std::string>;
 
 /// Records an answer of a reader.
 void observeAnswer(ReaderPolls &polls, const std::string &reader);
--- a/sidecar/distribution.cpp
+++ b/sidecar/distribution.cpp
@@ -27,6 +27,12 @@
 constexpr const char *kAgeField = "Sns-Age-Ms";
 /// Timeout of a transfer; the largest configurations take a fraction of a second.
 constexpr Duration kFetchTimeout = seconds(1);
+/// Number of nodes from which the policy is fetched at once.
+constexpr size_t kMaxPolicySources = 3;
+/// Shortest interval of polls; the ticks are not much shorter.
+constexpr Duration kMinPollInterval = milliseconds(50);
+/// Fraction of the time until a configuration must be in force that may pass between two polls.
+constexpr double kPollFraction = 0.2;
 /// A node that has not asked for this long is no follower any more.
 constexpr Duration kFollowerRetention = seconds(3);
 /// Time after which a member that has not asked may have started again, and how often the reader tells such members.
@@ -86,25 +92,38 @@
     return std::move(result.response);
 }
 
-void fetchPolicy(SidecarState &state, const std::string &address)
+/// Fetches the policy from a node that has announced the version.
+void fetchPolicy(SidecarState &state, const std::string &address, uint64_t version)
 {
-    if (state.storeView.isFetchingPolicy) {
+    auto &sources = state.storeView.policySources;
+    const auto found = sources.find(address);
+    if (found != sources.end()) {
+        found->second = std::max(found->second, version);
         return;
     }
-    state.storeView.isFetchingPolicy = true;
+    if (sources.size() >= kMaxPolicySources) {
+        return;
+    }
+    sources.emplace(address, version);
     state.runtime.spawn([&state, address] {
         const TimePoint sentAt = BootClock::now();
         const auto response = fetch(state, address, kPolicyPath);
-        state.storeView.isFetchingPolicy = false;
+        const uint64_t announced = state.storeView.policySources[address];
+        state.storeView.policySources.erase(address);
         if (!response || state.ended) {
             return;
         }
+        const uint64_t before = state.policy ? state.policy->version : 0;
         applyPolicyDocument(state, response->body);
         const auto age = findHeader(response->headers, kAgeField);
         if (age) {
             // The age was measured after the request was sent, so the policy was confirmed no earlier than this.
             confirmPolicy(state, sentAt - milliseconds(std::atoll(std::string(*age).c_str())));
         }
+        // In a series of changes, the next one may have been announced during the transfer.
+        if (state.policy && state.policy->version > before && state.policy->version < announced) {
+            fetchPolicy(state, address, announced);
+        }
     });
 }
 
@@ -168,7 +187,7 @@
     const PolicyState &received = decoded.value();
     const uint64_t version = state.policy ? state.policy->version : 0;
     if (received.version > version) {
-        fetchPolicy(state, from);
+        fetchPolicy(state, from, received.version);
     }
     if (received.membersOffset > state.storeView.membersOffset) {
         fetchMembers(state, from);
@@ -193,12 +212,24 @@
         fetchMembers(state, address);
     }
     if (!state.policy) {
-        fetchPolicy(state, address);
+        fetchPolicy(state, address, 0);
     }
 }
 
+void applyFreshnessSettings(SidecarState &state)
+{
+    auto &view = state.storeView;
+    const auto &settings = state.settings;
+    view.freshness = freshnessLimits(settings.policyApply, settings.keyWithdrawal, view.freshnessSpread);
+    const auto shortest = std::chrono::duration<double>(std::min(settings.policyApply, settings.keyWithdrawal));
+    const auto interval = duration_cast<Duration>(shortest * kPollFraction);
+    view.readerSettings.pollInterval = std::clamp(interval, kMinPollInterval, ReaderSettings().pollInterval);
+}
+
 void startDistribution(SidecarState &state)
 {
+    state.storeView.freshnessSpread = static_cast<double>(drawBelow(state.random, 1000)) / 1000;
+    applyFreshnessSettings(state);
     state.datagrams.onReceive(DatagramKind::PolicyQuery, [&state](const std::string &from, std::string_view bytes) {
         handleQuery(state, from, bytes);
     });
@@ -235,12 +266,14 @@
     if (state.isStoreReader && !isStopping(state.stop)) {
         notifySilentMembers(state, now);
     }
-    const bool readsStore = state.isStoreReader && !view.isStoreFailing;
+    // A reader that gets no answer from the store asks other nodes before its read times out.
+    const bool isFresh = now - state.policyConfirmedAt < view.freshness.askAllAge;
+    const bool readsStore = state.isStoreReader && !view.isStoreFailing && isFresh;
     if (readsStore || isStopping(state.stop)) {
         return;
     }
-    if (const auto reader = nextPoll(view.polls, state.peers, view.readerSettings, now)) {
-        state.datagrams.send(*reader, DatagramKind::PolicyQuery, json::to_cbor(json{{"c", now.time_since_epoch().count()}}));
+    for (const auto &reader : duePolls(view.polls, state.peers, view.readerSettings, isFresh, now)) {
+        state.datagrams.send(reader, DatagramKind::PolicyQuery, json::to_cbor(json{{"c", now.time_since_epoch().count()}}));
     }
 }
 
--- a/sidecar/distribution.h
+++ b/sidecar/distribution.h
@@ -27,16 +27,24 @@
     TimePoint membersConfirmedAt;
 
     ReaderSettings readerSettings;
+    FreshnessLimits freshness;
+    /// Position of this node between the limits of others, from 0 to 1.
+    double freshnessSpread = 0;
     ReaderPolls polls;
     /// Followers of this node and when they last asked.
     std::map<std::string, TimePoint> followers;
     TimePoint nextNotificationAt;
     /// The last read of the store by this node failed.
     bool isStoreFailing = false;
-    bool isFetchingPolicy = false;
+    /// Nodes from which the policy is being fetched, with the newest version that each has announced. One that does not respond
+    /// must not keep this node from asking others.
+    std::map<std::string, uint64_t> policySources;
     bool isFetchingMembers = false;
 };
 
+/// Derives the limits for the age of the policy's confirmation from the settings.
+void applyFreshnessSettings(SidecarState &state);
+
 /// Starts to handle the questions and answers of other nodes.
 void startDistribution(SidecarState &state);
 
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -146,7 +146,7 @@
         return refuse(state, call, 503, "no-policy", kNoPolicyRetryAfter);
     }
     // A policy that has not been confirmed recently may lack routes and keys that were added since.
-    const bool isCurrent = now - state.policyConfirmedAt < state.settings.keyWithdrawal;
+    const bool isCurrent = now - state.policyConfirmedAt < state.settings.policyApply;
     call.route = findRoute(*call.policy, call.caller.authority, request.target);
     if (call.route == nullptr) {
         return isCurrent ? refuse(state, call, 404, "no-route", {}) : refuse(state, call, 503, "no-route-in-old-policy", kNoPolicyRetryAfter);
@@ -158,7 +158,7 @@
         }
         call.team = findTeam(*call.policy, call.caller.apiKey);
         if (call.team == nullptr) {
-            return refuse(state, call, 401, "unknown-key", {});
+            return isCurrent ? refuse(state, call, 401, "unknown-key", {}) : refuse(state, call, 503, "no-key-in-old-policy", kNoPolicyRetryAfter);
         }
     }
     call.importance = importanceOf(*call.route, call.team);
--- a/sidecar/policy_reader.cpp
+++ b/sidecar/policy_reader.cpp
@@ -14,20 +14,7 @@
 namespace
 {
 
-/// How long a read waits for a change, as a fraction of the time for which a withdrawn key may work. The end of a read
-/// confirms the policy as of its start, so the confirmation is up to two reads old, and a poll older at a follower.
-constexpr double kLongPollFraction = 0.24;
-constexpr Duration kMaxLongPollWait = milliseconds(1700);
-/// Age of the last confirmation at which a node that is no reader reads the store itself, as a fraction of the time for which
-/// a withdrawn key may work: at least the first one, and up to the second one more.
-constexpr double kFallbackAgeFraction = 0.65;
-constexpr double kFallbackAgeSpread = 0.1;
-constexpr Duration kFollowCheckInterval = milliseconds(100);
-
-auto fractionOf(Duration duration, double fraction) -> Duration
-{
-    return duration_cast<Duration>(std::chrono::duration<double>(duration) * fraction);
-}
+constexpr Duration kFollowCheckInterval = milliseconds(50);
 
 /// Logs when the store becomes unreachable and when it becomes reachable again, once each.
 void logStoreReachability(bool &reachable, const Result<KeyedPage> &page)
@@ -66,6 +53,7 @@
     logEvent(
         EventId::PolicyApplied,
         {{"version", std::to_string(policy->version)}, {"routes", std::to_string(policy->routes.size())}, {"teams", std::to_string(policy->teams.size())}});
+    notifyFollowers(state);
 }
 
 void confirmPolicy(SidecarState &state, TimePoint confirmedAt)
@@ -79,17 +67,14 @@
     std::optional<uint64_t> offset;
     bool reachable = true;
     int failures = 0;
-    // Nodes whose reader is silent do not all read the store at the same time.
-    const double fallbackFraction = kFallbackAgeFraction + kFallbackAgeSpread * static_cast<double>(drawBelow(state.random, 1000)) / 1000;
     while (!state.ended) {
         const TimePoint sentAt = BootClock::now();
-        if (!state.isStoreReader && state.policy && sentAt - state.policyConfirmedAt < fractionOf(state.settings.keyWithdrawal, fallbackFraction)) {
+        if (!state.isStoreReader && state.policy && sentAt - state.policyConfirmedAt < state.storeView.freshness.ownReadAge) {
             state.runtime.sleepFor(kFollowCheckInterval);
             continue;
         }
-        const Duration longPollWait = std::min(fractionOf(state.settings.keyWithdrawal, kLongPollFraction), kMaxLongPollWait);
         // After a failure, a read without a wait confirms the policy sooner.
-        const Duration wait = failures == 0 && state.isStoreReader ? longPollWait : Duration::zero();
+        const Duration wait = failures == 0 && state.isStoreReader ? state.storeView.freshness.readWait : Duration::zero();
         const auto page = offset ? readChanges(store, operatorTopic(), *offset, wait) : readNewest(store, operatorTopic());
         logStoreReachability(reachable, page);
         if (!page && page.error().code == ErrorCode::Expired) {
@@ -102,7 +87,6 @@
             pauseAfterFailure(state, failures);
             continue;
         }
-        const uint64_t versionBefore = state.policy ? state.policy->version : 0;
         for (const auto &record : page.value().records) {
             if (record.key == configurationKey()) {
                 applyPolicyDocument(state, record.value);
@@ -112,8 +96,6 @@
         confirmPolicy(state, sentAt);
         if (!state.policy) {
             pauseAfterFailure(state, 1);
-        } else if (state.policy->version != versionBefore) {
-            notifyFollowers(state);
         }
     }
 }
--- a/sidecar/settings.cpp
+++ b/sidecar/settings.cpp
@@ -47,8 +47,8 @@
 auto asTuple(const SidecarSettings &s)
 {
     return std::tie(s.node, s.domain, s.address, s.service, s.target, s.callerListen, s.peerListen, s.readyListen, s.targetListen, s.store, s.reportPort,
-                    s.metricsPort, s.isFirstStart, s.memoryMb, s.maxDescriptors, s.keyWithdrawal, s.stopTime, s.retryRatio, s.retrySlack, s.rateWindow,
-                    s.rateOvershoot, s.rateSlack);
+                    s.metricsPort, s.isFirstStart, s.memoryMb, s.maxDescriptors, s.keyWithdrawal, s.policyApply, s.stopTime, s.retryRatio, s.retrySlack,
+                    s.rateWindow, s.rateOvershoot, s.rateSlack);
 }
 
 auto fromSeconds(double value) -> Duration
@@ -97,6 +97,7 @@
     settings.memoryMb = static_cast<uint64_t>(optionalNumber(object, fields, "memoryMb", static_cast<double>(settings.memoryMb), 1e6));
     settings.maxDescriptors = static_cast<uint64_t>(optionalNumber(object, fields, "maxDescriptors", static_cast<double>(settings.maxDescriptors), 1e7));
     settings.keyWithdrawal = fromSeconds(optionalNumber(object, fields, "keyWithdrawalMs", 5000, kMaxMs) / 1000);
+    settings.policyApply = fromSeconds(optionalNumber(object, fields, "policyApplyMs", 2000, kMaxMs) / 1000);
     settings.stopTime = fromSeconds(optionalNumber(object, fields, "stopSeconds", 6, 3600));
     settings.retryRatio = optionalNumber(object, fields, "retryRatio", settings.retryRatio, 100);
     settings.retrySlack = optionalNumber(object, fields, "retrySlack", settings.retrySlack, 1e6);
--- a/sidecar/settings.h
+++ b/sidecar/settings.h
@@ -37,6 +37,8 @@
     uint64_t maxDescriptors = 1024;
     /// Maximum time for which a key may still work after the operator received the confirmation of its withdrawal.
     Duration keyWithdrawal = seconds(5);
+    /// Maximum time from the acknowledgement of a configuration to the operator until every node acts on it.
+    Duration policyApply = seconds(2);
     /// Time after the stop signal at which the process is killed.
     Duration stopTime = seconds(6);
     /// Retries that a service may receive per request, and a number of retries that is always allowed.
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -485,6 +485,8 @@
     auto &sidecar = state_->sidecar;
     // Addresses and names cannot change while the process runs. The bounds can.
     sidecar.settings.keyWithdrawal = settings.keyWithdrawal;
+    sidecar.settings.policyApply = settings.policyApply;
+    applyFreshnessSettings(sidecar);
     sidecar.settings.stopTime = settings.stopTime;
     sidecar.stopSettings.stopTime = settings.stopTime;
     sidecar.settings.memoryMb = settings.memoryMb;
--- a/tests/mesh/store_readers_test.cpp
+++ b/tests/mesh/store_readers_test.cpp
@@ -45,6 +45,7 @@
     CPPUNIT_TEST_SUITE(StoreReadersTest);
     CPPUNIT_TEST(testNumber);
     CPPUNIT_TEST(testPolls);
+    CPPUNIT_TEST(testOldConfirmation);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -80,7 +81,9 @@
         const auto candidates = readerCandidates(peers, settings);
         const auto poll = [&] {
             now += settings.pollInterval;
-            return nextPoll(polls, peers, settings, now);
+            const auto due = duePolls(polls, peers, settings, true, now);
+            CPPUNIT_ASSERT(due.size() <= 1);
+            return due.empty() ? std::string("nobody") : due.front();
         };
         section("the reader of the own failure domain is asked while it answers", [&] {
             CPPUNIT_ASSERT_EQUAL(std::string("d0"), peers.rows.at(candidates[0]).member.domain.value);
@@ -105,7 +108,7 @@
         section("while all readers are silent, each is asked in turn", [&] {
             std::set<std::string> asked;
             for (int i = 0; i < 20; ++i) {
-                asked.insert(poll().value_or("nobody"));
+                asked.insert(poll());
             }
             CPPUNIT_ASSERT(asked.size() >= candidates.size());
         });
@@ -116,6 +119,48 @@
             }
         });
     }
+
+    /// Guards against a follower that goes on with a reader which answers without a confirmed configuration.
+    void testOldConfirmation()
+    {
+        const ReaderSettings settings;
+        PeerTable peers = makePeers(0, 600, 6);
+        if (isReader(peers, settings)) {
+            peers = makePeers(6, 600, 6);
+        }
+        ReaderPolls polls;
+        TimePoint now = TimePoint() + seconds(1);
+        const auto reader = duePolls(polls, peers, settings, true, now);
+        section("all candidates are asked as soon as the confirmation is too old, before the next poll is due", [&] {
+            now += milliseconds(10);
+            const auto asked = duePolls(polls, peers, settings, false, now);
+            CPPUNIT_ASSERT(asked == readerCandidates(peers, settings));
+            CPPUNIT_ASSERT(duePolls(polls, peers, settings, false, now + milliseconds(10)).empty());
+        });
+        section("once it is fresh again, the former reader is not the one that is asked", [&] {
+            now += settings.pollInterval;
+            const auto next = duePolls(polls, peers, settings, true, now);
+            CPPUNIT_ASSERT(next.size() == 1 && next != reader);
+        });
+        section("the number of readers that are asked is bounded in the largest fleets", [&] {
+            PeerTable large = makePeers(0, 10000, 6);
+            ReaderPolls others;
+            CPPUNIT_ASSERT(duePolls(others, large, settings, false, now).size() <= settings.maxOwnCandidates + 5);
+        });
+        section("a confirmation that is renewed in the usual way is never too old", [] {
+            for (const auto &[policyApply, keyWithdrawal] : std::vector<std::pair<Duration, Duration>>{{seconds(2), seconds(5)},
+                                                                                                       {milliseconds(2500), seconds(5)},
+                                                                                                       {seconds(7), seconds(5)},
+                                                                                                       {seconds(1), seconds(30)},
+                                                                                                       {seconds(30), seconds(5)}}) {
+                const FreshnessLimits limits = freshnessLimits(policyApply, keyWithdrawal, 1);
+                const Duration poll = std::min(std::min(policyApply, keyWithdrawal) / 5, ReaderSettings().pollInterval);
+                CPPUNIT_ASSERT(limits.readWait * 2 + poll < limits.askAllAge);
+                CPPUNIT_ASSERT(limits.askAllAge < limits.ownReadAge);
+                CPPUNIT_ASSERT(limits.ownReadAge < policyApply * 3 / 4 && limits.ownReadAge < keyWithdrawal * 3 / 4);
+            }
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StoreReadersTest);
--- a/tests/sidecar/platform_standin.cpp
+++ b/tests/sidecar/platform_standin.cpp
@@ -44,14 +44,42 @@
 
 StoreStandin::StoreStandin(FiberRuntime &runtime)
     : runtime_(runtime)
+{
+    port_ = openEndpoint().port;
+}
+
+auto StoreStandin::openEndpoint() -> Endpoint
 {
     MessageServerOptions options;
     options.name = "store";
     options.listen = {"127.0.0.1", 0};
-    server_ = std::make_unique<MessageServer>(runtime, options, [this](RequestMessage &request, CancelSignal &cancel) {
-        return handleRequest(request, cancel);
-    });
-    port_ = server_->listen().value();
+    const auto port = std::make_shared<uint16_t>(0);
+    servers_.push_back(std::make_unique<MessageServer>(runtime_, options, [this, port](RequestMessage &request, CancelSignal &cancel) {
+        return handleAt(*port, request, cancel);
+    }));
+    *port = servers_.back()->listen().value();
+    return {"127.0.0.1", *port};
+}
+
+void StoreStandin::setAccess(const Endpoint &endpoint, const Access &access)
+{
+    access_[endpoint.port] = access;
+}
+
+auto StoreStandin::handleAt(uint16_t port, const RequestMessage &request, CancelSignal &cancel) -> std::optional<ResponseMessage>
+{
+    const auto found = access_.find(port);
+    const Access access = found == access_.end() ? Access() : found->second;
+    const TimePoint end = BootClock::now() + access.delay;
+    while (BootClock::now() < end && !cancel.isCancelled()) {
+        runtime_.sleepFor(milliseconds(5));
+    }
+    if (access.failureStatus) {
+        ResponseMessage failed;
+        failed.status = *access.failureStatus;
+        return failed;
+    }
+    return handleRequest(request, cancel);
 }
 
 auto StoreStandin::endpoint() const -> Endpoint
--- a/tests/sidecar/platform_standin.h
+++ b/tests/sidecar/platform_standin.h
@@ -23,6 +23,17 @@
     /// Makes every call fail with this status, like a store that refuses a machine; an empty value ends that.
     void failWith(std::optional<int> status);
 
+    /// How the store treats the calls that arrive at one of its endpoints.
+    struct Access {
+        /// Status of every response, if it is not empty.
+        std::optional<int> failureStatus;
+        /// Time before each response.
+        Duration delay{};
+    };
+    /// Opens another endpoint, so that a node can be treated apart from others.
+    auto openEndpoint() -> Endpoint;
+    void setAccess(const Endpoint &endpoint, const Access &access);
+
 private:
     struct Record {
         std::string key;
@@ -30,13 +41,16 @@
     };
 
     auto handleRequest(const RequestMessage &request, CancelSignal &cancel) -> std::optional<ResponseMessage>;
+    auto handleAt(uint16_t port, const RequestMessage &request, CancelSignal &cancel) -> std::optional<ResponseMessage>;
     auto newest(const std::string &topic) -> ResponseMessage;
     auto changes(const std::string &topic, uint64_t from, Duration wait, CancelSignal &cancel) -> ResponseMessage;
 
     FiberRuntime &runtime_;
     std::map<std::string, std::vector<Record>> topics_;
     std::optional<int> failureStatus_;
-    std::unique_ptr<MessageServer> server_;
+    /// By port.
+    std::map<uint16_t, Access> access_;
+    std::vector<std::unique_ptr<MessageServer>> servers_;
     uint16_t port_ = 0;
 };
 
