Test responses that break off in their head

Another operator's callers got a 200 with an empty or short body, framed as whole, when a server stopped in the middle of the head of its answer. It cannot happen here: MessageTest::testBrokenHeads cuts a response with a length, a chunked one and one that ends with its connection at every byte, and only the whole ones count as answered.

--- a/tests/http/message_test.cpp
+++ b/tests/http/message_test.cpp
@@ -122,6 +122,7 @@
     CPPUNIT_TEST(testBrokenAnswers);
     CPPUNIT_TEST(testEarlyAnswer);
     CPPUNIT_TEST(testServer);
+    CPPUNIT_TEST(testBrokenHeads);
     CPPUNIT_TEST(testSlowReader);
     CPPUNIT_TEST_SUITE_END();
 
@@ -231,6 +232,27 @@
         });
     }
 
+    /// Guards against a response that breaks off in its head and reaches the caller as a whole one with an empty or short body.
+    void testBrokenHeads()
+    {
+        FiberRuntime runtime;
+        runtime.runToEnd([&] {
+            const std::string head = "HTTP/1.1 200 OK\r\nX-Signature: s\r\n";
+            for (const std::string &bytes :
+                 {head + "Content-Length: 4\r\n\r\nbody", head + "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", head + "\r\n"}) {
+                for (size_t size = 0; size <= bytes.size(); ++size) {
+                    ByteServer server(runtime, bytes.substr(0, size), true);
+                    CallPool pool(runtime, CallPoolOptions());
+                    CancelSignal cancel;
+                    const CallResult result = pool.call(server.endpoint(), RequestMessage{"GET", "/", {}, {}, true}, cancel, BootClock::now() + seconds(1));
+                    CPPUNIT_ASSERT_MESSAGE(bytes.substr(0, size), (result.status == CallStatus::Answered) == (size == bytes.size()));
+                    server.stop();
+                }
+            }
+            runtime.sleepFor(milliseconds(20));
+        });
+    }
+
     /// Guards against a stop that ends the process while a response is still being sent to a slow reader.
     void testSlowReader()
     {
