Go on beside one unreadable entry of another writer

Another operator's machines ended again and again, or stopped following the list of backends, after one odd entry in it. Both can happen here.

Cause: a reader of the store passes the members on as JSON, and dump() throws for a value that is not UTF-8, which ended the process each time a node asked. A record with an empty key made followers reject the whole answer. Found beside it by reading: error messages that quote a malformed value with dump(); CBOR of datagrams and of the stored work of a service, decoded with unbounded recursion on a fiber's stack; limits of a configuration converted to integers without a bound.

Ruled out: deeply nested JSON and numbers too large in JSON (refused), ports out of range in announcements (400).

Change: keys that are not IPv4 addresses are skipped; a value that cannot be read is passed on as "unreadable", the member known at that address stays, and its node writes the record again; followers skip single entries. measureCborItem moves from peer/ to core/, and parseCborItem decodes all CBOR of other processes.

--- a/peer/cbor_item.cpp
+++ b/core/cbor_item.cpp
@@ -1,4 +1,4 @@
-#include "peer/cbor_item.h"
+#include "core/cbor_item.h"
 
 #include <array>
 #include <cstdint>
@@ -102,4 +102,13 @@
     return position;
 }
 
+auto parseCborItem(std::string_view bytes) -> nlohmann::json
+{
+    const auto length = measureCborItem(bytes);
+    if (!length || length.value() != bytes.size()) {
+        return nlohmann::json(nlohmann::json::value_t::discarded);
+    }
+    return nlohmann::json::from_cbor(bytes.begin(), bytes.end(), true, false);
+}
+
 } // namespace snipestream
--- a/peer/cbor_item.h
+++ b/core/cbor_item.h
@@ -5,6 +5,8 @@
 #include <cstddef>
 #include <string_view>
 
+#include <nlohmann/json.hpp>
+
 namespace snipestream
 {
 
@@ -13,4 +15,8 @@
 /// CBOR parser, which recurses once per level and per string of indefinite length.
 auto measureCborItem(std::string_view bytes) -> Result<size_t>;
 
+/// Decodes bytes from another process that are a single CBOR item. Returns a discarded value if they are not, or if
+/// measureCborItem() does not accept them.
+auto parseCborItem(std::string_view bytes) -> nlohmann::json;
+
 } // namespace snipestream
--- a/lease/vote_messages.cpp
+++ b/lease/vote_messages.cpp
@@ -1,5 +1,6 @@
 #include "lease/vote_messages.h"
 
+#include "core/cbor_item.h"
 #include "core/hash.h"
 #include "core/json_fields.h"
 
@@ -15,7 +16,7 @@
 
 auto parse(std::string_view bytes) -> json
 {
-    return json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    return parseCborItem(bytes);
 }
 
 auto readRanges(JsonFields &fields, const char *name) -> std::vector<uint32_t>
@@ -23,7 +24,7 @@
     std::vector<uint32_t> ranges;
     for (const auto &value : fields.array(name)) {
         if (!value.is_number_unsigned() || value.get<uint64_t>() >= kRangeCount) {
-            fields.reject(std::string(name) + " has an entry that is not a range: " + value.dump());
+            fields.reject(std::string(name) + " has an entry that is not a range: " + value.dump(-1, ' ', false, json::error_handler_t::replace));
             return ranges;
         }
         ranges.push_back(value.get<uint32_t>());
--- a/mesh/member.cpp
+++ b/mesh/member.cpp
@@ -4,11 +4,18 @@
 
 #include <limits>
 
+#include <boost/asio/ip/address_v4.hpp>
 #include <nlohmann/json.hpp>
 
 namespace snipestream
 {
 
+auto isMemberAddress(const std::string &key) -> bool
+{
+    boost::system::error_code error;
+    return boost::asio::ip::make_address_v4(key, error).to_string() == key && !error;
+}
+
 auto encodeMemberRecord(const MemberRecord &record) -> std::string
 {
     const Member &member = record.member;
--- a/mesh/member.h
+++ b/mesh/member.h
@@ -45,6 +45,9 @@
     }
 };
 
+/// Returns whether the key of a record is the address of a VM, which is an IPv4 address.
+auto isMemberAddress(const std::string &key) -> bool;
+
 /// Returns the value of the record.
 auto encodeMemberRecord(const MemberRecord &record) -> std::string;
 
--- a/mesh/report_codec.cpp
+++ b/mesh/report_codec.cpp
@@ -1,5 +1,6 @@
 #include "mesh/report_codec.h"
 
+#include "core/cbor_item.h"
 #include "core/json_fields.h"
 
 #include <algorithm>
@@ -71,13 +72,13 @@
     }
     for (const auto &row : *rows) {
         if (!row.is_array() || row.size() != 4 || !isKind(row[0]) || !isAmount(row[1]) || !isAmount(row[2]) || !row[3].is_array()) {
-            fields.reject("invalid kind of work: " + row.dump());
+            fields.reject("invalid kind of work: " + row.dump(-1, ' ', false, json::error_handler_t::replace));
             return kinds;
         }
         KindReport kind{row[0].get<WorkKind>(), row[1].get<double>(), row[2].get<double>(), {}};
         for (const auto &call : row[3]) {
             if (!call.is_array() || call.size() != 2 || !isKind(call[0]) || !isAmount(call[1])) {
-                fields.reject("invalid call of a kind of work: " + call.dump());
+                fields.reject("invalid call of a kind of work: " + call.dump(-1, ' ', false, json::error_handler_t::replace));
                 return kinds;
             }
             kind.callsPerRun[call[0].get<WorkKind>()] = call[1].get<double>();
@@ -149,7 +150,7 @@
 
 auto decodeReport(std::string_view bytes) -> Result<NodeReport>
 {
-    const json object = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    const json object = parseCborItem(bytes);
     if (!object.is_object()) {
         return failure(ErrorCode::InvalidInput, "report of " + std::to_string(bytes.size()) + " bytes is not a CBOR map");
     }
@@ -191,7 +192,7 @@
 
 auto decodeSubscription(std::string_view bytes) -> Result<Subscription>
 {
-    const json object = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    const json object = parseCborItem(bytes);
     if (!object.is_object()) {
         return failure(ErrorCode::InvalidInput, "subscription of " + std::to_string(bytes.size()) + " bytes is not a CBOR map");
     }
@@ -217,7 +218,7 @@
 
 auto decodeKinds(std::string_view bytes) -> Result<std::vector<KindReport>>
 {
-    const json object = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    const json object = parseCborItem(bytes);
     if (!object.is_object()) {
         return failure(ErrorCode::InvalidInput, "record of kinds of work with " + std::to_string(bytes.size()) + " bytes is not a CBOR map");
     }
--- a/peer/frame.cpp
+++ b/peer/frame.cpp
@@ -1,6 +1,6 @@
 #include "peer/frame.h"
 
-#include "peer/cbor_item.h"
+#include "core/cbor_item.h"
 #include "peer/head_codec.h"
 
 #include <optional>
--- a/sidecar/distribution.cpp
+++ b/sidecar/distribution.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/distribution.h"
 
+#include "core/cbor_item.h"
 #include "core/events.h"
 #include "core/json_fields.h"
 #include "sidecar/membership.h"
@@ -65,7 +66,7 @@
 
 auto decodeState(std::string_view bytes) -> Result<PolicyState>
 {
-    const json object = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    const json object = parseCborItem(bytes);
     JsonFields fields(object);
     PolicyState received;
     received.querySentAtNs = fields.count("c");
@@ -147,7 +148,8 @@
             JsonFields rowFields(row);
             KeyedRecord record{rowFields.shortText("key"), rowFields.text("value"), rowFields.unsignedInteger("offset")};
             if (rowFields.failed()) {
-                fields.reject(rowFields.error().message);
+                logEvent(EventId::DatagramInvalid, {{"from", address}, {"error", rowFields.error().message}});
+                continue;
             }
             records.push_back(std::move(record));
         }
@@ -161,7 +163,7 @@
 
 void handleQuery(SidecarState &state, const std::string &from, std::string_view bytes)
 {
-    const json object = json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    const json object = parseCborItem(bytes);
     JsonFields fields(object);
     const PolicyQuery query{fields.count("c")};
     if (fields.failed()) {
@@ -315,7 +317,7 @@
         }
     }
     response.headers.emplace_back("Content-Type", "application/json");
-    response.body = json{{"offset", state.storeView.membersOffset}, {"records", std::move(records)}}.dump();
+    response.body = json{{"offset", state.storeView.membersOffset}, {"records", std::move(records)}}.dump(-1, ' ', false, json::error_handler_t::replace);
     return response;
 }
 
--- a/sidecar/membership.cpp
+++ b/sidecar/membership.cpp
@@ -22,6 +22,8 @@
 /// Time in which all nodes write their records when the whole system starts for the first time.
 constexpr Duration kFirstStartDelay = seconds(1);
 constexpr int kMaxJitterMs = 500;
+/// Passed on to other nodes in place of a value that is not the record of a member.
+constexpr const char *kUnreadableRecord = "unreadable";
 /// How often a node that joins checks whether its record has been written.
 constexpr Duration kWriteCheckInterval = seconds(1);
 
@@ -88,6 +90,10 @@
     auto &view = state.storeView;
     const uint64_t revision = state.peers.revision;
     for (const auto &record : records) {
+        if (!isMemberAddress(record.key)) {
+            logEvent(EventId::MemberRecordInvalid, {{"key-bytes", std::to_string(record.key.size())}, {"error", "the key is not an address"}});
+            continue;
+        }
         auto &known = view.memberRecords[record.key];
         if (!known.key.empty() && known.offset >= record.offset) {
             continue;
@@ -103,6 +109,8 @@
         const auto decoded = decodeMemberRecord(record.key, record.value);
         if (!decoded) {
             logEvent(EventId::MemberRecordInvalid, {{"address", record.key}, {"error", decoded.error().message}});
+            // The node at that address writes its record again when it learns that it is unreadable.
+            known.value = kUnreadableRecord;
             continue;
         }
         if (decoded.value().hasLeft) {
--- a/sidecar/token_service.cpp
+++ b/sidecar/token_service.cpp
@@ -1,5 +1,6 @@
 #include "sidecar/token_service.h"
 
+#include "core/cbor_item.h"
 #include "core/events.h"
 #include "lease/vote_messages.h"
 #include "sidecar/state.h"
@@ -45,7 +46,7 @@
 
 auto decode(std::string_view bytes) -> json
 {
-    return json::from_cbor(bytes.begin(), bytes.end(), true, false);
+    return parseCborItem(bytes);
 }
 
 void logInvalid(const std::string &from, const Error &error)
