Do not take a refusal without an id for the answer to this request

Another operator's clients were told "not run, try again" for requests that a backend had run, because it wrote an earlier refusal once more on a kept connection. It can happen here for a refusal that names no request.

Cause: classifyResponse compared the id of a response only if there is one. Ruled out: copies that arrive before the request is sent (a connection with unread bytes is not used) and copies with their id (never matched).

Change: on a connection that has carried a request before, a refusal or a success without an id is no answer to this request; it gets 502, or is repeated if it may be.

Before the change the new section of SidecarTest::testFleet got 503 for a deposit that had run; now it gets 502.

--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -58,8 +58,9 @@
 }
 
 /// Derives the outcome of the request from the response of the target.
-auto classifyResponse(const RoutedRequest &request, ResponseMessage response) -> TargetResult
+auto classifyResponse(const RoutedRequest &request, CallResult call) -> TargetResult
 {
+    ResponseMessage response = std::move(call.response);
     const TargetResponseFields fields = readTargetResponse(response.status, response.headers);
     TargetResult result;
     result.reachedTarget = true;
@@ -68,12 +69,18 @@
         result.reason = "answer-of-another-request";
         return result;
     }
+    const bool success = response.status / 100 == 2;
+    if (fields.requestId.empty() && call.reusedConnection && (fields.notExecuted || success)) {
+        // It may be a second copy of the response to an earlier request, whose own response has yet to come.
+        result.outcome = TargetOutcome::Unknown;
+        result.reason = "answer-without-id";
+        return result;
+    }
     if (fields.notExecuted) {
         result.outcome = TargetOutcome::NotRun;
         result.reason = "target-answered-" + std::to_string(response.status);
         return result;
     }
-    const bool success = response.status / 100 == 2;
     if (success && (!fields.isSigned || fields.isEncoded)) {
         result.outcome = TargetOutcome::Unknown;
         result.reason = fields.isEncoded ? "encoded-answer" : "unsigned-answer";
@@ -124,7 +131,7 @@
     endRun(state.callPattern, run, succeeded, BootClock::now());
     TargetResult result;
     if (callResult.status == CallStatus::Answered) {
-        result = classifyResponse(request, std::move(callResult.response));
+        result = classifyResponse(request, std::move(callResult));
         if (result.outcome == TargetOutcome::Unknown) {
             logEvent(EventId::TargetResponseInvalid, {{"request", request.requestId}, {"instance", request.instance}, {"reason", result.reason}});
             // Later responses on these connections may belong to other requests as well.
--- a/tests/sidecar/platform_standin.cpp
+++ b/tests/sidecar/platform_standin.cpp
@@ -128,7 +128,7 @@
     for (auto &[key, item] : items) {
         list.push_back(item);
     }
-    return withBody(json{{"items", list}, {"HasMore", false}, {"EndOffset", records.size()}}.dump());
+    return withBody(json{{"items", list}, {"HasMore", false}, {"EndOffset", records.size()}}.dump(-1, ' ', false, json::error_handler_t::replace));
 }
 
 auto StoreStandin::changes(const std::string &topic, uint64_t from, Duration wait, CancelSignal &cancel) -> ResponseMessage
@@ -160,6 +160,7 @@
         const auto id = findHeader(request.headers, "X-Snipestream-Request-Id");
         if (behaviour.notExecuted) {
             response.status = *behaviour.notExecuted;
+            response.headers.emplace_back("X-Snipestream-Request-Id", id.value_or("-"));
             response.headers.emplace_back("X-Snipestream-Not-Executed", "1");
             return response;
         }
@@ -168,6 +169,11 @@
         if (behaviour.dropsResponses) {
             return std::nullopt;
         }
+        if (behaviour.repeatsRefusal) {
+            response.status = 503;
+            response.headers.emplace_back("X-Snipestream-Not-Executed", "1");
+            return response;
+        }
         response.headers.emplace_back("X-Snipestream-Request-Id", behaviour.returnsWrongRequestId ? "of-another" : std::string(id.value_or("-")));
         response.headers.emplace_back("X-Snipestream-Response-Signature", "signed-" + instance_);
         response.body = instance_ + ":" + request.body;
--- a/tests/sidecar/platform_standin.h
+++ b/tests/sidecar/platform_standin.h
@@ -62,6 +62,8 @@
     std::optional<int> notExecuted;
     /// Responds with the id of another request.
     bool returnsWrongRequestId = false;
+    /// Runs the request and then responds like to an earlier one that it has refused, without an id.
+    bool repeatsRefusal = false;
     /// Closes the connection without a response after it ran the request.
     bool dropsResponses = false;
 };
--- a/tests/sidecar/sidecar_test.cpp
+++ b/tests/sidecar/sidecar_test.cpp
@@ -58,6 +58,20 @@
                 });
                 CPPUNIT_ASSERT_EQUAL(502, fleet->sendRequest("POST", "/deposit/8", "k1").response.status);
             });
+            section("a refusal without an id on a kept connection may be an earlier one, so it does not say that the request has not run", [&] {
+                fleet->forEachTarget([](auto &behaviour) {
+                    behaviour = testing::TargetBehaviour();
+                });
+                for (int i = 0; i < 20; ++i) {
+                    CPPUNIT_ASSERT_EQUAL(200, fleet->sendRequest("GET", "/stock/7", "k1").response.status);
+                }
+                fleet->forEachTarget([](auto &behaviour) {
+                    behaviour.repeatsRefusal = true;
+                });
+                const size_t before = fleet->runs();
+                CPPUNIT_ASSERT_EQUAL(502, fleet->sendRequest("POST", "/deposit/8", "k1").response.status);
+                CPPUNIT_ASSERT_EQUAL(before + 1, fleet->runs());
+            });
             section("a request that no target runs is refused with Retry-After", [&] {
                 fleet->forEachTarget([](auto &behaviour) {
                     behaviour = testing::TargetBehaviour();
