Use targets of stopping nodes while no other serves

Callers got 503 from the moment at which the nodes of all targets of a service stopped, although these nodes still served: about 2.6 s and the time of a restart in a planned restart of a whole fleet.

Cause: a report with "leaving" took the node out of load balancing and out of the capacity of its service, so that admission admitted nothing.

Change: load balancing adds the nodes that shut down if no other one is alive, and the capacity counts them if there are no others. A node says that it does not serve as soon as it refuses requests.

Before the change StopTest::testNodesOfAllTargets got 503 in the first part of the stop time.

--- a/mesh/admission_control.cpp
+++ b/mesh/admission_control.cpp
@@ -108,19 +108,28 @@
 {
     ServiceCapacity capacity;
     double busy = 0;
+    std::vector<const PeerRow *> serving;
+    std::vector<const PeerRow *> leaving;
     for (const PeerRow *const row : homesOf(table, service)) {
         if (!row->report) {
             continue;
         }
         capacity.hasTargets = true;
-        const bool alive = row->address == table.ownAddress || isAlive(*row, now);
-        if (alive && isServing(*row)) {
-            busy += row->report->offeredLoad * row->report->load.limit;
-            capacity.queuedSlotSeconds += std::chrono::duration<double>(row->report->queueDelay).count() * row->report->load.limit;
-            capacity.slots += row->report->load.limit;
-            addTo(capacity.demand, row->report->demand);
+        if (row->address != table.ownAddress && !isAlive(*row, now)) {
+            continue;
+        }
+        if (isServing(*row)) {
+            serving.push_back(row);
+        } else if (isServingLast(*row)) {
+            leaving.push_back(row);
         }
     }
+    for (const PeerRow *const row : serving.empty() ? leaving : serving) {
+        busy += row->report->offeredLoad * row->report->load.limit;
+        capacity.queuedSlotSeconds += std::chrono::duration<double>(row->report->queueDelay).count() * row->report->load.limit;
+        capacity.slots += row->report->load.limit;
+        addTo(capacity.demand, row->report->demand);
+    }
     capacity.load = capacity.slots > 0 ? busy / capacity.slots : 0;
     return capacity;
 }
--- a/mesh/load_balancing.cpp
+++ b/mesh/load_balancing.cpp
@@ -18,9 +18,34 @@
 /// requests is measured again.
 constexpr uint64_t kRequestsPerExploration = 40;
 
-auto isCandidate(const PeerRow &row, const std::vector<std::string> &tried) -> bool
+/// Returns whether the node has sent no report recently or could not be connected to.
+auto isSilent(const PeerTable &table, const PeerRow &row, TimePoint now) -> bool
 {
-    return isServing(row) && std::find(tried.begin(), tried.end(), row.address) == tried.end();
+    return now < row.avoidUntil || (row.address != table.ownAddress && !isAlive(row, now));
+}
+
+/// Returns the homes of the service that serve and are not in `tried`. Those that shut down are only taken if no other is
+/// alive.
+auto findCandidates(PeerTable &table, const ServiceName &service, const std::vector<std::string> &tried, TimePoint now) -> std::vector<PeerRow *>
+{
+    bool isAnyAlive = false;
+    std::vector<PeerRow *> serving;
+    std::vector<PeerRow *> leaving;
+    for (PeerRow *const row : homesOf(table, service)) {
+        if (std::find(tried.begin(), tried.end(), row->address) != tried.end()) {
+            continue;
+        }
+        if (isServing(*row)) {
+            serving.push_back(row);
+            isAnyAlive = isAnyAlive || !isSilent(table, *row, now);
+        } else if (isServingLast(*row)) {
+            leaving.push_back(row);
+        }
+    }
+    if (!isAnyAlive) {
+        serving.insert(serving.end(), leaving.begin(), leaving.end());
+    }
+    return serving;
 }
 
 auto utilizationOf(const PeerRow &row) -> double
@@ -45,7 +70,10 @@
     if (row.report->warmupLeft > Duration::zero() && now - row.lastReportAt < row.report->warmupLeft) {
         score += settings.warmupPenalty;
     }
-    if (now < row.avoidUntil || (row.address != table.ownAddress && !isAlive(row, now))) {
+    if (row.report->leaving) {
+        score += settings.leavingPenalty;
+    }
+    if (isSilent(table, row, now)) {
         score += settings.silencePenalty;
     }
     return score;
@@ -56,14 +84,10 @@
 auto choosePeer(PeerTable &table, const LoadBalancingSettings &settings, const ServiceName &service, const std::vector<std::string> &tried, Random &random,
                 TimePoint now) -> PeerRow *
 {
-    std::vector<PeerRow *> candidates;
+    std::vector<PeerRow *> candidates = findCandidates(table, service, tried, now);
     double fastestMs = 0;
     const bool isExploration = drawBelow(random, kRequestsPerExploration) == 0;
-    for (PeerRow *const row : homesOf(table, service)) {
-        if (!isCandidate(*row, tried)) {
-            continue;
-        }
-        candidates.push_back(row);
+    for (const PeerRow *const row : candidates) {
         if (row->report->serviceMs > 0 && (fastestMs == 0 || row->report->serviceMs < fastestMs)) {
             fastestMs = row->report->serviceMs;
         }
--- a/mesh/load_balancing.h
+++ b/mesh/load_balancing.h
@@ -22,6 +22,8 @@
     double failurePenalty = 4.0;
     /// Penalty during the warm-up of a target, when its requests take about twice as long.
     double warmupPenalty = 0.3;
+    /// Penalty of a node that shuts down.
+    double leavingPenalty = 50.0;
     /// Penalty of a node that has sent no report recently or could not be connected to.
     double silencePenalty = 100.0;
 };
--- a/mesh/peer_table.cpp
+++ b/mesh/peer_table.cpp
@@ -122,6 +122,11 @@
     return row.report && row.report->serving && !row.report->leaving;
 }
 
+auto isServingLast(const PeerRow &row) -> bool
+{
+    return row.report && row.report->serving && row.report->leaving;
+}
+
 void observeLoad(PeerRow &row, const TargetLoad &load)
 {
     row.load = load;
--- a/mesh/peer_table.h
+++ b/mesh/peer_table.h
@@ -58,7 +58,7 @@
     std::string instance;
     /// New requests may be sent to the target.
     bool serving = false;
-    /// The node is shutting down; other nodes send it no new requests.
+    /// The node is shutting down; other nodes send it new requests only while no other home of the service serves.
     bool leaving = false;
     TargetLoad load;
     /// Mean service time of the target's requests, in milliseconds.
@@ -147,6 +147,9 @@
 /// Returns whether new requests may be sent to the node's target according to its latest report.
 auto isServing(const PeerRow &row) -> bool;
 
+/// Returns whether the node is shutting down but still takes requests for its target.
+auto isServingLast(const PeerRow &row) -> bool;
+
 /// Records the load that a response or report carried.
 void observeLoad(PeerRow &row, const TargetLoad &load);
 
--- a/sidecar/reports.cpp
+++ b/sidecar/reports.cpp
@@ -38,7 +38,7 @@
         report.instance = state.target.latest->instance;
         report.warmupLeft = std::max(Duration::zero(), state.target.warmupUntil - now);
     }
-    report.serving = isTargetServing(state);
+    report.serving = isTargetServing(state) && !refusesRequests(state.stop);
     report.leaving = isStopping(state.stop);
     report.load = localLoad(state);
     report.serviceMs = state.limiter.meanServiceSeconds * 1000;
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -341,6 +341,8 @@
     if (sidecar.stop.step == before) {
         return;
     }
+    // Other nodes send requests here until they learn that this node refuses them.
+    sidecar.reportDue = true;
     switch (sidecar.stop.step) {
     case StopStep::Concluding:
         logEvent(EventId::StopTimeShort,
--- a/tests/mesh/load_balancing_test.cpp
+++ b/tests/mesh/load_balancing_test.cpp
@@ -1,3 +1,4 @@
+#include "mesh/admission_control.h"
 #include "mesh/load_balancing.h"
 
 #include "mesh/report_codec.h"
@@ -97,6 +98,24 @@
             avoidPeer(table.rows["10.0.0.2"], kStart);
             CPPUNIT_ASSERT_EQUAL(1000, countChoices(table)["10.0.0.1"]);
         });
+        section("a target whose node shuts down gets requests only while no other node is alive", [&] {
+            PeerTable two = makeTable();
+            NodeReport leaving = makeReport("10.0.0.1", 5, 25);
+            leaving.leaving = true;
+            applyReport(two, leaving, kStart);
+            applyReport(two, makeReport("10.0.0.2", 24, 25), kStart);
+            CPPUNIT_ASSERT_EQUAL(1000, countChoices(two)["10.0.0.2"]);
+            avoidPeer(two.rows["10.0.0.2"], kStart);
+            CPPUNIT_ASSERT_EQUAL(1000, countChoices(two)["10.0.0.1"]);
+            CPPUNIT_ASSERT_EQUAL(25.0, serviceCapacity(two, kService, kStart).slots);
+            section("the slots of nodes that shut down count as long as there are no others", [&] {
+                NodeReport other = makeReport("10.0.0.2", 24, 25);
+                other.sequence = two.rows["10.0.0.2"].report->sequence + 1;
+                other.leaving = true;
+                applyReport(two, other, kStart);
+                CPPUNIT_ASSERT_EQUAL(50.0, serviceCapacity(two, kService, kStart).slots);
+            });
+        });
         section("a target that does not serve gets no request even if there is no other", [&] {
             for (const char *address : {"10.0.0.1", "10.0.0.2"}) {
                 NodeReport report = *table.rows[address].report;
--- a/tests/sidecar/stop_test.cpp
+++ b/tests/sidecar/stop_test.cpp
@@ -123,6 +123,7 @@
     CPPUNIT_TEST(testCallersThatGoOn);
     CPPUNIT_TEST(testLongRequests);
     CPPUNIT_TEST(testNodeOfTarget);
+    CPPUNIT_TEST(testNodesOfAllTargets);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -203,6 +204,37 @@
             });
         });
     }
+
+    /// Guards against refusals from the moment on at which the nodes of all targets of a service stop.
+    void testNodesOfAllTargets()
+    {
+        withFleet([](Fleet &fleet) {
+            fleet.forEachTarget([](auto &behaviour) {
+                behaviour.runTime = milliseconds(50);
+            });
+            Callers callers(fleet, "127.0.0.2", 6);
+            fleet.runtime.sleepFor(milliseconds(300));
+            callers.startedAt = BootClock::now();
+            size_t cut = 0;
+            for (const size_t number : {1, 2}) {
+                fleet.nodes[number]->requestStop([&cut](size_t aborted) {
+                    cut += aborted;
+                });
+            }
+            fleet.runtime.sleepFor(kStopTime);
+            callers.end();
+            section("they serve for the first part of the stop time, and none of their requests is cut", [&] {
+                CPPUNIT_ASSERT_EQUAL(size_t{0}, cut);
+                for (const auto &sent : callers.requests) {
+                    CPPUNIT_ASSERT(sent.result.status == CallStatus::Answered);
+                    if (sent.sentAfterStop < kStopTime * 2 / 5) {
+                        CPPUNIT_ASSERT_EQUAL(200, sent.result.response.status);
+                    }
+                }
+                CPPUNIT_ASSERT(callers.count(503) > 0);
+            });
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StopTest);
