Refuse names of instances that do not fit into a VM's record

Departures are recorded by the name of the instance. A name of more than 255 bytes, or with bytes that are not printable, would make the record unreadable for all nodes, so that the VM would no longer be a member. Found by reading; WireTest covers it.

--- a/sidecar/own_record.cpp
+++ b/sidecar/own_record.cpp
@@ -73,8 +73,9 @@
 void applyOwnRecord(SidecarState &state, const std::string &value)
 {
     const auto record = decodeMemberRecord(state.settings.address, value);
+    const std::string instance = state.target.latest ? state.target.latest->instance : std::string();
     if (record && restoreDepartures(state.target, record.value().departures)) {
-        logEvent(EventId::TargetLeft, {{"instance", state.target.departures.back().instance}});
+        logEvent(EventId::TargetLeft, {{"instance", instance}});
         drainLimiterQueue(state);
         state.reportDue = true;
     }
--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -148,6 +148,10 @@
             }
             CPPUNIT_ASSERT(!heartbeat("\xff\x01{").value().has_value());
             CPPUNIT_ASSERT(!decodeTargetMessage("POST", "/-/Instances.Heartbeat/", good)->has_value());
+            // A name that does not fit into the record of the VM would make the record unreadable.
+            CPPUNIT_ASSERT(!decodeTargetMessage("POST", "/-/Instances.Deregister/" + std::string(256, 'i'), "")->has_value());
+            CPPUNIT_ASSERT(decodeTargetMessage("POST", "/-/Instances.Deregister/" + std::string(255, 'i'), "")->has_value());
+            CPPUNIT_ASSERT(!decodeTargetMessage("POST", "/-/Instances.Deregister/i-\xff", "")->has_value());
         });
         section("a deregistration needs no body", [] {
             const auto message = decodeTargetMessage("POST", "/-/Instances.Deregister/i-7", "");
