Read the store less often to confirm the configuration

Reads now wait 0.2 of the bound, all candidates are asked from 0.63 on, and the store is read from 0.68 to 0.74 on, which leaves half a second of a bound of 2 s for the read and the transfer. The conditions of StoreReadersTest are unchanged and hold, and so does FreshnessTest.

Considered: short reads for the confirmation beside one long read for news, which would halve the calls again; it needs a second reading fiber and was not begun in this change.

--- a/mesh/store_readers.cpp
+++ b/mesh/store_readers.cpp
@@ -115,10 +115,10 @@
 {
     // A read confirms the configuration as of its start when it ends, so the confirmation of a follower gets as old as two reads
     // and one poll. The limits leave that much, and enough time after them to ask, to read and to fetch a large configuration.
-    constexpr double kReadWaitFraction = 0.15;
-    constexpr double kAskAllFraction = 0.55;
-    constexpr double kOwnReadFraction = 0.65;
-    constexpr double kOwnReadSpread = 0.07;
+    constexpr double kReadWaitFraction = 0.2;
+    constexpr double kAskAllFraction = 0.63;
+    constexpr double kOwnReadFraction = 0.68;
+    constexpr double kOwnReadSpread = 0.06;
     constexpr Duration kMaxReadWait = milliseconds(1700);
     const Duration shortest = std::min(policyApply, keyWithdrawal);
     const auto fraction = [shortest](double part) {
