Keep the load of a stop test below the capacity of one target

The request did not run and was not cut, so the check that all requests are served asked for more than the test is about.

--- a/tests/sidecar/stop_test.cpp
+++ b/tests/sidecar/stop_test.cpp
@@ -192,7 +192,8 @@
             fleet.forEachTarget([](auto &behaviour) {
                 behaviour.runTime = milliseconds(300);
             });
-            Callers callers(fleet, "127.0.0.2", 6);
+            // Few enough for one target, so that admission control refuses none of them.
+            Callers callers(fleet, "127.0.0.2", 3);
             fleet.runtime.sleepFor(milliseconds(500));
             const size_t cut = stopNode(fleet, 1);
             fleet.runtime.sleepFor(milliseconds(500));
