Never refuse a request that timed out while the node concluded its stop

Found by reading the change again: a request taken during a stop has the moment of the conclusion as its deadline. If another node's answer "timed out" arrived just before its fiber ran and the stop had cancelled the request meanwhile, the caller got 503, although the request may have run.

Cause: two places decided which outcomes may have run, and the one of the stop left out TimedOut. Both use mayHaveRun() now, which is true for every outcome but NotRun. A request that is cancelled before it is sent ends with 503 and is not counted as cut.

--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -270,8 +270,8 @@
     const TimePoint now = BootClock::now();
     TargetResult &result = attempts.last;
     attempts.targetAttempts += result.reachedTarget ? 1 : 0;
+    attempts.mayHaveRun = attempts.mayHaveRun || mayHaveRun(result.outcome);
     if (result.outcome == TargetOutcome::Answered) {
-        attempts.mayHaveRun = true;
         if (result.response.status < 500 || !mayRetry(call, result, attempts.targetAttempts, now)) {
             return NextStep::Finish;
         }
@@ -279,7 +279,6 @@
         attempts.fallback = std::exchange(result, TargetResult());
         return NextStep::TryAnotherTarget;
     }
-    attempts.mayHaveRun = attempts.mayHaveRun || result.outcome == TargetOutcome::Unknown || result.outcome == TargetOutcome::TimedOut;
     logTargetRefusal(state, origin, address, targetOutcomeName(result.outcome), result.reason, now - call.startedAt);
     if (result.outcome == TargetOutcome::TimedOut || now >= call.deadline) {
         return NextStep::Finish;
@@ -300,7 +299,8 @@
         logAnswered(state, origin, attempts.tried.back(), response.status, attempts.targetAttempts, elapsed);
         return response;
     }
-    const std::string reason = attempts.last.reason.empty() ? "no-target" : attempts.last.reason;
+    const char *const ownReason = refusesRequests(state.stop) ? "node-stopping" : "no-target";
+    const std::string reason = attempts.last.reason.empty() ? ownReason : attempts.last.reason;
     if (!attempts.mayHaveRun) {
         return refuse(state, call, 503, reason.c_str(), overloadRetryAfter(state, *call.route));
     }
@@ -338,7 +338,8 @@
     const RequestOrigin origin{call.caller.requestId, call.route, call.team, call.service, call.policy->version, {}};
     RoutedRequest routed = makeRoutedRequest(state, call, std::move(request));
     Attempts attempts;
-    while (true) {
+    // A request that was cancelled at the end of a stop before it could be sent has not run.
+    while (!cancel.isCancelled() || state.stop.step < StopStep::Concluding) {
         PeerRow *const peer = choosePeer(state.peers, state.loadBalancing, call.service, attempts.tried, state.random, BootClock::now());
         if (peer == nullptr) {
             break;
@@ -353,7 +354,7 @@
             if (attempts.last.outcome == TargetOutcome::Cancelled) {
                 attempts.last = concludeAtStop(state, call.caller.requestId, std::move(attempts.last));
             }
-            attempts.mayHaveRun = attempts.mayHaveRun || attempts.last.outcome == TargetOutcome::Unknown;
+            attempts.mayHaveRun = attempts.mayHaveRun || mayHaveRun(attempts.last.outcome);
             break;
         }
         if (isCancelled) {
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -174,6 +174,11 @@
     return TargetOutcome::Unknown;
 }
 
+auto mayHaveRun(TargetOutcome outcome) -> bool
+{
+    return outcome != TargetOutcome::NotRun;
+}
+
 auto targetOutcomeName(TargetOutcome outcome) -> const char *
 {
     switch (outcome) {
--- a/sidecar/home.h
+++ b/sidecar/home.h
@@ -44,6 +44,9 @@
 /// Returns the outcome that the status of a call stands for. The response to an answered call still has to be checked.
 auto outcomeOf(CallStatus status) -> TargetOutcome;
 
+/// Returns whether a request with this outcome may have run, so that its caller must not be told otherwise.
+auto mayHaveRun(TargetOutcome outcome) -> bool;
+
 /// Returns the name for logs and messages between nodes, such as "not-run".
 auto targetOutcomeName(TargetOutcome outcome) -> const char *;
 
--- a/tests/sidecar/platform_standin.cpp
+++ b/tests/sidecar/platform_standin.cpp
@@ -199,7 +199,7 @@
                      {"Address", toString(listen_)},
                      {"Zone", "east"},
                      {"Version", "v1"},
-                     {"Slots", 8},
+                     {"Slots", slots},
                      {"State", state},
                      {"ColdLeftMs", 0},
                      {"Seq", sequence},
--- a/tests/sidecar/platform_standin.h
+++ b/tests/sidecar/platform_standin.h
@@ -82,6 +82,7 @@
     /// Tells the node that the target leaves, without its start. Returns the status like announce().
     auto deregister(const Endpoint &node) -> int;
 
+    int slots = 8;
     /// Time of the start that the announcements contain, in milliseconds since the Unix epoch.
     int64_t startedAtMs = 1000;
 
--- a/tests/sidecar/stop_test.cpp
+++ b/tests/sidecar/stop_test.cpp
@@ -1,3 +1,5 @@
+#include "sidecar/home.h"
+
 #include "tests/sidecar/fleet.h"
 #include "tests/support/section.h"
 
@@ -89,6 +91,15 @@
     return *cut;
 }
 
+/// Announces both targets again with this number of slots.
+void announceSlots(Fleet &fleet, int slots)
+{
+    for (auto *const target : {&fleet.firstTarget, &fleet.secondTarget}) {
+        target->slots = slots;
+        CPPUNIT_ASSERT_EQUAL(200, target->announce({target->endpoint().address, testing::kTargetPort}, "catalogue", "ready"));
+    }
+}
+
 /// Checks that every request got a response, that those with status 503 did not run, and that the others ran at most once.
 void checkResponses(const Fleet &fleet, const Callers &callers)
 {
@@ -122,6 +133,8 @@
     CPPUNIT_TEST_SUITE(StopTest);
     CPPUNIT_TEST(testCallersThatGoOn);
     CPPUNIT_TEST(testLongRequests);
+    CPPUNIT_TEST(testOutcomes);
+    CPPUNIT_TEST(testRequestsTakenLate);
     CPPUNIT_TEST(testNodeOfTarget);
     CPPUNIT_TEST(testNodesOfAllTargets);
     CPPUNIT_TEST_SUITE_END();
@@ -185,6 +198,42 @@
         });
     }
 
+    /// Guards against 503 for a request that timed out at the moment at which a stopping node cancelled it.
+    void testOutcomes()
+    {
+        section("only a request that is known not to have run may be refused", [] {
+            CPPUNIT_ASSERT(!mayHaveRun(TargetOutcome::NotRun));
+            for (const auto outcome : {TargetOutcome::Answered, TargetOutcome::Unknown, TargetOutcome::TimedOut, TargetOutcome::Cancelled}) {
+                CPPUNIT_ASSERT_MESSAGE(targetOutcomeName(outcome), mayHaveRun(outcome));
+            }
+        });
+    }
+
+    /// Guards against 503 for requests that run when the node must end: their deadline is the moment at which it concludes.
+    void testRequestsTakenLate()
+    {
+        withFleet([](Fleet &fleet) {
+            fleet.forEachTarget([](auto &behaviour) {
+                behaviour.runTime = kStopTime * 2;
+            });
+            announceSlots(fleet, 64);
+            fleet.store.put("keyed.op", "config", testing::configuration("00000002", "\"k1\"", 20000));
+            fleet.runtime.sleepFor(milliseconds(500));
+            fleet.nodes[0]->requestStop([](size_t) {});
+            Callers callers(fleet, "127.0.0.2", 40);
+            callers.timeLeft = kStopTime * 2;
+            fleet.runtime.sleepFor(milliseconds(200));
+            callers.isEnding = true;
+            fleet.runtime.sleepFor(kStopTime);
+            section("each gets a response that promises nothing", [&] {
+                CPPUNIT_ASSERT_EQUAL(size_t{40}, callers.requests.size());
+                checkResponses(fleet, callers);
+                CPPUNIT_ASSERT_EQUAL(size_t{40}, callers.count(502) + callers.count(504));
+            });
+            callers.end();
+        });
+    }
+
     /// Guards against requests of other nodes that are cut when the node beside their target ends.
     void testNodeOfTarget()
     {
@@ -192,8 +241,9 @@
             fleet.forEachTarget([](auto &behaviour) {
                 behaviour.runTime = milliseconds(300);
             });
-            // Few enough for one target, so that admission control refuses none of them.
-            Callers callers(fleet, "127.0.0.2", 3);
+            // One target has slots for all callers, so that admission control refuses none of them.
+            announceSlots(fleet, 32);
+            Callers callers(fleet, "127.0.0.2", 6);
             fleet.runtime.sleepFor(milliseconds(500));
             const size_t cut = stopNode(fleet, 1);
             fleet.runtime.sleepFor(milliseconds(500));
