Honour every departure that is acknowledged

Found by reading the change again, all of them ways in which a target gets requests after its departure was acknowledged:

- A message that the target drains was ignored if it gave no start, or had a lower sequence number than the latest announcement.
It holds now, for the start that is known, or for all until then.
TargetTest failed before.
- One that names another service was ignored and answered 200; now 400.
- A node that had not read the members answered the question for them with an empty list, so that the asking node used its target without having read its departures.
It answers 503 now.
DepartureTest got 200 before.

A stopping node goes on asking readers as long as it serves.

--- a/mesh/target_state.cpp
+++ b/mesh/target_state.cpp
@@ -35,6 +35,15 @@
     }
 }
 
+/// Returns the start up to which the departure of the instance counts.
+auto startOfDeparture(const TargetState &state, const std::string &instance, int64_t startedAtMs, int64_t nowMs) -> int64_t
+{
+    if (startedAtMs != 0) {
+        return startedAtMs;
+    }
+    return state.latest && state.latest->instance == instance ? state.latest->startedAtMs : nowMs;
+}
+
 auto isOlder(const TargetAnnouncement &announcement, const TargetAnnouncement &latest) -> bool
 {
     if (announcement.startedAtMs != latest.startedAtMs) {
@@ -45,16 +54,22 @@
 
 } // namespace
 
-auto applyAnnouncement(TargetState &state, const TargetAnnouncement &announcement, TimePoint now) -> AnnouncementEffect
+auto applyAnnouncement(TargetState &state, TargetAnnouncement announcement, TimePoint now, int64_t nowMs) -> AnnouncementEffect
 {
+    if (announcement.draining) {
+        announcement.startedAtMs = startOfDeparture(state, announcement.instance, announcement.startedAtMs, nowMs);
+    }
     const bool isDeparted = hasDeparted(state, announcement.instance, announcement.startedAtMs);
     if (announcement.draining) {
-        // The target is told that it gets no more requests, so this must hold even if the announcement is a delayed one.
         addDeparture(state, announcement.instance, announcement.startedAtMs);
     }
     const bool hasLatest = state.latest.has_value();
     if (hasLatest && isOlder(announcement, *state.latest)) {
-        return AnnouncementEffect::Stale;
+        if (state.latest->draining || !hasDeparted(state, state.latest->instance, state.latest->startedAtMs)) {
+            return AnnouncementEffect::Stale;
+        }
+        state.latest->draining = true;
+        return AnnouncementEffect::Draining;
     }
     const bool sameStart = hasLatest && state.latest->instance == announcement.instance && state.latest->startedAtMs == announcement.startedAtMs;
     // A target never stops draining before it restarts, so an announcement that says so is a delayed one.
@@ -77,9 +92,7 @@
 
 auto applyDeparture(TargetState &state, const std::string &instance, int64_t startedAtMs, int64_t nowMs) -> bool
 {
-    if (startedAtMs == 0) {
-        startedAtMs = state.latest && state.latest->instance == instance ? state.latest->startedAtMs : nowMs;
-    }
+    startedAtMs = startOfDeparture(state, instance, startedAtMs, nowMs);
     addDeparture(state, instance, startedAtMs);
     if (!state.latest || state.latest->instance != instance || state.latest->startedAtMs > startedAtMs) {
         return false;
--- a/mesh/target_state.h
+++ b/mesh/target_state.h
@@ -77,8 +77,9 @@
     Stale,
 };
 
-/// Updates the state with an announcement that arrived at `now`.
-auto applyAnnouncement(TargetState &state, const TargetAnnouncement &announcement, TimePoint now) -> AnnouncementEffect;
+/// Updates the state with an announcement that arrived at `now`, and at `nowMs` by the time of day. An announcement that the
+/// target drains holds even if it is a delayed one or does not give the target's start; see applyDeparture().
+auto applyAnnouncement(TargetState &state, TargetAnnouncement announcement, TimePoint now, int64_t nowMs) -> AnnouncementEffect;
 
 /// Records that the instance leaves, after which it gets no new requests. `startedAtMs` is its start in milliseconds
 /// since the Unix epoch, or 0 if the message does not give it. If it is not known either, all starts until `nowMs`, the time
--- a/sidecar/distribution.cpp
+++ b/sidecar/distribution.cpp
@@ -271,7 +271,7 @@
     // A reader that gets no answer from the store asks other nodes before its read times out.
     const bool isFresh = now - state.policyConfirmedAt < view.freshness.askAllAge;
     const bool readsStore = state.isStoreReader && !view.isStoreFailing && isFresh;
-    if (readsStore || isStopping(state.stop)) {
+    if (readsStore || refusesRequests(state.stop)) {
         return;
     }
     for (const auto &reader : duePolls(view.polls, state.peers, view.readerSettings, isFresh, now)) {
@@ -309,6 +309,11 @@
     if (request.target.compare(0, membersPrefix.size(), membersPrefix) != 0) {
         return std::nullopt;
     }
+    if (!state.isMembershipRead) {
+        // An empty list would let the other node believe that its target has not left.
+        response.status = 503;
+        return response;
+    }
     const uint64_t after = std::strtoull(request.target.c_str() + membersPrefix.size(), nullptr, 10);
     json records = json::array();
     for (const auto &[address, record] : state.storeView.memberRecords) {
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -69,7 +69,8 @@
     auto handleReadyRequest(const RequestMessage &request) -> ResponseMessage;
     auto handleTargetRequest(const RequestMessage &request) -> ResponseMessage;
     auto handlePeerRequest(RequestMessage &request, CancelSignal &cancel) -> std::optional<ResponseMessage>;
-    void applyTargetMessage(const TargetMessage &message);
+    /// Returns false if the message is about another target than the local one.
+    auto applyTargetMessage(const TargetMessage &message) -> bool;
     void tick();
     void updateServiceAdmission(TimePoint now);
     void updatePeerLiveness(TimePoint now);
@@ -167,8 +168,10 @@
         return emptyResponse(400);
     }
     const TargetMessage &message = decoded->value();
-    applyTargetMessage(message);
     const bool leaves = !message.announcement || message.announcement->draining;
+    if (!applyTargetMessage(message) && leaves) {
+        return emptyResponse(400);
+    }
     if (leaves && !awaitOwnRecord(sidecar, kDepartureTimeout)) {
         // An acknowledgement would not bind a process that follows this one. The target repeats its message.
         logEvent(EventId::DepartureNotRecorded, {{"instance", message.instance}});
@@ -180,7 +183,7 @@
     return response;
 }
 
-void Sidecar::State::applyTargetMessage(const TargetMessage &message)
+auto Sidecar::State::applyTargetMessage(const TargetMessage &message) -> bool
 {
     const TimePoint now = BootClock::now();
     if (!message.announcement) {
@@ -189,17 +192,17 @@
             drainLimiterQueue(sidecar);
             sidecar.reportDue = true;
         }
-        return;
+        return true;
     }
     const auto &announcement = *message.announcement;
     if (announcement.service != sidecar.settings.service || announcement.endpoint != sidecar.settings.target) {
         logEvent(EventId::TargetMessageInvalid,
                  {{"instance", announcement.instance}, {"service", announcement.service.value}, {"endpoint", toString(announcement.endpoint)}});
-        return;
+        return false;
     }
     const bool sameInstance =
         sidecar.target.latest && sidecar.target.latest->instance == announcement.instance && sidecar.target.latest->startedAtMs == announcement.startedAtMs;
-    switch (applyAnnouncement(sidecar.target, announcement, now)) {
+    switch (applyAnnouncement(sidecar.target, announcement, now, wallClockMs())) {
     case AnnouncementEffect::Ready:
         logEvent(EventId::TargetAnnounced,
                  {{"instance", announcement.instance}, {"slots", std::to_string(announcement.slots)}, {"seq", std::to_string(announcement.sequence)}});
@@ -220,6 +223,7 @@
     case AnnouncementEffect::Stale:
         break;
     }
+    return true;
 }
 
 auto Sidecar::State::handlePeerRequest(RequestMessage &request, CancelSignal &cancel) -> std::optional<ResponseMessage>
--- a/tests/mesh/target_test.cpp
+++ b/tests/mesh/target_test.cpp
@@ -12,6 +12,7 @@
 {
 
 const TimePoint kStart = TimePoint() + seconds(1000);
+constexpr int64_t kNowMs = 5000;
 
 auto announce(const std::string &instance, uint64_t sequence, int64_t startedAtMs, bool draining = false) -> TargetAnnouncement
 {
@@ -69,29 +70,29 @@
     {
         TargetState state;
         section("a target that announces itself takes requests", [&] {
-            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 1, 500), kStart) == AnnouncementEffect::Ready);
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 1, 500), kStart, kNowMs) == AnnouncementEffect::Ready);
             CPPUNIT_ASSERT(isServing(state));
         });
         section("a delayed announcement of an earlier start changes nothing", [&] {
-            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-0", 90, 400), kStart) == AnnouncementEffect::Stale);
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-0", 90, 400), kStart, kNowMs) == AnnouncementEffect::Stale);
             CPPUNIT_ASSERT(state.latest->instance == "i-1");
         });
         section("once it drains, a delayed announcement does not make it ready again", [&] {
-            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 5, 500, true), kStart) == AnnouncementEffect::Draining);
-            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 4, 500), kStart) == AnnouncementEffect::Stale);
-            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 6, 500), kStart) == AnnouncementEffect::Stale);
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 5, 500, true), kStart, kNowMs) == AnnouncementEffect::Draining);
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 4, 500), kStart, kNowMs) == AnnouncementEffect::Stale);
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 6, 500), kStart, kNowMs) == AnnouncementEffect::Stale);
             CPPUNIT_ASSERT(!isServing(state));
         });
         section("sequence numbers restart when the instance restarts", [&] {
-            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 1, 900), kStart) == AnnouncementEffect::Ready);
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 1, 900), kStart, kNowMs) == AnnouncementEffect::Ready);
             CPPUNIT_ASSERT(isServing(state));
         });
         section("a delayed announcement does not bring back a target that left", [&] {
-            CPPUNIT_ASSERT(applyDeparture(state, "i-1", 900, 5000));
-            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 2, 900), kStart) == AnnouncementEffect::Stale);
+            CPPUNIT_ASSERT(applyDeparture(state, "i-1", 900, kNowMs));
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 2, 900), kStart, kNowMs) == AnnouncementEffect::Stale);
             CPPUNIT_ASSERT(!isServing(state));
             section("the next instance at the same address takes requests", [&] {
-                CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-2", 1, 950), kStart) == AnnouncementEffect::Ready);
+                CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-2", 1, 950), kStart, kNowMs) == AnnouncementEffect::Ready);
                 CPPUNIT_ASSERT(isServing(state));
             });
         });
@@ -102,43 +103,61 @@
     {
         section("a target that deregisters without its start before it was heard stays departed", [] {
             TargetState state;
-            CPPUNIT_ASSERT(!applyDeparture(state, "i-1", 0, 5000));
-            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 7, 500), kStart) == AnnouncementEffect::Stale);
-            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 7, 0), kStart) == AnnouncementEffect::Stale);
+            CPPUNIT_ASSERT(!applyDeparture(state, "i-1", 0, kNowMs));
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 7, 500), kStart, kNowMs) == AnnouncementEffect::Stale);
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 7, 0), kStart, kNowMs) == AnnouncementEffect::Stale);
             CPPUNIT_ASSERT(!isServing(state));
             section("a later start under the same id takes requests", [&] {
-                CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 1, 5001), kStart) == AnnouncementEffect::Ready);
+                CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 1, 5001), kStart, kNowMs) == AnnouncementEffect::Ready);
             });
         });
         section("a target without a start in its messages stays departed too", [] {
             TargetState state;
-            applyAnnouncement(state, announce("i-1", 7, 0), kStart);
-            CPPUNIT_ASSERT(applyDeparture(state, "i-1", 0, 5000));
-            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 8, 0), kStart) == AnnouncementEffect::Stale);
+            applyAnnouncement(state, announce("i-1", 7, 0), kStart, kNowMs);
+            CPPUNIT_ASSERT(applyDeparture(state, "i-1", 0, kNowMs));
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 8, 0), kStart, kNowMs) == AnnouncementEffect::Stale);
         });
         section("another departure does not let an earlier one be forgotten", [] {
             TargetState state;
-            applyDeparture(state, "i-1", 500, 5000);
-            applyAnnouncement(state, announce("i-2", 1, 700), kStart);
-            applyDeparture(state, "i-2", 700, 5000);
-            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 9, 500), kStart) == AnnouncementEffect::Stale);
-            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-2", 9, 700), kStart) == AnnouncementEffect::Stale);
+            applyDeparture(state, "i-1", 500, kNowMs);
+            applyAnnouncement(state, announce("i-2", 1, 700), kStart, kNowMs);
+            applyDeparture(state, "i-2", 700, kNowMs);
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 9, 500), kStart, kNowMs) == AnnouncementEffect::Stale);
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-2", 9, 700), kStart, kNowMs) == AnnouncementEffect::Stale);
         });
         section("a delayed message that a target drains holds, although another has followed it", [] {
             TargetState state;
-            applyAnnouncement(state, announce("i-2", 1, 700), kStart);
-            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 9, 500, true), kStart) == AnnouncementEffect::Stale);
+            applyAnnouncement(state, announce("i-2", 1, 700), kStart, kNowMs);
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 9, 500, true), kStart, kNowMs) == AnnouncementEffect::Stale);
             CPPUNIT_ASSERT(isServing(state));
             CPPUNIT_ASSERT(state.departures == std::vector<DepartedTarget>({{"i-1", 500}}));
         });
+        section("a message that the target drains holds without its start and with a lower sequence number", [] {
+            for (const auto &message : {announce("i-1", 9, 0, true), announce("i-1", 2, 500, true)}) {
+                TargetState state;
+                applyAnnouncement(state, announce("i-1", 3, 500), kStart, kNowMs);
+                CPPUNIT_ASSERT(applyAnnouncement(state, message, kStart, kNowMs) == AnnouncementEffect::Draining);
+                CPPUNIT_ASSERT(!isServing(state));
+                CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 10, 500), kStart, kNowMs) == AnnouncementEffect::Stale);
+                TargetState restarted;
+                restoreDepartures(restarted, state.departures);
+                CPPUNIT_ASSERT(applyAnnouncement(restarted, announce("i-1", 10, 500), kStart, kNowMs) == AnnouncementEffect::Stale);
+            }
+            section("also before the target was heard", [] {
+                TargetState state;
+                applyAnnouncement(state, announce("i-1", 9, 0, true), kStart, kNowMs);
+                CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 10, 500), kStart, kNowMs) == AnnouncementEffect::Stale);
+                CPPUNIT_ASSERT(!isServing(state));
+            });
+        });
         section("restored departures end the use of a target that was heard before them", [] {
             TargetState state;
-            applyAnnouncement(state, announce("i-1", 3, 500), kStart);
+            applyAnnouncement(state, announce("i-1", 3, 500), kStart, kNowMs);
             CPPUNIT_ASSERT(restoreDepartures(state, {{"i-1", 500}, {"i-0", 100}}));
             CPPUNIT_ASSERT(!isServing(state));
-            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 4, 500), kStart) == AnnouncementEffect::Stale);
+            CPPUNIT_ASSERT(applyAnnouncement(state, announce("i-1", 4, 500), kStart, kNowMs) == AnnouncementEffect::Stale);
             section("they do not end that of another one", [&] {
-                applyAnnouncement(state, announce("i-2", 1, 700), kStart);
+                applyAnnouncement(state, announce("i-2", 1, 700), kStart, kNowMs);
                 CPPUNIT_ASSERT(!restoreDepartures(state, {{"i-1", 500}}));
                 CPPUNIT_ASSERT(isServing(state));
             });
@@ -146,7 +165,7 @@
         section("the number of departures that are kept is bounded, and the latest are kept", [] {
             TargetState state;
             for (int i = 0; i < 20; ++i) {
-                applyDeparture(state, "i-" + std::to_string(i), 500, 5000);
+                applyDeparture(state, "i-" + std::to_string(i), 500, kNowMs);
             }
             CPPUNIT_ASSERT_EQUAL(size_t{4}, state.departures.size());
             CPPUNIT_ASSERT(state.departures.back() == (DepartedTarget{"i-19", 500}));
--- a/tests/sidecar/departure_test.cpp
+++ b/tests/sidecar/departure_test.cpp
@@ -1,6 +1,7 @@
 #include "tests/sidecar/fleet.h"
 #include "tests/support/section.h"
 
+#include <map>
 #include <memory>
 
 namespace snipestream
@@ -107,6 +108,27 @@
                     fleet->store.failWith(std::nullopt);
                 });
             });
+            section("a departure of another service's target is not acknowledged", [&] {
+                CPPUNIT_ASSERT_EQUAL(400, fleet->firstTarget.announce(kFirstNode, "diary", "draining"));
+            });
+            section("a node that has not read the members gives no other node an empty list of them", [&] {
+                fleet->store.failWith(503);
+                for (const auto &[index, number] : std::map<size_t, int>{{0, 2}, {1, 3}, {2, 4}}) {
+                    fleet->restartNode(index, number, number == 2 ? "diary" : "catalogue");
+                }
+                runtime.sleepFor(milliseconds(1000));
+                RequestMessage request;
+                request.method = "GET";
+                request.target = "/-/members?after=0";
+                CancelSignal cancel;
+                const CallResult members = fleet->callers.call({"127.0.0.3", testing::kPeerPort}, request, cancel, BootClock::now() + seconds(1));
+                CPPUNIT_ASSERT_EQUAL(503, members.response.status);
+                fleet->store.failWith(std::nullopt);
+                fleet->waitUntil([&fleet] {
+                    return fleet->secondTarget.announce({"127.0.0.4", kTargetPort}, "catalogue", "ready") == 200
+                        && fleet->sendRequest("GET", "/stock/7", "k1").response.status == 200;
+                });
+            });
             section("a record that another writer has overwritten is written again", [&] {
                 runtime.sleepFor(milliseconds(1500));
                 fleet->store.put("keyed.nodes", "127.0.0.3", R"({"node":"node3","domain":"east","service":"catalogue"})");
