Remove limits that fit one deployment, and rename after a second reading

The margins at the end of a stop are fractions of short stop times: with 0.4 s the deadlines lay before the stop. A read of the store waits 50 ms at least, so that a bound of 0 does not make readers call without a pause. The length of names is defined once, in core/json_fields.h. Records that are not valid are called malformed.

--- a/core/events.cpp
+++ b/core/events.cpp
@@ -71,7 +71,7 @@
          "The stored record of a service's work cannot be parsed; the work is measured again."},
         {EventId::MemberRecordInvalid, Severity::Warning, "member-record-invalid", "The stored record of a node cannot be parsed; the node is not used."},
         {EventId::MemberRecordNotRemoved, Severity::Warning, "member-record-not-removed",
-         "The store did not accept the removal of this node's record; other nodes find that it is silent."},
+         "The store did not accept the record that says that this node has left; other nodes find that it is silent."},
         {EventId::MemberRecordNotWritten, Severity::Warning, "member-record-not-written",
          "The store did not accept this node's record; the write is repeated."},
         {EventId::LeaseAcquired, Severity::Info, "lease-acquired", "This node became the valid holder of a range."},
--- a/core/json_fields.cpp
+++ b/core/json_fields.cpp
@@ -28,9 +28,8 @@
 
 auto JsonFields::shortText(const char *name) -> std::string
 {
-    constexpr size_t kMaxBytes = 255;
     std::string value = text(name);
-    if (value.empty() || value.size() > kMaxBytes) {
+    if (value.empty() || value.size() > kMaxShortTextBytes) {
         reject("field '" + std::string(name) + "' is not a text of 1 to 255 bytes");
         return {};
     }
--- a/core/json_fields.h
+++ b/core/json_fields.h
@@ -12,6 +12,9 @@
 namespace snipestream
 {
 
+/// Maximum length of the names that processes exchange, in bytes.
+constexpr size_t kMaxShortTextBytes = 255;
+
 /// Reads the fields of a JSON object received from another process. Reading a missing or invalid field returns a default
 /// and stores the first error, so that callers read all fields and then check failed() once.
 class JsonFields
@@ -20,7 +23,7 @@
     explicit JsonFields(const nlohmann::json &json);
 
     auto text(const char *name) -> std::string;
-    /// Reads a string of 1 to 255 bytes, such as a name.
+    /// Reads a string of 1 to kMaxShortTextBytes bytes, such as a name.
     auto shortText(const char *name) -> std::string;
     /// Reads an integer from `min` to `max`, both included; returns `min` after an error.
     auto integer(const char *name, int64_t min, int64_t max) -> int64_t;
--- a/mesh/stop_schedule.cpp
+++ b/mesh/stop_schedule.cpp
@@ -13,23 +13,33 @@
     return duration_cast<Duration>(std::chrono::duration<double>(settings.stopTime) * settings.servingFraction);
 }
 
+auto conclusionMargin(const StopSettings &settings) -> Duration
+{
+    return std::min(settings.maxConclusionMargin, settings.stopTime / 10);
+}
+
+auto endMargin(const StopSettings &settings) -> Duration
+{
+    return std::min(settings.maxEndMargin, settings.stopTime / 20);
+}
+
 /// Returns the step that follows from the time and the load alone.
 auto dueStep(const StopSchedule &schedule, const StopSettings &settings, const StopLoad &load, TimePoint now) -> StopStep
 {
     const Duration since = now - schedule.requestedAt;
-    if (since >= settings.stopTime - settings.endMargin) {
+    if (since >= settings.stopTime - endMargin(settings)) {
         return StopStep::Ended;
     }
     if (schedule.step == StopStep::Closing) {
         const bool isLingerTimeOver = now - schedule.closingSince >= settings.maxLingerTime;
-        return load.requests == 0 && (load.lingering == 0 || isLingerTimeOver) ? StopStep::Ended : StopStep::Closing;
+        return load.requests == 0 && (load.busyConnections == 0 || isLingerTimeOver) ? StopStep::Ended : StopStep::Closing;
     }
     const bool isServing = since < servingTime(settings);
     const bool isIdle = load.requests == 0 && now - load.lastRequestAt > settings.idleTime;
     if (isServing ? isIdle && since >= settings.minTime : load.requests == 0) {
         return StopStep::Closing;
     }
-    if (since >= settings.stopTime - settings.conclusionMargin) {
+    if (since >= settings.stopTime - conclusionMargin(settings)) {
         return StopStep::Concluding;
     }
     return isServing ? StopStep::Serving : StopStep::Refusing;
@@ -71,7 +81,7 @@
 
 auto conclusionTime(const StopSchedule &schedule, const StopSettings &settings) -> TimePoint
 {
-    return schedule.step == StopStep::None ? TimePoint::max() : schedule.requestedAt + settings.stopTime - settings.conclusionMargin;
+    return schedule.step == StopStep::None ? TimePoint::max() : schedule.requestedAt + settings.stopTime - conclusionMargin(settings);
 }
 
 } // namespace snipestream
--- a/mesh/stop_schedule.h
+++ b/mesh/stop_schedule.h
@@ -34,10 +34,10 @@
     Duration minTime = milliseconds(2600);
     /// The node closes after this time without a request.
     Duration idleTime = milliseconds(300);
-    /// Final responses are sent this long before the process is killed.
-    Duration conclusionMargin = milliseconds(600);
-    /// The process ends by itself this long before it would be killed.
-    Duration endMargin = milliseconds(250);
+    /// Final responses are sent this long before the process is killed, or less if the stop time is short.
+    Duration maxConclusionMargin = milliseconds(600);
+    /// The process ends by itself this long before it would be killed, or less if the stop time is short.
+    Duration maxEndMargin = milliseconds(250);
     /// Maximum time to wait until callers have closed connections on which everything has been sent.
     Duration maxLingerTime = milliseconds(300);
 };
@@ -46,8 +46,8 @@
 struct StopLoad {
     /// Requests that have been read and whose response has not been sent completely.
     size_t requests = 0;
-    /// Connections on which everything has been sent and that their callers have not closed.
-    size_t lingering = 0;
+    /// Connections with such requests, and those on which everything has been sent and that their callers have not closed.
+    size_t busyConnections = 0;
     TimePoint lastRequestAt;
 };
 
--- a/mesh/store_readers.cpp
+++ b/mesh/store_readers.cpp
@@ -119,13 +119,14 @@
     constexpr double kAskAllFraction = 0.63;
     constexpr double kOwnReadFraction = 0.68;
     constexpr double kOwnReadSpread = 0.06;
+    constexpr Duration kMinReadWait = milliseconds(50);
     constexpr Duration kMaxReadWait = milliseconds(1700);
     const Duration shortest = std::min(policyApply, keyWithdrawal);
     const auto fraction = [shortest](double part) {
         return duration_cast<Duration>(std::chrono::duration<double>(shortest) * part);
     };
     FreshnessLimits limits;
-    limits.readWait = std::min(fraction(kReadWaitFraction), kMaxReadWait);
+    limits.readWait = std::clamp(fraction(kReadWaitFraction), kMinReadWait, kMaxReadWait);
     limits.askAllAge = fraction(kAskAllFraction);
     limits.ownReadAge = fraction(kOwnReadFraction + kOwnReadSpread * spread);
     return limits;
--- a/tests/mesh/stop_schedule_test.cpp
+++ b/tests/mesh/stop_schedule_test.cpp
@@ -2,6 +2,8 @@
 
 #include "tests/support/section.h"
 
+#include <map>
+
 namespace snipestream
 {
 
@@ -62,6 +64,20 @@
             CPPUNIT_ASSERT(advancedTo(milliseconds(5000), {1, 1, kStart}, closing).step == StopStep::Closing);
             CPPUNIT_ASSERT(advancedTo(milliseconds(3025), {0, 0, kStart}, closing).step == StopStep::Ended);
         });
+        section("a short stop time is divided in the same way", [&] {
+            StopSettings shorter;
+            shorter.stopTime = milliseconds(400);
+            StopSchedule schedule;
+            beginStop(schedule, kStart);
+            CPPUNIT_ASSERT(conclusionTime(schedule, shorter) == kStart + milliseconds(360));
+            for (const auto &[now, step] : std::map<Duration, StopStep>{{milliseconds(170), StopStep::Serving},
+                                                                        {milliseconds(190), StopStep::Refusing},
+                                                                        {milliseconds(370), StopStep::Concluding},
+                                                                        {milliseconds(385), StopStep::Ended}}) {
+                advanceStop(schedule, shorter, busy, kStart + now);
+                CPPUNIT_ASSERT(schedule.step == step);
+            }
+        });
         section("a second stop request and a longer stop time do not lead back", [&] {
             StopSchedule schedule = advancedTo(milliseconds(2750), busy);
             beginStop(schedule, kStart + seconds(3));
--- a/tests/sidecar/freshness_test.cpp
+++ b/tests/sidecar/freshness_test.cpp
@@ -37,8 +37,8 @@
     {
         publish("\"k1\",\"k2\"");
         for (int number = kFirstNode; number < kFirstNode + kNodes; ++number) {
-            entrances[number] = store.openEndpoint();
-            SidecarSettings settings = testing::makeSettings(number, "diary", entrances[number]);
+            storeEndpoints[number] = store.openEndpoint();
+            SidecarSettings settings = testing::makeSettings(number, "diary", storeEndpoints[number]);
             settings.domain = DomainName(number < kFirstNode + kNodes / 2 ? "east" : "west");
             policyApply = settings.policyApply;
             members.push_back(ownMember(settings));
@@ -69,9 +69,9 @@
 
     void setReaderAccess(const StoreStandin::Access &access)
     {
-        for (const auto &[number, entrance] : entrances) {
+        for (const auto &[number, endpoint] : storeEndpoints) {
             if (isStoreReader(number)) {
-                store.setAccess(entrance, access);
+                store.setAccess(endpoint, access);
             }
         }
     }
@@ -102,7 +102,7 @@
     FiberRuntime &runtime;
     StoreStandin store;
     CallPool callers;
-    std::map<int, Endpoint> entrances;
+    std::map<int, Endpoint> storeEndpoints;
     std::vector<Member> members;
     std::vector<std::unique_ptr<Sidecar>> nodes;
     Duration policyApply{};
@@ -161,7 +161,7 @@
                 }
                 fleet->checkIsWithdrawn("k4");
             });
-            section("a reader ends without a word", [&] {
+            section("the readers end without notice", [&] {
                 reset();
                 for (int number = kFirstNode; number < kFirstNode + kNodes; ++number) {
                     if (fleet->isStoreReader(number)) {
--- a/tests/sidecar/odd_entries_test.cpp
+++ b/tests/sidecar/malformed_entries_test.cpp
@@ -18,7 +18,7 @@
 namespace
 {
 
-const std::string kOddBytes = "\xff\xfe\x80";
+const std::string kInvalidUtf8 = "\xff\xfe\x80";
 const std::string kDeepJson = std::string(100000, '[') + std::string(100000, ']');
 const std::string kDeepCbor = std::string(60000, '\x81');
 const std::string kDeepText = std::string(60000, '\x7f');
@@ -31,7 +31,7 @@
     fleet.runtime.sleepFor(milliseconds(5));
 }
 
-/// Checks that the nodes serve and that a node which is added after the odd entries becomes known to the others.
+/// Checks that the nodes serve and that a node which is added after the malformed entries becomes known to the others.
 void checkFollows(Fleet &fleet, int newNode)
 {
     fleet.nodes.push_back(std::make_unique<Sidecar>(fleet.runtime, testing::makeSettings(newNode, "diary", fleet.store.endpoint())));
@@ -51,53 +51,53 @@
 
 } // namespace
 
-/// One entry that another writer has left must not end the nodes that read it, or keep them from following the others.
-class OddEntriesTest : public CppUnit::TestFixture
+/// One malformed entry must not end the nodes that read it, or keep them from following the others.
+class MalformedEntriesTest : public CppUnit::TestFixture
 {
-    CPPUNIT_TEST_SUITE(OddEntriesTest);
-    CPPUNIT_TEST(testOddEntries);
+    CPPUNIT_TEST_SUITE(MalformedEntriesTest);
+    CPPUNIT_TEST(testMalformedEntries);
     CPPUNIT_TEST_SUITE_END();
 
 public:
-    /// Guards against nodes that end, or no longer learn of new members, after an odd entry of the store or datagram.
-    void testOddEntries()
+    /// Guards against nodes that end, or no longer learn of new members, after a malformed entry of the store or datagram.
+    void testMalformedEntries()
     {
         FiberRuntime runtime;
         runtime.runToEnd([&] {
             auto fleet = std::make_unique<Fleet>(runtime);
-            const std::vector<std::string> oddValues = {
+            const std::vector<std::string> malformedValues = {
                 kDeepJson,
-                kOddBytes,
+                kInvalidUtf8,
                 "",
                 "7",
                 R"({"node":"n","domain":"east","service":1e999})",
                 R"({"node":"n","domain":"east","service":"x","departed":[{"instance":"i","start":99999999999999999999}]})",
             };
-            section("odd values among the members", [&] {
-                for (size_t i = 0; i < oddValues.size(); ++i) {
-                    fleet->store.put("keyed.nodes", "127.0.9." + std::to_string(i + 1), oddValues[i]);
+            section("malformed values among the members", [&] {
+                for (size_t i = 0; i < malformedValues.size(); ++i) {
+                    fleet->store.put("keyed.nodes", "127.0.9." + std::to_string(i + 1), malformedValues[i]);
                 }
                 checkFollows(*fleet, 5);
             });
-            section("odd keys among the members", [&] {
+            section("malformed keys among the members", [&] {
                 const std::string member = R"({"node":"n","domain":"east","service":"catalogue"})";
                 for (const std::string &key :
-                     {std::string(), std::string("10.0.0.1:99999"), std::string("999.0.0.1"), kOddBytes, std::string(255, 'k'), std::string("::1")}) {
+                     {std::string(), std::string("10.0.0.1:99999"), std::string("999.0.0.1"), kInvalidUtf8, std::string(255, 'k'), std::string("::1")}) {
                     fleet->store.put("keyed.nodes", key, member);
                 }
                 checkFollows(*fleet, 6);
             });
-            section("an odd value under the address of a member", [&] {
-                for (const auto &value : oddValues) {
+            section("a malformed value under the address of a member", [&] {
+                for (const auto &value : malformedValues) {
                     fleet->store.put("keyed.nodes", "127.0.0.3", value);
                     fleet->store.put("keyed.nodes", "127.0.0.4", value);
                     runtime.sleepFor(milliseconds(50));
                 }
                 checkFollows(*fleet, 7);
             });
-            section("an odd configuration and odd records of work, also at a start", [&] {
+            section("a malformed configuration and malformed records of work, also at a start", [&] {
                 for (const std::string &value :
-                     {kDeepJson, kOddBytes, kDeepCbor, std::string(R"({"Version":"ffffffffffffffffffffffff","Resources":[]})"),
+                     {kDeepJson, kInvalidUtf8, kDeepCbor, std::string(R"({"Version":"ffffffffffffffffffffffff","Resources":[]})"),
                       std::string(R"({"Version":"00000009","Resources":[{"Type":"Routes","Metadata":{"Name":"r"},"Spec":{"TimeoutMs":1e300}}]})")}) {
                     fleet->store.put("keyed.op", "config", value);
                     fleet->store.put("keyed.work", "catalogue", value);
@@ -116,17 +116,17 @@
                 runtime.sleepFor(milliseconds(500));
                 CPPUNIT_ASSERT_EQUAL(200, fleet->sendRequest("GET", "/stock/7", "k1").response.status);
             });
-            section("odd datagrams", [&] {
+            section("malformed datagrams", [&] {
                 for (char kind = 0; kind < 12; ++kind) {
                     for (const std::string &payload :
-                         {kDeepCbor, kDeepText, kOddBytes, std::string(), std::string("\xa1\x61r\x81\x62\xff\xfe"),
+                         {kDeepCbor, kDeepText, kInvalidUtf8, std::string(), std::string("\xa1\x61r\x81\x62\xff\xfe"),
                           std::string("\xa1\x61k\x81\x84\x62\xff\xfe\x01\x01\x80"), std::string("\x9b\xff\xff\xff\xff\xff\xff\xff\xff")}) {
                         sendDatagram(*fleet, "127.0.0.3", kind, payload);
                     }
                 }
                 checkFollows(*fleet, 9);
             });
-            section("odd announcements of a target", [&] {
+            section("malformed announcements of a target", [&] {
                 for (const std::string &fields :
                      {std::string(R"("Address":"127.0.0.3:99999")"), std::string(R"("Address":"127.0.0.3:-1")"), std::string(R"("Slots":1e999)"),
                       std::string(R"("Seq":99999999999999999999)"), std::string(R"("born":1e300)"), R"("State":)" + kDeepJson}) {
@@ -145,6 +145,6 @@
     }
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(OddEntriesTest);
+CPPUNIT_TEST_SUITE_REGISTRATION(MalformedEntriesTest);
 
 } // namespace snipestream
