Say in the log when a request that a stop cuts was taken

SNS1005 named only the request. Whether it had been taken late in the stop, whether it was a call of the local target and how much time its sender still gave it could not be told, which the hypotheses of the incident differ in. The line now has read-ms-after-stop, left-ms and nested. No behaviour changes.

--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -41,6 +41,8 @@
     bool isNested = false;
     Importance importance;
     TimePoint deadline;
+    /// Deadline that the caller and the route give the request, without regard to a stop of the node.
+    TimePoint callerDeadline;
     bool tokenTaken = false;
     /// What a refusal was based on, for the log.
     std::string detail;
@@ -163,8 +165,9 @@
     }
     call.importance = importanceOf(*call.route, call.team);
     const Duration timeout = std::min(call.caller.timeLeft.value_or(kDefaultCallerTimeout), call.route->timeout);
+    call.callerDeadline = now + timeout;
     // While the node stops, the deadline lets queues and targets give up while the response can still be sent.
-    call.deadline = std::min(now + timeout, conclusionTime(state.stop, state.stopSettings));
+    call.deadline = std::min(call.callerDeadline, conclusionTime(state.stop, state.stopSettings));
     if (isRefusedAtStop(state, call)) {
         return refuse(state, call, 503, "node-stopping", restartRetryAfter(state));
     }
@@ -352,7 +355,7 @@
         const bool isCancelled = cancel.isCancelled() || attempts.last.outcome == TargetOutcome::Cancelled;
         if (isCancelled && state.stop.step >= StopStep::Concluding) {
             if (attempts.last.outcome == TargetOutcome::Cancelled) {
-                attempts.last = concludeAtStop(state, call.caller.requestId, std::move(attempts.last));
+                attempts.last = concludeAtStop(state, {call.caller.requestId, call.startedAt, call.callerDeadline, call.isNested}, std::move(attempts.last));
             }
             attempts.mayHaveRun = attempts.mayHaveRun || mayHaveRun(attempts.last.outcome);
             break;
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -245,13 +245,20 @@
     return result;
 }
 
-auto concludeAtStop(SidecarState &state, const std::string &requestId, TargetResult cancelled) -> TargetResult
+auto concludeAtStop(SidecarState &state, const ConcludedRequest &request, TargetResult cancelled) -> TargetResult
 {
     cancelled.outcome = cancelled.reachedTarget ? TargetOutcome::Unknown : TargetOutcome::NotRun;
     cancelled.reason = "node-stopping";
     if (cancelled.reachedTarget) {
         ++state.requestsCutByStop;
-        logEvent(EventId::RequestCutAtStop, {{"request", requestId}});
+        const auto toMs = [](Duration duration) {
+            return std::to_string(duration_cast<milliseconds>(duration).count());
+        };
+        logEvent(EventId::RequestCutAtStop,
+                 {{"request", request.requestId},
+                  {"read-ms-after-stop", toMs(request.startedAt - state.stop.requestedAt)},
+                  {"left-ms", toMs(request.senderDeadline - BootClock::now())},
+                  {"nested", request.isNested ? "1" : "0"}});
     }
     return cancelled;
 }
--- a/sidecar/home.h
+++ b/sidecar/home.h
@@ -69,9 +69,19 @@
 /// Returns the result of a request that this node refuses because it stops. The request has not run.
 auto refuseAtStop(const SidecarState &state) -> TargetResult;
 
+/// What the log says about a request that the stop ends.
+struct ConcludedRequest {
+    std::string requestId;
+    /// When this node had read the request.
+    TimePoint startedAt;
+    /// Deadline that the sender gave the request, which may lie behind the end of the stop.
+    TimePoint senderDeadline;
+    bool isNested = false;
+};
+
 /// Returns the final result of a request that was cancelled because the node must end. Counts and logs it if it may have
 /// run.
-auto concludeAtStop(SidecarState &state, const std::string &requestId, TargetResult cancelled) -> TargetResult;
+auto concludeAtStop(SidecarState &state, const ConcludedRequest &request, TargetResult cancelled) -> TargetResult;
 
 /// Starts or refuses queued requests as slots become free or their time runs out. Must be called after each change of the
 /// concurrency limiter and with each tick.
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -231,7 +231,8 @@
     if (auto response = serveStoreView(sidecar, request)) {
         return response;
     }
-    auto routed = decodeRoutedRequest(std::move(request), BootClock::now());
+    const TimePoint startedAt = BootClock::now();
+    auto routed = decodeRoutedRequest(std::move(request), startedAt);
     if (!routed) {
         logEvent(EventId::HttpRequestInvalid, {{"server", "peer"}, {"error", routed.error().message}});
         return emptyResponse(400);
@@ -244,7 +245,8 @@
         if (sidecar.stop.step < StopStep::Concluding) {
             return std::nullopt;
         }
-        result = concludeAtStop(sidecar, routed.value().requestId, std::move(result));
+        const RoutedRequest &cut = routed.value();
+        result = concludeAtStop(sidecar, {cut.requestId, startedAt, cut.deadline, cut.isNested}, std::move(result));
     }
     return encodeOutcome(std::move(result));
 }
