Add a failing test of calls that a stop takes late

StopTest::testCallsTakenLate fails: a call that a target makes 4.2 s after the stop of its node began, with 1.9 s left, is taken, runs at a target and gets 504 from the node 1.2 s later ("Expected: 503, Actual: 504").

--- a/tests/sidecar/fleet.h
+++ b/tests/sidecar/fleet.h
@@ -35,6 +35,8 @@
 {"Type":"Routes","Metadata":{"Name":"r-deposit"},"Spec":{"Authority":"studio.example","PathPrefix":"/deposit/","Kind":"non_idempotent","TimeoutMs":)"
         + std::to_string(timeoutMs) + R"(,
  "TargetLatencyMs":1000,"Priority":0,"Service":"catalogue","MaxAttempts":2,"Public":false}},
+{"Type":"Routes","Metadata":{"Name":"r-call"},"Spec":{"Authority":"studio.example","PathPrefix":"/call/","Kind":"idempotent","TimeoutMs":2000,
+ "TargetLatencyMs":1000,"Priority":0,"Service":"catalogue","MaxAttempts":2,"Public":true}},
 {"Type":"Tenants","Metadata":{"Name":"studio"},"Spec":{"ApiKeys":[)"
         + keys + R"(]}},{"Type":"Limits","Metadata":{},"Spec":{"IdleTimeoutMs":15000}}]})";
 }
--- a/tests/sidecar/stop_test.cpp
+++ b/tests/sidecar/stop_test.cpp
@@ -135,6 +135,7 @@
     CPPUNIT_TEST(testLongRequests);
     CPPUNIT_TEST(testOutcomes);
     CPPUNIT_TEST(testRequestsTakenLate);
+    CPPUNIT_TEST(testCallsTakenLate);
     CPPUNIT_TEST(testNodeOfTarget);
     CPPUNIT_TEST(testNodesOfAllTargets);
     CPPUNIT_TEST_SUITE_END();
@@ -234,6 +235,36 @@
         });
     }
 
+    /// Guards against calls of a target that a stopping node takes although they may outlast it, and then cuts.
+    void testCallsTakenLate()
+    {
+        withFleet([](Fleet &fleet) {
+            fleet.forEachTarget([](auto &behaviour) {
+                behaviour.runTime = milliseconds(4900);
+            });
+            fleet.store.put("keyed.op", "config", testing::configuration("00000002", "\"k1\"", 20000));
+            fleet.runtime.sleepFor(milliseconds(500));
+            // A request that runs keeps the node from ending early.
+            Callers callers(fleet, "127.0.0.2", 1);
+            callers.timeLeft = kStopTime;
+            fleet.runtime.sleepFor(milliseconds(100));
+            callers.isEnding = true;
+            fleet.nodes[0]->requestStop([](size_t) {});
+            fleet.runtime.sleepFor(kStopTime * 7 / 10);
+            fleet.forEachTarget([](auto &behaviour) {
+                behaviour.runTime = milliseconds(1700);
+            });
+            const CallResult call = fleet.sendRequest("GET", "/call/1", {}, "127.0.0.2", milliseconds(1900));
+            section("a call that may outlast the node is refused and does not run", [&] {
+                CPPUNIT_ASSERT(call.status == CallStatus::Answered);
+                CPPUNIT_ASSERT_EQUAL(503, call.response.status);
+                CPPUNIT_ASSERT_EQUAL(size_t{0}, fleet.runsOf("request-" + std::to_string(fleet.requestCount)));
+            });
+            callers.end();
+            checkResponses(fleet, callers);
+        });
+    }
+
     /// Guards against requests of other nodes that are cut when the node beside their target ends.
     void testNodeOfTarget()
     {
