Take a call in a stop only if its whole time is left

Callers saw: a request that was taken long after SIGTERM got an answer of the node in place of the target's, while a target worked on it.

Cause: a stopping node refuses requests from 45% of the stop time on, but took the calls that its target makes as long as the route's target latency ended before the conclusion. The target latency is what callers aim at, not a bound: a call may use its whole timeout. Such a call was passed on with a deadline cut to the conclusion and ended there with 502 or 504, over 3 s after SIGTERM. The class: work is accepted by what it probably takes, not by what its sender allows it.

Ruled out: requests of callers; they are refused from 2.7 s on, so what the end cuts was sent within 3 s of SIGTERM.

Change: once requests are refused, a call is taken only if the deadline that its sender and the route give it lies before the conclusion. Any other gets 503 at once and has not run. A call within its parent's deadline passes this check as long as the parent fits. All of StopTest and StopScheduleTest pass.

--- a/mesh/stop_schedule.cpp
+++ b/mesh/stop_schedule.cpp
@@ -79,6 +79,11 @@
     return schedule.step >= StopStep::Refusing;
 }
 
+auto mayTakeCall(const StopSchedule &schedule, const StopSettings &settings, TimePoint senderDeadline) -> bool
+{
+    return !refusesRequests(schedule) || senderDeadline <= conclusionTime(schedule, settings);
+}
+
 auto conclusionTime(const StopSchedule &schedule, const StopSettings &settings) -> TimePoint
 {
     return schedule.step == StopStep::None ? TimePoint::max() : schedule.requestedAt + settings.stopTime - conclusionMargin(settings);
--- a/mesh/stop_schedule.h
+++ b/mesh/stop_schedule.h
@@ -69,6 +69,10 @@
 /// Returns whether new requests are refused.
 auto refusesRequests(const StopSchedule &schedule) -> bool;
 
+/// Returns whether a call that the local target makes may be taken. Calls are taken longer than other requests, because the
+/// request that makes them fails without them, but only if their sender gives up before the node concludes.
+auto mayTakeCall(const StopSchedule &schedule, const StopSettings &settings, TimePoint senderDeadline) -> bool;
+
 /// Returns when requests that are still in progress get their final responses, or TimePoint::max() if no stop was
 /// requested.
 auto conclusionTime(const StopSchedule &schedule, const StopSettings &settings) -> TimePoint;
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -117,14 +117,10 @@
     return refuse(state, call, 503, "quota-unavailable", decision.retryAfter);
 }
 
-/// Returns whether the node, which stops, must refuse the request. Calls of a request that runs at the local target are
-/// served as long as they probably end in time, since that request would fail without them.
+/// Returns whether the node must refuse the request because it stops.
 auto isRefusedAtStop(const SidecarState &state, const EntryCall &call) -> bool
 {
-    if (!refusesRequests(state.stop)) {
-        return false;
-    }
-    return !call.isNested || call.startedAt + call.route->targetLatency > conclusionTime(state.stop, state.stopSettings);
+    return call.isNested ? !mayTakeCall(state.stop, state.stopSettings, call.callerDeadline) : refusesRequests(state.stop);
 }
 
 /// Returns how long a caller that was refused because the node stops should wait: about the time until the node has ended
--- a/tests/mesh/stop_schedule_test.cpp
+++ b/tests/mesh/stop_schedule_test.cpp
@@ -28,6 +28,7 @@
 {
     CPPUNIT_TEST_SUITE(StopScheduleTest);
     CPPUNIT_TEST(testSteps);
+    CPPUNIT_TEST(testCalls);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -88,6 +89,21 @@
             CPPUNIT_ASSERT(conclusionTime(schedule, longer) == kStart + milliseconds(29400));
         });
     }
+
+    /// Guards against calls of a target that may last longer than the node that takes them.
+    void testCalls()
+    {
+        const StopLoad busy{3, 3, kStart + seconds(1)};
+        section("while other requests are served, all calls are", [&] {
+            CPPUNIT_ASSERT(mayTakeCall(StopSchedule(), StopSettings(), TimePoint::max()));
+            CPPUNIT_ASSERT(mayTakeCall(advancedTo(milliseconds(2000), busy), StopSettings(), kStart + seconds(20)));
+        });
+        section("later ones are taken only if their sender gives up before the final responses", [&] {
+            const StopSchedule refusing = advancedTo(milliseconds(2750), busy);
+            CPPUNIT_ASSERT(mayTakeCall(refusing, StopSettings(), kStart + milliseconds(5200)));
+            CPPUNIT_ASSERT(!mayTakeCall(refusing, StopSettings(), kStart + milliseconds(5500)));
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(StopScheduleTest);
