Serve no longer in a stop when the stop time is longer

Callers would see: with a stop time of 10 s, as the large deployments have, requests sent 3 to 4.5 s after SIGTERM are taken, and those that last up to 5 s or more are ended by the node. The rule that protects requests in a stop lets a node end only those that were sent within 3 s of SIGTERM.

Cause: the time for which a stopping node serves was a fraction of the stop time alone. It exists for callers that have not learned yet that the node leaves, which takes two readiness checks, one a second; that does not grow with the stop time.

Evidence: StopScheduleTest::testSteps, section on longer stop times, failed before (still serving 2.75 s after the stop began with a stop time of 10 s). Not reproduced with processes. Stop times up to 6 s behave as before.

--- a/mesh/stop_schedule.cpp
+++ b/mesh/stop_schedule.cpp
@@ -10,7 +10,8 @@
 
 auto servingTime(const StopSettings &settings) -> Duration
 {
-    return duration_cast<Duration>(std::chrono::duration<double>(settings.stopTime) * settings.servingFraction);
+    const auto fraction = duration_cast<Duration>(std::chrono::duration<double>(settings.stopTime) * settings.servingFraction);
+    return std::min(fraction, settings.maxServingTime);
 }
 
 auto conclusionMargin(const StopSettings &settings) -> Duration
--- a/mesh/stop_schedule.h
+++ b/mesh/stop_schedule.h
@@ -29,6 +29,9 @@
     Duration stopTime = seconds(6);
     /// Fraction of the stop time for which new requests are served.
     double servingFraction = 0.45;
+    /// Maximum time for which new requests are served. Callers have learned by then that the node leaves, so a longer stop
+    /// time is left to the requests in progress.
+    Duration maxServingTime = milliseconds(2700);
     /// Minimum time for which the node goes on. Callers check readiness once a second, and within two checks they have
     /// learned that the node accepts no new requests.
     Duration minTime = milliseconds(2600);
--- a/tests/mesh/stop_schedule_test.cpp
+++ b/tests/mesh/stop_schedule_test.cpp
@@ -79,6 +79,17 @@
                 CPPUNIT_ASSERT(schedule.step == step);
             }
         });
+        section("a longer stop time gives requests in progress more time, but new ones are refused as early", [&] {
+            StopSettings longer;
+            longer.stopTime = seconds(10);
+            StopSchedule schedule;
+            beginStop(schedule, kStart);
+            advanceStop(schedule, longer, busy, kStart + milliseconds(2650));
+            CPPUNIT_ASSERT(schedule.step == StopStep::Serving);
+            advanceStop(schedule, longer, busy, kStart + milliseconds(2750));
+            CPPUNIT_ASSERT(schedule.step == StopStep::Refusing);
+            CPPUNIT_ASSERT(conclusionTime(schedule, longer) == kStart + milliseconds(9400));
+        });
         section("a second stop request and a longer stop time do not lead back", [&] {
             StopSchedule schedule = advancedTo(milliseconds(2750), busy);
             beginStop(schedule, kStart + seconds(3));
