Do not let a reload extend a stop that has begun

Callers saw, in a test: a node that stops and reads settings with a longer stop time holds its requests until after the moment at which it is killed, and their connections close without an answer.

Cause: the stop schedule used the stop time of the latest settings. The platform counts from SIGTERM; nothing says that it grants a new stop time to a stop that has begun.

Evidence: StopTest::testReload failed before ("the node has not ended within the stop time"; settings with five times the stop time, read 0.5 s after the stop began). A shorter stop time still takes effect at once. A second stop signal was looked at too: it is ignored, as StopScheduleTest says.

--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -496,7 +496,8 @@
     sidecar.settings.policyApply = settings.policyApply;
     applyFreshnessSettings(sidecar);
     sidecar.settings.stopTime = settings.stopTime;
-    sidecar.stopSettings.stopTime = settings.stopTime;
+    // The platform may kill a stopping node at the end of the stop time that was set when the stop began.
+    sidecar.stopSettings.stopTime = isStopping(sidecar.stop) ? std::min(sidecar.stopSettings.stopTime, settings.stopTime) : settings.stopTime;
     sidecar.settings.memoryMb = settings.memoryMb;
     sidecar.settings.retryRatio = settings.retryRatio;
     sidecar.settings.retrySlack = settings.retrySlack;
--- a/tests/sidecar/stop_test.cpp
+++ b/tests/sidecar/stop_test.cpp
@@ -136,6 +136,7 @@
     CPPUNIT_TEST(testOutcomes);
     CPPUNIT_TEST(testRequestsTakenLate);
     CPPUNIT_TEST(testCallsTakenLate);
+    CPPUNIT_TEST(testReload);
     CPPUNIT_TEST(testNodeOfTarget);
     CPPUNIT_TEST(testNodesOfAllTargets);
     CPPUNIT_TEST_SUITE_END();
@@ -265,6 +266,35 @@
         });
     }
 
+    /// Guards against a stop that settings read during it extend beyond the moment at which the node is killed.
+    void testReload()
+    {
+        withFleet([](Fleet &fleet) {
+            fleet.forEachTarget([](auto &behaviour) {
+                behaviour.runTime = kStopTime * 2;
+            });
+            fleet.store.put("keyed.op", "config", testing::configuration("00000002", "\"k1\"", 20000));
+            fleet.runtime.sleepFor(milliseconds(500));
+            Callers callers(fleet, "127.0.0.2", 4);
+            callers.timeLeft = kStopTime * 2;
+            fleet.runtime.sleepFor(milliseconds(100));
+            callers.isEnding = true;
+            fleet.runtime.spawn([&fleet] {
+                fleet.runtime.sleepFor(milliseconds(500));
+                SidecarSettings longer;
+                longer.stopTime = kStopTime * 5;
+                fleet.nodes[0]->reload(longer);
+            });
+            stopNode(fleet, 0);
+            fleet.runtime.sleepFor(milliseconds(300));
+            section("requests in progress get their final responses in the time that was set when the stop began", [&] {
+                CPPUNIT_ASSERT_EQUAL(size_t{4}, callers.requests.size());
+                checkResponses(fleet, callers);
+            });
+            callers.end();
+        });
+    }
+
     /// Guards against requests of other nodes that are cut when the node beside their target ends.
     void testNodeOfTarget()
     {
