Bound the work at a target by the stop of its node

Callers of other nodes saw: while the nodes of all targets of a service stop, a request runs at one of them and gets 502 at the end of that node's stop, which may lie early in the stop of the node that took the request. The target worked on.

Cause: the node that takes a request bounds its deadline by its own stop, but the node beside the target passed the sender's deadline on, which may lie behind its own end. Calls that the target made for such a request had deadlines behind the end, too.

Now both nodes use the same rule, and targets get a deadline 100 ms before the final responses, so that the target's own response arrives and it does not work on for nothing. The calls of the request expire with it, so mayTakeCall takes them.

Left: such a request ends with the target's answer at that deadline although its caller would wait longer. That happens only while no other target of the service serves.

--- a/mesh/stop_schedule.cpp
+++ b/mesh/stop_schedule.cpp
@@ -19,6 +19,11 @@
     return std::min(settings.maxConclusionMargin, settings.stopTime / 10);
 }
 
+auto responseMargin(const StopSettings &settings) -> Duration
+{
+    return std::min(settings.maxResponseMargin, settings.stopTime / 60);
+}
+
 auto endMargin(const StopSettings &settings) -> Duration
 {
     return std::min(settings.maxEndMargin, settings.stopTime / 20);
@@ -80,9 +85,14 @@
     return schedule.step >= StopStep::Refusing;
 }
 
+auto deadlineWithin(const StopSchedule &schedule, const StopSettings &settings, TimePoint senderDeadline) -> TimePoint
+{
+    return isStopping(schedule) ? std::min(senderDeadline, conclusionTime(schedule, settings) - responseMargin(settings)) : senderDeadline;
+}
+
 auto mayTakeCall(const StopSchedule &schedule, const StopSettings &settings, TimePoint senderDeadline) -> bool
 {
-    return !refusesRequests(schedule) || senderDeadline <= conclusionTime(schedule, settings);
+    return !refusesRequests(schedule) || senderDeadline <= deadlineWithin(schedule, settings, senderDeadline);
 }
 
 auto conclusionTime(const StopSchedule &schedule, const StopSettings &settings) -> TimePoint
--- a/mesh/stop_schedule.h
+++ b/mesh/stop_schedule.h
@@ -39,6 +39,9 @@
     Duration idleTime = milliseconds(300);
     /// Final responses are sent this long before the process is killed, or less if the stop time is short.
     Duration maxConclusionMargin = milliseconds(600);
+    /// Targets get deadlines that end this long before the final responses are sent, or less if the stop time is short, so that
+    /// their own responses still arrive.
+    Duration maxResponseMargin = milliseconds(100);
     /// The process ends by itself this long before it would be killed, or less if the stop time is short.
     Duration maxEndMargin = milliseconds(250);
     /// Maximum time to wait until callers have closed connections on which everything has been sent.
@@ -72,6 +75,10 @@
 /// Returns whether new requests are refused.
 auto refusesRequests(const StopSchedule &schedule) -> bool;
 
+/// Returns the deadline of a request that is taken now: that of its sender, or an earlier one if the node stops, so that
+/// queues and targets give up while their response can still be sent.
+auto deadlineWithin(const StopSchedule &schedule, const StopSettings &settings, TimePoint senderDeadline) -> TimePoint;
+
 /// Returns whether a call that the local target makes may be taken. Calls are taken longer than other requests, because the
 /// request that makes them fails without them, but only if their sender gives up before the node concludes.
 auto mayTakeCall(const StopSchedule &schedule, const StopSettings &settings, TimePoint senderDeadline) -> bool;
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -162,8 +162,7 @@
     call.importance = importanceOf(*call.route, call.team);
     const Duration timeout = std::min(call.caller.timeLeft.value_or(kDefaultCallerTimeout), call.route->timeout);
     call.callerDeadline = now + timeout;
-    // While the node stops, the deadline lets queues and targets give up while the response can still be sent.
-    call.deadline = std::min(call.callerDeadline, conclusionTime(state.stop, state.stopSettings));
+    call.deadline = deadlineWithin(state.stop, state.stopSettings, call.callerDeadline);
     if (isRefusedAtStop(state, call)) {
         return refuse(state, call, 503, "node-stopping", restartRetryAfter(state));
     }
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -240,13 +240,14 @@
     if (refusesRequests(sidecar.stop)) {
         return encodeOutcome(refuseAtStop(sidecar));
     }
+    const TimePoint senderDeadline = routed.value().deadline;
+    routed.value().deadline = deadlineWithin(sidecar.stop, sidecar.stopSettings, senderDeadline);
     TargetResult result = runAtTarget(sidecar, routed.value(), cancel);
     if (result.outcome == TargetOutcome::Cancelled) {
         if (sidecar.stop.step < StopStep::Concluding) {
             return std::nullopt;
         }
-        const RoutedRequest &cut = routed.value();
-        result = concludeAtStop(sidecar, {cut.requestId, startedAt, cut.deadline, cut.isNested}, std::move(result));
+        result = concludeAtStop(sidecar, {routed.value().requestId, startedAt, senderDeadline, routed.value().isNested}, std::move(result));
     }
     return encodeOutcome(std::move(result));
 }
--- a/tests/sidecar/stop_test.cpp
+++ b/tests/sidecar/stop_test.cpp
@@ -137,6 +137,7 @@
     CPPUNIT_TEST(testRequestsTakenLate);
     CPPUNIT_TEST(testCallsTakenLate);
     CPPUNIT_TEST(testReload);
+    CPPUNIT_TEST(testDeadlineAtTarget);
     CPPUNIT_TEST(testNodeOfTarget);
     CPPUNIT_TEST(testNodesOfAllTargets);
     CPPUNIT_TEST_SUITE_END();
@@ -295,6 +296,28 @@
         });
     }
 
+    /// Guards against targets that work on requests of other nodes for longer than their stopping node can answer.
+    void testDeadlineAtTarget()
+    {
+        withFleet([](Fleet &fleet) {
+            fleet.store.put("keyed.op", "config", testing::configuration("00000002", "\"k1\"", 20000));
+            fleet.runtime.sleepFor(milliseconds(500));
+            for (const size_t number : {1, 2}) {
+                fleet.nodes[number]->requestStop([](size_t) {});
+            }
+            const TimePoint stoppedAt = BootClock::now();
+            fleet.runtime.sleepFor(milliseconds(500));
+            CPPUNIT_ASSERT_EQUAL(200, fleet.sendRequest("POST", "/deposit/1", "k1", "127.0.0.2", kStopTime * 2).response.status);
+            section("the deadline that the target gets ends before the final responses", [&] {
+                const HeaderList &seen = fleet.firstTarget.runs.empty() ? fleet.secondTarget.latestHeaders : fleet.firstTarget.latestHeaders;
+                const auto deadline = findHeader(seen, "X-Snipestream-Deadline-Ms");
+                CPPUNIT_ASSERT(deadline.has_value());
+                const Duration elapsed = BootClock::now() - stoppedAt;
+                CPPUNIT_ASSERT(milliseconds(std::stoi(std::string(*deadline))) < kStopTime * 9 / 10 - elapsed);
+            });
+        });
+    }
+
     /// Guards against requests of other nodes that are cut when the node beside their target ends.
     void testNodeOfTarget()
     {
