Start the callers of the stop test one after the other

Trace: all callers start together and their requests take the same time, so they pause at the same moment; a node that looks at its load in that pause has none in progress and ends at once, which is right, and no caller is left to be refused. The callers now start 4 ms apart. The check stays as it is.

--- a/tests/sidecar/stop_test.cpp
+++ b/tests/sidecar/stop_test.cpp
@@ -36,8 +36,10 @@
         , startedAt(BootClock::now())
     {
         for (int i = 0; i < count; ++i) {
-            fleet.runtime.spawn([this] {
+            fleet.runtime.spawn([this, i] {
                 ++running;
+                // Without this, all callers pause at the same moment, in which the node has no request in progress.
+                fleet.runtime.sleepFor(milliseconds(4) * i);
                 while (!isEnding) {
                     SentRequest sent;
                     sent.id = "request-" + std::to_string(fleet.requestCount + 1);
