Answer all that has been received before a planned close

What callers saw: a request that stood behind another on its connection got no response when the response before it closed the connection in a planned stop. Callers repeat a request that must not run twice only after a promise, or if it was not read; this one had been read, up to the whole run time of the request in front (seconds) before the connection ended.

Cause: with the first response after announceClose() the connection stopped parsing. It dropped a request that waited for the ones in front (dropWaiting), and never parsed whole requests that stood in its buffer behind one that runs alone. The same happened outside a stop while more than half of the allowed connections are open.

Evidence, on (PlannedCloseTest, one test a run): - testWaitingRequest: expected "200 /300, 200 /10", actual "200 /300" - testUnparsedRequests: expected "200 /300, 503 /10, 503 /20", actual "200 /300" - testPartOfRequest: expected "200 /200, 503 /10", actual "200 /200"

Now the close is announced with the response behind which nothing has been received. A request that was received goes through the handler in its place: it is served while the node serves, and refused with 503 from the step Refusing on. It has not been started before that, so the refusal is true, and nothing that gets one is started later. Only a caller that asked for the close itself still loses what it sent after that.

Ruled out: discarding what arrives after the announcement, since that reads requests without an answer; leaving it in the socket, since the node would not notice that a caller leaves. A caller that never lets its pipeline become empty keeps its connection until the node ends, but is refused at once from Refusing on.

--- a/http/message_connection.cpp
+++ b/http/message_connection.cpp
@@ -369,11 +369,12 @@
             return;
         }
         const bool isCrowded = static_cast<double>(shared_->connections) > kCloseAboveFraction * static_cast<double>(shared_->options.maxConnections);
-        if (shared_->closing || isCrowded) {
+        // Callers do not repeat every request that was received, so a planned close waits until all have been answered.
+        if ((shared_->closing || isCrowded) && requests_.empty() && !parser_ && buffer_.size() == 0) {
             stopReading();
         }
-        if (isReadingStopped_ || !request->keepAlive) {
-            // Requests that have not started are not read; their callers send them again on another connection.
+        if (!request->keepAlive) {
+            // A caller that asked for the close does not expect responses to what it sent after that.
             for (const PipelinedRequestId dropped : dropWaiting(pipeline_)) {
                 requests_.erase(dropped);
                 ++shared_->pipelineCounts.dropped;
--- a/http/message_connection.h
+++ b/http/message_connection.h
@@ -27,7 +27,7 @@
     uint64_t activeRequestBytes = 0;
     /// Size of the request bodies that are being received, in bytes.
     uint64_t incomingBytes = 0;
-    /// Every connection closes after its next response.
+    /// Every connection closes after the next response behind which nothing has been received.
     bool closing = false;
     /// Connections without a request in progress are closed.
     bool closesIdle = false;
--- a/http/message_server.h
+++ b/http/message_server.h
@@ -50,7 +50,7 @@
 struct PipelineCounts {
     /// Requests that were read while earlier ones of their connection were in progress.
     uint64_t pipelined = 0;
-    /// Requests that were read but not run, because a response before them closed the connection.
+    /// Requests that were read but not run, because their caller had asked to close the connection before them.
     uint64_t dropped = 0;
 
     friend auto operator==(const PipelineCounts &a, const PipelineCounts &b) -> bool
@@ -76,8 +76,8 @@
     /// Replaces the limits for requests that are read from now on.
     void setLimits(uint32_t maxHeaderBytes, uint64_t maxBodyBytes, Duration headTimeout, Duration idleTimeout);
 
-    /// Closes every connection after its next response, or after those of all its requests that have already started.
-    /// New connections are still accepted.
+    /// Closes every connection after the next response behind which nothing has been received. New connections are still
+    /// accepted.
     void announceClose();
 
     /// Stops accepting and closes connections without a request in progress. The other connections close after their
