Let the last response arrive when a server stops accepting

What callers saw: a response that had been sent to a caller that reads slowly broke off when its node moved to Closing or Ended.

Cause: stopAccepting() closed connections that had sent their last response and waited for their callers to close them. Bytes that arrive on a closed socket reset the connection, and the system discards what it has not delivered yet. The time that the stop schedule grants for this (maxLingerTime) had no effect, since no such connection was left.

Evidence, on: PlannedCloseTest::testResponseOnItsWay (3 MiB, read after the close, one more request sent meanwhile) failed at "client.readAll().size() > kLargeBytes".

closeIfIdle() now leaves busy connections alone; these include the ones that linger. They end when their callers close them, after the linger time, or with the process.

--- a/http/message_connection.cpp
+++ b/http/message_connection.cpp
@@ -104,7 +104,7 @@
 
 void MessageConnection::closeIfIdle()
 {
-    if (requests_.empty() && !parser_ && !isSending_) {
+    if (!isBusy() && !parser_) {
         close();
     }
 }
--- a/http/message_connection.h
+++ b/http/message_connection.h
@@ -51,7 +51,7 @@
     /// passed.
     void handleTimeout(TimePoint now);
 
-    /// Closes the connection unless a request is in progress.
+    /// Closes the connection unless a request is being received or it is busy.
     void closeIfIdle();
 
     /// Returns whether a request is in progress, or a response is being sent or may not have arrived yet.
--- a/http/message_server.h
+++ b/http/message_server.h
@@ -80,8 +80,8 @@
     /// accepted.
     void announceClose();
 
-    /// Stops accepting and closes connections without a request in progress. The other connections close after their
-    /// last response.
+    /// Stops accepting and closes connections that are not busy. The others close after their last response has arrived or
+    /// its caller has had time to read it.
     void stopAccepting();
 
     /// Like stopAccepting(), and no longer enforces timeouts.
--- a/tests/http/planned_close_test.cpp
+++ b/tests/http/planned_close_test.cpp
@@ -117,6 +117,7 @@
     CPPUNIT_TEST(testWaitingRequest);
     CPPUNIT_TEST(testUnparsedRequests);
     CPPUNIT_TEST(testPartOfRequest);
+    CPPUNIT_TEST(testResponseOnItsWay);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -173,6 +174,25 @@
             });
         });
     }
+
+    /// Guards against a reset that discards a response because bytes of the caller arrive after it was sent.
+    void testResponseOnItsWay()
+    {
+        withServer([](ClosingServer &server) {
+            section("a response that the caller has not read yet arrives in full when the server stops accepting", [&] {
+                testing::RawClient client(server.runtime, server.port);
+                client.send(get("/large"));
+                server.server->announceClose();
+                server.runtime.sleepFor(milliseconds(200));
+                CPPUNIT_ASSERT_EQUAL(size_t{0}, server.server->activeRequests());
+                CPPUNIT_ASSERT_EQUAL(size_t{1}, server.server->busyConnections());
+                server.server->stopAccepting();
+                client.send(get("/1"));
+                server.runtime.sleepFor(milliseconds(50));
+                CPPUNIT_ASSERT(client.readAll().size() > kLargeBytes);
+            });
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlannedCloseTest);
