Wait for a request that is arriving when a node closes

What callers saw: a node in Closing ended within one tick while the body of a request was arriving on a connection that it had kept, so that the connection was reset in place of a response.

Cause: a connection on which a request is being received did not count as busy, and the stop schedule ends as soon as no connection is.

Evidence, on: PlannedCloseTest::testBodyThatArrives expected 1 busy connection, actual 0.

--- a/http/message_connection.cpp
+++ b/http/message_connection.cpp
@@ -104,14 +104,14 @@
 
 void MessageConnection::closeIfIdle()
 {
-    if (!isBusy() && !parser_) {
+    if (!isBusy()) {
         close();
     }
 }
 
 auto MessageConnection::isBusy() const -> bool
 {
-    return !requests_.empty() || isSending_ || isLingering_;
+    return !requests_.empty() || parser_ || isSending_ || isLingering_;
 }
 
 void MessageConnection::cancelRequests()
--- a/http/message_connection.h
+++ b/http/message_connection.h
@@ -51,10 +51,10 @@
     /// passed.
     void handleTimeout(TimePoint now);
 
-    /// Closes the connection unless a request is being received or it is busy.
+    /// Closes the connection unless it is busy.
     void closeIfIdle();
 
-    /// Returns whether a request is in progress, or a response is being sent or may not have arrived yet.
+    /// Returns whether a request is being received or is in progress, or a response is being sent or may not have arrived yet.
     [[nodiscard]] auto isBusy() const -> bool;
 
     /// Cancels the requests in progress. Their responses are still sent.
--- a/http/message_server.h
+++ b/http/message_server.h
@@ -92,7 +92,8 @@
 
     /// Returns the number of requests in progress, including those whose response has not been sent completely.
     [[nodiscard]] auto activeRequests() const -> size_t;
-    /// Returns the number of connections with a request in progress or a response that may not have arrived yet.
+    /// Returns the number of connections on which a request is being received or is in progress, or whose last response may
+    /// not have arrived yet.
     [[nodiscard]] auto busyConnections() const -> size_t;
     /// Returns the total body size of the requests whose handler is running, in bytes.
     [[nodiscard]] auto activeRequestBytes() const -> uint64_t;
--- a/tests/http/planned_close_test.cpp
+++ b/tests/http/planned_close_test.cpp
@@ -118,6 +118,7 @@
     CPPUNIT_TEST(testUnparsedRequests);
     CPPUNIT_TEST(testPartOfRequest);
     CPPUNIT_TEST(testResponseOnItsWay);
+    CPPUNIT_TEST(testBodyThatArrives);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -193,6 +194,24 @@
             });
         });
     }
+
+    /// Guards against a process that ends while the last bytes of a request arrive.
+    void testBodyThatArrives()
+    {
+        withServer([](ClosingServer &server) {
+            testing::RawClient client(server.runtime, server.port);
+            client.send("POST /1 HTTP/1.1\r\nHost: studio\r\nContent-Length: 8\r\n\r\npart");
+            server.runtime.sleepFor(milliseconds(50));
+            server.server->announceClose();
+            server.refuses = true;
+            server.server->stopAccepting();
+            section("a connection on which a request arrives is busy, and the request is answered", [&] {
+                CPPUNIT_ASSERT_EQUAL(size_t{1}, server.server->busyConnections());
+                client.send("rest");
+                CPPUNIT_ASSERT_EQUAL(std::string("503 /1"), responsesOf(client.readAll()));
+            });
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(PlannedCloseTest);
