Log late ticks, and what a stop begins with

Callers saw requests given up in stops. The log could not tell whether a stopping node had reached its steps late, nor why.

SNS1002 (node-stopping) now gives the requests and connections in progress, the stop time, and how long the timer was overdue, which bounds how late the signal was seen.

Checked: TickMonitorTest and EventsTest pass; the changed files compile and lint is clean.

--- a/core/events.cpp
+++ b/core/events.cpp
@@ -52,6 +52,8 @@
         {EventId::LinesLeftOut, Severity::Warning, "lines-left-out", "Log lines were dropped to bound the log volume."},
         {EventId::StopTimeShort, Severity::Warning, "stop-time-short",
          "Requests were still in progress near the end of the stop time; they get their final responses."},
+        {EventId::TickLate, Severity::Warning, "tick-late",
+         "The node's timer ran late; the event gives the delay, and the processor time and suspended time within it."},
         {EventId::ConfigChangeApplied, Severity::Info, "config-change-applied", "A change came into force on this node."},
         {EventId::ConfigChangeRejected, Severity::Warning, "config-change-rejected", "A change conflicted with an earlier one or was invalid."},
         {EventId::ConfigRecordUnreadable, Severity::Error, "config-record-unreadable", "A record of the log cannot be parsed and is skipped."},
--- a/core/events.h
+++ b/core/events.h
@@ -31,6 +31,7 @@
     MemoryShort = 1009,
     LinesLeftOut = 1011,
     StopTimeShort = 1012,
+    TickLate = 1013,
     ConfigChangeApplied = 2001,
     ConfigChangeRejected = 2002,
     ConfigRecordUnreadable = 2003,
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/sidecar.h"
 
 #include "core/events.h"
+#include "core/tick_monitor.h"
 #include "platform/target_messages.h"
 #include "sidecar/entry.h"
 #include "sidecar/home.h"
@@ -56,6 +57,11 @@
     return response;
 }
 
+auto toMsText(Duration duration) -> std::string
+{
+    return std::to_string(duration_cast<milliseconds>(duration).count());
+}
+
 } // namespace
 
 struct Sidecar::State : std::enable_shared_from_this<Sidecar::State> {
@@ -75,6 +81,7 @@
     void updateServiceAdmission(TimePoint now);
     void updatePeerLiveness(TimePoint now);
     void logLoadSample(TimePoint now);
+    void logTickDelay();
     void updateKeyedService(TimePoint now);
     [[nodiscard]] auto stopLoad() const -> StopLoad;
     void checkStop(TimePoint now);
@@ -82,6 +89,7 @@
 
     SidecarState sidecar;
     asio::steady_timer tickTimer;
+    TickMonitor tickMonitor;
     TimePoint loadSampledAt;
     TimePoint livenessUpdatedAt;
     std::map<std::string, bool> wasHomeAlive;
@@ -299,6 +307,20 @@
               {"limited-teams", limited.empty() ? "-" : limited}});
 }
 
+void Sidecar::State::logTickDelay()
+{
+    const auto delay = noteTick(tickMonitor, readProcessTimes());
+    if (!delay) {
+        return;
+    }
+    logEvent(EventId::TickLate,
+             {{"ms", toMsText(delay->late)},
+              {"processor-ms", toMsText(delay->processor)},
+              {"suspended-ms", toMsText(delay->suspended)},
+              {"requests", std::to_string(stopLoad().requests)},
+              {"fibers", std::to_string(sidecar.runtime.fiberCount())}});
+}
+
 void Sidecar::State::updatePeerLiveness(TimePoint now)
 {
     std::map<std::string, bool> isHomeAlive;
@@ -381,6 +403,7 @@
 
 void Sidecar::State::tick()
 {
+    logTickDelay();
     const TimePoint now = BootClock::now();
     expireQueuedRequests(sidecar, now);
     advanceLimiter(sidecar, now);
@@ -399,7 +422,9 @@
     if (sidecar.ended) {
         return;
     }
-    tickTimer.expires_after(sidecar.tokens.waits.empty() ? kTickInterval : kTokenTickInterval);
+    const Duration interval = sidecar.tokens.waits.empty() ? kTickInterval : kTokenTickInterval;
+    expectTick(tickMonitor, BootClock::now() + interval);
+    tickTimer.expires_after(interval);
     tickTimer.async_wait([self = shared_from_this()](const boost::system::error_code &error) {
         if (!error) {
             self->tick();
@@ -478,8 +503,15 @@
     if (isStopping(sidecar.stop)) {
         return;
     }
-    logEvent(EventId::NodeStopping, {{"node", sidecar.settings.node.value}});
-    beginStop(sidecar.stop, BootClock::now());
+    const TimePoint now = BootClock::now();
+    const StopLoad load = state_->stopLoad();
+    logEvent(EventId::NodeStopping,
+             {{"node", sidecar.settings.node.value},
+              {"requests", std::to_string(load.requests)},
+              {"connections", std::to_string(load.busyConnections)},
+              {"stop-ms", toMsText(sidecar.stopSettings.stopTime)},
+              {"tick-late-ms", toMsText(overdueTime(state_->tickMonitor, now))}});
+    beginStop(sidecar.stop, now);
     sidecar.reportDue = true;
     if (sidecar.target.hasDeregistered) {
         leaveMembership(sidecar);
