Bound the memory that requests of other nodes take

The limit on held bodies was checked for requests of its own callers only; requests of other nodes were bounded by the slots of the target, however large they were.

A request of another node is now refused as not run, with the reason memory-short, when the bodies in progress take a fifth of the memory limit, so that its entry node can try another target. The limit for the node's own callers stays at a quarter, so requests of other nodes cannot use it up. SNS1009 is logged for both at most twice a second, with the number of refusals.

--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -1,9 +1,9 @@
 #include "sidecar/entry.h"
 
-#include "core/events.h"
 #include "core/hash.h"
 #include "platform/request_fields.h"
 #include "sidecar/home.h"
+#include "sidecar/memory_limit.h"
 #include "sidecar/peer_call.h"
 #include "sidecar/reports.h"
 #include "sidecar/request_log.h"
@@ -20,9 +20,6 @@
 /// Number of nodes that may refuse a request before it has reached a target. More attempts would only add latency: after
 /// three refusals the service is overloaded or unreachable.
 constexpr int kMaxNodeRefusals = 3;
-/// Maximum fraction of the process's memory limit that the bodies of requests in progress may take. The rest is for
-/// responses, connections and code.
-constexpr double kMaxHeldMemoryFraction = 0.25;
 /// Timeout of a request whose caller sends none. The route's timeout is shorter in practice.
 constexpr Duration kDefaultCallerTimeout = seconds(60);
 /// Minimum time before the deadline for another attempt; with less, the response would come too late.
@@ -166,9 +163,7 @@
     if (isRefusedAtStop(state, call)) {
         return refuse(state, call, 503, "node-stopping", restartRetryAfter(state));
     }
-    const uint64_t held = state.callerServer->activeRequestBytes() + state.peerServer->activeRequestBytes();
-    if (static_cast<double>(held) > kMaxHeldMemoryFraction * static_cast<double>(state.settings.memoryMb) * 1024 * 1024) {
-        logEvent(EventId::MemoryShort, {{"held", std::to_string(held)}});
+    if (refusesForMemory(state, RequestSender::Caller)) {
         return refuse(state, call, 503, "memory-short", kNoPolicyRetryAfter);
     }
     call.service = chooseService(state.splits, *call.route);
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -238,9 +238,9 @@
     return result;
 }
 
-auto refuseAtStop(const SidecarState &state) -> TargetResult
+auto refuseBeforeTarget(const SidecarState &state, const char *reason) -> TargetResult
 {
-    TargetResult result = notRun("node-stopping", false);
+    TargetResult result = notRun(reason, false);
     result.load = localLoad(state);
     return result;
 }
--- a/sidecar/home.h
+++ b/sidecar/home.h
@@ -66,8 +66,9 @@
 /// it.
 auto runAtTarget(SidecarState &state, const RoutedRequest &request, CancelSignal &cancel) -> TargetResult;
 
-/// Returns the result of a request that this node refuses because it stops. The request has not run.
-auto refuseAtStop(const SidecarState &state) -> TargetResult;
+/// Returns the result of a request of another node that this node refuses for the reason, such as "node-stopping". The request
+/// has not run.
+auto refuseBeforeTarget(const SidecarState &state, const char *reason) -> TargetResult;
 
 /// What the log says about a request that the stop ends.
 struct ConcludedRequest {
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -6,6 +6,7 @@
 #include "sidecar/entry.h"
 #include "sidecar/home.h"
 #include "sidecar/membership.h"
+#include "sidecar/memory_limit.h"
 #include "sidecar/peer_call.h"
 #include "sidecar/policy_reader.h"
 #include "sidecar/reports.h"
@@ -246,7 +247,10 @@
         return emptyResponse(400);
     }
     if (refusesRequests(sidecar.stop)) {
-        return encodeOutcome(refuseAtStop(sidecar));
+        return encodeOutcome(refuseBeforeTarget(sidecar, "node-stopping"));
+    }
+    if (refusesForMemory(sidecar, RequestSender::Peer)) {
+        return encodeOutcome(refuseBeforeTarget(sidecar, "memory-short"));
     }
     const TimePoint senderDeadline = routed.value().deadline;
     routed.value().deadline = deadlineWithin(sidecar.stop, sidecar.stopSettings, senderDeadline);
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -21,6 +21,7 @@
 #include "retry/ratio.h"
 #include "sidecar/datagram_socket.h"
 #include "sidecar/distribution.h"
+#include "sidecar/memory_limit.h"
 #include "sidecar/own_record.h"
 #include "sidecar/settings.h"
 #include "sidecar/token_service.h"
@@ -107,6 +108,7 @@
     CallPattern callPattern;
 
     DatagramSocket datagrams;
+    MemoryLimitLog memoryLimitLog;
     /// Shared by the three pools.
     std::shared_ptr<ResponseMemory> responseMemory;
     CallPool peerPool;
