Give final responses in a stop also when its end is noticed late

Callers would see: connections closed without an answer when a stopping node runs its timer more than 350 ms late near the end, or when a reload shortens the stop time, since the schedule then went from serving or refusing straight to the end.

Cause: the step followed from the time alone. Requests in progress now get the concluding step first, however late it is; the node ends one tick (25 ms) later.

--- a/mesh/stop_schedule.cpp
+++ b/mesh/stop_schedule.cpp
@@ -68,7 +68,10 @@
         return;
     }
     // The stop time may be changed by a reload, but requests that were refused must not be served again.
-    const StopStep step = std::max(schedule.step, dueStep(schedule, settings, load, now));
+    StopStep step = std::max(schedule.step, dueStep(schedule, settings, load, now));
+    if (step == StopStep::Ended && schedule.step < StopStep::Concluding && load.requests > 0) {
+        step = StopStep::Concluding;
+    }
     if (step == StopStep::Closing && schedule.step != StopStep::Closing) {
         schedule.closingSince = now;
     }
--- a/mesh/stop_schedule.h
+++ b/mesh/stop_schedule.h
@@ -52,7 +52,8 @@
 struct StopLoad {
     /// Requests that have been read and whose response has not been sent completely.
     size_t requests = 0;
-    /// Connections with such requests, and those on which everything has been sent and that their callers have not closed.
+    /// Connections with such requests, those on which a request arrives, and those on which everything has been sent and that
+    /// their callers have not closed.
     size_t busyConnections = 0;
     TimePoint lastRequestAt;
 };
@@ -67,7 +68,8 @@
 /// Begins the stop. Has no effect if it has already begun.
 void beginStop(StopSchedule &schedule, TimePoint now);
 
-/// Moves on to the step that is due. Steps are never repeated, and some are left out.
+/// Moves on to the step that is due. Steps are never repeated, and some are left out, but requests in progress get their final
+/// responses however late this is called.
 void advanceStop(StopSchedule &schedule, const StopSettings &settings, const StopLoad &load, TimePoint now);
 
 auto isStopping(const StopSchedule &schedule) -> bool;
