Let targets answer at the deadline that a stop sets

Cause: the node waited exactly until the deadline that it gave the target, and closed the connection before the target's response to that deadline had arrived. It now waits 40 ms longer while it stops, within the 100 ms that are left. Three more, from the review: the bound also applies to requests that were taken before the stop and get their slot later; a deadline that passed at a stopping node no longer ends a request that may be repeated and has time left at another target; and the stand-in for targets can give up at its deadline.

--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -273,7 +273,8 @@
         return NextStep::TryAnotherTarget;
     }
     logTargetRefusal(state, origin, address, targetOutcomeName(result.outcome), result.reason, now - call.startedAt);
-    if (result.outcome == TargetOutcome::TimedOut || now >= call.deadline) {
+    // The deadline at a node that stops may be earlier than that of the request.
+    if (now >= call.deadline) {
         return NextStep::Finish;
     }
     if (!result.reachedTarget) {
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -11,6 +11,10 @@
 namespace
 {
 
+/// Time after the deadline within which the response of the target may still arrive while the node stops. It is shorter than
+/// the time from that deadline to the final responses.
+constexpr Duration kResponseSlackAtStop = milliseconds(40);
+
 auto notRun(std::string reason, bool reachedTarget) -> TargetResult
 {
     TargetResult result;
@@ -123,10 +127,13 @@
 
 auto callTarget(SidecarState &state, const RoutedRequest &request, CancelSignal &cancel) -> TargetResult
 {
+    // The stop may have begun while the request waited for a slot.
+    const TimePoint deadline = deadlineWithin(state.stop, state.stopSettings, request.deadline);
+    const TimePoint responseDeadline = isStopping(state.stop) ? deadline + kResponseSlackAtStop : deadline;
     RequestMessage message = request.message;
-    setTargetFields(message.headers, {request.instance, request.deadline - BootClock::now(), request.team, request.callerService});
-    const RunId run = beginRun(state.callPattern, request.workKind, request.deadline);
-    CallResult callResult = state.targetPool.call(state.target.latest->endpoint, message, cancel, request.deadline);
+    setTargetFields(message.headers, {request.instance, deadline - BootClock::now(), request.team, request.callerService});
+    const RunId run = beginRun(state.callPattern, request.workKind, deadline);
+    CallResult callResult = state.targetPool.call(state.target.latest->endpoint, message, cancel, responseDeadline);
     const bool succeeded = callResult.status == CallStatus::Answered && callResult.response.status / 100 == 2;
     endRun(state.callPattern, run, succeeded, BootClock::now());
     TargetResult result;
--- a/tests/sidecar/platform_standin.cpp
+++ b/tests/sidecar/platform_standin.cpp
@@ -165,7 +165,11 @@
             return response;
         }
         runs.emplace_back(id.value_or("-"));
-        runtime_.sleepFor(behaviour.runTime);
+        const auto deadline = findHeader(request.headers, "X-Snipestream-Deadline-Ms");
+        const Duration timeLeft = deadline ? milliseconds(std::stoi(std::string(*deadline))) : Duration::max();
+        const bool givesUp = behaviour.honoursDeadline && timeLeft < behaviour.runTime;
+        runtime_.sleepFor(givesUp ? timeLeft : behaviour.runTime);
+        response.status = givesUp ? 504 : response.status;
         if (behaviour.dropsResponses) {
             return std::nullopt;
         }
--- a/tests/sidecar/platform_standin.h
+++ b/tests/sidecar/platform_standin.h
@@ -58,6 +58,8 @@
 struct TargetBehaviour {
     /// Time for which a request runs.
     Duration runTime = milliseconds(5);
+    /// Gives up at the deadline of the request, with a signed response that has status 504.
+    bool honoursDeadline = false;
     /// Responds with this status and a header field that says that it did not run the request.
     std::optional<int> notExecuted;
     /// Responds with the id of another request.
--- a/tests/sidecar/stop_test.cpp
+++ b/tests/sidecar/stop_test.cpp
@@ -317,6 +317,15 @@
                 const Duration elapsed = BootClock::now() - stoppedAt;
                 CPPUNIT_ASSERT(milliseconds(std::stoi(std::string(*deadline))) < kStopTime * 9 / 10 - elapsed);
             });
+            section("a caller gets the target's own response at that deadline", [&] {
+                fleet.forEachTarget([](auto &behaviour) {
+                    behaviour.runTime = kStopTime * 2;
+                    behaviour.honoursDeadline = true;
+                });
+                const CallResult result = fleet.sendRequest("POST", "/deposit/2", "k1", "127.0.0.2", kStopTime * 2);
+                CPPUNIT_ASSERT_EQUAL(504, result.response.status);
+                CPPUNIT_ASSERT(findHeader(result.response.headers, "X-Snipestream-Response-Signature"));
+            });
         });
     }
 
