Say more exactly what the memory limit and the calls of a stop mean

Found in a second reading of the change: the limit counts bodies of requests, not of responses; calls are taken until later, not for longer; a delay of the timer can be compared. No behaviour changes.

--- a/core/tick_monitor.h
+++ b/core/tick_monitor.h
@@ -29,6 +29,11 @@
     Duration processor = Duration::zero();
     /// Time for which the VM was suspended since the timer ran before.
     Duration suspended = Duration::zero();
+
+    friend auto operator==(const TickDelay &a, const TickDelay &b) -> bool
+    {
+        return a.late == b.late && a.processor == b.processor && a.suspended == b.suspended;
+    }
 };
 
 /// Finds the ticks of a periodic timer that run late.
--- a/mesh/stop_schedule.h
+++ b/mesh/stop_schedule.h
@@ -81,8 +81,8 @@
 /// queues and targets give up while their response can still be sent.
 auto deadlineWithin(const StopSchedule &schedule, const StopSettings &settings, TimePoint senderDeadline) -> TimePoint;
 
-/// Returns whether a call that the local target makes may be taken. Calls are taken longer than other requests, because the
-/// request that makes them fails without them, but only if their sender gives up before the node concludes.
+/// Returns whether a call that the local target makes may be taken. Calls are taken until later than other requests, because
+/// the request that makes them fails without them, but only if their sender gives up before the final responses are sent.
 auto mayTakeCall(const StopSchedule &schedule, const StopSettings &settings, TimePoint senderDeadline) -> bool;
 
 /// Returns when requests that are still in progress get their final responses, or TimePoint::max() if no stop was
--- a/sidecar/memory_limit.h
+++ b/sidecar/memory_limit.h
@@ -24,8 +24,8 @@
     Peer,
 };
 
-/// Returns whether a new request must be refused because the bodies of requests and responses in progress take too much
-/// of the process's memory limit. Logs refusals at most a few times a second.
+/// Returns whether a new request must be refused because the bodies of requests in progress take too much of the process's
+/// memory limit. Logs refusals at most a few times a second.
 auto refusesForMemory(SidecarState &state, RequestSender sender) -> bool;
 
 } // namespace snipestream
