Say in reports and routed requests which target they are about, and log contradictions

Reports and routed requests now carry the service and the start of the target, and routed requests the entry node. New events: SNS2018 member-replaced (with own=1 at a node that reads another service for its own address), SNS6009 request-for-other-target at the home, SNS7015 report-of-other-service.

--- a/mesh/peer_table.cpp
+++ b/mesh/peer_table.cpp
@@ -69,7 +69,7 @@
             row.failureRate = 0;
         }
     }
-    if (!row.report || row.report->instance != report.instance) {
+    if (!row.report || row.report->target != report.target) {
         row.failureRate = 0;
     }
     row.report = report;
--- a/mesh/peer_table.h
+++ b/mesh/peer_table.h
@@ -54,8 +54,8 @@
     uint64_t incarnation = 0;
     /// Increases with each report of an incarnation.
     uint64_t sequence = 0;
-    /// Empty if the target has not announced itself to this incarnation.
-    std::string instance;
+    /// The target on the VM. Its instance is empty if it has not announced itself to this incarnation.
+    TargetId target;
     /// New requests may be sent to the target.
     bool serving = false;
     /// The node is shutting down; other nodes send it new requests only while no other home of the service serves.
@@ -79,7 +79,7 @@
 
     friend auto operator==(const NodeReport &a, const NodeReport &b) -> bool
     {
-        return a.address == b.address && a.incarnation == b.incarnation && a.sequence == b.sequence && a.instance == b.instance && a.serving == b.serving
+        return a.address == b.address && a.incarnation == b.incarnation && a.sequence == b.sequence && a.target == b.target && a.serving == b.serving
             && a.leaving == b.leaving && a.load == b.load && a.serviceMs == b.serviceMs && a.warmupLeft == b.warmupLeft && a.offeredLoad == b.offeredLoad
             && a.queueDelay == b.queueDelay && a.demand == b.demand && a.interval == b.interval && a.kinds == b.kinds;
     }
--- a/mesh/report_codec.cpp
+++ b/mesh/report_codec.cpp
@@ -117,7 +117,9 @@
         {"a", report.address},
         {"i", report.incarnation},
         {"q", report.sequence},
-        {"t", report.instance},
+        {"s", report.target.service.value},
+        {"t", report.target.instance},
+        {"b", report.target.startedAtMs},
         {"on", report.serving},
         {"off", report.leaving},
         {"r", report.load.running},
@@ -159,7 +161,9 @@
     report.address = fields.shortText("a");
     report.incarnation = fields.unsignedInteger("i");
     report.sequence = fields.unsignedInteger("q");
-    report.instance = fields.text("t");
+    report.target.service = ServiceName(fields.shortText("s"));
+    report.target.instance = fields.text("t");
+    report.target.startedAtMs = fields.count("b");
     report.serving = fields.flag("on");
     report.leaving = fields.flag("off");
     report.load.running = static_cast<int>(fields.integer("r", 0, kMaxSlots));
--- a/mesh/target_state.h
+++ b/mesh/target_state.h
@@ -11,6 +11,25 @@
 namespace snipestream
 {
 
+/// Names one start of a target. Neither the address of its VM nor its instance does: a new VM with a target of another service
+/// may get the address, and a target may keep its instance when it starts again.
+struct TargetId {
+    ServiceName service;
+    /// Empty if the VM has no target.
+    std::string instance;
+    /// In milliseconds since the Unix epoch, or 0 if the target does not tell its start.
+    int64_t startedAtMs = 0;
+
+    friend auto operator==(const TargetId &a, const TargetId &b) -> bool
+    {
+        return a.service == b.service && a.instance == b.instance && a.startedAtMs == b.startedAtMs;
+    }
+    friend auto operator!=(const TargetId &a, const TargetId &b) -> bool
+    {
+        return !(a == b);
+    }
+};
+
 /// Announcement that a target sends to the node on its VM.
 struct TargetAnnouncement {
     /// Unique among targets. A target may keep it when it restarts.
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -194,6 +194,7 @@
     routed.requestId = call.caller.requestId;
     routed.team = call.team != nullptr ? call.team->name : TeamName();
     routed.callerService = state.settings.service;
+    routed.sender = state.settings.address;
     routed.targetLatency = call.route->targetLatency;
     routed.isNested = call.isNested;
     routed.workKind = workKindOf(*call.route);
@@ -340,7 +341,7 @@
         }
         const std::string address = peer->address;
         attempts.tried.push_back(address);
-        routed.instance = peer->report->instance;
+        routed.target = {call.service, peer->report->target.instance, peer->report->target.startedAtMs};
         routed.previousAttempts = attempts.targetAttempts;
         attempts.last = runAttempt(state, address, routed, cancel);
         const bool isCancelled = cancel.isCancelled() || attempts.last.outcome == TargetOutcome::Cancelled;
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -131,7 +131,7 @@
     const TimePoint deadline = deadlineWithin(state.stop, state.stopSettings, request.deadline);
     const TimePoint responseDeadline = isStopping(state.stop) ? deadline + kResponseSlackAtStop : deadline;
     RequestMessage message = request.message;
-    setTargetFields(message.headers, {request.instance, deadline - BootClock::now(), request.team, request.callerService});
+    setTargetFields(message.headers, {request.target.instance, deadline - BootClock::now(), request.team, request.callerService});
     const RunId run = beginRun(state.callPattern, request.workKind, deadline);
     CallResult callResult = state.targetPool.call(state.target.latest->endpoint, message, cancel, responseDeadline);
     const bool succeeded = callResult.status == CallStatus::Answered && callResult.response.status / 100 == 2;
@@ -140,7 +140,7 @@
     if (callResult.status == CallStatus::Answered) {
         result = classifyResponse(request, std::move(callResult));
         if (result.outcome == TargetOutcome::Unknown) {
-            logEvent(EventId::TargetResponseInvalid, {{"request", request.requestId}, {"instance", request.instance}, {"reason", result.reason}});
+            logEvent(EventId::TargetResponseInvalid, {{"request", request.requestId}, {"instance", request.target.instance}, {"reason", result.reason}});
             // Later responses on these connections may belong to other requests as well.
             state.targetPool.closeIdle(state.settings.target);
         }
@@ -148,7 +148,7 @@
     }
     if (callResult.status == CallStatus::NotSent) {
         if (!state.target.unreachable) {
-            logEvent(EventId::TargetUnreachable, {{"instance", request.instance}, {"detail", callResult.detail}});
+            logEvent(EventId::TargetUnreachable, {{"instance", request.target.instance}, {"detail", callResult.detail}});
             state.target.unreachable = true;
             state.reportDue = true;
         }
@@ -160,6 +160,21 @@
     return result;
 }
 
+/// Logs that a request was sent here for another target than the local one.
+void logOtherTarget(const SidecarState &state, const RoutedRequest &request)
+{
+    const TargetId local = localTarget(state);
+    logEvent(EventId::RequestForOtherTarget,
+             {{"request", request.requestId},
+              {"from", request.sender},
+              {"service", request.target.service.value},
+              {"instance", request.target.instance},
+              {"start", std::to_string(request.target.startedAtMs)},
+              {"own-service", local.service.value},
+              {"own-instance", local.instance},
+              {"own-start", std::to_string(local.startedAtMs)}});
+}
+
 } // namespace
 
 auto outcomeOf(CallStatus status) -> TargetOutcome
@@ -207,11 +222,14 @@
 {
     const TimePoint arrivedAt = BootClock::now();
     const auto isIntendedTarget = [&state, &request] {
-        return isTargetServing(state) && state.target.latest->instance == request.instance;
+        return isTargetServing(state) && state.target.latest->instance == request.target.instance;
     };
     if (!isIntendedTarget()) {
         return notRun("target-not-serving", false);
     }
+    if (request.target.service != state.settings.service) {
+        logOtherTarget(state, request);
+    }
     if (request.previousAttempts == 0) {
         countFirstAttempt(state.retryRatio, arrivedAt);
     } else if (!mayRetryAtTarget(state, request, arrivedAt)) {
--- a/sidecar/home.h
+++ b/sidecar/home.h
@@ -15,14 +15,16 @@
     /// Request of the caller; `runAtTarget` sets the fields of the system.
     RequestMessage message;
     std::string requestId;
-    /// Instance that the entry node chose.
-    std::string instance;
+    /// Target that the entry node chose, with the service that the route names.
+    TargetId target;
     TeamName team;
     ServiceName callerService;
     Duration targetLatency{};
     bool isNested = false;
     WorkKind workKind = 0;
     TimePoint deadline;
+    /// Address of the entry node.
+    std::string sender;
     /// Attempts that reached other targets before this one.
     int previousAttempts = 0;
 };
--- a/sidecar/membership.cpp
+++ b/sidecar/membership.cpp
@@ -38,6 +38,21 @@
     return result.has_value();
 }
 
+/// Logs that a record names another service for an address than the one that is known.
+void logReplacement(const SidecarState &state, const Member &member)
+{
+    const auto row = state.peers.rows.find(member.address);
+    if (row == state.peers.rows.end() || row->second.member.service.empty() || row->second.member.service == member.service) {
+        return;
+    }
+    logEvent(EventId::MemberReplaced,
+             {{"address", member.address},
+              {"service", row->second.member.service.value},
+              {"new-service", member.service.value},
+              {"new-node", member.node.value},
+              {"own", member.address == state.settings.address ? "1" : "0"}});
+}
+
 /// Reads all records. Returns false after a failure.
 auto readMembers(SidecarState &state, const StoreClient &store, int &failures) -> bool
 {
@@ -113,6 +128,7 @@
             known.value = kUnreadableRecord;
             continue;
         }
+        logReplacement(state, decoded.value().member);
         if (decoded.value().hasLeft) {
             removeMember(state.peers, record.key);
         } else {
--- a/sidecar/peer_call.cpp
+++ b/sidecar/peer_call.cpp
@@ -14,8 +14,8 @@
 {
 
 /// Header field with the decisions of the entry node, separated by spaces: instance, target latency in ms, 1 for a nested
-/// call, kind of work, time left in ms, service of the caller, the team or "-", and the number of earlier attempts that
-/// reached a target.
+/// call, kind of work, time left in ms, service of the caller, the team or "-", the number of earlier attempts that reached
+/// a target, address of the entry node, start of the instance in ms since the Unix epoch, and its service.
 constexpr const char *kRoutedField = "Sns-Routed";
 /// Header field with the outcome of the request, 1 if it reached the target, and the running and waiting requests and the
 /// limit of the target if they are known.
@@ -46,9 +46,9 @@
 {
     RequestMessage message = request.message;
     std::ostringstream field;
-    field << request.instance << ' ' << toMs(request.targetLatency) << ' ' << (request.isNested ? 1 : 0) << ' ' << request.workKind << ' '
+    field << request.target.instance << ' ' << toMs(request.targetLatency) << ' ' << (request.isNested ? 1 : 0) << ' ' << request.workKind << ' '
           << toMs(request.deadline - now) << ' ' << request.callerService << ' ' << (request.team.empty() ? "-" : request.team.value) << ' '
-          << request.previousAttempts;
+          << request.previousAttempts << ' ' << request.sender << ' ' << request.target.startedAtMs << ' ' << request.target.service;
     removeHeader(message.headers, kRoutedField);
     message.headers.emplace_back(kRoutedField, field.str());
     return message;
@@ -67,10 +67,14 @@
     int nested = 0;
     std::string caller;
     std::string team;
-    if (!(text >> request.instance >> latencyMs >> nested >> request.workKind >> timeLeftMs >> caller >> team >> request.previousAttempts) || latencyMs < 0
-        || latencyMs > kMaxMs || timeLeftMs > kMaxMs) {
+    if (!(text >> request.target.instance >> latencyMs >> nested >> request.workKind >> timeLeftMs >> caller >> team >> request.previousAttempts)
+        || latencyMs < 0 || latencyMs > kMaxMs || timeLeftMs > kMaxMs) {
         return failure(ErrorCode::InvalidInput, "the routing field '" + std::string(*field) + "' of a peer is not valid");
     }
+    std::string service;
+    if (text >> request.sender >> request.target.startedAtMs >> service) {
+        request.target.service = ServiceName(service);
+    }
     request.targetLatency = milliseconds(latencyMs);
     request.isNested = nested != 0;
     request.deadline = now + milliseconds(timeLeftMs);
--- a/sidecar/reports.cpp
+++ b/sidecar/reports.cpp
@@ -34,8 +34,8 @@
     report.address = state.settings.address;
     report.incarnation = state.incarnation;
     report.sequence = ++state.reportSequence;
+    report.target = localTarget(state);
     if (state.target.latest) {
-        report.instance = state.target.latest->instance;
         report.warmupLeft = std::max(Duration::zero(), state.target.warmupUntil - now);
     }
     report.serving = isTargetServing(state) && !refusesRequests(state.stop);
@@ -64,11 +64,19 @@
     }
     const auto row = state.peers.rows.find(received.address);
     const bool isNew = row == state.peers.rows.end() || !row->second.report || row->second.report->incarnation != received.incarnation;
+    if (isNew && row != state.peers.rows.end() && row->second.member.service != received.target.service) {
+        logEvent(EventId::ReportOfOtherService,
+                 {{"peer", received.address},
+                  {"instance", received.target.instance},
+                  {"service", received.target.service.value},
+                  {"member-service", row->second.member.service.value}});
+    }
     if (!applyReport(state.peers, received, BootClock::now()) || !isNew) {
         return;
     }
     const auto &member = state.peers.rows.at(received.address).member;
-    logEvent(EventId::PeerFound, {{"peer", received.address}, {"node", member.node.value}, {"service", member.service.value}, {"instance", received.instance}});
+    logEvent(EventId::PeerFound,
+             {{"peer", received.address}, {"node", member.node.value}, {"service", member.service.value}, {"instance", received.target.instance}});
     state.peerPool.closeIdle({received.address, state.settings.peerListen.port});
 }
 
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -337,7 +337,7 @@
             const bool alive = isAlive(row->second, now);
             const auto before = wasHomeAlive.find(address);
             if (before != wasHomeAlive.end() && before->second && !alive) {
-                logEvent(EventId::PeerSilent, {{"peer", address}, {"instance", row->second.report->instance}});
+                logEvent(EventId::PeerSilent, {{"peer", address}, {"instance", row->second.report->target.instance}});
             }
             isHomeAlive[address] = alive;
         }
--- a/sidecar/state.cpp
+++ b/sidecar/state.cpp
@@ -81,6 +81,17 @@
     return state.isMembershipRead && isServing(state.target);
 }
 
+auto localTarget(const SidecarState &state) -> TargetId
+{
+    TargetId target;
+    target.service = state.settings.service;
+    if (state.target.latest) {
+        target.instance = state.target.latest->instance;
+        target.startedAtMs = state.target.latest->startedAtMs;
+    }
+    return target;
+}
+
 auto localLoad(const SidecarState &state) -> TargetLoad
 {
     return {state.limiter.running, static_cast<int>(state.limiter.queue.size()), state.limiter.limit};
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -142,6 +142,9 @@
 /// recorded about its departure is known.
 auto isTargetServing(const SidecarState &state) -> bool;
 
+/// Returns the target on this VM. Its instance is empty if it has not announced itself or has left.
+auto localTarget(const SidecarState &state) -> TargetId;
+
 /// Returns the load of the local target.
 auto localLoad(const SidecarState &state) -> TargetLoad;
 
--- a/tests/mesh/admission_control_test.cpp
+++ b/tests/mesh/admission_control_test.cpp
@@ -32,7 +32,7 @@
         updateSubscriptions(subscriptions, peers, {kDeepService}, now);
         report.address = "10.0.0.2";
         report.incarnation = 1;
-        report.instance = "i-1";
+        report.target = {kDeepService, "i-1", 0};
         report.serving = true;
         report.load.limit = 25;
     }
--- a/tests/mesh/load_balancing_test.cpp
+++ b/tests/mesh/load_balancing_test.cpp
@@ -26,7 +26,7 @@
     report.address = address;
     report.incarnation = 1;
     report.sequence = 1;
-    report.instance = "i-" + address;
+    report.target = {kService, "i-" + address, 1000};
     report.serving = true;
     report.load = {running, 0, limit};
     report.serviceMs = 15;
--- a/tests/mesh/subscriptions_test.cpp
+++ b/tests/mesh/subscriptions_test.cpp
@@ -95,6 +95,7 @@
         NodeReport report;
         report.address = node.peers.ownAddress;
         report.incarnation = node.incarnation;
+        report.target.service = serviceOf(i);
         report.serving = true;
         report.load.limit = static_cast<int>(kSlots);
         report.demand = totalDemand(node.subscribers);
--- a/tests/mesh/work_graph_test.cpp
+++ b/tests/mesh/work_graph_test.cpp
@@ -74,6 +74,7 @@
     report.address = address;
     report.incarnation = 1;
     report.sequence = 1;
+    report.target.service = ServiceName(service);
     report.kinds = std::move(kinds);
     applyReport(table, report, now);
 }
