--- a/tests/sidecar/fleet.h
+++ b/tests/sidecar/fleet.h
@@ -6,6 +6,7 @@
 #include "tests/sidecar/platform_standin.h"
 
 #include <algorithm>
+#include <exception>
 #include <functional>
 #include <map>
 #include <memory>
@@ -155,4 +156,23 @@
     int requestCount = 0;
 };
 
+/// Runs the body with a fleet and ends its nodes afterwards, also if a check in the body fails.
+inline void withFleet(const std::function<void(Fleet &)> &body)
+{
+    std::exception_ptr failed;
+    FiberRuntime runtime;
+    runtime.runToEnd([&] {
+        const auto fleet = std::make_unique<Fleet>(runtime);
+        try {
+            body(*fleet);
+        } catch (...) {
+            failed = std::current_exception();
+        }
+        fleet->end();
+    });
+    if (failed) {
+        std::rethrow_exception(failed);
+    }
+}
+
 } // namespace snipestream::testing
--- a/tests/sidecar/memory_test.cpp
+++ b/tests/sidecar/memory_test.cpp
@@ -79,18 +79,15 @@
 
 void withSlowTargets(const std::function<void(Fleet &)> &body)
 {
-    FiberRuntime runtime;
-    runtime.runToEnd([&] {
-        auto fleet = std::make_unique<Fleet>(runtime);
-        fleet->forEachTarget([](auto &behaviour) {
+    testing::withFleet([&body](Fleet &fleet) {
+        fleet.forEachTarget([](auto &behaviour) {
             behaviour.runTime = milliseconds(700);
         });
-        for (auto *const target : {&fleet->firstTarget, &fleet->secondTarget}) {
+        for (auto *const target : {&fleet.firstTarget, &fleet.secondTarget}) {
             target->slots = 100;
             CPPUNIT_ASSERT_EQUAL(200, target->announce({target->endpoint().address, testing::kTargetPort}, "catalogue", "ready"));
         }
-        body(*fleet);
-        fleet->end();
+        body(fleet);
     });
 }
 
--- a/tests/sidecar/platform_standin.cpp
+++ b/tests/sidecar/platform_standin.cpp
@@ -146,13 +146,13 @@
     return withBody(std::move(body));
 }
 
-TargetStandin::TargetStandin(FiberRuntime &runtime, std::string instance, const Endpoint &listen)
-    : runtime_(runtime)
-    , instance_(std::move(instance))
+TargetStandin::TargetStandin(FiberRuntime &runtime, std::string instanceId, const Endpoint &listen)
+    : instance(std::move(instanceId))
+    , runtime_(runtime)
     , listen_(listen)
 {
     MessageServerOptions options;
-    options.name = "target-" + instance_;
+    options.name = "target-" + instance;
     options.listen = listen;
     server_ = std::make_unique<MessageServer>(runtime, options, [this](RequestMessage &request, CancelSignal &) -> std::optional<ResponseMessage> {
         latestHeaders = request.headers;
@@ -179,8 +179,8 @@
             return response;
         }
         response.headers.emplace_back("X-Snipestream-Request-Id", behaviour.returnsWrongRequestId ? "of-another" : std::string(id.value_or("-")));
-        response.headers.emplace_back("X-Snipestream-Response-Signature", "signed-" + instance_);
-        response.body = instance_ + ":" + request.body;
+        response.headers.emplace_back("X-Snipestream-Response-Signature", "signed-" + instance);
+        response.body = instance + ":" + request.body;
         return response;
     });
     CPPUNIT_ASSERT(server_->listen().has_value());
@@ -198,7 +198,7 @@
 
 auto TargetStandin::announceLate(const Endpoint &node, const std::string &service, const std::string &state, uint64_t sequence) -> int
 {
-    return post(node, "/-/Instances.Heartbeat/" + instance_,
+    return post(node, "/-/Instances.Heartbeat/" + instance,
                 json{{"Service", service},
                      {"Address", toString(listen_)},
                      {"Zone", "east"},
@@ -213,7 +213,7 @@
 
 auto TargetStandin::deregister(const Endpoint &node) -> int
 {
-    return post(node, "/-/Instances.Deregister/" + instance_, {});
+    return post(node, "/-/Instances.Deregister/" + instance, {});
 }
 
 auto TargetStandin::post(const Endpoint &node, const std::string &path, const std::string &body) -> int
--- a/tests/sidecar/platform_standin.h
+++ b/tests/sidecar/platform_standin.h
@@ -74,7 +74,7 @@
 class TargetStandin
 {
 public:
-    TargetStandin(FiberRuntime &runtime, std::string instance, const Endpoint &listen);
+    TargetStandin(FiberRuntime &runtime, std::string instanceId, const Endpoint &listen);
 
     [[nodiscard]] auto endpoint() const -> Endpoint;
     /// Sends an announcement to the node at the endpoint. Returns the status of the response, or zero if there is none.
@@ -84,6 +84,8 @@
     /// Tells the node that the target leaves, without its start. Returns the status like announce().
     auto deregister(const Endpoint &node) -> int;
 
+    /// Id in the announcements and responses.
+    std::string instance;
     int slots = 8;
     /// Time of the start that the announcements contain, in milliseconds since the Unix epoch.
     int64_t startedAtMs = 1000;
@@ -98,7 +100,6 @@
     auto post(const Endpoint &node, const std::string &path, const std::string &body) -> int;
 
     FiberRuntime &runtime_;
-    std::string instance_;
     Endpoint listen_;
     uint64_t sequence_ = 0;
     std::unique_ptr<MessageServer> server_;
