Do not take the record of an earlier VM at the own address for the own one

Callers saw calls of a target run at that same target, of a service to which their route does not lead. Cause: a node that starts at an address that another VM had reads the list of members before it has written its record, and made its own row a member of the earlier VM's service. Its target then counted as the nearest one of that service, until the node read its own record back, which takes as long as the store is away. It also left its own service, so it counted a wrong number of targets for the retries that it may allow.

Idle connections to an address whose member has changed are closed, as they lead to the earlier VM.

--- a/sidecar/membership.cpp
+++ b/sidecar/membership.cpp
@@ -53,6 +53,20 @@
               {"own", member.address == state.settings.address ? "1" : "0"}});
 }
 
+void applyMember(SidecarState &state, const MemberRecord &record)
+{
+    const std::string &address = record.member.address;
+    if (address == state.settings.address) {
+        // Until this node has written its record, the one under its address is of an earlier VM.
+        return;
+    }
+    if (record.hasLeft) {
+        removeMember(state.peers, address);
+    } else if (addMember(state.peers, record.member)) {
+        state.peerPool.closeIdle({address, state.settings.peerListen.port});
+    }
+}
+
 /// Reads all records. Returns false after a failure.
 auto readMembers(SidecarState &state, const StoreClient &store, int &failures) -> bool
 {
@@ -129,11 +143,7 @@
             continue;
         }
         logReplacement(state, decoded.value().member);
-        if (decoded.value().hasLeft) {
-            removeMember(state.peers, record.key);
-        } else {
-            addMember(state.peers, decoded.value().member);
-        }
+        applyMember(state, decoded.value());
     }
     view.membersOffset = std::max(view.membersOffset, offset);
     view.membersConfirmedAt = BootClock::now();
