Keep what is known of an address apart for each member that has it

Callers saw requests run at targets of a service to which their route does not lead, behind other nodes than their own. Cause: a report named no service, so an entry node that had not read the new record took the report of a new VM into the row of the earlier one, and sent requests for the earlier service to the new instance. The same cause in other places: the homes of a service still listed an address after its row had become a member of another service; the row kept the report, load, failure rate, kinds of work and requests in progress of the earlier VM; the end of the earlier subscription forgot the report of the new VM; connections to the earlier VM stayed in the pool.

A report is now stored only if it names the service of the member. A record with another service clears the row, which gets a new `memberSince`. Homes whose row has changed its service are left out. Reports that are ignored are logged once an incarnation.

Ruled out: that reports change the members, as a delayed report of the earlier VM would undo the record.

--- a/mesh/peer_table.cpp
+++ b/mesh/peer_table.cpp
@@ -26,11 +26,16 @@
     if (row.member == member) {
         return false;
     }
-    table.members[row.member.service].erase(member.address);
+    ++table.revision;
+    if (row.member.service != member.service) {
+        table.members[row.member.service].erase(member.address);
+        row = PeerRow();
+        row.address = member.address;
+        row.memberSince = table.revision;
+    }
     table.members[member.service].insert(member.address);
     row.member = member;
     row.affinity = stableHash(member.address, stableHash(table.ownAddress));
-    ++table.revision;
     return true;
 }
 
@@ -57,6 +62,10 @@
         return false;
     }
     auto &row = found->second;
+    if (row.member.service != report.target.service) {
+        row.otherServiceIncarnation = report.incarnation;
+        return false;
+    }
     if (row.report) {
         if (report.incarnation == row.previousIncarnation) {
             return false;
@@ -87,6 +96,13 @@
     row.kinds.clear();
 }
 
+void dropOutdatedReport(PeerRow &row, const TargetId &refused)
+{
+    if (row.report && row.report->target == refused) {
+        row.report.reset();
+    }
+}
+
 auto homesOf(const PeerTable &table, const ServiceName &service) -> std::vector<const PeerRow *>
 {
     std::vector<const PeerRow *> rows;
@@ -96,7 +112,7 @@
     }
     for (const auto &address : homes->second) {
         const auto row = table.rows.find(address);
-        if (row != table.rows.end()) {
+        if (row != table.rows.end() && row->second.member.service == service) {
             rows.push_back(&row->second);
         }
     }
--- a/mesh/peer_table.h
+++ b/mesh/peer_table.h
@@ -89,6 +89,9 @@
 struct PeerRow {
     std::string address;
     Member member;
+    /// `PeerTable::revision` when the VM at the address became this member. A result of a request that was sent before says
+    /// nothing about it.
+    uint64_t memberSince = 0;
     /// Order in which this node subscribes to the members of a service, drawn from both addresses.
     uint64_t affinity = 0;
     /// Latest report; empty until the first one arrives.
@@ -97,6 +100,8 @@
     std::vector<KindReport> kinds;
     /// Incarnation before the current one, whose delayed reports are ignored.
     uint64_t previousIncarnation = 0;
+    /// Incarnation that reported a target of another service last.
+    uint64_t otherServiceIncarnation = 0;
     TimePoint lastReportAt;
     /// Load according to the latest response or report.
     TargetLoad load;
@@ -124,20 +129,26 @@
     uint64_t revision = 0;
 };
 
-/// Adds a member, or updates what is known of it. Returns whether the members have changed.
+/// Adds a member, or updates what is known of it. A member of another service than before is another VM, so nothing that is
+/// known of the earlier one is kept. Returns whether the members have changed.
 auto addMember(PeerTable &table, const Member &member) -> bool;
 
 /// Removes a member. A member with requests in progress stays until they have ended and gets no new ones.
 void removeMember(PeerTable &table, const std::string &address);
 
-/// Stores the report of a member. Returns false and changes nothing if its node is not a member, or if the report is not
-/// newer than the stored one.
+/// Stores the report of a member. Returns false and changes nothing if its node is not a member, if the report is about a
+/// target of another service than the member's, or if it is not newer than the stored one.
 auto applyReport(PeerTable &table, const NodeReport &report, TimePoint now) -> bool;
 
 /// Forgets the report of a node that sends no more of them, since this node no longer subscribes to it.
 void forgetReport(PeerRow &row);
 
-/// Returns the rows of the homes of a service.
+/// Forgets the report of a node that has refused a request since the target in it is not beside it any more. A report that
+/// has arrived since, about another target, stays.
+void dropOutdatedReport(PeerRow &row, const TargetId &refused);
+
+/// Returns the rows of the homes of a service, without those whose address has become a member of another one since the homes
+/// were chosen.
 auto homesOf(const PeerTable &table, const ServiceName &service) -> std::vector<const PeerRow *>;
 auto homesOf(PeerTable &table, const ServiceName &service) -> std::vector<PeerRow *>;
 
--- a/mesh/subscriptions.cpp
+++ b/mesh/subscriptions.cpp
@@ -150,7 +150,7 @@
             }
             ended.push_back(address);
             const auto row = peers.rows.find(address);
-            if (row != peers.rows.end() && address != peers.ownAddress) {
+            if (row != peers.rows.end() && address != peers.ownAddress && row->second.member.service == service) {
                 forgetReport(row->second);
             }
         }
--- a/sidecar/reports.cpp
+++ b/sidecar/reports.cpp
@@ -51,6 +51,21 @@
 namespace
 {
 
+/// Logs the first report of an incarnation about a target of another service than that of the member at its address.
+void logOtherService(SidecarState &state, const PeerRow &row, const NodeReport &report)
+{
+    if (row.otherServiceIncarnation == report.incarnation) {
+        return;
+    }
+    logEvent(EventId::ReportOfOtherService,
+             {{"peer", report.address},
+              {"instance", report.target.instance},
+              {"service", report.target.service.value},
+              {"member-service", row.member.service.value}});
+    // These connections lead to the earlier VM.
+    state.peerPool.closeIdle({report.address, state.settings.peerListen.port});
+}
+
 void handleReport(SidecarState &state, const std::string &from, std::string_view bytes)
 {
     const auto report = decodeReport(bytes);
@@ -63,14 +78,10 @@
         return;
     }
     const auto row = state.peers.rows.find(received.address);
-    const bool isNew = row == state.peers.rows.end() || !row->second.report || row->second.report->incarnation != received.incarnation;
-    if (isNew && row != state.peers.rows.end() && row->second.member.service != received.target.service) {
-        logEvent(EventId::ReportOfOtherService,
-                 {{"peer", received.address},
-                  {"instance", received.target.instance},
-                  {"service", received.target.service.value},
-                  {"member-service", row->second.member.service.value}});
+    if (row != state.peers.rows.end() && row->second.member.service != received.target.service) {
+        logOtherService(state, row->second, received);
     }
+    const bool isNew = row == state.peers.rows.end() || !row->second.report || row->second.report->incarnation != received.incarnation;
     if (!applyReport(state.peers, received, BootClock::now()) || !isNew) {
         return;
     }
