Run a request only at the target that its entry node chose

A home compared the instance of a request only, so it ran what was meant for a target of another service, or for an earlier start of an instance that keeps its id. The last check before a target has to be made by the node beside it, since it alone knows which target that is; what other nodes know of an address may be outdated at any time.

The home now compares service, instance and start, also after a wait in its queue, and refuses with the reason other-target. The request has not run and goes to another home. The entry node forgets the report that led it there, unless a newer one has arrived. Results of requests that were sent to an earlier VM at the address no longer count for the member that has it now, and a connection that a departed target refused does not make its successor count as unreachable. A request of a node that names no service is refused in the same way.

--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -217,17 +217,22 @@
 
 auto runAttempt(SidecarState &state, const std::string &address, const RoutedRequest &routed, CancelSignal &cancel) -> TargetResult
 {
+    uint64_t memberSince = 0;
     {
         auto &row = state.peers.rows.at(address);
         ++row.inFlight;
         ++row.sentSinceLoadUpdate;
+        memberSince = row.memberSince;
     }
     TargetResult result = address == state.peers.ownAddress ? runAtTarget(state, routed, cancel) : runAtPeer(state, address, routed, cancel);
     const auto found = state.peers.rows.find(address);
-    if (found == state.peers.rows.end()) {
+    if (found == state.peers.rows.end() || found->second.memberSince != memberSince) {
         return result;
     }
     auto &row = found->second;
+    if (result.outcome == TargetOutcome::NotRun && result.reason == kOtherTargetReason) {
+        dropOutdatedReport(row, routed.target);
+    }
     row.inFlight = std::max(0, row.inFlight - 1);
     if (result.load) {
         observeLoad(row, *result.load);
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -147,7 +147,7 @@
         return result;
     }
     if (callResult.status == CallStatus::NotSent) {
-        if (!state.target.unreachable) {
+        if (!state.target.unreachable && request.target == localTarget(state)) {
             logEvent(EventId::TargetUnreachable, {{"instance", request.target.instance}, {"detail", callResult.detail}});
             state.target.unreachable = true;
             state.reportDue = true;
@@ -160,7 +160,7 @@
     return result;
 }
 
-/// Logs that a request was sent here for another target than the local one.
+/// Logs that a request was sent here for another target than the local one, or for an earlier start of it.
 void logOtherTarget(const SidecarState &state, const RoutedRequest &request)
 {
     const TargetId local = localTarget(state);
@@ -175,6 +175,20 @@
               {"own-start", std::to_string(local.startedAtMs)}});
 }
 
+/// Returns why the local target must not run the request now, or an empty string. Only this node knows which target is beside
+/// it; what other nodes know of its address may be about an earlier VM or an earlier start.
+auto refusalOf(const SidecarState &state, const RoutedRequest &request) -> std::string
+{
+    if (!isTargetServing(state)) {
+        return "target-not-serving";
+    }
+    if (request.target != localTarget(state)) {
+        logOtherTarget(state, request);
+        return kOtherTargetReason;
+    }
+    return {};
+}
+
 } // namespace
 
 auto outcomeOf(CallStatus status) -> TargetOutcome
@@ -221,14 +235,9 @@
 auto runAtTarget(SidecarState &state, const RoutedRequest &request, CancelSignal &cancel) -> TargetResult
 {
     const TimePoint arrivedAt = BootClock::now();
-    const auto isIntendedTarget = [&state, &request] {
-        return isTargetServing(state) && state.target.latest->instance == request.target.instance;
-    };
-    if (!isIntendedTarget()) {
-        return notRun("target-not-serving", false);
-    }
-    if (request.target.service != state.settings.service) {
-        logOtherTarget(state, request);
+    const std::string refusalBeforeQueue = refusalOf(state, request);
+    if (!refusalBeforeQueue.empty()) {
+        return notRun(refusalBeforeQueue, false);
     }
     if (request.previousAttempts == 0) {
         countFirstAttempt(state.retryRatio, arrivedAt);
@@ -247,8 +256,8 @@
     Duration service{};
     if (cancel.isCancelled()) {
         result.outcome = TargetOutcome::Cancelled;
-    } else if (!isIntendedTarget()) {
-        result = notRun("target-not-serving", false);
+    } else if (const std::string reason = refusalOf(state, request); !reason.empty()) {
+        result = notRun(reason, false);
     } else {
         if (request.previousAttempts > 0) {
             countRetry(state.retryRatio, startedAt);
--- a/sidecar/home.h
+++ b/sidecar/home.h
@@ -29,6 +29,9 @@
     int previousAttempts = 0;
 };
 
+/// Reason of a refusal: the request names another target than the one beside the node.
+inline constexpr const char *kOtherTargetReason = "other-target";
+
 /// How a request at a target ended.
 enum class TargetOutcome {
     /// The whole response of the target was received.
