Let subscriptions name the service whose targets they are about

A subscription knew its home by address alone. A new VM at the address took the subscriptions to the earlier VM's service: it counted their demand as demand for its own service in its reports, sent reports to nodes that need other targets, and ended a subscription to its own service when the subscriber gave up the earlier one.

The message names the service, and a node ignores one about another service. Shown by a section of SubscriptionsTest::testMessages, which does not compile on the code before.

--- a/mesh/report_codec.cpp
+++ b/mesh/report_codec.cpp
@@ -187,6 +187,7 @@
 auto encodeSubscription(const Subscription &subscription) -> std::vector<uint8_t>
 {
     return toBytes(json{{"a", subscription.address},
+                        {"s", subscription.service.value},
                         {"i", subscription.incarnation},
                         {"q", subscription.sequence},
                         {"d", toJson(subscription.demand)},
@@ -203,6 +204,7 @@
     JsonFields fields(object);
     Subscription subscription;
     subscription.address = fields.shortText("a");
+    subscription.service = ServiceName(fields.shortText("s"));
     subscription.incarnation = fields.unsignedInteger("i");
     subscription.sequence = fields.unsignedInteger("q");
     subscription.demand = readSlots(object, "d", fields);
--- a/mesh/subscriptions.cpp
+++ b/mesh/subscriptions.cpp
@@ -126,7 +126,7 @@
     return chosen;
 }
 
-auto updateSubscriptions(SubscriptionTable &table, PeerTable &peers, const std::vector<ServiceName> &needed, TimePoint now) -> std::vector<std::string>
+auto updateSubscriptions(SubscriptionTable &table, PeerTable &peers, const std::vector<ServiceName> &needed, TimePoint now) -> std::vector<EndedSubscription>
 {
     std::map<ServiceName, std::map<std::string, HomeSubscription>> updated;
     for (const auto &service : needed) {
@@ -141,14 +141,14 @@
             homes.emplace(address, home);
         }
     }
-    std::vector<std::string> ended;
+    std::vector<EndedSubscription> ended;
     for (const auto &[service, homes] : table.services) {
         for (const auto &[address, home] : homes) {
             const auto current = updated.find(service);
             if (current != updated.end() && current->second.count(address) != 0) {
                 continue;
             }
-            ended.push_back(address);
+            ended.push_back({service, address});
             const auto row = peers.rows.find(address);
             if (row != peers.rows.end() && address != peers.ownAddress && row->second.member.service == service) {
                 forgetReport(row->second);
@@ -190,7 +190,7 @@
             }
             home.nextAt = now + interval;
             home.sentDemand = total;
-            Subscription subscription{peers.ownAddress, incarnation, ++table.sequence, serviceDemand, interval, false};
+            Subscription subscription{peers.ownAddress, service, incarnation, ++table.sequence, serviceDemand, interval, false};
             for (double &value : subscription.demand) {
                 value *= share;
             }
@@ -200,8 +200,11 @@
     return due;
 }
 
-void applySubscription(SubscriberTable &table, const Subscription &subscription, TimePoint now)
+void applySubscription(SubscriberTable &table, const ServiceName &own, const Subscription &subscription, TimePoint now)
 {
+    if (subscription.service != own) {
+        return;
+    }
     const auto found = table.rows.find(subscription.address);
     const bool isKnown = found != table.rows.end();
     if (isKnown) {
--- a/mesh/subscriptions.h
+++ b/mesh/subscriptions.h
@@ -19,6 +19,9 @@
 struct Subscription {
     /// Address of the subscriber.
     std::string address;
+    /// Service whose targets the subscriber wants to know. A node beside a target of another service, which has got the address
+    /// of an earlier VM, ignores the message.
+    ServiceName service;
     /// Random number drawn at each start of the subscriber's process.
     uint64_t incarnation = 0;
     /// Increases with each subscription message of an incarnation.
@@ -32,8 +35,8 @@
 
     friend auto operator==(const Subscription &a, const Subscription &b) -> bool
     {
-        return a.address == b.address && a.incarnation == b.incarnation && a.sequence == b.sequence && a.demand == b.demand && a.interval == b.interval
-            && a.ends == b.ends;
+        return a.address == b.address && a.service == b.service && a.incarnation == b.incarnation && a.sequence == b.sequence && a.demand == b.demand
+            && a.interval == b.interval && a.ends == b.ends;
     }
 };
 
@@ -75,8 +78,19 @@
 auto chooseHomes(const PeerTable &peers, const SubscriptionTable &table, const ServiceName &service, size_t serviceCount, TimePoint now)
     -> std::vector<std::string>;
 
-/// Updates the homes of the services that the node needs. Returns the homes that it no longer subscribes to.
-auto updateSubscriptions(SubscriptionTable &table, PeerTable &peers, const std::vector<ServiceName> &needed, TimePoint now) -> std::vector<std::string>;
+/// A home that this node no longer subscribes to.
+struct EndedSubscription {
+    ServiceName service;
+    std::string home;
+
+    friend auto operator==(const EndedSubscription &a, const EndedSubscription &b) -> bool
+    {
+        return a.service == b.service && a.home == b.home;
+    }
+};
+
+/// Updates the homes of the services that the node needs. Returns the subscriptions that have ended.
+auto updateSubscriptions(SubscriptionTable &table, PeerTable &peers, const std::vector<ServiceName> &needed, TimePoint now) -> std::vector<EndedSubscription>;
 
 /// A subscription message and the home that it is sent to.
 struct AddressedSubscription {
@@ -108,8 +122,9 @@
     TimePoint reportedAt;
 };
 
-/// Stores a subscription. A new subscriber gets a report at once.
-void applySubscription(SubscriberTable &table, const Subscription &subscription, TimePoint now);
+/// Stores a subscription to the targets of the service `own`, which is that of the local target, and ignores one to another
+/// service. A new subscriber gets a report at once.
+void applySubscription(SubscriberTable &table, const ServiceName &own, const Subscription &subscription, TimePoint now);
 
 /// Removes the subscribers that have not renewed their subscription.
 void expireSubscribers(SubscriberTable &table, TimePoint now);
--- a/sidecar/reports.cpp
+++ b/sidecar/reports.cpp
@@ -99,7 +99,7 @@
         return;
     }
     learnFromPeer(state, from);
-    applySubscription(state.subscribers, subscription.value(), BootClock::now());
+    applySubscription(state.subscribers, state.settings.service, subscription.value(), BootClock::now());
 }
 
 /// Returns the services whose targets this node needs to know: those of its requests, those that they call, and in small
@@ -142,9 +142,10 @@
     state.homesUpdatedAt = now;
     state.homesRevision = state.peers.revision;
     state.areServicesRequired = false;
-    for (const auto &home : updateSubscriptions(state.subscriptions, state.peers, neededServices(state, now), now)) {
+    for (const auto &[service, home] : updateSubscriptions(state.subscriptions, state.peers, neededServices(state, now), now)) {
         Subscription end;
         end.address = state.settings.address;
+        end.service = service;
         end.incarnation = state.incarnation;
         end.sequence = ++state.subscriptions.sequence;
         end.ends = true;
@@ -160,7 +161,7 @@
     }
     for (const auto &[home, subscription] : dueSubscriptions(state.subscriptions, state.peers, demand, state.incarnation, now)) {
         if (home == state.settings.address) {
-            applySubscription(state.subscribers, subscription, now);
+            applySubscription(state.subscribers, state.settings.service, subscription, now);
         } else {
             state.datagrams.send(home, DatagramKind::Subscription, encodeSubscription(subscription));
         }
--- a/tests/mesh/admission_control_test.cpp
+++ b/tests/mesh/admission_control_test.cpp
@@ -74,7 +74,7 @@
     void exchangeReports()
     {
         for (const auto &due : dueSubscriptions(subscriptions, peers, {{kDeepService, arrivingWork(control, now)}}, 1, now)) {
-            applySubscription(subscribers, due.subscription, now);
+            applySubscription(subscribers, kDeepService, due.subscription, now);
         }
         for (const auto &due : dueReports(subscribers, false, now)) {
             report.offeredLoad = offeredLoadAt(offered, now);
--- a/tests/mesh/subscriptions_test.cpp
+++ b/tests/mesh/subscriptions_test.cpp
@@ -85,7 +85,7 @@
             ++messages;
             auto &to = nodeAt(home);
             if (!to.isDown && !isCut(node, to)) {
-                applySubscription(to.subscribers, subscription, now);
+                applySubscription(to.subscribers, kService, subscription, now);
             }
         }
         if (serviceOf(i) != kService) {
@@ -270,7 +270,7 @@
 
     void testMessages()
     {
-        const Subscription subscription{"10.0.0.1", 7, 9, {0.5, 0, 2.25}, milliseconds(600), true};
+        const Subscription subscription{"10.0.0.1", kService, 7, 9, {0.5, 0, 2.25}, milliseconds(600), true};
         const auto bytes = encodeSubscription(subscription);
         const std::string_view view(reinterpret_cast<const char *>(bytes.data()), bytes.size());
         section("a subscription is decoded as it was encoded", [&] {
@@ -286,20 +286,36 @@
             const TimePoint now = TimePoint() + seconds(1);
             Subscription current = subscription;
             current.ends = false;
-            applySubscription(table, current, now);
+            applySubscription(table, kService, current, now);
             Subscription old = current;
             --old.sequence;
             old.demand = {9};
-            applySubscription(table, old, now);
+            applySubscription(table, kService, old, now);
             CPPUNIT_ASSERT(table.rows.at("10.0.0.1").latest == current);
             Subscription restarted = current;
             restarted.incarnation = 8;
             restarted.sequence = 1;
-            applySubscription(table, restarted, now);
+            applySubscription(table, kService, restarted, now);
             old.sequence = 50;
-            applySubscription(table, old, now);
+            applySubscription(table, kService, old, now);
             CPPUNIT_ASSERT(table.rows.at("10.0.0.1").latest == restarted);
         });
+        section("a subscription to a service that had the address before is ignored, and so is its end", [&] {
+            SubscriberTable table;
+            const TimePoint now = TimePoint() + seconds(1);
+            Subscription current = subscription;
+            current.ends = false;
+            const ServiceName other("other");
+            applySubscription(table, other, current, now);
+            CPPUNIT_ASSERT(table.rows.empty());
+            applySubscription(table, kService, current, now);
+            Subscription end = current;
+            end.service = other;
+            end.ends = true;
+            ++end.sequence;
+            applySubscription(table, kService, end, now);
+            CPPUNIT_ASSERT(table.rows.at("10.0.0.1").latest == current);
+        });
     }
 };
 
