Bound the memory of responses until their callers have read them

A faulty target can send without end, and what a node holds ended with it for other callers too. Each response was bounded, and all together while they were received, but not afterwards: a complete response waited without a bound for a caller that reads slowly, behind earlier responses of its connection, or while its request was retried. Bytes that wait to be parsed, such as heads, did not count either.

A response now counts from its first byte until its last one has been sent (HeldResponse travels with it), at the home and at the entry. Beyond the limit the largest response that is being received or sent is cut, with SNS9005 in the latter case. The pool reads up to 8 KiB at once; it read 512 bytes. The unsent rest of a response is no longer copied.

--- a/core/events.cpp
+++ b/core/events.cpp
@@ -122,6 +122,8 @@
         {EventId::HttpListening, Severity::Info, "http-listening", "The HTTP server accepts connections."},
         {EventId::AcceptFailed, Severity::Warning, "accept-failed", "A connection could not be accepted, for example because no file descriptor was free."},
         {EventId::ConnectionRefused, Severity::Warning, "connection-refused", "A connection was closed at once because too many are open."},
+        {EventId::ResponseCut, Severity::Warning, "response-cut",
+         "A connection was closed while it was sent a response, since responses hold too much memory and this one was the largest."},
     };
     return rows;
 }
--- a/core/events.h
+++ b/core/events.h
@@ -89,6 +89,7 @@
     HttpListening = 9002,
     AcceptFailed = 9003,
     ConnectionRefused = 9004,
+    ResponseCut = 9005,
 };
 
 /// One row of the catalogue in docs/EVENTS.md.
--- a/http/call_pool.cpp
+++ b/http/call_pool.cpp
@@ -32,6 +32,8 @@
 /// Received bytes that may wait to be parsed, in addition to the longest head. Bodies are parsed as they arrive, but the head
 /// of a chunk only when it is complete.
 constexpr size_t kReadAheadBytes = size_t{64} * 1024;
+/// Number of bytes that one system call reads at most.
+constexpr size_t kReadBytes = size_t{8} * 1024;
 
 struct Connection {
     Connection(asio::io_context &context, size_t maxBufferedBytes)
@@ -130,8 +132,10 @@
     auto acquireIdle(const Endpoint &server) -> ConnectionPtr;
     auto connect(const Endpoint &server, CancelSignal &cancel, TimePoint deadline, std::string &detail) -> ConnectionPtr;
     auto exchange(const ConnectionPtr &connection, const RequestMessage &request, CallResult &result) -> bool;
-    auto readResponse(const ConnectionPtr &connection, bool withoutBody, std::optional<ResponseParser> &parser) -> boost::system::error_code;
-    auto readBody(const ConnectionPtr &connection, ResponseParser &parser) -> boost::system::error_code;
+    auto readResponse(const ConnectionPtr &connection, bool withoutBody, HeldResponse &held, std::optional<ResponseParser> &parser)
+        -> boost::system::error_code;
+    auto readMessage(const ConnectionPtr &connection, HeldResponse &held, ResponseParser &parser) -> boost::system::error_code;
+    static auto readMore(Connection &connection, ResponseParser &parser) -> boost::system::error_code;
     void scheduleSweep();
     void closeExpiredIdle(TimePoint now);
 
@@ -214,7 +218,13 @@
         pendingWrite->failed = static_cast<bool>(error);
     });
     std::optional<ResponseParser> parser;
-    const auto error = readResponse(connection, request.method == "HEAD", parser);
+    const auto held = std::make_shared<HeldResponse>(options.memory);
+    held->setAbort([connection] {
+        connection->exceedsMemory = true;
+        connection->close();
+    });
+    const auto error = readResponse(connection, request.method == "HEAD", *held, parser);
+    held->setAbort(nullptr);
     if (error) {
         result.status = failureStatus(*connection, error);
         result.detail = error.message();
@@ -227,11 +237,14 @@
     result.response.keepAlive = parsed.keep_alive() && !parser->need_eof();
     result.response.idleTimeout = readIdleTimeout(std::string(parsed["Keep-Alive"]));
     result.response.body = std::move(parsed.body());
+    held->setBytes(result.response.body.size());
+    result.response.held = held;
     return result.response.keepAlive && pendingWrite->done && !pendingWrite->failed && connection->buffer.size() == 0;
 }
 
 /// Reads the response, leaving out interim ones.
-auto CallPool::State::readResponse(const ConnectionPtr &connection, bool withoutBody, std::optional<ResponseParser> &parser) -> boost::system::error_code
+auto CallPool::State::readResponse(const ConnectionPtr &connection, bool withoutBody, HeldResponse &held, std::optional<ResponseParser> &parser)
+    -> boost::system::error_code
 {
     for (int i = 0; i <= options.maxInterimResponses; ++i) {
         parser.emplace();
@@ -239,17 +252,7 @@
         parser->header_limit(options.maxHeaderBytes);
         parser->body_limit(options.maxResponseBytes);
         parser->skip(withoutBody);
-        const IoResult head = awaitIo([&](auto done) {
-            http::async_read_header(connection->socket, connection->buffer, *parser, done);
-        });
-        if (head.error) {
-            return head.error;
-        }
-        const auto &fields = parser->get().base();
-        if (static_cast<size_t>(std::distance(fields.begin(), fields.end())) > options.maxFields) {
-            return http::error::header_limit;
-        }
-        const auto error = readBody(connection, *parser);
+        const auto error = readMessage(connection, held, *parser);
         if (error || parser->get().result_int() / 100 != 1) {
             return error;
         }
@@ -257,24 +260,55 @@
     return http::error::header_limit;
 }
 
-auto CallPool::State::readBody(const ConnectionPtr &connection, ResponseParser &parser) -> boost::system::error_code
+/// Reads one message. Counts the bytes that wait to be parsed and those of the body.
+auto CallPool::State::readMessage(const ConnectionPtr &connection, HeldResponse &held, ResponseParser &parser) -> boost::system::error_code
+{
+    auto &buffer = connection->buffer;
+    bool isHeadChecked = false;
+    while (!parser.is_done()) {
+        boost::system::error_code error = http::error::need_more;
+        if (buffer.size() > 0) {
+            buffer.consume(parser.put(buffer.data(), error));
+        }
+        if (!isHeadChecked && parser.is_header_done()) {
+            isHeadChecked = true;
+            const auto &fields = parser.get().base();
+            if (static_cast<size_t>(std::distance(fields.begin(), fields.end())) > options.maxFields) {
+                return http::error::header_limit;
+            }
+        }
+        held.setBytes(buffer.size() + parser.get().body().size());
+        if (error == http::error::need_more) {
+            error = readMore(*connection, parser);
+        }
+        if (error) {
+            return error;
+        }
+    }
+    return {};
+}
+
+/// Receives bytes into the connection's buffer. Returns an error if it is full, or if the connection has ended and the end does
+/// not complete the message.
+auto CallPool::State::readMore(Connection &connection, ResponseParser &parser) -> boost::system::error_code
 {
-    if (parser.is_done()) {
-        return {};
+    auto &buffer = connection.buffer;
+    if (buffer.size() >= buffer.max_size()) {
+        return http::error::buffer_overflow;
     }
-    auto &memory = *options.memory;
-    const PartialResponseId id = addPartialResponse(memory, [connection] {
-        connection->exceedsMemory = true;
-        connection->close();
+    const size_t room = std::min(kReadBytes, buffer.max_size() - buffer.size());
+    const IoResult read = awaitIo([&](auto done) {
+        connection.socket.async_read_some(buffer.prepare(room), done);
     });
-    boost::system::error_code error;
-    while (!error && !parser.is_done()) {
-        setReceivedBytes(memory, id, parser.get().body().size());
-        error = awaitIo([&](auto done) {
-                    http::async_read_some(connection->socket, connection->buffer, parser, done);
-                }).error;
+    if (read.error != asio::error::eof) {
+        buffer.commit(read.bytes);
+        return read.error;
     }
-    removePartialResponse(memory, id);
+    if (!parser.got_some()) {
+        return http::error::end_of_stream;
+    }
+    boost::system::error_code error;
+    parser.put_eof(error);
     return error;
 }
 
--- a/http/message.h
+++ b/http/message.h
@@ -2,8 +2,10 @@
 
 #include "core/exchange.h"
 #include "core/time.h"
+#include "http/response_memory.h"
 
 #include <functional>
+#include <memory>
 #include <optional>
 #include <string>
 
@@ -30,6 +32,8 @@
     bool keepAlive = true;
     /// Idle timeout that the server stated in its Keep-Alive field, if any.
     std::optional<Duration> idleTimeout;
+    /// Memory that the response occupies; empty if it was not received but made by this node.
+    std::shared_ptr<HeldResponse> held;
 };
 
 /// Cancels work in progress whose result is no longer needed. Must be used from one thread only.
--- a/http/message_connection.cpp
+++ b/http/message_connection.cpp
@@ -264,7 +264,7 @@
     // Behind other requests, the interim response would arrive in front of theirs. The caller sends the body anyway after
     // a while.
     if (expectsContinue && requests_.empty() && !isSending_) {
-        sendBytes("HTTP/1.1 100 Continue\r\n\r\n", false);
+        sendBytes("HTTP/1.1 100 Continue\r\n\r\n", false, nullptr);
     }
 }
 
@@ -382,7 +382,7 @@
         }
         // Responses of requests that are already running are still sent, since those may have run.
         const bool closeAfter = !request->keepAlive || (isReadingStopped_ && requests_.empty());
-        sendBytes(serializeResponse(*request->response, closeAfter, request->withoutBody), closeAfter);
+        sendBytes(serializeResponse(*request->response, closeAfter, request->withoutBody), closeAfter, std::move(request->response->held));
     }
     if (hasEnded_ || isLingering_) {
         return;
@@ -400,7 +400,7 @@
     awaitBytes();
 }
 
-void MessageConnection::sendBytes(std::string bytes, bool closeAfter)
+void MessageConnection::sendBytes(std::string bytes, bool closeAfter, std::shared_ptr<HeldResponse> held)
 {
     boost::system::error_code error;
     const size_t sent = socket_.write_some(asio::buffer(bytes), error);
@@ -412,10 +412,25 @@
         handleSent(closeAfter);
         return;
     }
+    sendRest(std::move(bytes), sent, closeAfter, held);
+}
+
+/// Sends the bytes that the caller has not had room for yet. Until it has read them, they count as memory of the response.
+void MessageConnection::sendRest(std::string bytes, size_t sent, bool closeAfter, const std::shared_ptr<HeldResponse> &held)
+{
     isSending_ = true;
     writeDeadline_ = BootClock::now() + shared_->options.bodyTimeout;
-    const auto rest = std::make_shared<std::string>(bytes.substr(sent));
-    asio::async_write(socket_, asio::buffer(*rest), [self = shared_from_this(), rest, closeAfter](const boost::system::error_code &failed, size_t) {
+    const auto rest = std::make_shared<std::string>(std::move(bytes));
+    if (held) {
+        held->setAbort([weak = weak_from_this(), size = rest->size()] {
+            if (const auto self = weak.lock()) {
+                logEvent(EventId::ResponseCut, {{"server", self->shared_->options.name}, {"bytes", std::to_string(size)}});
+                self->close();
+            }
+        });
+    }
+    const auto unsent = asio::buffer(*rest) + sent;
+    asio::async_write(socket_, unsent, [self = shared_from_this(), rest, held, closeAfter](const boost::system::error_code &failed, size_t) {
         self->isSending_ = false;
         self->writeDeadline_ = TimePoint::max();
         if (failed) {
--- a/http/response_memory.cpp
+++ b/http/response_memory.cpp
@@ -6,30 +6,38 @@
 namespace snipestream
 {
 
-auto addPartialResponse(ResponseMemory &memory, std::function<void()> abort) -> PartialResponseId
+HeldResponse::HeldResponse(std::shared_ptr<ResponseMemory> memory)
+    : memory_(std::move(memory))
+    , row_(memory_->responses.insert(memory_->responses.end(), HeldBytes()))
 {
-    return memory.responses.insert(memory.responses.end(), PartialResponse{0, std::move(abort)});
 }
 
-void setReceivedBytes(ResponseMemory &memory, PartialResponseId id, uint64_t bytes)
+HeldResponse::~HeldResponse()
 {
-    memory.totalBytes += bytes - id->bytes;
-    id->bytes = bytes;
-    if (memory.totalBytes <= memory.maxBytes) {
+    memory_->totalBytes -= row_->bytes;
+    memory_->responses.erase(row_);
+}
+
+void HeldResponse::setAbort(std::function<void()> abort)
+{
+    row_->abort = std::move(abort);
+}
+
+void HeldResponse::setBytes(uint64_t bytes)
+{
+    memory_->totalBytes += bytes - row_->bytes;
+    row_->bytes = bytes;
+    if (memory_->totalBytes <= memory_->maxBytes) {
         return;
     }
-    const auto largest = std::max_element(memory.responses.begin(), memory.responses.end(), [](const PartialResponse &a, const PartialResponse &b) {
-        return a.bytes < b.bytes;
+    auto &responses = memory_->responses;
+    const auto largest = std::max_element(responses.begin(), responses.end(), [](const HeldBytes &a, const HeldBytes &b) {
+        return (a.abort ? a.bytes : 0) < (b.abort ? b.bytes : 0);
     });
+    // The function may destroy the response.
     if (const auto abort = std::exchange(largest->abort, nullptr)) {
         abort();
     }
 }
 
-void removePartialResponse(ResponseMemory &memory, PartialResponseId id)
-{
-    memory.totalBytes -= id->bytes;
-    memory.responses.erase(id);
-}
-
 } // namespace snipestream
--- a/sidecar/state.cpp
+++ b/sidecar/state.cpp
@@ -12,8 +12,8 @@
 /// A connection on the same VM opens in about a millisecond, so a target that takes a second accepts none.
 constexpr Duration kTargetConnectTimeout = milliseconds(1000);
 
-/// Fraction of the process's memory limit that responses in progress may take together, and a single one. While a body
-/// grows, its buffer takes up to three times its size.
+/// Fraction of the process's memory limit that responses may take together until they have been sent, and a single one while it
+/// is received. While a body grows, its buffer takes up to three times its size.
 constexpr double kResponseMemoryFraction = 0.15;
 constexpr double kMaxResponseFraction = 0.1;
 
--- a/tests/http/endless_test.cpp
+++ b/tests/http/endless_test.cpp
@@ -29,10 +29,10 @@
     return resident * static_cast<uint64_t>(sysconf(_SC_PAGESIZE));
 }
 
-auto callOnce(CallPool &pool, const Endpoint &server, Duration timeout) -> CallResult
+auto callOnce(CallPool &pool, const Endpoint &server, Duration timeout, const std::string &path = "/stock/7") -> CallResult
 {
     CancelSignal cancel;
-    return pool.call(server, {"GET", "/stock/7", {}, {}, true}, cancel, BootClock::now() + timeout);
+    return pool.call(server, {"GET", path, {}, {}, true}, cancel, BootClock::now() + timeout);
 }
 
 /// Calls a server that sends `repeated` without end after `prefix`. Checks that the call ends before its deadline and that
@@ -67,6 +67,9 @@
     CPPUNIT_TEST_SUITE(EndlessTest);
     CPPUNIT_TEST(testResponses);
     CPPUNIT_TEST(testManyServers);
+    CPPUNIT_TEST(testSlowCallers);
+    CPPUNIT_TEST(testKeptResponse);
+    CPPUNIT_TEST(testManyIdleConnections);
     CPPUNIT_TEST(testRequests);
     CPPUNIT_TEST_SUITE_END();
 
@@ -155,6 +158,138 @@
         });
     }
 
+    void testSlowCallers()
+    {
+        section("callers that do not read their responses take no more memory than allowed, and others are answered", [] {
+            FiberRuntime runtime;
+            runtime.runToEnd([&] {
+                constexpr int kCallers = 40;
+                constexpr size_t kBodyBytes = 12 * kMebibyte;
+                CallPoolOptions options;
+                options.memory = std::make_shared<ResponseMemory>();
+                options.memory->maxBytes = 32 * kMebibyte;
+                CallPool pool(runtime, options);
+                MessageServerOptions targetOptions;
+                targetOptions.listen = {"127.0.0.1", 0};
+                MessageServer target(runtime, targetOptions, [](RequestMessage &, CancelSignal &) -> std::optional<ResponseMessage> {
+                    ResponseMessage response;
+                    response.body = std::string(5000, 'b');
+                    return response;
+                });
+                const Endpoint usualEndpoint{"127.0.0.1", target.listen().value()};
+                EndlessServer large(runtime, "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(kBodyBytes) + "\r\n\r\n", "a");
+                MessageServerOptions nodeOptions;
+                nodeOptions.name = "caller";
+                nodeOptions.listen = {"127.0.0.1", 0};
+                int received = 0;
+                MessageServer node(runtime, nodeOptions, [&](RequestMessage &request, CancelSignal &cancel) -> std::optional<ResponseMessage> {
+                    CallResult result =
+                        pool.call(request.target == "/large" ? large.endpoint() : usualEndpoint, request, cancel, BootClock::now() + seconds(5));
+                    received += request.target == "/large" ? 1 : 0;
+                    return std::move(result.response);
+                });
+                const uint16_t port = node.listen().value();
+                const uint64_t before = residentBytes();
+                uint64_t peak = before;
+                std::vector<std::unique_ptr<testing::RawClient>> callers;
+                for (int i = 0; i < kCallers; ++i) {
+                    callers.push_back(std::make_unique<testing::RawClient>(runtime, port, 16 * 1024));
+                    callers.back()->send("GET /large HTTP/1.1\r\nHost: node\r\n\r\n");
+                    // Together they would be bounded while they are received.
+                    for (int wait = 0; wait < 500 && received <= i; ++wait) {
+                        runtime.sleepFor(milliseconds(2));
+                    }
+                    peak = std::max(peak, residentBytes());
+                }
+                CallPool usualCallers(runtime, CallPoolOptions());
+                int answered = 0;
+                for (int i = 0; i < 60; ++i) {
+                    const CallResult result = callOnce(usualCallers, {"127.0.0.1", port}, seconds(2));
+                    answered += result.status == CallStatus::Answered && result.response.body.size() == 5000 ? 1 : 0;
+                    peak = std::max(peak, residentBytes());
+                    runtime.sleepFor(milliseconds(20));
+                }
+                CPPUNIT_ASSERT_EQUAL(kCallers, received);
+                CPPUNIT_ASSERT_EQUAL(60, answered);
+                CPPUNIT_ASSERT_MESSAGE(std::to_string((peak - before) / kMebibyte) + " MiB", peak - before < 3 * 32 * kMebibyte);
+                section("a caller that reads its response gets all of it meanwhile", [&] {
+                    const CallResult result = callOnce(usualCallers, {"127.0.0.1", port}, seconds(2), "/large");
+                    CPPUNIT_ASSERT(result.status == CallStatus::Answered);
+                    CPPUNIT_ASSERT_EQUAL(kBodyBytes, result.response.body.size());
+                });
+                for (const auto &caller : callers) {
+                    caller->close();
+                }
+                runtime.sleepFor(milliseconds(100));
+                CPPUNIT_ASSERT_EQUAL(uint64_t{0}, options.memory->totalBytes);
+                node.closeIdle();
+                target.closeIdle();
+                runtime.sleepFor(milliseconds(50));
+            });
+        });
+    }
+
+    void testKeptResponse()
+    {
+        section("a response that is kept, for example while its request is retried, still counts", [] {
+            FiberRuntime runtime;
+            runtime.runToEnd([&] {
+                MessageServerOptions serverOptions;
+                serverOptions.listen = {"127.0.0.1", 0};
+                MessageServer server(runtime, serverOptions, [](RequestMessage &, CancelSignal &) -> std::optional<ResponseMessage> {
+                    ResponseMessage response;
+                    response.status = 500;
+                    response.body = std::string(kMebibyte, 'f');
+                    return response;
+                });
+                CallPoolOptions options;
+                options.memory = std::make_shared<ResponseMemory>();
+                options.memory->maxBytes = 3 * kMebibyte;
+                CallPool pool(runtime, options);
+                const Endpoint endpoint{"127.0.0.1", server.listen().value()};
+                std::vector<CallResult> kept;
+                for (int i = 0; i < 3; ++i) {
+                    kept.push_back(callOnce(pool, endpoint, seconds(2)));
+                    CPPUNIT_ASSERT(kept.back().status == CallStatus::Answered);
+                }
+                CPPUNIT_ASSERT_EQUAL(3 * kMebibyte, options.memory->totalBytes);
+                CPPUNIT_ASSERT(callOnce(pool, endpoint, seconds(2)).status == CallStatus::TooLarge);
+                kept.clear();
+                CPPUNIT_ASSERT_EQUAL(uint64_t{0}, options.memory->totalBytes);
+                CPPUNIT_ASSERT(callOnce(pool, endpoint, seconds(2)).status == CallStatus::Answered);
+                server.closeIdle();
+                runtime.sleepFor(milliseconds(50));
+            });
+        });
+    }
+
+    void testManyIdleConnections()
+    {
+        section("two hundred connections on which bytes follow the response are closed, and take no memory until then", [] {
+            FiberRuntime runtime;
+            runtime.runToEnd([&] {
+                constexpr int kConnections = 200;
+                EndlessServer server(runtime, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "a");
+                CallPool pool(runtime, CallPoolOptions());
+                const uint64_t before = residentBytes();
+                int answered = 0;
+                for (int i = 0; i < kConnections; ++i) {
+                    runtime.spawn([&] {
+                        answered += callOnce(pool, server.endpoint(), seconds(5)).status == CallStatus::Answered ? 1 : 0;
+                    });
+                }
+                uint64_t peak = before;
+                for (int i = 0; i < 60; ++i) {
+                    peak = std::max(peak, residentBytes());
+                    runtime.sleepFor(milliseconds(20));
+                }
+                CPPUNIT_ASSERT_EQUAL(kConnections, answered);
+                CPPUNIT_ASSERT_EQUAL(0, server.openConnections());
+                CPPUNIT_ASSERT_MESSAGE(std::to_string((peak - before) / kMebibyte) + " MiB", peak - before < 48 * kMebibyte);
+            });
+        });
+    }
+
     void testRequests()
     {
         FiberRuntime runtime;
