Bound the heads that the client of the streaming node accepts

It now has the limits of the client for whole messages: 16 KiB and 200 fields a head, 8 interim responses, 80 KiB that wait to be parsed.

EndlessTest::testStreamingClient failed on the code before ("the deadline passed" after 10 s of interim responses) and passes. Bodies were and are read in parts, and not kept whole.

--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -24,6 +24,14 @@
 {
 
 constexpr size_t kMaxFetchBodyBytes = 16 * 1024 * 1024;
+/// Maximum size of the head of a response, in bytes, and its maximum number of fields.
+constexpr uint32_t kMaxHeadBytes = 16 * 1024;
+constexpr size_t kMaxFields = 200;
+/// Maximum number of interim responses (1xx) before a response.
+constexpr int kMaxInterimResponses = 8;
+/// Received bytes that may wait to be parsed: the longest head and some more. The head of a chunk is parsed only when it is
+/// complete.
+constexpr size_t kMaxBufferedBytes = kMaxHeadBytes + size_t{64} * 1024;
 
 struct Connection {
     explicit Connection(asio::io_context &context)
@@ -42,7 +50,7 @@
 
     asio::ip::tcp::socket socket;
     asio::steady_timer idleTimer;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{kMaxBufferedBytes};
     bool idle = false;
 };
 
@@ -153,8 +161,13 @@
         if (ended) {
             return failure(ErrorCode::Closed, "the call has ended");
         }
+        int interimResponses = 0;
         do {
+            if (interimResponses++ > kMaxInterimResponses) {
+                return endWithError(http::error::header_limit, "read interim answers");
+            }
             parser.emplace();
+            parser->header_limit(kMaxHeadBytes);
             parser->body_limit(boost::none);
             parser->skip(method == "HEAD");
             const IoResult result = awaitIo([&](auto handler) {
@@ -163,6 +176,10 @@
             if (result.error) {
                 return endWithError(result.error, "read the head of the answer");
             }
+            const auto &fields = parser->get().base();
+            if (static_cast<size_t>(std::distance(fields.begin(), fields.end())) > kMaxFields) {
+                return endWithError(http::error::header_limit, "read the fields of the answer");
+            }
         } while (parser->get().result_int() / 100 == 1);
         ResponseHead head;
         head.status = static_cast<int>(parser->get().result_int());
--- a/tests/http/endless_test.cpp
+++ b/tests/http/endless_test.cpp
@@ -1,4 +1,5 @@
 #include "http/call_pool.h"
+#include "http/http_client.h"
 #include "http/message_server.h"
 
 #include "tests/standins/endless_server.h"
@@ -66,6 +67,7 @@
 {
     CPPUNIT_TEST_SUITE(EndlessTest);
     CPPUNIT_TEST(testResponses);
+    CPPUNIT_TEST(testStreamingClient);
     CPPUNIT_TEST(testManyServers);
     CPPUNIT_TEST(testSlowCallers);
     CPPUNIT_TEST(testKeptResponse);
@@ -111,6 +113,37 @@
         });
     }
 
+    void testStreamingClient()
+    {
+        const std::string ok = "HTTP/1.1 200 OK\r\n";
+        const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+        const auto fetchEndless = [](const std::string &prefix, const std::string &repeated) {
+            FiberRuntime runtime;
+            runtime.runToEnd([&] {
+                EndlessServer server(runtime, prefix, repeated);
+                HttpClient client(runtime, HttpClientOptions{server.endpoint(), 2});
+                const uint64_t before = residentBytes();
+                const TimePoint start = BootClock::now();
+                const auto result = fetch(client, testing::makeRequest("GET", "/stock/7"), {});
+                const uint64_t growth = residentBytes() - std::min(before, residentBytes());
+                CPPUNIT_ASSERT_MESSAGE(prefix + repeated, !result);
+                CPPUNIT_ASSERT_MESSAGE(prefix + repeated + ": " + result.error().message, BootClock::now() - start < seconds(3));
+                CPPUNIT_ASSERT_MESSAGE(prefix + repeated + ": " + std::to_string(growth), growth < 64 * kMebibyte);
+                runtime.sleepFor(milliseconds(50));
+                CPPUNIT_ASSERT_EQUAL(0, server.openConnections());
+            });
+        };
+        section("the client of the streaming node cuts endless heads, interim responses and heads of chunks as well", [&] {
+            fetchEndless(ok + "X-Field: ", "a");
+            fetchEndless(ok, "X-Field: 1\r\n");
+            fetchEndless("", "HTTP/1.1 100 Continue\r\n\r\n");
+            fetchEndless(chunked + "1;x=", "a");
+        });
+        section("a body without end is not kept whole", [&] {
+            fetchEndless(ok + "\r\n", "a");
+        });
+    }
+
     void testManyServers()
     {
         section("fifty endless bodies at once take no more memory than allowed, and a usual response still arrives", [] {
