Test that a response of many small chunks is received whole

The read loop of the client was rewritten, and the test that got so much faster expects a cut only, which a wrongly early cut would pass as well. A response of 200,000 chunks of one byte arrives whole, and one without end is cut at the limit of its body.

--- a/tests/http/endless_test.cpp
+++ b/tests/http/endless_test.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(testManyServers);
     CPPUNIT_TEST(testSlowCallers);
     CPPUNIT_TEST(testKeptResponse);
+    CPPUNIT_TEST(testSmallChunks);
     CPPUNIT_TEST(testManyIdleConnections);
     CPPUNIT_TEST(testRequests);
     CPPUNIT_TEST_SUITE_END();
@@ -296,6 +297,28 @@
         });
     }
 
+    void testSmallChunks()
+    {
+        section("a response of many small chunks is received whole, and one that does not end is cut at the limit of the body", [] {
+            constexpr size_t kChunks = 200000;
+            std::string chunks;
+            for (size_t i = 0; i < kChunks; ++i) {
+                chunks += "1\r\na\r\n";
+            }
+            FiberRuntime runtime;
+            runtime.runToEnd([&] {
+                const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+                EndlessServer server(runtime, head + chunks + "0\r\n\r\n", "a");
+                CallPool pool(runtime, CallPoolOptions());
+                const CallResult whole = callOnce(pool, server.endpoint(), seconds(5));
+                CPPUNIT_ASSERT_MESSAGE(std::string(callStatusName(whole.status)) + " " + whole.detail, whole.status == CallStatus::Answered);
+                CPPUNIT_ASSERT_EQUAL(kChunks, whole.response.body.size());
+            });
+            const CallResult endless = callEndless("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\na\r\n");
+            CPPUNIT_ASSERT_EQUAL(std::string("body limit exceeded"), endless.detail);
+        });
+    }
+
     void testManyIdleConnections()
     {
         section("two hundred connections on which bytes follow the response are closed, and take no memory until then", [] {
