Decide requests only by a configuration that was confirmed in time

Callers saw requests handled by an old configuration later than policyApplyMs after a newer one had been acknowledged.

Cause: the limits for the age of a confirmation make a node read the store early enough as a rule, but no request checked the age. A read on a silent connection (timeout 0.7 s, then a pause) or a pause of the process exceeds the bound, and the node went on with the configuration that it had.

Change: from the bound on, a request is decided only if the store is known not to answer this node; otherwise it gets 503 policy-outdated, which says truthfully that it has not run. An answer that is overdue counts only while the process was running, so a pause is not taken for an outage. A newer version that another node names counts too.

Evidence: FreshnessTest::testPausedProcess failed on ("127.0.0.2 answered 200" for a key withdrawn 2.2 s before) and passes now.

--- a/mesh/store_readers.cpp
+++ b/mesh/store_readers.cpp
@@ -119,6 +119,11 @@
     constexpr double kAskAllFraction = 0.63;
     constexpr double kOwnReadFraction = 0.68;
     constexpr double kOwnReadSpread = 0.06;
+    // The own read starts at most at 0.74 of the bound and half a tick interval or so later, so that it is known before the bound
+    // whether the store answers.
+    constexpr double kAnswerFraction = 0.2;
+    // A read is given up after 700 ms.
+    constexpr Duration kMaxAnswerTime = milliseconds(600);
     constexpr Duration kMinReadWait = milliseconds(50);
     constexpr Duration kMaxReadWait = milliseconds(1700);
     const Duration shortest = std::min(policyApply, keyWithdrawal);
@@ -129,6 +134,7 @@
     limits.readWait = std::clamp(fraction(kReadWaitFraction), kMinReadWait, kMaxReadWait);
     limits.askAllAge = fraction(kAskAllFraction);
     limits.ownReadAge = fraction(kOwnReadFraction + kOwnReadSpread * spread);
+    limits.answerTime = std::min(fraction(kAnswerFraction), kMaxAnswerTime);
     return limits;
 }
 
--- a/mesh/store_readers.h
+++ b/mesh/store_readers.h
@@ -20,10 +20,12 @@
     Duration askAllAge{};
     /// Age from which a node that is no reader reads the store itself.
     Duration ownReadAge{};
+    /// Time from a read without a wait to its answer, beyond which the store counts as unreachable.
+    Duration answerTime{};
 
     friend auto operator==(const FreshnessLimits &a, const FreshnessLimits &b) -> bool
     {
-        return a.readWait == b.readWait && a.askAllAge == b.askAllAge && a.ownReadAge == b.ownReadAge;
+        return a.readWait == b.readWait && a.askAllAge == b.askAllAge && a.ownReadAge == b.ownReadAge && a.answerTime == b.answerTime;
     }
 };
 
--- a/sidecar/distribution.cpp
+++ b/sidecar/distribution.cpp
@@ -189,6 +189,7 @@
     const PolicyState &received = decoded.value();
     const uint64_t version = state.policy ? state.policy->version : 0;
     if (received.version > version) {
+        state.storeView.newerPolicyHeardAt = BootClock::now();
         fetchPolicy(state, from, received.version);
     }
     if (received.membersOffset > state.storeView.membersOffset) {
@@ -265,6 +266,7 @@
 void tickDistribution(SidecarState &state, TimePoint now)
 {
     StoreView &view = state.storeView;
+    observeStoreRead(view.contact, view.freshness.answerTime, now);
     if (state.isStoreReader && !isStopping(state.stop)) {
         notifySilentMembers(state, now);
     }
--- a/sidecar/distribution.h
+++ b/sidecar/distribution.h
@@ -2,6 +2,7 @@
 
 #include "core/time.h"
 #include "http/message.h"
+#include "mesh/policy_freshness.h"
 #include "mesh/store_readers.h"
 #include "platform/store_client.h"
 
@@ -36,6 +37,9 @@
     TimePoint nextNotificationAt;
     /// The last read of the store by this node failed.
     bool isStoreFailing = false;
+    StoreContact contact;
+    /// When another node last named a newer policy than the one in force here.
+    std::optional<TimePoint> newerPolicyHeardAt;
     /// Nodes from which the policy is being fetched, with the newest version that each has announced. One that does not respond
     /// must not keep this node from asking others.
     std::map<std::string, uint64_t> policySources;
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -132,6 +132,8 @@
 {
     /// A node without a configuration gets one within a fraction of a second once the store is available.
     constexpr Duration kNoPolicyRetryAfter = milliseconds(300);
+    /// A node that got no processor time for a while has read the store again after a few round trips.
+    constexpr Duration kUnconfirmedRetryAfter = milliseconds(100);
     const TimePoint now = call.startedAt;
     if (call.caller.requestId.empty()) {
         return refuse(state, call, 400, "no-request-id", {});
@@ -140,8 +142,12 @@
     if (!call.policy) {
         return refuse(state, call, 503, "no-policy", kNoPolicyRetryAfter);
     }
+    const PolicyTrust trust = policyTrustOf(state, now);
+    if (trust == PolicyTrust::Unconfirmed) {
+        return refuse(state, call, 503, "policy-outdated", kUnconfirmedRetryAfter);
+    }
     // A policy that has not been confirmed recently may lack routes and keys that were added since.
-    const bool isCurrent = now - state.policyConfirmedAt < state.settings.policyApply;
+    const bool isCurrent = trust == PolicyTrust::Confirmed;
     call.route = findRoute(*call.policy, call.caller.authority, request.target);
     if (call.route == nullptr) {
         return isCurrent ? refuse(state, call, 404, "no-route", {}) : refuse(state, call, 503, "no-route-in-old-policy", kNoPolicyRetryAfter);
--- a/sidecar/policy_reader.cpp
+++ b/sidecar/policy_reader.cpp
@@ -45,6 +45,7 @@
     }
     const auto policy = std::make_shared<const Policy>(std::move(decoded).value());
     state.policy = policy;
+    state.storeView.newerPolicyHeardAt.reset();
     state.storeView.policyDocument = std::make_shared<const std::string>(document);
     state.importance = importanceLevels(*policy);
     updateTokenMembers(state);
@@ -75,7 +76,10 @@
         }
         // After a failure, a read without a wait confirms the policy sooner.
         const Duration wait = failures == 0 && state.isStoreReader ? state.storeView.freshness.readWait : Duration::zero();
+        StoreContact &contact = state.storeView.contact;
+        beginStoreRead(contact, wait + state.storeView.freshness.answerTime, sentAt);
         const auto page = offset ? readChanges(store, operatorTopic(), *offset, wait) : readNewest(store, operatorTopic());
+        endStoreRead(contact, page.has_value() || page.error().code == ErrorCode::Expired, BootClock::now());
         logStoreReachability(reachable, page);
         if (!page && page.error().code == ErrorCode::Expired) {
             offset.reset();
--- a/sidecar/state.cpp
+++ b/sidecar/state.cpp
@@ -71,6 +71,11 @@
     return state.policy && state.isMembershipRead && now - state.policyConfirmedAt < state.settings.keyWithdrawal;
 }
 
+auto policyTrustOf(const SidecarState &state, TimePoint now) -> PolicyTrust
+{
+    return policyTrust(state.policyConfirmedAt, state.storeView.contact, state.storeView.newerPolicyHeardAt, state.settings.policyApply, now);
+}
+
 auto isReady(const SidecarState &state, TimePoint now) -> bool
 {
     return state.policy && !isStopping(state.stop) && (state.policy->teams.empty() || mayServeKeyedRequests(state, now));
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -135,6 +135,9 @@
 /// not work longer than allowed, and the nodes that share the teams' rates are known.
 auto mayServeKeyedRequests(const SidecarState &state, TimePoint now) -> bool;
 
+/// Returns whether the node may decide requests by its policy. There must be one.
+auto policyTrustOf(const SidecarState &state, TimePoint now) -> PolicyTrust;
+
 /// Returns whether the node accepts requests of callers.
 auto isReady(const SidecarState &state, TimePoint now) -> bool;
 
--- a/tests/sidecar/freshness_test.cpp
+++ b/tests/sidecar/freshness_test.cpp
@@ -8,6 +8,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <thread>
 #include <vector>
 
 namespace snipestream
@@ -117,6 +118,7 @@
 {
     CPPUNIT_TEST_SUITE(FreshnessTest);
     CPPUNIT_TEST(testUnconfirmedReaders);
+    CPPUNIT_TEST(testPausedProcess);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -177,6 +179,39 @@
             runtime.sleepFor(milliseconds(2500));
         });
     }
+
+    /// Guards against a node that got no processor time and acts on the configuration from before until it has read the store.
+    void testPausedProcess()
+    {
+        testing::withFleet([](testing::Fleet &fleet) {
+            section("after a pause, no node serves a key that was withdrawn during it, and all serve the others again", [&fleet] {
+                const std::vector<std::string> entries = {"127.0.0.2", "127.0.0.3", "127.0.0.4"};
+                for (const auto &entry : entries) {
+                    CPPUNIT_ASSERT_EQUAL(200, fleet.sendRequest("GET", "/stock/1", "k2", entry).response.status);
+                }
+                fleet.store.put("keyed.op", "config", configuration("00000002", "\"k1\""));
+                // The nodes and the store share this thread, so that nothing of the change arrives before the end of the pause.
+                std::this_thread::sleep_for(SidecarSettings().policyApply + milliseconds(200));
+                std::map<std::string, int> statuses;
+                for (const auto &entry : entries) {
+                    fleet.runtime.spawn([&fleet, &statuses, entry] {
+                        statuses[entry] = fleet.sendRequest("GET", "/stock/1", "k2", entry).response.status;
+                    });
+                }
+                fleet.waitUntil([&statuses, &entries] {
+                    return statuses.size() == entries.size();
+                });
+                for (const auto &[entry, status] : statuses) {
+                    CPPUNIT_ASSERT_MESSAGE(entry + " answered " + std::to_string(status), status == 503 || status == 401);
+                }
+                for (const auto &entry : entries) {
+                    fleet.waitUntil([&fleet, &entry] {
+                        return fleet.sendRequest("GET", "/stock/1", "k1", entry).response.status == 200;
+                    });
+                }
+            });
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(FreshnessTest);
