--- a/http/call_pool.cpp
+++ b/http/call_pool.cpp
@@ -132,9 +132,8 @@
     auto acquireIdle(const Endpoint &server) -> ConnectionPtr;
     auto connect(const Endpoint &server, CancelSignal &cancel, TimePoint deadline, std::string &detail) -> ConnectionPtr;
     auto exchange(const ConnectionPtr &connection, const RequestMessage &request, CallResult &result) -> bool;
-    auto readResponse(const ConnectionPtr &connection, bool withoutBody, HeldResponse &held, std::optional<ResponseParser> &parser)
-        -> boost::system::error_code;
-    auto readMessage(const ConnectionPtr &connection, HeldResponse &held, ResponseParser &parser) -> boost::system::error_code;
+    auto readResponse(const ConnectionPtr &connection, bool withoutBody, MemoryHold &held, std::optional<ResponseParser> &parser) -> boost::system::error_code;
+    auto readMessage(const ConnectionPtr &connection, MemoryHold &held, ResponseParser &parser) -> boost::system::error_code;
     static auto readMore(Connection &connection, ResponseParser &parser) -> boost::system::error_code;
     void scheduleSweep();
     void closeExpiredIdle(TimePoint now);
@@ -218,7 +217,7 @@
         pendingWrite->failed = static_cast<bool>(error);
     });
     std::optional<ResponseParser> parser;
-    const auto held = std::make_shared<HeldResponse>(options.memory);
+    const auto held = std::make_shared<MemoryHold>(options.memory);
     held->setAbort([connection] {
         connection->exceedsMemory = true;
         connection->close();
@@ -243,7 +242,7 @@
 }
 
 /// Reads the response, leaving out interim ones.
-auto CallPool::State::readResponse(const ConnectionPtr &connection, bool withoutBody, HeldResponse &held, std::optional<ResponseParser> &parser)
+auto CallPool::State::readResponse(const ConnectionPtr &connection, bool withoutBody, MemoryHold &held, std::optional<ResponseParser> &parser)
     -> boost::system::error_code
 {
     for (int i = 0; i <= options.maxInterimResponses; ++i) {
@@ -261,7 +260,7 @@
 }
 
 /// Reads one message. Counts the bytes that wait to be parsed and those of the body.
-auto CallPool::State::readMessage(const ConnectionPtr &connection, HeldResponse &held, ResponseParser &parser) -> boost::system::error_code
+auto CallPool::State::readMessage(const ConnectionPtr &connection, MemoryHold &held, ResponseParser &parser) -> boost::system::error_code
 {
     auto &buffer = connection->buffer;
     bool isHeadChecked = false;
@@ -359,7 +358,7 @@
     : state_(std::make_shared<State>(runtime, std::move(options)))
 {
     if (!state_->options.memory) {
-        state_->options.memory = std::make_shared<ResponseMemory>();
+        state_->options.memory = std::make_shared<MemoryBudget>();
     }
 }
 
--- a/http/call_pool.h
+++ b/http/call_pool.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "core/ids.h"
+#include "http/memory_budget.h"
 #include "http/message.h"
-#include "http/response_memory.h"
 #include "net/fiber_runtime.h"
 
 #include <cstddef>
@@ -61,7 +61,7 @@
     /// Maximum size of the body of a response, in bytes.
     uint64_t maxResponseBytes = 64ULL * 1024 * 1024;
     /// Shared with other pools of the process. If it is empty, the pool has a memory limit of its own.
-    std::shared_ptr<ResponseMemory> memory;
+    std::shared_ptr<MemoryBudget> memory;
 };
 
 /// Pool of HTTP/1.1 connections to any number of servers; each call reuses an idle connection or opens a new one.
--- a/http/message.h
+++ b/http/message.h
@@ -2,7 +2,7 @@
 
 #include "core/exchange.h"
 #include "core/time.h"
-#include "http/response_memory.h"
+#include "http/memory_budget.h"
 
 #include <functional>
 #include <memory>
@@ -33,7 +33,7 @@
     /// Idle timeout that the server stated in its Keep-Alive field, if any.
     std::optional<Duration> idleTimeout;
     /// Memory that the response occupies; empty if it was not received but made by this node.
-    std::shared_ptr<HeldResponse> held;
+    std::shared_ptr<MemoryHold> held;
 };
 
 /// Cancels work in progress whose result is no longer needed. Must be used from one thread only.
--- a/http/message_connection.cpp
+++ b/http/message_connection.cpp
@@ -400,7 +400,7 @@
     awaitBytes();
 }
 
-void MessageConnection::sendBytes(std::string bytes, bool closeAfter, std::shared_ptr<HeldResponse> held)
+void MessageConnection::sendBytes(std::string bytes, bool closeAfter, std::shared_ptr<MemoryHold> held)
 {
     boost::system::error_code error;
     const size_t sent = socket_.write_some(asio::buffer(bytes), error);
@@ -416,7 +416,7 @@
 }
 
 /// Sends the bytes that the caller has not had room for yet. Until it has read them, they count as memory of the response.
-void MessageConnection::sendRest(std::string bytes, size_t sent, bool closeAfter, const std::shared_ptr<HeldResponse> &held)
+void MessageConnection::sendRest(std::string bytes, size_t sent, bool closeAfter, const std::shared_ptr<MemoryHold> &held)
 {
     isSending_ = true;
     writeDeadline_ = BootClock::now() + shared_->options.bodyTimeout;
--- a/http/message_connection.h
+++ b/http/message_connection.h
@@ -80,8 +80,8 @@
     void startRequests();
     void runRequest(const std::shared_ptr<Request> &request);
     void sendResponses();
-    void sendBytes(std::string bytes, bool closeAfter, std::shared_ptr<HeldResponse> held);
-    void sendRest(std::string bytes, size_t sent, bool closeAfter, const std::shared_ptr<HeldResponse> &held);
+    void sendBytes(std::string bytes, bool closeAfter, std::shared_ptr<MemoryHold> held);
+    void sendRest(std::string bytes, size_t sent, bool closeAfter, const std::shared_ptr<MemoryHold> &held);
     void handleSent(bool closeAfter);
     void countSentRequests();
     void beginLinger();
--- a/sidecar/state.cpp
+++ b/sidecar/state.cpp
@@ -22,7 +22,7 @@
     return static_cast<uint64_t>(static_cast<double>(settings.memoryMb) * 1024 * 1024 * fraction);
 }
 
-auto poolOptions(const SidecarSettings &settings, const std::shared_ptr<ResponseMemory> &memory) -> CallPoolOptions
+auto poolOptions(const SidecarSettings &settings, const std::shared_ptr<MemoryBudget> &memory) -> CallPoolOptions
 {
     CallPoolOptions options;
     options.memory = memory;
@@ -30,7 +30,7 @@
     return options;
 }
 
-auto peerPoolOptions(const SidecarSettings &settings, const std::shared_ptr<ResponseMemory> &memory) -> CallPoolOptions
+auto peerPoolOptions(const SidecarSettings &settings, const std::shared_ptr<MemoryBudget> &memory) -> CallPoolOptions
 {
     CallPoolOptions options = poolOptions(settings, memory);
     options.deadPeerTimeout = kDeadPeerTimeout;
@@ -38,7 +38,7 @@
     return options;
 }
 
-auto targetPoolOptions(const SidecarSettings &settings, const std::shared_ptr<ResponseMemory> &memory) -> CallPoolOptions
+auto targetPoolOptions(const SidecarSettings &settings, const std::shared_ptr<MemoryBudget> &memory) -> CallPoolOptions
 {
     CallPoolOptions options = poolOptions(settings, memory);
     options.connectTimeout = kTargetConnectTimeout;
@@ -52,7 +52,7 @@
     , settings(std::move(initialSettings))
     , random(systemSeed())
     , datagrams(fiberRuntime.context())
-    , responseMemory(std::make_shared<ResponseMemory>())
+    , responseMemory(std::make_shared<MemoryBudget>())
     , peerPool(fiberRuntime, peerPoolOptions(settings, responseMemory))
     , targetPool(fiberRuntime, targetPoolOptions(settings, responseMemory))
     , storePool(fiberRuntime, peerPoolOptions(settings, responseMemory))
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -110,7 +110,7 @@
     DatagramSocket datagrams;
     MemoryLimitLog memoryLimitLog;
     /// Shared by the three pools.
-    std::shared_ptr<ResponseMemory> responseMemory;
+    std::shared_ptr<MemoryBudget> responseMemory;
     CallPool peerPool;
     CallPool targetPool;
     CallPool storePool;
--- a/tests/http/endless_test.cpp
+++ b/tests/http/endless_test.cpp
@@ -152,7 +152,7 @@
             runtime.runToEnd([&] {
                 constexpr int kServers = 50;
                 CallPoolOptions options;
-                options.memory = std::make_shared<ResponseMemory>();
+                options.memory = std::make_shared<MemoryBudget>();
                 options.memory->maxBytes = 16 * kMebibyte;
                 CallPool pool(runtime, options);
                 EndlessServer endless(runtime, "HTTP/1.1 200 OK\r\n\r\n", "a");
@@ -200,7 +200,7 @@
                 constexpr int kCallers = 40;
                 constexpr size_t kBodyBytes = 12 * kMebibyte;
                 CallPoolOptions options;
-                options.memory = std::make_shared<ResponseMemory>();
+                options.memory = std::make_shared<MemoryBudget>();
                 options.memory->maxBytes = 32 * kMebibyte;
                 CallPool pool(runtime, options);
                 MessageServerOptions targetOptions;
@@ -277,7 +277,7 @@
                     return response;
                 });
                 CallPoolOptions options;
-                options.memory = std::make_shared<ResponseMemory>();
+                options.memory = std::make_shared<MemoryBudget>();
                 options.memory->maxBytes = 3 * kMebibyte;
                 CallPool pool(runtime, options);
                 const Endpoint endpoint{"127.0.0.1", server.listen().value()};
