Bound the memory that clients outside the limits can take

Operators saw a process run out of memory under clients that send heads over the limit or without end, and empty lines without end.

Causes, all of one class: memory that was in no sum. - A connection kept a buffer of up to twice the head limit and 16 KiB, also when idle, and only bodies were counted. Now the connections of all servers share a budget (MemoryBudget, as for responses); the one that holds most without a whole request is ended. Buffers are as large as their contents, and an idle connection, or a call that waits for its response, has none. - A whole request counted only once its handler ran, so all connections could hold a body at once. It counts for its connection until then, and its head and fiber count as well afterwards. - A body was held three times on its way to a target (request, copy, serialized bytes). It is lent to the call now and written from where it is. - After the last answer a connection read and discarded without end as long as bytes kept coming; that is bounded in bytes and in turns.

A 503 of another node's server, which it sends before any handler runs, is understood as not run, so the request goes to another target.

--- a/core/events.cpp
+++ b/core/events.cpp
@@ -121,7 +121,8 @@
         {EventId::HttpRequestInvalid, Severity::Warning, "http-request-invalid", "An HTTP request is malformed or too large."},
         {EventId::HttpListening, Severity::Info, "http-listening", "The HTTP server accepts connections."},
         {EventId::AcceptFailed, Severity::Warning, "accept-failed", "A connection could not be accepted, for example because no file descriptor was free."},
-        {EventId::ConnectionRefused, Severity::Warning, "connection-refused", "A connection was closed at once because too many are open."},
+        {EventId::ConnectionRefused, Severity::Warning, "connection-refused",
+         "Connections were refused because too many are open, or replaced: closed for others because they were without a request."},
         {EventId::ResponseCut, Severity::Warning, "response-cut",
          "A connection was closed while it was sent a response, since responses hold too much memory and this one was the largest."},
     };
--- a/http/call_pool.cpp
+++ b/http/call_pool.cpp
@@ -5,6 +5,7 @@
 #include "net/await.h"
 
 #include <algorithm>
+#include <array>
 #include <list>
 #include <map>
 #include <set>
@@ -131,10 +132,11 @@
 
     auto acquireIdle(const Endpoint &server) -> ConnectionPtr;
     auto connect(const Endpoint &server, CancelSignal &cancel, TimePoint deadline, std::string &detail) -> ConnectionPtr;
-    auto exchange(const ConnectionPtr &connection, const RequestMessage &request, CallResult &result) -> bool;
+    auto exchange(const ConnectionPtr &connection, RequestMessage &request, CallResult &result) -> bool;
     auto readResponse(const ConnectionPtr &connection, bool withoutBody, MemoryHold &held, std::optional<ResponseParser> &parser) -> boost::system::error_code;
     auto readMessage(const ConnectionPtr &connection, MemoryHold &held, ResponseParser &parser) -> boost::system::error_code;
-    static auto readMore(Connection &connection, ResponseParser &parser) -> boost::system::error_code;
+    auto readMore(Connection &connection, ResponseParser &parser) -> boost::system::error_code;
+    auto receive(Connection &connection) -> boost::system::error_code;
     void scheduleSweep();
     void closeExpiredIdle(TimePoint now);
 
@@ -143,6 +145,8 @@
     asio::steady_timer sweepTimer;
     std::map<Endpoint, std::vector<ConnectionPtr>> idle;
     std::set<ConnectionPtr> active;
+    /// Received bytes on their way to a connection's buffer. A connection that waits for a response needs no buffer of its own.
+    std::vector<char> received = std::vector<char>(kReadBytes);
     uint64_t openedCount = 0;
     int sweeps = 0;
     bool sweeping = false;
@@ -201,18 +205,21 @@
     return connection;
 }
 
-auto CallPool::State::exchange(const ConnectionPtr &connection, const RequestMessage &request, CallResult &result) -> bool
+auto CallPool::State::exchange(const ConnectionPtr &connection, RequestMessage &request, CallResult &result) -> bool
 {
     struct PendingWrite {
-        std::string bytes;
+        std::string head;
+        std::string body;
         bool done = false;
         bool failed = false;
     };
     // A server may answer before it has read the whole request, so the request is sent while the response is read. The
     // handler owns the bytes, because the write may end after this function has returned.
     const auto pendingWrite = std::make_shared<PendingWrite>();
-    pendingWrite->bytes = serializeRequest(request);
-    asio::async_write(connection->socket, asio::buffer(pendingWrite->bytes), [pendingWrite, connection](const boost::system::error_code &error, size_t) {
+    pendingWrite->head = serializeRequestHead(request);
+    pendingWrite->body = std::move(request.body);
+    const std::array<asio::const_buffer, 2> bytes{asio::buffer(pendingWrite->head), asio::buffer(pendingWrite->body)};
+    asio::async_write(connection->socket, bytes, [pendingWrite, connection](const boost::system::error_code &error, size_t) {
         pendingWrite->done = true;
         pendingWrite->failed = static_cast<bool>(error);
     });
@@ -224,6 +231,8 @@
     });
     const auto error = readResponse(connection, request.method == "HEAD", *held, parser);
     held->setAbort(nullptr);
+    // A write that has not ended may still use its copy.
+    request.body = pendingWrite->done ? std::move(pendingWrite->body) : pendingWrite->body;
     if (error) {
         result.status = failureStatus(*connection, error);
         result.detail = error.message();
@@ -287,26 +296,42 @@
     return {};
 }
 
+/// Waits for bytes and moves them into the connection's buffer, which must have room.
+auto CallPool::State::receive(Connection &connection) -> boost::system::error_code
+{
+    auto &buffer = connection.buffer;
+    const size_t room = std::min(received.size(), buffer.max_size() - buffer.size());
+    while (true) {
+        boost::system::error_code error;
+        const size_t bytes = connection.socket.read_some(asio::buffer(received.data(), room), error);
+        if (error != asio::error::would_block) {
+            buffer.commit(asio::buffer_copy(buffer.prepare(bytes), asio::buffer(received.data(), bytes)));
+            return error;
+        }
+        const IoResult ready = awaitIo([&](auto done) {
+            connection.socket.async_wait(asio::ip::tcp::socket::wait_read, done);
+        });
+        if (ready.error) {
+            return ready.error;
+        }
+    }
+}
+
 /// Receives bytes into the connection's buffer. Returns an error if it is full, or if the connection has ended and the end does
 /// not complete the message.
 auto CallPool::State::readMore(Connection &connection, ResponseParser &parser) -> boost::system::error_code
 {
-    auto &buffer = connection.buffer;
-    if (buffer.size() >= buffer.max_size()) {
+    if (connection.buffer.size() >= connection.buffer.max_size()) {
         return http::error::buffer_overflow;
     }
-    const size_t room = std::min(kReadBytes, buffer.max_size() - buffer.size());
-    const IoResult read = awaitIo([&](auto done) {
-        connection.socket.async_read_some(buffer.prepare(room), done);
-    });
-    if (read.error != asio::error::eof) {
-        buffer.commit(read.bytes);
-        return read.error;
+    boost::system::error_code error = receive(connection);
+    if (error != asio::error::eof) {
+        return error;
     }
     if (!parser.got_some()) {
         return http::error::end_of_stream;
     }
-    boost::system::error_code error;
+    error = {};
     parser.put_eof(error);
     return error;
 }
@@ -378,6 +403,12 @@
 }
 
 auto CallPool::call(const Endpoint &server, const RequestMessage &request, CancelSignal &cancel, TimePoint deadline) -> CallResult
+{
+    RequestMessage copy = request;
+    return call(server, copy, cancel, deadline);
+}
+
+auto CallPool::call(const Endpoint &server, RequestMessage &request, CancelSignal &cancel, TimePoint deadline) -> CallResult
 {
     const auto state = state_;
     CallResult result;
@@ -424,6 +455,7 @@
         ? duration_cast<Duration>(std::chrono::duration<double>(*result.response.idleTimeout) * options.idleTimeoutFraction)
         : options.idleTimeout;
     connection->usableUntil = BootClock::now() + idleTimeout;
+    connection->buffer.shrink_to_fit();
     state->idle[server].push_back(connection);
     return result;
 }
--- a/http/call_pool.h
+++ b/http/call_pool.h
@@ -77,6 +77,9 @@
     /// Cancelling the signal closes the connection.
     auto call(const Endpoint &server, const RequestMessage &request, CancelSignal &cancel, TimePoint deadline) -> CallResult;
 
+    /// The same without a copy of the body, which is moved out of the request during the call.
+    auto call(const Endpoint &server, RequestMessage &request, CancelSignal &cancel, TimePoint deadline) -> CallResult;
+
     /// Closes the idle connections to a server, for example after it restarted.
     void closeIdle(const Endpoint &server);
 
--- a/http/message.cpp
+++ b/http/message.cpp
@@ -63,16 +63,16 @@
     action_ = nullptr;
 }
 
-auto serializeRequest(const RequestMessage &request) -> std::string
+auto serializeRequestHead(const RequestMessage &request) -> std::string
 {
     std::string bytes;
-    bytes.reserve(headersSize(request.headers) + request.target.size() + request.body.size());
+    bytes.reserve(headersSize(request.headers) + request.target.size());
     bytes.append(request.method).append(" ").append(request.target).append(" HTTP/1.1\r\n");
     appendHeaders(bytes, request.headers);
     if (!request.body.empty() || (request.method != "GET" && request.method != "HEAD")) {
         bytes.append("Content-Length: ").append(std::to_string(request.body.size())).append("\r\n");
     }
-    bytes.append("\r\n").append(request.body);
+    bytes.append("\r\n");
     return bytes;
 }
 
--- a/http/message.h
+++ b/http/message.h
@@ -54,8 +54,8 @@
     bool cancelled_ = false;
 };
 
-/// Returns the request as bytes. A Content-Length is added unless the body is empty and the method is GET or HEAD.
-auto serializeRequest(const RequestMessage &request) -> std::string;
+/// Returns the bytes of the request in front of its body. A Content-Length is added unless the body is empty and the method is GET or HEAD.
+auto serializeRequestHead(const RequestMessage &request) -> std::string;
 
 /// Returns the response as bytes. `closing` adds "Connection: close". `withoutBody` is set for responses to HEAD.
 auto serializeResponse(const ResponseMessage &response, bool closing, bool withoutBody) -> std::string;
--- a/http/message_connection.cpp
+++ b/http/message_connection.cpp
@@ -31,12 +31,21 @@
 /// Received bytes that may wait to be parsed, in addition to the longest head. As long as there is room, the connection
 /// keeps reading and so notices that its caller has closed it.
 constexpr size_t kReadAheadBytes = size_t{16} * 1024;
+/// The same while the request in progress must end before the next one is parsed.
+constexpr size_t kBlockedReadAheadBytes = size_t{4} * 1024;
 /// Fraction of maxConnections above which every response asks its caller to close the connection. A caller that was
 /// refused retries on a new connection and leaves the old one open, which would use up the limit.
 constexpr double kCloseAboveFraction = 0.5;
 /// Maximum time for which the server discards incoming bytes before it closes a connection. Closing a socket with unread
 /// bytes resets the connection, which could discard the response before the caller reads it.
 constexpr Duration kMaxLingerTime = seconds(1);
+constexpr Duration kMinLogInterval = milliseconds(500);
+/// Maximum number of bytes that are discarded.
+constexpr uint64_t kMaxLingerBytes = 1024 * 1024;
+/// Memory of a connection without its buffer: the objects here and in the kernel.
+constexpr uint64_t kConnectionBytes = 2048;
+/// Memory of a request in progress apart from its head and body: the stack of its fiber and the connection to its target.
+constexpr uint64_t kRequestBytes = uint64_t{16} * 1024;
 
 auto toMessage(http::request<http::string_body> &&parsed) -> RequestMessage
 {
@@ -49,6 +58,15 @@
     return request;
 }
 
+auto headBytes(const RequestMessage &request) -> uint64_t
+{
+    uint64_t bytes = request.method.size() + request.target.size();
+    for (const auto &[name, value] : request.headers) {
+        bytes += name.size() + value.size() + sizeof(HeaderList::value_type);
+    }
+    return bytes;
+}
+
 auto countFields(const http::fields &fields) -> size_t
 {
     return static_cast<size_t>(std::distance(fields.begin(), fields.end()));
@@ -64,6 +82,10 @@
     /// Empty while the handler runs, and if the handler returned no response.
     std::optional<ResponseMessage> response;
     uint64_t bodyBytes = 0;
+    /// The body waits for the handler, which may still refuse it, and counts as memory of the connection.
+    bool isPending = false;
+    /// Memory of the request while it is in progress.
+    uint64_t heldBytes = 0;
     bool withoutBody = false;
     bool keepAlive = true;
     /// The handler was started, so the request counts in MessageServerShared::activeRequests.
@@ -74,6 +96,7 @@
 MessageConnection::MessageConnection(asio::ip::tcp::socket socket, std::shared_ptr<MessageServerShared> shared)
     : socket_(std::move(socket))
     , shared_(std::move(shared))
+    , hold_(shared_->options.memory)
 {
     pipeline_.limits = shared_->options.pipeline;
 }
@@ -84,7 +107,31 @@
     boost::system::error_code error;
     socket_.non_blocking(true, error);
     updateIdleDeadline();
-    awaitBytes();
+    updateMemory();
+    if (!hasEnded_) {
+        awaitBytes();
+    }
+}
+
+auto MessageConnection::isWithoutRequest() const -> bool
+{
+    return requests_.empty() && !isSending_;
+}
+
+auto MessageConnection::isReplaceable() const -> bool
+{
+    return isWithoutRequest() && !isLingering_ && !(hasServed_ && shared_->options.keepsServedConnections);
+}
+
+auto MessageConnection::hasUnreadBytes() const -> bool
+{
+    boost::system::error_code ignored;
+    return socket_.available(ignored) > 0;
+}
+
+auto MessageConnection::lastRequestAt() const -> TimePoint
+{
+    return lastRequestAt_;
 }
 
 auto MessageConnection::isOverdue(TimePoint now) const -> bool
@@ -122,10 +169,67 @@
     }
 }
 
+/// Returns how many received bytes may wait to be parsed. While a request is in progress that no other one may follow yet, nothing
+/// is parsed.
+auto MessageConnection::maxBufferedBytes() const -> size_t
+{
+    const bool isParsing = parser_ || mayReadRequest(pipeline_);
+    return isParsing ? shared_->options.maxHeaderBytes + kReadAheadBytes : kBlockedReadAheadBytes;
+}
+
+/// Counts the memory of the connection. It can be ended for it as long as no whole request is in progress.
+void MessageConnection::updateMemory()
+{
+    if (buffer_.size() == 0) {
+        buffer_.shrink_to_fit();
+    }
+    const bool isAbortable = isWithoutRequest() && !isLingering_ && !hasEnded_;
+    if (isAbortable != isAbortable_) {
+        isAbortable_ = isAbortable;
+        const auto abort = [weak = weak_from_this()] {
+            if (const auto self = weak.lock()) {
+                self->isAbortable_ = false;
+                self->endForMemory();
+            }
+        };
+        hold_.setAbort(isAbortable ? std::function<void()>(abort) : nullptr);
+    }
+    hold_.setBytes(hasEnded_ ? 0 : kConnectionBytes + buffer_.capacity() + pendingBytes_ + incomingBodyBytes());
+}
+
+/// Returns the memory of the body that is being received. The whole declared length is reserved at once, but only what has been
+/// written, or has been allocated while the body grew, takes memory.
+auto MessageConnection::incomingBodyBytes() const -> uint64_t
+{
+    if (!parser_) {
+        return 0;
+    }
+    const std::string &body = parser_->get().body();
+    return std::min<uint64_t>(body.capacity(), 2 * body.size());
+}
+
+/// Refuses the request that is being received, or closes the connection if there is none.
+void MessageConnection::endForMemory()
+{
+    ++shared_->endedForMemory;
+    const TimePoint now = BootClock::now();
+    if (now - shared_->memoryLoggedAt >= kMinLogInterval) {
+        shared_->memoryLoggedAt = now;
+        logEvent(EventId::MemoryShort,
+                 {{"server", shared_->options.name},
+                  {"connection", std::to_string(buffer_.capacity() + incomingBodyBytes())},
+                  {"ended", std::to_string(std::exchange(shared_->endedForMemory, 0))}});
+    }
+    if (parser_ && isHeadParsed_) {
+        addErrorResponse(503);
+    } else {
+        close();
+    }
+}
+
 void MessageConnection::awaitBytes()
 {
-    const size_t maxBuffered = shared_->options.maxHeaderBytes + kReadAheadBytes;
-    if (isAwaitingBytes_ || hasEnded_ || buffer_.size() >= maxBuffered) {
+    if (isAwaitingBytes_ || hasEnded_ || buffer_.size() >= maxBufferedBytes()) {
         return;
     }
     isAwaitingBytes_ = true;
@@ -148,11 +252,10 @@
         discardBytes();
         return;
     }
-    const size_t maxBuffered = shared_->options.maxHeaderBytes + kReadAheadBytes;
-    size_t received = 0;
-    while (received < kReadBytesPerTurn && buffer_.size() < maxBuffered) {
-        boost::system::error_code error;
-        const size_t bytes = socket_.read_some(buffer_.prepare(kReadBytes), error);
+    size_t total = 0;
+    while (total < kReadBytesPerTurn && buffer_.size() < maxBufferedBytes()) {
+        const size_t before = buffer_.size();
+        const boost::system::error_code error = receive();
         if (error == asio::error::would_block) {
             break;
         }
@@ -161,17 +264,17 @@
             close();
             return;
         }
-        buffer_.commit(bytes);
-        received += bytes;
+        const size_t bytes = buffer_.size() - before;
+        total += bytes;
         parseRequests();
         if (hasEnded_) {
             return;
         }
-        if (bytes < kReadBytes) {
+        if (bytes < kReadBytes || isLingering_) {
             break;
         }
     }
-    if (parser_ && buffer_.size() >= maxBuffered) {
+    if (parser_ && buffer_.size() >= maxBufferedBytes()) {
         // The head of a chunk does not end.
         addErrorResponse(400);
         return;
@@ -179,14 +282,31 @@
     awaitBytes();
 }
 
+/// Moves bytes that have arrived into the buffer.
+auto MessageConnection::receive() -> boost::system::error_code
+{
+    auto &received = shared_->received;
+    received.resize(kReadBytes);
+    const size_t room = std::min(kReadBytes, maxBufferedBytes() - buffer_.size());
+    boost::system::error_code error;
+    const size_t bytes = socket_.read_some(asio::buffer(received.data(), room), error);
+    buffer_.commit(asio::buffer_copy(buffer_.prepare(bytes), asio::buffer(received.data(), bytes)));
+    return error;
+}
+
+/// Discards bytes that still arrive after the last response. Other connections get their turn in between.
 void MessageConnection::discardBytes()
 {
-    std::array<char, 4096> discarded{};
+    auto &received = shared_->received;
+    received.resize(kReadBytes);
     boost::system::error_code error;
-    while (!error) {
-        socket_.read_some(asio::buffer(discarded), error);
+    for (size_t total = 0; !error && total < kReadBytesPerTurn;) {
+        const size_t bytes = socket_.read_some(asio::buffer(received), error);
+        total += bytes;
+        discardedBytes_ += bytes;
     }
-    if (error == asio::error::would_block) {
+    const bool mayGoOn = !error || error == asio::error::would_block;
+    if (mayGoOn && discardedBytes_ < kMaxLingerBytes) {
         awaitBytes();
         return;
     }
@@ -198,10 +318,12 @@
     for (int parsed = 0; parsed < kRequestsPerTurn; ++parsed) {
         if (!parseRequest()) {
             updateIdleDeadline();
+            updateMemory();
             return;
         }
     }
     updateIdleDeadline();
+    updateMemory();
     asio::post(socket_.get_executor(), [self = shared_from_this()] {
         if (!self->hasEnded_) {
             self->parseRequests();
@@ -238,12 +360,6 @@
         handleParseError(error);
         return false;
     }
-    setIncomingBytes(parser_->get().body().size());
-    if (shared_->options.maxIncomingBytes != 0 && shared_->incomingBytes > shared_->options.maxIncomingBytes) {
-        logEvent(EventId::MemoryShort, {{"server", shared_->options.name}, {"incoming", std::to_string(shared_->incomingBytes)}});
-        addErrorResponse(503);
-        return false;
-    }
     if (!parser_->is_done()) {
         return false;
     }
@@ -284,10 +400,14 @@
     const auto request = std::make_shared<Request>();
     request->message = toMessage(parser_->release());
     parser_.reset();
-    setIncomingBytes(0);
     request->withoutBody = request->message.method == "HEAD";
     request->keepAlive = request->message.keepAlive;
     request->bodyBytes = request->message.body.size();
+    request->isPending = true;
+    pendingBytes_ += request->bodyBytes;
+    request->heldBytes = request->bodyBytes + headBytes(request->message) + kRequestBytes;
+    lastRequestAt_ = BootClock::now();
+    hasServed_ = true;
     const bool isConcurrent = shared_->options.mayRunConcurrently && shared_->options.mayRunConcurrently(request->message);
     shared_->pipelineCounts.pipelined += requests_.empty() ? 0 : 1;
     request->id = addRequest(pipeline_, request->bodyBytes, isConcurrent);
@@ -311,17 +431,18 @@
     sendResponses();
 }
 
-void MessageConnection::setIncomingBytes(uint64_t bytes)
+/// Ends the count of a body that waited for its handler.
+void MessageConnection::releasePending(Request &request)
 {
-    shared_->incomingBytes += bytes - incomingBytes_;
-    incomingBytes_ = bytes;
+    if (std::exchange(request.isPending, false)) {
+        pendingBytes_ -= request.bodyBytes;
+    }
 }
 
 void MessageConnection::stopReading()
 {
     isReadingStopped_ = true;
     parser_.reset();
-    setIncomingBytes(0);
     readDeadline_ = TimePoint::max();
 }
 
@@ -331,7 +452,6 @@
         const auto request = requests_.at(id);
         request->isStarted = true;
         ++shared_->activeRequests;
-        shared_->activeRequestBytes += request->bodyBytes;
         shared_->runtime.spawn([self = shared_from_this(), request] {
             self->runRequest(request);
         });
@@ -340,10 +460,13 @@
 
 void MessageConnection::runRequest(const std::shared_ptr<Request> &request)
 {
+    releasePending(*request);
+    updateMemory();
+    shared_->activeRequestBytes += request->heldBytes;
     if (!hasEnded_ && !isLingering_) {
         request->response = shared_->handler(request->message, request->cancel);
     }
-    shared_->activeRequestBytes -= request->bodyBytes;
+    shared_->activeRequestBytes -= request->heldBytes;
     request->message = RequestMessage();
     finishRequest(pipeline_, request->id, request->response ? request->response->body.size() : 0);
     request->isFinished = true;
@@ -376,6 +499,7 @@
         if (!request->keepAlive) {
             // A caller that asked for the close does not expect responses to what it sent after that.
             for (const PipelinedRequestId dropped : dropWaiting(pipeline_)) {
+                releasePending(*requests_.at(dropped));
                 requests_.erase(dropped);
                 ++shared_->pipelineCounts.dropped;
             }
@@ -467,7 +591,10 @@
     socket_.shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
     readDeadline_ = BootClock::now() + kMaxLingerTime;
     buffer_.consume(buffer_.size());
-    awaitBytes();
+    updateMemory();
+    if (!hasEnded_) {
+        awaitBytes();
+    }
 }
 
 void MessageConnection::close()
@@ -479,10 +606,13 @@
     const auto self = shared_from_this();
     boost::system::error_code ignored;
     socket_.close(ignored);
+    buffer_.consume(buffer_.size());
     stopReading();
+    updateMemory();
     countSentRequests();
     const auto requests = std::exchange(requests_, {});
     for (const auto &[id, request] : requests) {
+        releasePending(*request);
         // The fiber of a running request counts it out when it ends.
         shared_->activeRequests -= request->isStarted && request->isFinished ? 1 : 0;
         request->cancel.cancel();
--- a/http/message_connection.h
+++ b/http/message_connection.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "http/memory_budget.h"
 #include "http/message_server.h"
 #include "http/request_pipeline.h"
 
@@ -7,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -21,17 +23,21 @@
     FiberRuntime &runtime;
     MessageServerOptions options;
     MessageHandler handler;
+    /// Received bytes on their way to a connection's buffer. An idle connection has no buffer of its own.
+    std::vector<char> received;
     size_t connections = 0;
     /// Requests whose handler has been started and whose response has not been sent completely.
     size_t activeRequests = 0;
+    /// Memory that the requests in progress take.
     uint64_t activeRequestBytes = 0;
-    /// Size of the request bodies that are being received, in bytes.
-    uint64_t incomingBytes = 0;
     /// Every connection closes after the next response behind which nothing has been received.
     bool closing = false;
     /// Connections without a request in progress are closed.
     bool closesIdle = false;
     PipelineCounts pipelineCounts;
+    /// Connections that were ended for memory since that was logged.
+    uint64_t endedForMemory = 0;
+    TimePoint memoryLoggedAt;
 };
 
 /// A caller's connection. It reads requests as they arrive, also while earlier ones run, and sends the responses in the
@@ -54,6 +60,15 @@
     /// Closes the connection unless it is busy.
     void closeIfIdle();
 
+    /// Returns whether the connection may be closed to make room for another one: it has no whole request in progress.
+    [[nodiscard]] auto isReplaceable() const -> bool;
+
+    /// Returns whether bytes have arrived that have not been read.
+    [[nodiscard]] auto hasUnreadBytes() const -> bool;
+
+    /// Returns when the connection was opened or last received a whole request.
+    [[nodiscard]] auto lastRequestAt() const -> TimePoint;
+
     /// Returns whether a request is being received or is in progress, or a response is being sent or may not have arrived yet.
     [[nodiscard]] auto isBusy() const -> bool;
 
@@ -66,7 +81,11 @@
 private:
     struct Request;
 
+    [[nodiscard]] auto isWithoutRequest() const -> bool;
+    [[nodiscard]] auto maxBufferedBytes() const -> size_t;
     void awaitBytes();
+    auto receive() -> boost::system::error_code;
+    void updateMemory();
     void handleReadable();
     void discardBytes();
     void parseRequests();
@@ -75,7 +94,9 @@
     void handleParseError(const boost::system::error_code &error);
     void addParsedRequest();
     void addErrorResponse(int status);
-    void setIncomingBytes(uint64_t bytes);
+    [[nodiscard]] auto incomingBodyBytes() const -> uint64_t;
+    void endForMemory();
+    void releasePending(Request &request);
     void stopReading();
     void startRequests();
     void runRequest(const std::shared_ptr<Request> &request);
@@ -96,7 +117,14 @@
     std::optional<Parser> parser_;
     RequestPipeline pipeline_;
     std::map<PipelinedRequestId, std::shared_ptr<Request>> requests_;
-    uint64_t incomingBytes_ = 0;
+    /// Bodies of whole requests whose handler has not been started.
+    uint64_t pendingBytes_ = 0;
+    /// Memory of the connection, without its whole requests.
+    MemoryHold hold_;
+    bool isAbortable_ = false;
+    uint64_t discardedBytes_ = 0;
+    TimePoint lastRequestAt_ = BootClock::now();
+    bool hasServed_ = false;
     /// Requests that still count in MessageServerShared::activeRequests because their response is being sent.
     size_t unsentRequests_ = 0;
     /// End of the time to receive the head or body that is being read, to wait for a request, or to discard bytes.
--- a/http/message_server.cpp
+++ b/http/message_server.cpp
@@ -26,19 +26,29 @@
 constexpr Duration kSweepInterval = milliseconds(250);
 /// Delay before the next accept after an error such as too many open files.
 constexpr Duration kAcceptBackoff = milliseconds(50);
+/// Time that a new connection has for its first request, or a used one for the next, before it may be closed to make room. An
+/// ordinary caller sends its request at once.
+constexpr Duration kMinTimeToRequest = milliseconds(250);
+constexpr Duration kMinLogInterval = milliseconds(500);
 
 } // namespace
 
 struct MessageServer::State : std::enable_shared_from_this<MessageServer::State> {
     State(FiberRuntime &runtime, MessageServerOptions options, MessageHandler handler)
-        : shared(std::make_shared<MessageServerShared>(MessageServerShared{runtime, std::move(options), std::move(handler), 0, 0, 0, 0, false, false, {}}))
+        : shared(
+            std::make_shared<MessageServerShared>(MessageServerShared{runtime, std::move(options), std::move(handler), {}, 0, 0, 0, false, false, {}, 0, {}}))
         , acceptor(runtime.context())
         , sweepTimer(runtime.context())
     {
+        if (!shared->options.memory) {
+            shared->options.memory = std::make_shared<MemoryBudget>();
+        }
     }
 
     void acceptNext();
     void addConnection(asio::ip::tcp::socket socket);
+    void makeRoom();
+    void logRefused();
     void scheduleSweep();
     /// Returns a copy of the set, since connections remove themselves when they end.
     [[nodiscard]] auto allConnections() const -> std::vector<std::shared_ptr<MessageConnection>>;
@@ -47,6 +57,10 @@
     asio::ip::tcp::acceptor acceptor;
     asio::steady_timer sweepTimer;
     std::set<std::shared_ptr<MessageConnection>> connections;
+    /// Connections that were closed for others or refused since that was logged.
+    uint64_t replacedCount = 0;
+    uint64_t refusedCount = 0;
+    TimePoint refusedLoggedAt;
     bool stopped = false;
 };
 
@@ -73,7 +87,11 @@
 {
     const auto &options = shared->options;
     if (connections.size() >= options.maxConnections) {
-        logEvent(EventId::ConnectionRefused, {{"server", options.name}, {"connections", std::to_string(connections.size())}});
+        makeRoom();
+    }
+    if (connections.size() >= options.maxConnections) {
+        ++refusedCount;
+        logRefused();
         return;
     }
     setTcpOptions(socket, options.deadPeerTimeout);
@@ -88,6 +106,37 @@
     });
 }
 
+/// Closes the connection that has been without a whole request for the longest time, if there is one, so that connections that
+/// are left open do not keep callers out.
+void MessageServer::State::makeRoom()
+{
+    std::shared_ptr<MessageConnection> oldest;
+    for (const auto &connection : connections) {
+        if (connection->isReplaceable() && (!oldest || connection->lastRequestAt() < oldest->lastRequestAt())) {
+            oldest = connection;
+        }
+    }
+    if (oldest && BootClock::now() - oldest->lastRequestAt() >= kMinTimeToRequest && !oldest->hasUnreadBytes()) {
+        oldest->close();
+        ++replacedCount;
+        logRefused();
+    }
+}
+
+void MessageServer::State::logRefused()
+{
+    const TimePoint now = BootClock::now();
+    if (now - refusedLoggedAt < kMinLogInterval) {
+        return;
+    }
+    refusedLoggedAt = now;
+    logEvent(EventId::ConnectionRefused,
+             {{"server", shared->options.name},
+              {"connections", std::to_string(connections.size())},
+              {"refused", std::to_string(std::exchange(refusedCount, 0))},
+              {"replaced", std::to_string(std::exchange(replacedCount, 0))}});
+}
+
 void MessageServer::State::scheduleSweep()
 {
     sweepTimer.expires_after(kSweepInterval);
--- a/http/message_server.h
+++ b/http/message_server.h
@@ -2,6 +2,7 @@
 
 #include "core/ids.h"
 #include "core/result.h"
+#include "http/memory_budget.h"
 #include "http/message.h"
 #include "http/request_pipeline.h"
 #include "net/fiber_runtime.h"
@@ -27,12 +28,17 @@
     Duration bodyTimeout = seconds(20);
     /// Maximum time for which a connection may stay open without a request.
     Duration idleTimeout = seconds(60);
+    /// Maximum number of connections. For a further one, the connection is closed that has been without a request for longest.
     size_t maxConnections = 3000;
+    /// Connections that have carried a request are not closed for others, because their callers use them again at any time.
+    bool keepsServedConnections = false;
     /// Maximum number of header fields of a request.
     size_t maxFields = 200;
-    /// Maximum total size of the bodies that are being received on all connections, in bytes. Beyond it, requests get
-    /// status 503. Zero means no limit.
-    uint64_t maxIncomingBytes = 0;
+    /// Memory that connections may take apart from their whole requests, shared with other servers of the process: received bytes
+    /// that have not been parsed, heads and bodies that are being received, and a fixed amount for each connection. Beyond it, the
+    /// connection that takes most is ended, with status 503 if it is sending a request. If it is empty, the server has a limit of its
+    /// own.
+    std::shared_ptr<MemoryBudget> memory;
     /// Bounds on the requests of one connection that are in progress at once.
     PipelineLimits pipeline;
     /// Returns whether a request may run while other requests of its connection do. Without this function, the requests
@@ -95,7 +101,7 @@
     /// Returns the number of connections on which a request is being received or is in progress, or whose last response may
     /// not have arrived yet.
     [[nodiscard]] auto busyConnections() const -> size_t;
-    /// Returns the total body size of the requests whose handler is running, in bytes.
+    /// Returns the memory of the requests whose handler is running, in bytes.
     [[nodiscard]] auto activeRequestBytes() const -> uint64_t;
     [[nodiscard]] auto pipelineCounts() const -> PipelineCounts;
 
--- a/node/main.cpp
+++ b/node/main.cpp
@@ -28,6 +28,8 @@
 constexpr int kExitRequestsCut = 4;
 /// Larger blocks are mapped outside the heap. The threshold exceeds every frame between nodes.
 constexpr int kMmapThresholdBytes = 512 * 1024;
+/// The same for the node on the platform's VMs, which holds whole bodies. Reserved but unused parts of mapped blocks take no memory.
+constexpr int kSidecarMmapThresholdBytes = 64 * 1024;
 constexpr int kTrimThresholdBytes = 1024 * 1024;
 
 void stopOnSignal(boost::asio::signal_set &signals, snipestream::Node &node)
@@ -67,6 +69,7 @@
     std::signal(SIGPIPE, SIG_IGN);
 
     if (arguments.size() > 1 && std::string(arguments[1]) == "sidecar") {
+        mallopt(M_MMAP_THRESHOLD, kSidecarMmapThresholdBytes);
         const std::string file = absl::GetFlag(FLAGS_settings);
         const char *const platformSettingsPath = std::getenv("SNIPESTREAM_CONFIG");
         return snipestream::runSidecar(file.empty() && platformSettingsPath != nullptr ? platformSettingsPath : file);
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -221,7 +221,7 @@
     return result.outcome == TargetOutcome::NotRun || call.route->idempotent;
 }
 
-auto runAttempt(SidecarState &state, const std::string &address, const RoutedRequest &routed, CancelSignal &cancel) -> TargetResult
+auto runAttempt(SidecarState &state, const std::string &address, RoutedRequest &routed, CancelSignal &cancel) -> TargetResult
 {
     uint64_t memberSince = 0;
     {
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -125,15 +125,19 @@
     return allowsRetry(state.retryRatio, now);
 }
 
-auto callTarget(SidecarState &state, const RoutedRequest &request, CancelSignal &cancel) -> TargetResult
+auto callTarget(SidecarState &state, RoutedRequest &request, CancelSignal &cancel) -> TargetResult
 {
     // The stop may have begun while the request waited for a slot.
     const TimePoint deadline = deadlineWithin(state.stop, state.stopSettings, request.deadline);
     const TimePoint responseDeadline = isStopping(state.stop) ? deadline + kResponseSlackAtStop : deadline;
+    // The body is lent to the call, since it may be large, and the request may be sent to another target afterwards.
+    std::string body = std::move(request.message.body);
     RequestMessage message = request.message;
+    message.body = std::move(body);
     setTargetFields(message.headers, {request.target.instance, deadline - BootClock::now(), request.team, request.callerService});
     const RunId run = beginRun(state.callPattern, request.workKind, deadline);
     CallResult callResult = state.targetPool.call(state.target.latest->endpoint, message, cancel, responseDeadline);
+    request.message.body = std::move(message.body);
     const bool succeeded = callResult.status == CallStatus::Answered && callResult.response.status / 100 == 2;
     endRun(state.callPattern, run, succeeded, BootClock::now());
     TargetResult result;
@@ -232,7 +236,7 @@
     return "unknown";
 }
 
-auto runAtTarget(SidecarState &state, const RoutedRequest &request, CancelSignal &cancel) -> TargetResult
+auto runAtTarget(SidecarState &state, RoutedRequest &request, CancelSignal &cancel) -> TargetResult
 {
     const TimePoint arrivedAt = BootClock::now();
     const std::string refusalBeforeQueue = refusalOf(state, request);
--- a/sidecar/home.h
+++ b/sidecar/home.h
@@ -69,7 +69,7 @@
 
 /// Runs the request at the target on this VM: waits for a slot, sends the request and checks that the response belongs to
 /// it.
-auto runAtTarget(SidecarState &state, const RoutedRequest &request, CancelSignal &cancel) -> TargetResult;
+auto runAtTarget(SidecarState &state, RoutedRequest &request, CancelSignal &cancel) -> TargetResult;
 
 /// Returns the result of a request of another node that this node refuses for the reason, such as "node-stopping". The request
 /// has not run.
--- a/sidecar/memory_limit.cpp
+++ b/sidecar/memory_limit.cpp
@@ -1,6 +1,7 @@
 #include "sidecar/memory_limit.h"
 
 #include "core/events.h"
+#include "sidecar/memory_shares.h"
 #include "sidecar/state.h"
 
 #include <string>
@@ -12,12 +13,6 @@
 namespace
 {
 
-/// Maximum fraction of the process's memory limit that the bodies of requests in progress may take when a caller's request
-/// arrives. The rest is for bodies that are being received, connections and code.
-constexpr double kMaxFractionForCallers = 0.25;
-/// The same for a request of another node. It is lower, so that such requests do not use up what this node's own callers
-/// need.
-constexpr double kMaxFractionForPeers = 0.2;
 constexpr Duration kMinLogInterval = milliseconds(500);
 
 } // namespace
@@ -25,8 +20,9 @@
 auto refusesForMemory(SidecarState &state, RequestSender sender) -> bool
 {
     const uint64_t held = state.callerServer->activeRequestBytes() + state.peerServer->activeRequestBytes();
-    const double maxFraction = sender == RequestSender::Caller ? kMaxFractionForCallers : kMaxFractionForPeers;
-    if (static_cast<double>(held) <= maxFraction * static_cast<double>(state.settings.memoryMb) * 1024 * 1024) {
+    const double share = sender == RequestSender::Caller ? memory_shares::kRequests : memory_shares::kPeerRequests;
+    const bool isSingle = state.callerServer->activeRequests() + state.peerServer->activeRequests() == 1;
+    if (held <= memoryShare(state.settings, isSingle ? memory_shares::kSingleRequest : share)) {
         return false;
     }
     auto &log = state.memoryLimitLog;
--- a/sidecar/peer_call.cpp
+++ b/sidecar/peer_call.cpp
@@ -113,6 +113,10 @@
     result.reachedTarget = true;
     const auto field = findHeader(response.headers, kOutcomeField);
     if (!field) {
+        // The other node's server refuses like this what it has no memory for, before the request reaches any handler.
+        const bool isRefused = response.status == 503;
+        result.outcome = isRefused ? TargetOutcome::NotRun : TargetOutcome::Unknown;
+        result.reachedTarget = !isRefused;
         result.reason = "peer-answered-" + std::to_string(response.status);
         return result;
     }
@@ -139,10 +143,15 @@
     return result;
 }
 
-auto runAtPeer(SidecarState &state, const std::string &address, const RoutedRequest &request, CancelSignal &cancel) -> TargetResult
+auto runAtPeer(SidecarState &state, const std::string &address, RoutedRequest &request, CancelSignal &cancel) -> TargetResult
 {
     const Endpoint endpoint{address, state.settings.peerListen.port};
-    CallResult callResult = state.peerPool.call(endpoint, encodeRoutedRequest(request, BootClock::now()), cancel, request.deadline + kResponseSlack);
+    // The body is lent to the call, since it may be large.
+    std::string body = std::move(request.message.body);
+    RequestMessage message = encodeRoutedRequest(request, BootClock::now());
+    message.body = std::move(body);
+    CallResult callResult = state.peerPool.call(endpoint, message, cancel, request.deadline + kResponseSlack);
+    request.message.body = std::move(message.body);
     if (callResult.status == CallStatus::Answered) {
         return decodeOutcome(std::move(callResult.response));
     }
--- a/sidecar/peer_call.h
+++ b/sidecar/peer_call.h
@@ -21,6 +21,6 @@
 auto decodeOutcome(ResponseMessage response) -> TargetResult;
 
 /// Sends the request to the node at the address and waits for the outcome.
-auto runAtPeer(SidecarState &state, const std::string &address, const RoutedRequest &request, CancelSignal &cancel) -> TargetResult;
+auto runAtPeer(SidecarState &state, const std::string &address, RoutedRequest &request, CancelSignal &cancel) -> TargetResult;
 
 } // namespace snipestream
--- a/sidecar/settings.cpp
+++ b/sidecar/settings.cpp
@@ -68,6 +68,12 @@
     return !(a == b);
 }
 
+auto memoryShare(const SidecarSettings &settings, double share) -> uint64_t
+{
+    constexpr double kMegabyte = 1024 * 1024;
+    return static_cast<uint64_t>(static_cast<double>(settings.memoryMb) * kMegabyte * share);
+}
+
 auto ownMember(const SidecarSettings &settings) -> Member
 {
     return {settings.address, settings.node, settings.domain, settings.service};
--- a/sidecar/settings.h
+++ b/sidecar/settings.h
@@ -54,6 +54,9 @@
     friend auto operator!=(const SidecarSettings &a, const SidecarSettings &b) -> bool;
 };
 
+/// Returns a share of the process's memory limit, in bytes.
+auto memoryShare(const SidecarSettings &settings, double share) -> uint64_t;
+
 /// Returns the node as a member of the fleet.
 auto ownMember(const SidecarSettings &settings) -> Member;
 
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -7,6 +7,7 @@
 #include "sidecar/home.h"
 #include "sidecar/membership.h"
 #include "sidecar/memory_limit.h"
+#include "sidecar/memory_shares.h"
 #include "sidecar/peer_call.h"
 #include "sidecar/policy_reader.h"
 #include "sidecar/reports.h"
@@ -42,9 +43,6 @@
 constexpr Duration kDepartureTimeout = milliseconds(850);
 /// Descriptors reserved for files and listening sockets.
 constexpr uint64_t kReservedDescriptors = 250;
-/// Fraction of the process's memory limit that request bodies may take while they are being received. While a body grows,
-/// its buffer takes up to three times its size.
-constexpr double kMaxIncomingFraction = 0.15;
 /// Maximum number of connections of each server that callers do not use, such as those for readiness checks.
 constexpr size_t kMaxControlConnections = 64;
 constexpr int kExitSettings = 2;
@@ -105,12 +103,12 @@
     // Callers may use half of the descriptors and peers a quarter. The rest is for connections that this node opens.
     const size_t maxCallerConnections = descriptors / 2;
     const size_t maxPeerConnections = descriptors / 4;
-    const auto maxIncomingBytes = static_cast<uint64_t>(static_cast<double>(settings.memoryMb) * 1024 * 1024 * kMaxIncomingFraction);
     const auto make = [&](const char *name, const Endpoint &listen, MessageHandler handler) {
         MessageServerOptions options;
         options.name = name;
         options.listen = listen;
         options.maxConnections = kMaxControlConnections;
+        options.memory = sidecar.connectionMemory;
         return std::make_unique<MessageServer>(runtime, options, std::move(handler));
     };
     {
@@ -118,7 +116,7 @@
         options.name = "caller";
         options.listen = settings.callerListen;
         options.maxConnections = maxCallerConnections;
-        options.maxIncomingBytes = maxIncomingBytes;
+        options.memory = sidecar.connectionMemory;
         options.mayRunConcurrently = [this](const RequestMessage &request) {
             return mayRunConcurrently(sidecar, request);
         };
@@ -131,7 +129,8 @@
         options.name = "peer";
         options.listen = settings.peerListen;
         options.maxConnections = maxPeerConnections;
-        options.maxIncomingBytes = maxIncomingBytes;
+        options.keepsServedConnections = true;
+        options.memory = sidecar.connectionMemory;
         // Longer than the other nodes keep idle connections, so that this node never closes one that is about to be used.
         options.idleTimeout = seconds(60);
         options.maxHeaderBytes = 64 * 1024;
@@ -536,6 +535,7 @@
     // The platform may kill a stopping node at the end of the stop time that was set when the stop began.
     sidecar.stopSettings.stopTime = isStopping(sidecar.stop) ? std::min(sidecar.stopSettings.stopTime, settings.stopTime) : settings.stopTime;
     sidecar.settings.memoryMb = settings.memoryMb;
+    applyMemoryLimit(sidecar);
     sidecar.settings.retryRatio = settings.retryRatio;
     sidecar.settings.retrySlack = settings.retrySlack;
     sidecar.settings.rateWindow = settings.rateWindow;
--- a/sidecar/state.cpp
+++ b/sidecar/state.cpp
@@ -1,5 +1,7 @@
 #include "sidecar/state.h"
 
+#include "sidecar/memory_shares.h"
+
 namespace snipestream
 {
 
@@ -12,21 +14,11 @@
 /// A connection on the same VM opens in about a millisecond, so a target that takes a second accepts none.
 constexpr Duration kTargetConnectTimeout = milliseconds(1000);
 
-/// Fraction of the process's memory limit that responses may take together until they have been sent, and a single one while it
-/// is received. While a body grows, its buffer takes up to three times its size.
-constexpr double kResponseMemoryFraction = 0.15;
-constexpr double kMaxResponseFraction = 0.1;
-
-auto memoryFraction(const SidecarSettings &settings, double fraction) -> uint64_t
-{
-    return static_cast<uint64_t>(static_cast<double>(settings.memoryMb) * 1024 * 1024 * fraction);
-}
-
 auto poolOptions(const SidecarSettings &settings, const std::shared_ptr<MemoryBudget> &memory) -> CallPoolOptions
 {
     CallPoolOptions options;
     options.memory = memory;
-    options.maxResponseBytes = memoryFraction(settings, kMaxResponseFraction);
+    options.maxResponseBytes = memoryShare(settings, memory_shares::kLargestResponse);
     return options;
 }
 
@@ -52,13 +44,14 @@
     , settings(std::move(initialSettings))
     , random(systemSeed())
     , datagrams(fiberRuntime.context())
+    , connectionMemory(std::make_shared<MemoryBudget>())
     , responseMemory(std::make_shared<MemoryBudget>())
     , peerPool(fiberRuntime, peerPoolOptions(settings, responseMemory))
     , targetPool(fiberRuntime, targetPoolOptions(settings, responseMemory))
     , storePool(fiberRuntime, peerPoolOptions(settings, responseMemory))
 {
     incarnation = random();
-    responseMemory->maxBytes = memoryFraction(settings, kResponseMemoryFraction);
+    applyMemoryLimit(*this);
     stopSettings.stopTime = settings.stopTime;
     peers.ownAddress = settings.address;
     peers.ownDomain = settings.domain;
@@ -66,6 +59,12 @@
     splits.phase = static_cast<double>(drawBelow(random, 1000)) / 1000;
 }
 
+void applyMemoryLimit(SidecarState &state)
+{
+    state.connectionMemory->maxBytes = memoryShare(state.settings, memory_shares::kConnections);
+    state.responseMemory->maxBytes = memoryShare(state.settings, memory_shares::kResponses);
+}
+
 auto mayServeKeyedRequests(const SidecarState &state, TimePoint now) -> bool
 {
     return state.policy && state.isMembershipRead && now - state.policyConfirmedAt < state.settings.keyWithdrawal;
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -109,6 +109,8 @@
 
     DatagramSocket datagrams;
     MemoryLimitLog memoryLimitLog;
+    /// Shared by all servers.
+    std::shared_ptr<MemoryBudget> connectionMemory;
     /// Shared by the three pools.
     std::shared_ptr<MemoryBudget> responseMemory;
     CallPool peerPool;
@@ -131,6 +133,9 @@
     bool reportDue = false;
 };
 
+/// Derives the budgets of connections and responses from the memory limit in the settings.
+void applyMemoryLimit(SidecarState &state);
+
 /// Returns whether requests with an API key may be served: the policy was confirmed so recently that a withdrawn key does
 /// not work longer than allowed, and the nodes that share the teams' rates are known.
 auto mayServeKeyedRequests(const SidecarState &state, TimePoint now) -> bool;
--- a/tests/http/endless_test.cpp
+++ b/tests/http/endless_test.cpp
@@ -354,7 +354,8 @@
             options.name = "test";
             options.listen = {"127.0.0.1", 0};
             options.maxBodyBytes = kMebibyte;
-            options.maxIncomingBytes = 4 * kMebibyte;
+            options.memory = std::make_shared<MemoryBudget>();
+            options.memory->maxBytes = 4 * kMebibyte;
             options.headTimeout = milliseconds(300);
             int handled = 0;
             MessageServer server(runtime, options, [&](RequestMessage &, CancelSignal &) -> std::optional<ResponseMessage> {
--- a/tests/node/cluster.cpp
+++ b/tests/node/cluster.cpp
@@ -7,8 +7,9 @@
 #include "platform/blocking_transport.h"
 #include "platform/http_log_client.h"
 
+#include "tests/support/child_process.h"
+
 #include <algorithm>
-#include <cerrno>
 #include <csignal>
 #include <cstdlib>
 #include <filesystem>
@@ -20,29 +21,17 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cppunit/extensions/HelperMacros.h>
-#include <fcntl.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
-/// Declared here because clang-tidy 14 cannot parse <linux/stddef.h>, which <sys/prctl.h> includes.
-extern "C" auto prctl(int option, ...) -> int; // NOLINT(cert-dcl50-cpp)
-
 namespace snipestream::testing
 {
 
 namespace
 {
 
-/// PR_SET_PDEATHSIG of <sys/prctl.h>.
-constexpr int kSetParentDeathSignal = 1;
-
 const RequestedBy kRequestedBy{"test", "process test"};
 
-auto buildDirectory() -> std::filesystem::path
-{
-    return std::filesystem::read_symlink("/proc/self/exe").parent_path().parent_path();
-}
-
 /// Returns a port that nothing listens on. It is below the kernel's range of ephemeral ports, so that no outgoing
 /// connection uses it before the program binds it.
 auto freePort() -> uint16_t
@@ -73,31 +62,6 @@
     return response || response.error().code != ErrorCode::Unavailable;
 }
 
-/// Waits for a child process to exit. Returns its wait status, or nothing if it has not exited within the limit.
-auto awaitExit(pid_t pid, Duration limit) -> std::optional<int>
-{
-    const TimePoint end = BootClock::now() + limit;
-    while (true) {
-        int status = 0;
-        if (waitpid(pid, &status, WNOHANG) == pid) {
-            return status;
-        }
-        if (BootClock::now() >= end) {
-            return std::nullopt;
-        }
-        std::this_thread::sleep_for(milliseconds(5));
-    }
-}
-
-void killProcess(pid_t &pid)
-{
-    if (pid > 0) {
-        kill(pid, SIGKILL);
-        waitpid(pid, nullptr, 0);
-        pid = 0;
-    }
-}
-
 } // namespace
 
 void eventually(const std::string &what, Duration limit, const std::function<bool()> &condition)
@@ -166,27 +130,10 @@
 
 auto Cluster::spawn(const std::string &name, const std::vector<std::string> &arguments) const -> pid_t
 {
-    std::vector<char *> pointers;
-    pointers.reserve(arguments.size() + 1);
-    for (const auto &argument : arguments) {
-        pointers.push_back(const_cast<char *>(argument.c_str())); // NOLINT(cppcoreguidelines-pro-type-const-cast)
-    }
-    pointers.push_back(nullptr);
-    const std::string output = directory_ + "/" + name + ".log";
-    const pid_t parent = getpid();
-    const pid_t pid = fork();
-    CPPUNIT_ASSERT(pid >= 0);
-    if (pid == 0) {
-        // The kernel kills the child when the test program ends, even if that crashes.
-        prctl(kSetParentDeathSignal, SIGKILL);
-        const int file = open(output.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
-        if (getppid() != parent || file < 0 || dup2(file, STDOUT_FILENO) < 0 || dup2(file, STDERR_FILENO) < 0) {
-            _exit(126);
-        }
-        execv(pointers.front(), pointers.data());
-        _exit(127);
-    }
-    return pid;
+    ChildOptions options;
+    options.arguments = arguments;
+    options.output = directory_ + "/" + name + ".log";
+    return startChild(options);
 }
 
 void Cluster::startNode(size_t index)
@@ -404,13 +351,7 @@
 
 auto Cluster::peakMemoryKb(size_t index) const -> long
 {
-    std::ifstream file("/proc/" + std::to_string(nodes.at(index).pid) + "/status");
-    for (std::string line; std::getline(file, line);) {
-        if (line.rfind("VmHWM:", 0) == 0) {
-            return std::stol(line.substr(6));
-        }
-    }
-    return 0;
+    return peakResidentKb(nodes.at(index).pid);
 }
 
 auto Cluster::lookUp(size_t node) const -> Reply
