Serve a single large request in calm

A body may be as large as the operator's configuration says, 64 MB by default, but a node with 160 MB refused bodies over 32 MB (24 MB before the common budget). A single connection may now take 45% of the memory while the others take little. The check counts what is resident: unused parts of mapped blocks take no memory. EndlessTest::testSingleHolder.

--- a/http/memory_budget.cpp
+++ b/http/memory_budget.cpp
@@ -34,6 +34,10 @@
     const auto largest = std::max_element(holds.begin(), holds.end(), [](const HeldBytes &a, const HeldBytes &b) {
         return (a.abort ? a.bytes : 0) < (b.abort ? b.bytes : 0);
     });
+    const bool isAlone = budget_->totalBytes - largest->bytes <= budget_->maxBytes / 2;
+    if (isAlone && largest->bytes <= budget_->maxSingleBytes) {
+        return;
+    }
     // The function may destroy the holder.
     if (const auto abort = std::exchange(largest->abort, nullptr)) {
         abort();
--- a/http/memory_budget.h
+++ b/http/memory_budget.h
@@ -20,6 +20,8 @@
 struct MemoryBudget {
     /// Maximum total size in bytes.
     uint64_t maxBytes = 64ULL * 1024 * 1024;
+    /// Maximum size in bytes of one holder while all others together take at most half of `maxBytes`; 0 if it may not take more then.
+    uint64_t maxSingleBytes = 0;
     uint64_t totalBytes = 0;
     std::list<HeldBytes> holds;
 };
--- a/http/message_connection.cpp
+++ b/http/message_connection.cpp
@@ -204,8 +204,10 @@
     if (!parser_) {
         return 0;
     }
+    /// Larger blocks are mapped outside the heap, and unused pages of them take no memory.
+    constexpr uint64_t kMappedBytes = uint64_t{64} * 1024;
     const std::string &body = parser_->get().body();
-    return std::min<uint64_t>(body.capacity(), 2 * body.size());
+    return std::min<uint64_t>(body.capacity(), std::max<uint64_t>(body.size(), std::min(2 * uint64_t{body.size()}, kMappedBytes)));
 }
 
 /// Refuses the request that is being received, or closes the connection if there is none.
--- a/sidecar/memory_shares.h
+++ b/sidecar/memory_shares.h
@@ -15,6 +15,8 @@
 inline constexpr double kSingleRequest = 0.55;
 /// Connections of all servers apart from their whole requests: parts of heads and bodies.
 inline constexpr double kConnections = 0.2;
+/// A single connection while the others take little, so that in calm a request of the largest size that operators allow fits.
+inline constexpr double kSingleConnection = 0.45;
 /// Responses until they have been sent.
 inline constexpr double kResponses = 0.15;
 /// A single response while it is received.
--- a/sidecar/state.cpp
+++ b/sidecar/state.cpp
@@ -62,6 +62,7 @@
 void applyMemoryLimit(SidecarState &state)
 {
     state.connectionMemory->maxBytes = memoryShare(state.settings, memory_shares::kConnections);
+    state.connectionMemory->maxSingleBytes = memoryShare(state.settings, memory_shares::kSingleConnection);
     state.responseMemory->maxBytes = memoryShare(state.settings, memory_shares::kResponses);
 }
 
--- a/tests/http/endless_test.cpp
+++ b/tests/http/endless_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(testSmallChunks);
     CPPUNIT_TEST(testManyIdleConnections);
     CPPUNIT_TEST(testRequests);
+    CPPUNIT_TEST(testSingleHolder);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -425,6 +426,36 @@
             runtime.sleepFor(milliseconds(50));
         });
     }
+
+    void testSingleHolder()
+    {
+        const auto budget = std::make_shared<MemoryBudget>();
+        budget->maxBytes = 100;
+        budget->maxSingleBytes = 300;
+        MemoryHold large(budget);
+        MemoryHold small(budget);
+        int ended = 0;
+        large.setAbort([&ended] {
+            ++ended;
+        });
+        section("a large holder may exceed the limit while the others take little", [&] {
+            small.setBytes(50);
+            large.setBytes(300);
+            CPPUNIT_ASSERT_EQUAL(0, ended);
+        });
+        section("it is ended once they take more", [&] {
+            small.setBytes(51);
+            CPPUNIT_ASSERT_EQUAL(1, ended);
+        });
+        section("or once it exceeds its own limit", [&] {
+            small.setBytes(0);
+            large.setAbort([&ended] {
+                ++ended;
+            });
+            large.setBytes(301);
+            CPPUNIT_ASSERT_EQUAL(2, ended);
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(EndlessTest);
