Evacuate failure domains by order of the operator, and hold cold targets to their rate

The order is a record beside the configuration. It travels with the configuration's confirmations and transfers, ordered by the offset of the topic; entries do not choose an evacuated domain, and homes refuse as not run what still arrives. A home holds a cold target to the rate of its service's configuration with a token bucket that is empty when the target turns cold, and reports what that rate keeps busy as its limit. Nothing of this acts without an order or a rate.

--- a/core/events.h
+++ b/core/events.h
@@ -50,6 +50,7 @@
     MemberRecordNotRemoved = 2016,
     MemberRecordNotWritten = 2017,
     MemberReplaced = 2018,
+    EvacuationChanged = 2019,
     LeaseAcquired = 3001,
     LeaseLost = 3002,
     LeaseClaimed = 3003,
--- a/mesh/admission_control.cpp
+++ b/mesh/admission_control.cpp
@@ -115,6 +115,9 @@
             continue;
         }
         capacity.hasTargets = true;
+        if (isEvacuated(table, *row)) {
+            continue;
+        }
         if (row->address != table.ownAddress && !isAlive(*row, now)) {
             continue;
         }
--- a/mesh/load_balancing.cpp
+++ b/mesh/load_balancing.cpp
@@ -32,7 +32,7 @@
     std::vector<PeerRow *> serving;
     std::vector<PeerRow *> leaving;
     for (PeerRow *const row : homesOf(table, service)) {
-        if (std::find(tried.begin(), tried.end(), row->address) != tried.end()) {
+        if (isEvacuated(table, *row) || std::find(tried.begin(), tried.end(), row->address) != tried.end()) {
             continue;
         }
         if (isServing(*row)) {
--- a/mesh/peer_table.cpp
+++ b/mesh/peer_table.cpp
@@ -128,6 +128,11 @@
     return rows;
 }
 
+auto isEvacuated(const PeerTable &table, const PeerRow &row) -> bool
+{
+    return table.evacuatedDomains.count(row.member.domain) != 0;
+}
+
 auto isAlive(const PeerRow &row, TimePoint now) -> bool
 {
     return row.report && now - row.lastReportAt <= row.report->interval * kMaxMissedReports;
--- a/mesh/peer_table.h
+++ b/mesh/peer_table.h
@@ -127,6 +127,8 @@
     std::map<ServiceName, std::vector<std::string>> homes;
     /// Increases with each change of the members.
     uint64_t revision = 0;
+    /// Failure domains whose targets get no requests.
+    std::set<DomainName> evacuatedDomains;
 };
 
 /// Adds a member, or updates what is known of it. A member of another service than before is another VM, so nothing that is
@@ -152,6 +154,9 @@
 auto homesOf(const PeerTable &table, const ServiceName &service) -> std::vector<const PeerRow *>;
 auto homesOf(PeerTable &table, const ServiceName &service) -> std::vector<PeerRow *>;
 
+/// Returns whether the operator has ordered to send nothing to the targets of the row's failure domain.
+auto isEvacuated(const PeerTable &table, const PeerRow &row) -> bool;
+
 /// Returns whether the node has sent a report recently, as often as it said that it would.
 auto isAlive(const PeerRow &row, TimePoint now) -> bool;
 
--- a/mesh/policy.cpp
+++ b/mesh/policy.cpp
@@ -62,4 +62,12 @@
     return found == policy.teamByKey.end() ? nullptr : &policy.teams[found->second];
 }
 
+auto coldRateOf(const Policy &policy, const ServiceName &service) -> double
+{
+    const auto found = std::find_if(policy.services.begin(), policy.services.end(), [&service](const ServicePolicy &row) {
+        return row.name == service;
+    });
+    return found == policy.services.end() ? 0 : found->coldRatePerSecond;
+}
+
 } // namespace snipestream
--- a/mesh/policy.h
+++ b/mesh/policy.h
@@ -70,6 +70,18 @@
     }
 };
 
+/// Operator's figures for the targets of a service.
+struct ServicePolicy {
+    ServiceName name;
+    /// Requests a second that a target bears while it is cold; 0 means no limit.
+    double coldRatePerSecond = 0;
+
+    friend auto operator==(const ServicePolicy &a, const ServicePolicy &b) -> bool
+    {
+        return a.name == b.name && a.coldRatePerSecond == b.coldRatePerSecond;
+    }
+};
+
 /// Limits on the size of a caller's request and on the time to receive it.
 struct MessageLimits {
     uint32_t maxHeaderBytes = 16 * 1024;
@@ -88,6 +100,7 @@
     uint64_t version = 0;
     std::vector<RoutePolicy> routes;
     std::vector<TeamPolicy> teams;
+    std::vector<ServicePolicy> services;
     MessageLimits limits;
 
     /// Indexes into `routes` by authority in lower case, sorted by descending length of the path prefix.
@@ -106,4 +119,7 @@
 /// Returns the team that the API key belongs to, or nullptr if there is none.
 auto findTeam(const Policy &policy, std::string_view key) -> const TeamPolicy *;
 
+/// Returns the requests a second that a target of the service bears while it is cold; 0 means no limit.
+auto coldRateOf(const Policy &policy, const ServiceName &service) -> double;
+
 } // namespace snipestream
--- a/sidecar/distribution.cpp
+++ b/sidecar/distribution.cpp
@@ -3,6 +3,7 @@
 #include "core/cbor_item.h"
 #include "core/events.h"
 #include "core/json_fields.h"
+#include "sidecar/evacuation_orders.h"
 #include "sidecar/membership.h"
 #include "sidecar/policy_reader.h"
 #include "sidecar/state.h"
@@ -26,6 +27,8 @@
 constexpr const char *kAfterParameter = "?after=";
 /// Header field with the age of the confirmation of the policy, in ms.
 constexpr const char *kAgeField = "Sns-Age-Ms";
+/// Header field with the operator's orders to evacuate failure domains.
+constexpr const char *kOrdersField = "Sns-Orders";
 /// Timeout of a transfer; the largest configurations take a fraction of a second.
 constexpr Duration kFetchTimeout = seconds(1);
 /// Number of nodes from which the policy is fetched at once.
@@ -54,14 +57,48 @@
     /// Time since the read that confirmed the policy was sent.
     Duration age{};
     uint64_t membersOffset = 0;
+    /// Orders of the operator that the node knows.
+    Evacuation evacuation;
 };
 
+auto encodeEvacuation(const Evacuation &evacuation) -> json
+{
+    json domains = json::array();
+    for (const DomainName &domain : evacuation.domains) {
+        domains.push_back(domain.value);
+    }
+    return {{"r", evacuation.revision}, {"d", std::move(domains)}};
+}
+
+/// Decodes orders; nodes of earlier versions send none.
+auto decodeEvacuation(const json &object) -> Result<Evacuation>
+{
+    Evacuation evacuation;
+    if (!object.is_object()) {
+        return evacuation;
+    }
+    JsonFields fields(object);
+    evacuation.revision = fields.unsignedInteger("r");
+    for (const auto &domain : fields.array("d")) {
+        if (!domain.is_string()) {
+            fields.reject("an evacuated domain is not a string");
+            break;
+        }
+        evacuation.domains.insert(DomainName(domain.get<std::string>()));
+    }
+    if (fields.failed()) {
+        return fields.error();
+    }
+    return evacuation;
+}
+
 auto encodeState(const SidecarState &state, int64_t querySentAtNs, TimePoint now) -> std::vector<uint8_t>
 {
     return json::to_cbor(json{{"c", querySentAtNs},
                               {"v", state.policy ? state.policy->version : 0},
                               {"g", toMsRoundedUp(now - state.policyConfirmedAt)},
-                              {"m", state.storeView.membersOffset}});
+                              {"m", state.storeView.membersOffset},
+                              {"e", encodeEvacuation(state.evacuation)}});
 }
 
 auto decodeState(std::string_view bytes) -> Result<PolicyState>
@@ -76,6 +113,7 @@
     if (fields.failed()) {
         return fields.error();
     }
+    BOOST_OUTCOME_TRY(received.evacuation, decodeEvacuation(object.value("e", json())));
     return received;
 }
 
@@ -114,6 +152,14 @@
         if (!response || state.ended) {
             return;
         }
+        if (const auto orders = findHeader(response->headers, kOrdersField)) {
+            const auto evacuation = decodeEvacuation(json::parse(*orders, nullptr, false));
+            if (evacuation) {
+                applyEvacuation(state, evacuation.value());
+            } else {
+                logEvent(EventId::DatagramInvalid, {{"from", address}, {"error", evacuation.error().message}});
+            }
+        }
         const uint64_t before = state.policy ? state.policy->version : 0;
         applyPolicyDocument(state, response->body);
         const auto age = findHeader(response->headers, kAgeField);
@@ -187,6 +233,7 @@
     }
     learnFromPeer(state, from);
     const PolicyState &received = decoded.value();
+    applyEvacuation(state, received.evacuation);
     const uint64_t version = state.policy ? state.policy->version : 0;
     if (received.version > version) {
         state.storeView.newerPolicyHeardAt = BootClock::now();
@@ -304,6 +351,7 @@
             return response;
         }
         response.headers.emplace_back(kAgeField, std::to_string(toMsRoundedUp(BootClock::now() - state.policyConfirmedAt)));
+        response.headers.emplace_back(kOrdersField, encodeEvacuation(state.evacuation).dump());
         response.body = *state.storeView.policyDocument;
         return response;
     }
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -125,6 +125,18 @@
     return allowsRetry(state.retryRatio, now);
 }
 
+/// A target whose connection breaks, or that is silent and announces nothing, may have started again and be cold.
+void noteBrokenCall(SidecarState &state, CallStatus status)
+{
+    /// Targets announce themselves more often than this.
+    constexpr Duration kAnnouncementOverdue = seconds(2);
+    const TimePoint now = BootClock::now();
+    const bool isSilent = status == CallStatus::TimedOut && now - state.target.lastAnnouncementAt > kAnnouncementOverdue;
+    if (status == CallStatus::Broken || isSilent) {
+        suspectCold(state.coldRate, now);
+    }
+}
+
 auto callTarget(SidecarState &state, RoutedRequest &request, CancelSignal &cancel) -> TargetResult
 {
     // The stop may have begun while the request waited for a slot.
@@ -154,10 +166,12 @@
         if (!state.target.unreachable && request.target == localTarget(state)) {
             logEvent(EventId::TargetUnreachable, {{"instance", request.target.instance}, {"detail", callResult.detail}});
             state.target.unreachable = true;
+            suspectCold(state.coldRate, BootClock::now());
             state.reportDue = true;
         }
         return notRun("target-unreachable", false);
     }
+    noteBrokenCall(state, callResult.status);
     result.outcome = outcomeOf(callResult.status);
     result.reachedTarget = true;
     result.reason = std::string(callStatusName(callResult.status)) + (callResult.detail.empty() ? "" : ": " + callResult.detail);
@@ -183,6 +197,9 @@
 /// it; what other nodes know of its address may be about an earlier VM or an earlier start.
 auto refusalOf(const SidecarState &state, const RoutedRequest &request) -> std::string
 {
+    if (isEvacuated(state)) {
+        return "domain-evacuated";
+    }
     if (!isTargetServing(state)) {
         return "target-not-serving";
     }
@@ -262,6 +279,8 @@
         result.outcome = TargetOutcome::Cancelled;
     } else if (const std::string reason = refusalOf(state, request); !reason.empty()) {
         result = notRun(reason, false);
+    } else if (!takeColdToken(state.coldRate, coldRatePerSecond(state), startedAt)) {
+        result = notRun("target-cold", false);
     } else {
         if (request.previousAttempts > 0) {
             countRetry(state.retryRatio, startedAt);
--- a/sidecar/policy_reader.cpp
+++ b/sidecar/policy_reader.cpp
@@ -1,8 +1,10 @@
 #include "sidecar/policy_reader.h"
 
 #include "core/events.h"
+#include "platform/operator_orders.h"
 #include "platform/policy_document.h"
 #include "sidecar/distribution.h"
+#include "sidecar/evacuation_orders.h"
 #include "sidecar/store_access.h"
 
 #include <algorithm>
@@ -91,11 +93,17 @@
             pauseAfterFailure(state, failures);
             continue;
         }
+        // The newest records are complete, so that a domain without one is not evacuated.
+        Evacuation evacuation = offset ? state.evacuation : Evacuation();
         for (const auto &record : page.value().records) {
             if (record.key == configurationKey()) {
                 applyPolicyDocument(state, record.value);
+            } else if (const auto order = decodeEvacuationOrder(record)) {
+                applyOrder(evacuation, *order);
             }
         }
+        evacuation.revision = page.value().nextOffset;
+        applyEvacuation(state, evacuation);
         offset = page.value().nextOffset;
         confirmPolicy(state, sentAt);
         if (!state.policy) {
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -210,7 +210,13 @@
     }
     const bool sameInstance =
         sidecar.target.latest && sidecar.target.latest->instance == announcement.instance && sidecar.target.latest->startedAtMs == announcement.startedAtMs;
-    switch (applyAnnouncement(sidecar.target, announcement, now, wallClockMs())) {
+    const AnnouncementEffect effect = applyAnnouncement(sidecar.target, announcement, now, wallClockMs());
+    if (effect != AnnouncementEffect::Stale) {
+        const bool wasCold = isCold(sidecar.coldRate, now);
+        observeWarmup(sidecar.coldRate, announcement.warmupLeft, now);
+        sidecar.reportDue = sidecar.reportDue || wasCold != isCold(sidecar.coldRate, now);
+    }
+    switch (effect) {
     case AnnouncementEffect::Ready:
         logEvent(EventId::TargetAnnounced,
                  {{"instance", announcement.instance}, {"slots", std::to_string(announcement.slots)}, {"seq", std::to_string(announcement.sequence)}});
--- a/sidecar/state.cpp
+++ b/sidecar/state.cpp
@@ -83,7 +83,17 @@
 
 auto isTargetServing(const SidecarState &state) -> bool
 {
-    return state.isMembershipRead && isServing(state.target);
+    return state.isMembershipRead && isServing(state.target) && !isEvacuated(state);
+}
+
+auto isEvacuated(const SidecarState &state) -> bool
+{
+    return state.evacuation.domains.count(state.settings.domain) != 0;
+}
+
+auto coldRatePerSecond(const SidecarState &state) -> double
+{
+    return state.policy ? coldRateOf(*state.policy, state.settings.service) : 0;
 }
 
 auto localTarget(const SidecarState &state) -> TargetId
@@ -99,7 +109,12 @@
 
 auto localLoad(const SidecarState &state) -> TargetLoad
 {
-    return {state.limiter.running, static_cast<int>(state.limiter.queue.size()), state.limiter.limit};
+    int limit = state.limiter.limit;
+    const double perSecond = coldRatePerSecond(state);
+    if (perSecond > 0 && isCold(state.coldRate, BootClock::now())) {
+        limit = coldConcurrency(perSecond, state.limiter.meanServiceSeconds, limit);
+    }
+    return {state.limiter.running, static_cast<int>(state.limiter.queue.size()), limit};
 }
 
 } // namespace snipestream
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -6,7 +6,9 @@
 #include "http/call_pool.h"
 #include "http/message_server.h"
 #include "mesh/admission_control.h"
+#include "mesh/cold_rate.h"
 #include "mesh/concurrency_limiter.h"
+#include "mesh/evacuation.h"
 #include "mesh/load_balancing.h"
 #include "mesh/peer_table.h"
 #include "mesh/policy.h"
@@ -82,6 +84,7 @@
     uint64_t homesRevision = 0;
     TimePoint ownReportAt;
     StoreView storeView;
+    Evacuation evacuation;
     /// This node reads the store on behalf of others; false until the members are known.
     bool isStoreReader = false;
     LoadBalancingSettings loadBalancing;
@@ -100,6 +103,7 @@
 
     OwnRecord ownRecord;
     TargetState target;
+    ColdRate coldRate;
     ConcurrencyLimiter limiter;
     /// First attempts and retries at the local target.
     RetryRatio retryRatio;
@@ -146,7 +150,13 @@
 /// Returns whether the node accepts requests of callers.
 auto isReady(const SidecarState &state, TimePoint now) -> bool;
 
-/// Returns whether new requests may be sent to the local target: it serves, and what an earlier process of this node has
+/// Returns whether the operator has ordered to send nothing to the targets of this node's failure domain.
+auto isEvacuated(const SidecarState &state) -> bool;
+
+/// Returns the requests a second that the local target bears while it is cold; 0 means no limit.
+auto coldRatePerSecond(const SidecarState &state) -> double;
+
+/// Returns whether new requests may be sent to the local target: its domain is not evacuated, it serves, and what an earlier process of this node has
 /// recorded about its departure is known.
 auto isTargetServing(const SidecarState &state) -> bool;
 
--- a/tests/sidecar/fleet.h
+++ b/tests/sidecar/fleet.h
@@ -27,7 +27,7 @@
 inline constexpr uint16_t kReportPort = 18000;
 inline constexpr Duration kKeyWithdrawal = milliseconds(4000);
 
-inline auto configuration(const std::string &version, const std::string &keys, int timeoutMs = 2000) -> std::string
+inline auto configuration(const std::string &version, const std::string &keys, int timeoutMs = 2000, double coldPerSecond = 0) -> std::string
 {
     return R"({"Version":")" + version + R"(","Resources":[
 {"Type":"Routes","Metadata":{"Name":"r-stock"},"Spec":{"Authority":"studio.example","PathPrefix":"/stock/","Kind":"idempotent","TimeoutMs":)"
@@ -38,6 +38,8 @@
  "TargetLatencyMs":1000,"Priority":0,"Service":"catalogue","MaxAttempts":2,"Public":false}},
 {"Type":"Routes","Metadata":{"Name":"r-call"},"Spec":{"Authority":"studio.example","PathPrefix":"/call/","Kind":"idempotent","TimeoutMs":2000,
  "TargetLatencyMs":1000,"Priority":0,"Service":"catalogue","MaxAttempts":2,"Public":true}},
+{"Type":"Services","Metadata":{"Name":"catalogue"},"Spec":{"HealthPath":"/healthz","ColdPerS":)"
+        + std::to_string(coldPerSecond) + R"(}},
 {"Type":"Tenants","Metadata":{"Name":"studio"},"Spec":{"ApiKeys":[)"
         + keys + R"(]}},{"Type":"Limits","Metadata":{},"Spec":{"IdleTimeoutMs":15000}}]})";
 }
@@ -62,7 +64,8 @@
 
 /// An entry node of another service and two nodes beside targets of the service `catalogue`.
 struct Fleet {
-    explicit Fleet(FiberRuntime &fiberRuntime)
+    /// `domains` holds the failure domains of nodes by number; the others are in "east".
+    explicit Fleet(FiberRuntime &fiberRuntime, const std::map<int, std::string> &domains = {})
         : runtime(fiberRuntime)
         , store(fiberRuntime)
         , firstTarget(fiberRuntime, "i-1", {"127.0.0.3", kAppPort})
@@ -71,7 +74,9 @@
     {
         store.put("keyed.op", "config", configuration("00000001", "\"k1\",\"k2\""));
         for (const auto &[number, service] : std::map<int, std::string>{{2, "diary"}, {3, "catalogue"}, {4, "catalogue"}}) {
-            nodes.push_back(std::make_unique<Sidecar>(runtime, makeSettings(number, service, store.endpoint())));
+            SidecarSettings settings = makeSettings(number, service, store.endpoint());
+            settings.domain = DomainName(domains.count(number) != 0 ? domains.at(number) : "east");
+            nodes.push_back(std::make_unique<Sidecar>(runtime, settings));
             CPPUNIT_ASSERT(nodes.back()->start().has_value());
         }
         CPPUNIT_ASSERT_EQUAL(200, firstTarget.announce({"127.0.0.3", kTargetPort}, "catalogue", "ready"));
@@ -157,12 +162,12 @@
 };
 
 /// Runs the body with a fleet and ends its nodes afterwards, also if a check in the body fails.
-inline void withFleet(const std::function<void(Fleet &)> &body)
+inline void withFleet(const std::function<void(Fleet &)> &body, const std::map<int, std::string> &domains = {})
 {
     std::exception_ptr failed;
     FiberRuntime runtime;
     runtime.runToEnd([&] {
-        const auto fleet = std::make_unique<Fleet>(runtime);
+        const auto fleet = std::make_unique<Fleet>(runtime, domains);
         try {
             body(*fleet);
         } catch (...) {
--- a/tests/sidecar/platform_standin.cpp
+++ b/tests/sidecar/platform_standin.cpp
@@ -205,7 +205,7 @@
                      {"Version", "v1"},
                      {"Slots", slots},
                      {"State", state},
-                     {"ColdLeftMs", 0},
+                     {"ColdLeftMs", coldLeftMs},
                      {"Seq", sequence},
                      {"born", startedAtMs}}
                     .dump());
--- a/tests/sidecar/platform_standin.h
+++ b/tests/sidecar/platform_standin.h
@@ -87,6 +87,8 @@
     /// Id in the announcements and responses.
     std::string instance;
     int slots = 8;
+    /// Time for which the target says that it remains cold.
+    int coldLeftMs = 0;
     /// Time of the start that the announcements contain, in milliseconds since the Unix epoch.
     int64_t startedAtMs = 1000;
 
