Learn how much each target takes, and place requests by the time they are expected to take

Operators see servers of one service that differ in speed and slow down before they are full; all were used up to 0.95 of their slots. A home whose target reports its pace now tries a little more and a little less concurrency while requests wait and keeps what gets more work done, and entries compare the expected time with the target latency instead of counting every free slot in another failure domain as a gain.

Nothing changes for targets that do not report their pace.

--- a/core/events.cpp
+++ b/core/events.cpp
@@ -100,6 +100,8 @@
         {EventId::TargetLoadSampled, Severity::Info, "target-load-sampled", "Load of the local target and of its queue, once a second."},
         {EventId::RequestForOtherTarget, Severity::Warning, "request-for-other-target",
          "A request arrived for another target than the local one, so its sender has outdated information about this address."},
+        {EventId::LimitLearned, Severity::Info, "limit-learned",
+         "The number of requests that the local target takes at once has changed, or another one is tried for a moment."},
         {EventId::TargetEjected, Severity::Warning, "target-ejected", "A target failed repeatedly and gets no requests."},
         {EventId::TargetReturned, Severity::Info, "target-returned", "An ejected target gets requests again."},
         {EventId::TargetAnnounced, Severity::Info, "target-announced", "A target announced itself to this node."},
--- a/core/events.h
+++ b/core/events.h
@@ -68,6 +68,7 @@
     TargetResponseInvalid = 6007,
     TargetLoadSampled = 6008,
     RequestForOtherTarget = 6009,
+    LimitLearned = 6010,
     TargetEjected = 7001,
     TargetReturned = 7002,
     TargetAnnounced = 7003,
--- a/mesh/concurrency_limiter.cpp
+++ b/mesh/concurrency_limiter.cpp
@@ -23,9 +23,16 @@
 
 void setSlots(ConcurrencyLimiter &limiter, int slots)
 {
+    limiter.slots = slots;
     limiter.limit = std::max(1, static_cast<int>(std::floor(slots * limiter.settings.maxUtilization)));
 }
 
+void setUtilization(ConcurrencyLimiter &limiter, double fraction)
+{
+    limiter.settings.maxUtilization = fraction;
+    setSlots(limiter, limiter.slots);
+}
+
 auto expectedServiceTime(const ConcurrencyLimiter &limiter, WorkKind workKind) -> Duration
 {
     const auto found = limiter.serviceSecondsByKind.find(workKind);
--- a/mesh/concurrency_limiter.h
+++ b/mesh/concurrency_limiter.h
@@ -52,6 +52,8 @@
 /// Limits the number of requests that run at one target at once and queues the others.
 struct ConcurrencyLimiter {
     LimiterSettings settings;
+    /// Slots that the target announced.
+    int slots = 1;
     /// Maximum number of requests that run at once.
     int limit = 1;
     int running = 0;
@@ -83,6 +85,9 @@
 /// Sets the limit from the number of slots that the target announced.
 void setSlots(ConcurrencyLimiter &limiter, int slots);
 
+/// Sets the fraction of the announced slots that is used.
+void setUtilization(ConcurrencyLimiter &limiter, double fraction);
+
 /// Admits, queues or refuses a request that arrives now.
 auto offerRequest(ConcurrencyLimiter &limiter, const LimiterRequest &request, TimePoint now) -> LimiterResult;
 
--- a/mesh/load_balancing.cpp
+++ b/mesh/load_balancing.cpp
@@ -55,34 +55,61 @@
     return static_cast<double>(busy + 1) / std::max(row.load.limit, 1);
 }
 
-/// Returns the utilization of the node's target plus its penalties. `fastestMs` is the lowest mean service time among
-/// the candidates in milliseconds, or 0 to leave out the slowness penalty.
-auto scoreOf(const PeerTable &table, const LoadBalancingSettings &settings, const PeerRow &row, double fastestMs, TimePoint now) -> double
+/// Returns the term of utilization for targets that report their pace: it grows little while there is room, and reaches 1 when the
+/// target is full.
+auto utilizationTerm(const LoadBalancingSettings &settings, double utilization) -> double
 {
-    double score = utilizationOf(row);
+    const double free = settings.freeUtilization * settings.freeUtilizationWeight;
+    if (utilization <= settings.freeUtilization) {
+        return utilization * settings.freeUtilizationWeight;
+    }
+    return free + (utilization - settings.freeUtilization) * (1 - free) / (1 - settings.freeUtilization);
+}
+
+/// Returns the term of the time that a request is expected to take at the target, as a fraction of the target latency.
+auto timeTerm(const LoadBalancingSettings &settings, const PeerRow &row, Duration targetLatency) -> double
+{
+    const double expectedMs = row.report->serviceMs * std::max(1.0, row.load.pace);
+    const double fraction = expectedMs / std::max(1.0, std::chrono::duration<double, std::milli>(targetLatency).count());
+    return fraction + (fraction > settings.lateFraction ? settings.latePenalty : 0);
+}
+
+} // namespace
+
+auto totalOf(const TargetScore &score) -> double
+{
+    return score.utilization + score.otherDomain + score.slowness + score.failures + score.warmup + score.leaving + score.silence;
+}
+
+auto scoreTarget(const PeerTable &table, const LoadBalancingSettings &settings, const PeerRow &row, double fastestMs, TimePoint now, Duration targetLatency)
+    -> TargetScore
+{
+    TargetScore score;
+    const bool expectsTime = row.load.pace > 0 && targetLatency > Duration::zero();
+    score.utilization = expectsTime ? utilizationTerm(settings, utilizationOf(row)) : utilizationOf(row);
     if (row.member.domain != table.ownDomain) {
-        score += settings.maxCrossDomainUtilizationGap;
+        score.otherDomain = settings.maxCrossDomainUtilizationGap;
     }
-    if (fastestMs > 0 && row.report->serviceMs > fastestMs) {
-        score += settings.slownessPenalty * std::min(row.report->serviceMs / fastestMs - 1, 10.0);
+    if (fastestMs > 0 && expectsTime) {
+        score.slowness = timeTerm(settings, row, targetLatency);
+    } else if (fastestMs > 0 && row.report->serviceMs > fastestMs) {
+        score.slowness = settings.slownessPenalty * std::min(row.report->serviceMs / fastestMs - 1, 10.0);
     }
-    score += settings.failurePenalty * row.failureRate;
+    score.failures = settings.failurePenalty * row.failureRate;
     if (row.report->warmupLeft > Duration::zero() && now - row.lastReportAt < row.report->warmupLeft) {
-        score += settings.warmupPenalty;
+        score.warmup = settings.warmupPenalty;
     }
     if (row.report->leaving) {
-        score += settings.leavingPenalty;
+        score.leaving = settings.leavingPenalty;
     }
     if (isSilent(table, row, now)) {
-        score += settings.silencePenalty;
+        score.silence = settings.silencePenalty;
     }
     return score;
 }
 
-} // namespace
-
 auto choosePeer(PeerTable &table, const LoadBalancingSettings &settings, const ServiceName &service, const std::vector<std::string> &tried, Random &random,
-                TimePoint now) -> PeerRow *
+                TimePoint now, Duration targetLatency) -> PeerRow *
 {
     std::vector<PeerRow *> candidates = findCandidates(table, service, tried, now);
     double fastestMs = 0;
@@ -110,7 +137,8 @@
     double bestScore = std::numeric_limits<double>::max();
     for (PeerRow *const row : candidates) {
         // A small random term breaks ties between equal targets.
-        const double score = scoreOf(table, settings, *row, isExploration ? 0 : fastestMs, now) + 0.01 * static_cast<double>(drawBelow(random, 100)) / 100;
+        const double total = totalOf(scoreTarget(table, settings, *row, isExploration ? 0 : fastestMs, now, targetLatency));
+        const double score = total + 0.01 * static_cast<double>(drawBelow(random, 100)) / 100;
         if (score < bestScore) {
             bestScore = score;
             best = row;
--- a/mesh/peer_table.h
+++ b/mesh/peer_table.h
@@ -24,10 +24,12 @@
     int waiting = 0;
     /// Maximum number of requests that the node lets run at once.
     int limit = 1;
+    /// How long work takes on the target's machine at the moment, where 1 is as usual; 0 if the target does not report it.
+    double pace = 0;
 
     friend auto operator==(const TargetLoad &a, const TargetLoad &b) -> bool
     {
-        return a.running == b.running && a.waiting == b.waiting && a.limit == b.limit;
+        return a.running == b.running && a.waiting == b.waiting && a.limit == b.limit && a.pace == b.pace;
     }
 };
 
--- a/mesh/report_codec.cpp
+++ b/mesh/report_codec.cpp
@@ -132,6 +132,9 @@
         {"d", toJson(report.demand)},
         {"n", duration_cast<milliseconds>(report.interval).count()},
     };
+    if (report.load.pace > 0) {
+        object["p"] = static_cast<float>(report.load.pace);
+    }
     if (!report.kinds.empty()) {
         object["k"] = toJson(report.kinds);
     }
@@ -170,6 +173,7 @@
     report.load.waiting = static_cast<int>(fields.integer("w", 0, kMaxSlots));
     report.load.limit = static_cast<int>(fields.integer("l", 1, kMaxSlots));
     report.serviceMs = readAmount(object, "ms", fields);
+    report.load.pace = object.contains("p") ? readAmount(object, "p", fields) : 0;
     report.warmupLeft = milliseconds(fields.integer("c", 0, std::numeric_limits<int>::max()));
     report.offeredLoad = readAmount(object, "u", fields);
     report.queueDelay = milliseconds(fields.integer("g", 0, std::numeric_limits<int>::max()));
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -346,7 +346,8 @@
     Attempts attempts;
     // A request that was cancelled at the end of a stop before it could be sent has not run.
     while (!cancel.isCancelled() || state.stop.step < StopStep::Concluding) {
-        PeerRow *const peer = choosePeer(state.peers, state.loadBalancing, call.service, attempts.tried, state.random, BootClock::now());
+        PeerRow *const peer =
+            choosePeer(state.peers, state.loadBalancing, call.service, attempts.tried, state.random, BootClock::now(), call.route->targetLatency);
         if (peer == nullptr) {
             break;
         }
--- a/sidecar/home.cpp
+++ b/sidecar/home.cpp
@@ -154,6 +154,8 @@
     endRun(state.callPattern, run, succeeded, BootClock::now());
     TargetResult result;
     if (callResult.status == CallStatus::Answered) {
+        const auto reported = readTargetResponse(callResult.response.status, callResult.response.headers).load;
+        observePace(state.pace, reported ? reported->pace : 0, BootClock::now());
         result = classifyResponse(request, std::move(callResult));
         if (result.outcome == TargetOutcome::Unknown) {
             logEvent(EventId::TargetResponseInvalid, {{"request", request.requestId}, {"instance", request.target.instance}, {"reason", result.reason}});
@@ -178,6 +180,20 @@
     return result;
 }
 
+/// Learns from a run of a kind that makes no calls how the target takes its present concurrency.
+void learnFromRun(SidecarState &state, const RoutedRequest &request, const TargetResult &result, const MeasuredRun &run)
+{
+    const double pace = paceAt(state.pace, BootClock::now());
+    const bool isWork = result.outcome == TargetOutcome::Answered && result.response.status / 100 == 2;
+    const auto kind = state.callPattern.kinds.find(request.workKind);
+    const bool isLeaf = kind == state.callPattern.kinds.end() || kind->second.calls.empty();
+    if (pace > 0 && isWork && isLeaf) {
+        MeasuredRun atUsualPace = run;
+        atUsualPace.inSeconds /= pace;
+        observeRun(state.learnedLimit, state.limiter.slots, atUsualPace);
+    }
+}
+
 /// Logs that a request was sent here for another target than the local one, or for an earlier start of it.
 void logOtherTarget(const SidecarState &state, const RoutedRequest &request)
 {
@@ -285,7 +301,10 @@
         if (request.previousAttempts > 0) {
             countRetry(state.retryRatio, startedAt);
         }
+        MeasuredRun run{request.workKind, 0, startedAt, state.limiter.running};
         result = callTarget(state, request, cancel);
+        run.inSeconds = std::chrono::duration<double>(BootClock::now() - startedAt).count();
+        learnFromRun(state, request, result, run);
         const bool isMeasured = result.outcome == TargetOutcome::Answered || result.outcome == TargetOutcome::TimedOut;
         service = isMeasured ? BootClock::now() - startedAt : Duration::zero();
     }
@@ -342,6 +361,26 @@
     }
 }
 
+void updateLearnedLimit(SidecarState &state, TimePoint now)
+{
+    if (paceAt(state.pace, now) == 0) {
+        return;
+    }
+    const int before = state.limiter.limit;
+    setUtilization(state.limiter, learnedFraction(state.learnedLimit, !state.limiter.queue.empty(), now));
+    if (state.limiter.limit == before) {
+        return;
+    }
+    auto &metrics = state.metrics;
+    metrics.gauge("snipestream_learned_limit", "Requests that the local target takes well at once").set(state.limiter.limit);
+    logEvent(EventId::LimitLearned,
+             {{"limit", std::to_string(state.limiter.limit)},
+              {"slots", std::to_string(state.limiter.slots)},
+              {"trial", state.learnedLimit.tried == state.learnedLimit.level ? "0" : "1"},
+              {"relative-duration", std::to_string(state.learnedLimit.current.mean)},
+              {"pace", std::to_string(paceAt(state.pace, now))}});
+}
+
 void advanceLimiter(SidecarState &state, TimePoint now)
 {
     for (const LimiterDequeueResult &decision : dequeueRequests(state.limiter, now)) {
--- a/sidecar/home.h
+++ b/sidecar/home.h
@@ -89,6 +89,9 @@
 /// run.
 auto concludeAtStop(SidecarState &state, const ConcludedRequest &request, TargetResult cancelled) -> TargetResult;
 
+/// Sets the concurrency that the local target takes well, if the target reports its pace. Must be called with each tick.
+void updateLearnedLimit(SidecarState &state, TimePoint now);
+
 /// Starts or refuses queued requests as slots become free or their time runs out. Must be called after each change of the
 /// concurrency limiter and with each tick.
 void advanceLimiter(SidecarState &state, TimePoint now);
--- a/sidecar/peer_call.cpp
+++ b/sidecar/peer_call.cpp
@@ -13,6 +13,9 @@
 namespace
 {
 
+/// Larger figures are not plausible.
+constexpr double kMaxPace = 1000;
+
 /// Header field with the decisions of the entry node, separated by spaces: instance, target latency in ms, 1 for a nested
 /// call, kind of work, time left in ms, service of the caller, the team or "-", the number of earlier attempts that reached
 /// a target, address of the entry node, start of the instance in ms since the Unix epoch, and its service.
@@ -101,6 +104,9 @@
     field << targetOutcomeName(result.outcome) << ' ' << (result.reachedTarget ? 1 : 0);
     if (result.load) {
         field << ' ' << load.running << ' ' << load.waiting << ' ' << load.limit;
+        if (load.pace > 0) {
+            field << ' ' << load.pace;
+        }
     }
     response.headers.emplace_back(kOutcomeField, field.str());
     return response;
@@ -131,6 +137,9 @@
     }
     TargetLoad load;
     if (text >> load.running >> load.waiting >> load.limit && load.limit > 0) {
+        // A target that does not report its pace, or a node of an earlier version, sends none.
+        text >> load.pace;
+        load.pace = load.pace > 0 && load.pace < kMaxPace ? load.pace : 0;
         result.load = load;
     }
     result.outcome = *outcome;
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -415,6 +415,7 @@
     logTickDelay();
     const TimePoint now = BootClock::now();
     expireQueuedRequests(sidecar, now);
+    updateLearnedLimit(sidecar, now);
     advanceLimiter(sidecar, now);
     updateServiceAdmission(now);
     updateKeyedService(now);
--- a/sidecar/state.cpp
+++ b/sidecar/state.cpp
@@ -114,7 +114,7 @@
     if (perSecond > 0 && isCold(state.coldRate, BootClock::now())) {
         limit = coldConcurrency(perSecond, state.limiter.meanServiceSeconds, limit);
     }
-    return {state.limiter.running, static_cast<int>(state.limiter.queue.size()), limit};
+    return {state.limiter.running, static_cast<int>(state.limiter.queue.size()), limit, paceAt(state.pace, BootClock::now())};
 }
 
 } // namespace snipestream
--- a/sidecar/state.h
+++ b/sidecar/state.h
@@ -9,6 +9,7 @@
 #include "mesh/cold_rate.h"
 #include "mesh/concurrency_limiter.h"
 #include "mesh/evacuation.h"
+#include "mesh/learned_limit.h"
 #include "mesh/load_balancing.h"
 #include "mesh/peer_table.h"
 #include "mesh/policy.h"
@@ -104,6 +105,9 @@
     OwnRecord ownRecord;
     TargetState target;
     ColdRate coldRate;
+    ReportedPace pace;
+    /// Used if the target reports its pace.
+    LearnedLimit learnedLimit;
     ConcurrencyLimiter limiter;
     /// First attempts and retries at the local target.
     RetryRatio retryRatio;
