--- a/tests/sidecar/crowd.cpp
+++ b/tests/sidecar/crowd.cpp
@@ -71,7 +71,9 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(plan_.server.port);
     inet_pton(AF_INET, plan_.server.address.c_str(), &address.sin_addr);
-    ::connect(client.socket, reinterpret_cast<sockaddr *>(&address), sizeof address); // NOLINT(cppcoreguidelines-pro-type-reinterpret-cast)
+    // The first send tells whether the connection was made.
+    const auto *const target = reinterpret_cast<const sockaddr *>(&address); // NOLINT(cppcoreguidelines-pro-type-reinterpret-cast)
+    static_cast<void>(::connect(client.socket, target, sizeof address));
 }
 
 auto Crowd::send(Client &client) -> bool
--- a/tests/sidecar/unbounded_clients_test.cpp
+++ b/tests/sidecar/unbounded_clients_test.cpp
@@ -3,6 +3,7 @@
 #include "tests/support/child_process.h"
 #include "tests/support/section.h"
 
+#include <array>
 #include <cstdlib>
 #include <fstream>
 #include <memory>
@@ -184,6 +185,7 @@
 {
     {
         std::vector<std::unique_ptr<Crowd>> crowds;
+        crowds.reserve(plans.size());
         for (const CrowdPlan &plan : plans) {
             crowds.push_back(std::make_unique<Crowd>(plan));
         }
@@ -268,10 +270,8 @@
         withNode([](NodeUnderTest &node) {
             section("an ordinary request is answered while a few clients send on after they were refused", [&node] {
                 // Each sender has a thread of its own, so that there is always something to read.
-                std::vector<std::unique_ptr<Crowd>> senders;
-                for (int i = 0; i < 4; ++i) {
-                    senders.push_back(std::make_unique<Crowd>(CrowdPlan{at(testing::kCallerPort), 1, "BAD\r\n\r\n", "a"}));
-                }
+                const CrowdPlan sender{at(testing::kCallerPort), 1, "BAD\r\n\r\n", "a"};
+                const std::array<Crowd, 4> senders{Crowd(sender), Crowd(sender), Crowd(sender), Crowd(sender)};
                 node.runtime.sleepFor(milliseconds(500));
                 for (int i = 0; i < 5; ++i) {
                     node.requireAnswer("beside the senders");
