Explain where a request would go now, and why

snipestreamctl explain HOST PATH asks a node at its metrics address for its route, shedding and targets with the terms of the choice and the ages of what is known, without sending anything. The terms are those that choosePeer adds up (scoreTarget).

--- a/ctl/command_line.cpp
+++ b/ctl/command_line.cpp
@@ -110,6 +110,13 @@
          [](Context context, Options options, Text team, Text) {
              return shareCommand(context, options, team);
          }},
+        {{"explain"},
+         {"HOST", "PATH"},
+         kNodesFlag,
+         "show where nodes would send a request now, and why, without sending it",
+         [](Context context, Options options, Text host, Text path) {
+             return explainCommand(context, options, host, path);
+         }},
         {{"audit"},
          {},
          kNoFlags,
--- a/ctl/node_commands.cpp
+++ b/ctl/node_commands.cpp
@@ -188,6 +188,54 @@
     return report;
 }
 
+namespace
+{
+
+/// Adds one line for each target of a service, in the order in which the node prefers them.
+void addTargetRows(const Json &service, std::vector<std::vector<std::string>> &rows)
+{
+    const auto targets = service.find("targets");
+    for (const Json &target : targets == service.end() || !targets->is_array() ? Json::array() : *targets) {
+        const bool isExcluded = target.is_object() && target.contains("excluded");
+        rows.push_back({fieldText(service, "service"), fieldText(target, "node"), fieldText(target, "domain"),
+                        isExcluded ? fieldText(target, "excluded") : fieldText(target, "total"), fieldText(target, "running"), fieldText(target, "waiting"),
+                        fieldText(target, "limit"), fieldText(target, "serviceMs"), fieldText(target, "reportAgeMs")});
+    }
+}
+
+auto explainRows(const Json &explained) -> std::vector<std::vector<std::string>>
+{
+    std::vector<std::vector<std::string>> rows = {{"SERVICE", "NODE", "DOMAIN", "TOTAL", "RUNNING", "WAITING", "LIMIT", "SERVICE MS", "REPORT AGE MS"}};
+    const auto services = explained.find("services");
+    for (const Json &service : services == explained.end() || !services->is_array() ? Json::array() : *services) {
+        if (service.is_object()) {
+            addTargetRows(service, rows);
+        }
+    }
+    return rows;
+}
+
+} // namespace
+
+auto explainCommand(const CtlContext &context, const CtlOptions &options, const std::string &host, const std::string &path) -> CtlReport
+{
+    CtlReport report = startReport();
+    report.document["nodes"] = Json::array();
+    for (const Endpoint &node : context.nodes) {
+        const auto response = callNode(context, node, "GET", "/explain?host=" + host + "&path=" + path, options.callTimeout);
+        if (!response) {
+            addFailure(node, response.error(), report);
+            continue;
+        }
+        const Json &explained = response.value();
+        report.document["nodes"].push_back(explained);
+        report.text.append(toString(node)).append(" route ").append(fieldText(explained.value("route", Json::object()), "name"));
+        report.text.append(", shed ").append(fieldText(explained.value("shedding", Json::object()), "fraction")).append("\n");
+        report.text.append(formatTable(explainRows(explained)));
+    }
+    return report;
+}
+
 auto drainNodesCommand(const CtlContext &context, const CtlOptions &options) -> CtlReport
 {
     return postToNodes(context, options, "/snipestream/v1/drain", "drains");
--- a/ctl/node_commands.h
+++ b/ctl/node_commands.h
@@ -13,6 +13,10 @@
 /// `share TEAM`: the request counts of a team, summed over the nodes.
 auto shareCommand(const CtlContext &context, const CtlOptions &options, const std::string &team) -> CtlReport;
 
+/// `explain HOST PATH`: what would happen now to such a request at each node, with the targets in the order of preference. The nodes
+/// are given by their metrics addresses.
+auto explainCommand(const CtlContext &context, const CtlOptions &options, const std::string &host, const std::string &path) -> CtlReport;
+
 /// `drain node`: asks each given node to drain.
 auto drainNodesCommand(const CtlContext &context, const CtlOptions &options) -> CtlReport;
 
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -45,13 +45,6 @@
     std::string detail;
 };
 
-/// Returns the upper 32 bits of the hash of the route's name. They are enough for the few hundred routes of a
-/// configuration. A report contains many kinds, so a short hash keeps it small.
-auto workKindOf(const RoutePolicy &route) -> WorkKind
-{
-    return static_cast<WorkKind>(stableHash(route.name.value) >> 32U);
-}
-
 auto makeRefusal(const EntryCall &call, int status, Duration retryAfter) -> ResponseMessage
 {
     ResponseMessage response;
@@ -317,6 +310,11 @@
 
 } // namespace
 
+auto workKindOf(const RoutePolicy &route) -> WorkKind
+{
+    return static_cast<WorkKind>(stableHash(route.name.value) >> 32U);
+}
+
 auto mayRunConcurrently(const SidecarState &state, const RequestMessage &request) -> bool
 {
     if (!state.policy) {
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -4,6 +4,7 @@
 #include "core/tick_monitor.h"
 #include "platform/target_messages.h"
 #include "sidecar/entry.h"
+#include "sidecar/explain.h"
 #include "sidecar/home.h"
 #include "sidecar/membership.h"
 #include "sidecar/memory_limit.h"
@@ -145,7 +146,10 @@
         return handleTargetRequest(request);
     });
     if (settings.metricsPort != 0) {
-        sidecar.metricsServer = make("metrics", {settings.address, settings.metricsPort}, [this](RequestMessage &, CancelSignal &) {
+        sidecar.metricsServer = make("metrics", {settings.address, settings.metricsPort}, [this](RequestMessage &request, CancelSignal &) {
+            if (auto explanation = explainTarget(sidecar, request.target)) {
+                return std::move(*explanation);
+            }
             ResponseMessage response;
             response.headers.emplace_back("Content-Type", "text/plain; version=0.0.4");
             response.body = sidecar.metrics.renderPrometheus();
--- a/tests/sidecar/fleet.h
+++ b/tests/sidecar/fleet.h
@@ -25,6 +25,7 @@
 inline constexpr uint16_t kTargetPort = 18540;
 inline constexpr uint16_t kAppPort = 18547;
 inline constexpr uint16_t kReportPort = 18000;
+inline constexpr uint16_t kMetricsPort = 18464;
 inline constexpr Duration kKeyWithdrawal = milliseconds(4000);
 
 inline auto configuration(const std::string &version, const std::string &keys, int timeoutMs = 2000, double coldPerSecond = 0) -> std::string
@@ -58,6 +59,7 @@
     settings.targetListen = {settings.address, kTargetPort};
     settings.store = store;
     settings.reportPort = kReportPort;
+    settings.metricsPort = kMetricsPort;
     settings.keyWithdrawal = kKeyWithdrawal;
     return settings;
 }
