--- a/ctl/node_commands.cpp
+++ b/ctl/node_commands.cpp
@@ -221,8 +221,10 @@
 {
     CtlReport report = startReport();
     report.document["nodes"] = Json::array();
+    std::string question = "/explain?host=";
+    question.append(host).append("&path=").append(path);
     for (const Endpoint &node : context.nodes) {
-        const auto response = callNode(context, node, "GET", "/explain?host=" + host + "&path=" + path, options.callTimeout);
+        const auto response = callNode(context, node, "GET", question, options.callTimeout);
         if (!response) {
             addFailure(node, response.error(), report);
             continue;
