Refuse a body that takes too much memory behind a request in progress as well

EndlessTest::testBodiesBehindRequests failed before (2,099,209 bytes held, 1 MiB allowed). The limit that was learned for a target also starts anew with another start of it.

--- a/http/message_connection.cpp
+++ b/http/message_connection.cpp
@@ -177,13 +177,13 @@
     return isParsing ? shared_->options.maxHeaderBytes + kReadAheadBytes : kBlockedReadAheadBytes;
 }
 
-/// Counts the memory of the connection. It can be ended for it as long as no whole request is in progress.
+/// Counts the memory of the connection. It can be ended for it while it receives a request or has none in progress.
 void MessageConnection::updateMemory()
 {
     if (buffer_.size() == 0) {
         buffer_.shrink_to_fit();
     }
-    const bool isAbortable = isWithoutRequest() && !isLingering_ && !hasEnded_;
+    const bool isAbortable = (parser_ || isWithoutRequest()) && !isReadingStopped_ && !hasEnded_;
     if (isAbortable != isAbortable_) {
         isAbortable_ = isAbortable;
         const auto abort = [weak = weak_from_this()] {
@@ -210,7 +210,8 @@
     return std::min<uint64_t>(body.capacity(), std::max<uint64_t>(body.size(), std::min(2 * uint64_t{body.size()}, kMappedBytes)));
 }
 
-/// Refuses the request that is being received, or closes the connection if there is none.
+/// Refuses the request that is being received, behind those in progress. Closes the connection if there are none and no head has
+/// been received.
 void MessageConnection::endForMemory()
 {
     ++shared_->endedForMemory;
@@ -222,7 +223,7 @@
                   {"connection", std::to_string(buffer_.capacity() + incomingBodyBytes())},
                   {"ended", std::to_string(std::exchange(shared_->endedForMemory, 0))}});
     }
-    if (parser_ && isHeadParsed_) {
+    if (parser_ && (isHeadParsed_ || !isWithoutRequest())) {
         addErrorResponse(503);
     } else {
         close();
--- a/sidecar/sidecar.cpp
+++ b/sidecar/sidecar.cpp
@@ -226,6 +226,8 @@
                  {{"instance", announcement.instance}, {"slots", std::to_string(announcement.slots)}, {"seq", std::to_string(announcement.sequence)}});
         if (!sameInstance) {
             sidecar.targetPool.closeIdle(announcement.endpoint);
+            sidecar.learnedLimit = {};
+            sidecar.pace = {};
         }
         setSlots(sidecar.limiter, announcement.slots);
         sidecar.reportDue = true;
--- a/tests/http/endless_test.cpp
+++ b/tests/http/endless_test.cpp
@@ -74,6 +74,7 @@
     CPPUNIT_TEST(testSmallChunks);
     CPPUNIT_TEST(testManyIdleConnections);
     CPPUNIT_TEST(testRequests);
+    CPPUNIT_TEST(testBodiesBehindRequests);
     CPPUNIT_TEST(testSingleHolder);
     CPPUNIT_TEST_SUITE_END();
 
@@ -427,6 +428,40 @@
         });
     }
 
+    void testBodiesBehindRequests()
+    {
+        FiberRuntime runtime;
+        runtime.runToEnd([&] {
+            MessageServerOptions options;
+            options.name = "test";
+            options.listen = {"127.0.0.1", 0};
+            options.memory = std::make_shared<MemoryBudget>();
+            options.memory->maxBytes = kMebibyte;
+            options.mayRunConcurrently = [](const RequestMessage &) {
+                return true;
+            };
+            MessageServer server(runtime, options, [&runtime](RequestMessage &, CancelSignal &) -> std::optional<ResponseMessage> {
+                runtime.sleepFor(milliseconds(500));
+                return ResponseMessage();
+            });
+            const uint16_t port = server.listen().value();
+            section("a body without end behind a request in progress gets 503 after that request's answer", [&] {
+                testing::RawClient client(runtime, port);
+                client.send("GET /slow HTTP/1.1\r\n\r\nPOST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n");
+                for (int part = 0; part < 40 && options.memory->totalBytes <= 2 * kMebibyte; ++part) {
+                    client.send("10000\r\n" + std::string(65536, 'a') + "\r\n");
+                    runtime.sleepFor(milliseconds(2));
+                }
+                CPPUNIT_ASSERT_MESSAGE(std::to_string(options.memory->totalBytes), options.memory->totalBytes <= 2 * kMebibyte);
+                const std::string answers = client.readAll();
+                const size_t first = answers.find(" 200 ");
+                CPPUNIT_ASSERT_MESSAGE(answers, first != std::string::npos && answers.find(" 503 ", first) != std::string::npos);
+            });
+            server.closeIdle();
+            runtime.sleepFor(milliseconds(50));
+        });
+    }
+
     void testSingleHolder()
     {
         const auto budget = std::make_shared<MemoryBudget>();
