Refuse responses whose status HTTP does not define

Callers saw: a backend in trouble sent an answer whose status was 000, and the client got it as an answer ("HTTP/1.1 0 <unknown-status>", with the backend's signature).

Cause: the HTTP library takes any three digits for a status, and none of the three clients checked it. 101 was read as an interim response, so bytes of another protocol would have been read as the answer.

--- /dev/null
+++ b/core/response_head.h
@@ -0,0 +1,14 @@
+#pragma once
+
+#include <boost/beast/http/message.hpp>
+#include <boost/system/error_code.hpp>
+
+namespace snipestream
+{
+
+/// Returns why the head of a response must not be passed on although it could be parsed, or no error. Checks what the HTTP library
+/// leaves to its users: the status must be one that HTTP defines (RFC 9110, section 15), without a switch to another protocol, which
+/// this system never asks for.
+auto checkResponseHead(const boost::beast::http::response_header<> &head) -> boost::system::error_code;
+
+} // namespace snipestream
--- a/http/call_pool.cpp
+++ b/http/call_pool.cpp
@@ -1,5 +1,6 @@
 #include "http/call_pool.h"
 
+#include "core/response_head.h"
 #include "http/http_fields.h"
 #include "http/tcp_options.h"
 #include "net/await.h"
@@ -281,6 +282,9 @@
         if (!isHeadChecked && parser.is_header_done()) {
             isHeadChecked = true;
             const auto &fields = parser.get().base();
+            if (const auto invalid = checkResponseHead(fields)) {
+                return invalid;
+            }
             if (static_cast<size_t>(std::distance(fields.begin(), fields.end())) > options.maxFields) {
                 return http::error::header_limit;
             }
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -1,5 +1,6 @@
 #include "http/http_client.h"
 
+#include "core/response_head.h"
 #include "http/http_fields.h"
 #include "http/http_server.h"
 #include "net/await.h"
@@ -177,6 +178,9 @@
                 return endWithError(result.error, "read the head of the answer");
             }
             const auto &fields = parser->get().base();
+            if (const auto invalid = checkResponseHead(fields)) {
+                return endWithError(invalid, "read the head of the answer");
+            }
             if (static_cast<size_t>(std::distance(fields.begin(), fields.end())) > kMaxFields) {
                 return endWithError(http::error::header_limit, "read the fields of the answer");
             }
--- a/tests/http/broken_response_test.cpp
+++ b/tests/http/broken_response_test.cpp
@@ -233,12 +233,18 @@
 class BrokenResponseTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(BrokenResponseTest);
+    CPPUNIT_TEST(testStatus);
     CPPUNIT_TEST(testFields);
     CPPUNIT_TEST(testBodies);
     CPPUNIT_TEST(testEarlyResponses);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void testStatus()
+    {
+        checkAreNoAnswers(kSmallRequests, testing::responsesWithBrokenStatus(kFields));
+    }
+
     void testFields()
     {
         checkAreNoAnswers(kSmallRequests, testing::responsesWithBrokenFields(kFields));
--- a/tests/sidecar/broken_response_test.cpp
+++ b/tests/sidecar/broken_response_test.cpp
@@ -155,11 +155,19 @@
 class BrokenTargetResponseTest : public CppUnit::TestFixture
 {
     CPPUNIT_TEST_SUITE(BrokenTargetResponseTest);
+    CPPUNIT_TEST(testStatus);
     CPPUNIT_TEST(testFields);
     CPPUNIT_TEST(testBodies);
     CPPUNIT_TEST_SUITE_END();
 
 public:
+    void testStatus()
+    {
+        withNode([](NodeWithTarget &node) {
+            node.checkAreRefused(kSmallRequests, testing::responsesWithBrokenStatus(NodeWithTarget::kSigned));
+        });
+    }
+
     void testFields()
     {
         withNode([](NodeWithTarget &node) {
--- a/tests/standins/broken_responses.h
+++ b/tests/standins/broken_responses.h
@@ -25,6 +25,36 @@
     return response;
 }
 
+/// Returns responses whose status line is not one of a final response. `fields` are lines that every response has.
+inline auto responsesWithBrokenStatus(const std::string &fields) -> std::vector<BrokenResponse>
+{
+    const std::string rest = fields + "Content-Length: 4\r\n\r\nbody";
+    std::vector<BrokenResponse> responses;
+    for (const char *const line : {"HTTP/1.1 000 ",
+                                   "HTTP/1.1 000 Trouble",
+                                   "HTTP/1.1 001 Trouble",
+                                   "HTTP/1.1 099 Trouble",
+                                   "HTTP/1.1 600 Trouble",
+                                   "HTTP/1.1 999 Trouble",
+                                   "HTTP/1.1 101 Switching Protocols",
+                                   "HTTP/1.1 20 OK",
+                                   "HTTP/1.1 2000 OK",
+                                   "HTTP/1.1 -20 OK",
+                                   "HTTP/1.1 2x0 OK",
+                                   "HTTP/1.1  200 OK",
+                                   "HTTP/1.1",
+                                   "HTTP/0.9 200 OK",
+                                   "HTTP/2.0 200 OK",
+                                   "HTTP/1.11 200 OK",
+                                   "http/1.1 200 OK",
+                                   "ICY 200 OK",
+                                   " HTTP/1.1 200 OK",
+                                   "HTTP/1.1 200 O\x01K"}) {
+        responses.push_back({std::string("status line '") + line + "'", {std::string(line) + "\r\n" + rest, AfterResponse::Close}});
+    }
+    return responses;
+}
+
 /// Returns responses with a line in the head that is not a field.
 inline auto responsesWithBrokenFields(const std::string &fields) -> std::vector<BrokenResponse>
 {
