Refuse responses with transfer codings that cannot be undone

Chunks in HTTP/1.0 were decoded, although RFC 9112 calls that framing faulty.

Cause: the HTTP library undoes only a final chunked coding and otherwise reads to the end of the connection; the clients did not look at the field.

Change: checkResponseHead accepts a Transfer-Encoding only if it is "chunked" alone and the response is not older than HTTP/1.1 (RFC 9112, section 6.1). Nodes send no TE field, so a server has no reason to use another coding. Conflicting lengths are refused by the library.

--- a/core/response_head.h
+++ b/core/response_head.h
@@ -8,7 +8,7 @@
 
 /// Returns why the head of a response must not be passed on although it could be parsed, or no error. Checks what the HTTP library
 /// leaves to its users: the status must be one that HTTP defines (RFC 9110, section 15), without a switch to another protocol, which
-/// this system never asks for.
+/// this system never asks for, and the content must not have a transfer coding that this system cannot undo (RFC 9112, section 6.1).
 auto checkResponseHead(const boost::beast::http::response_header<> &head) -> boost::system::error_code;
 
 } // namespace snipestream
--- a/tests/http/broken_response_test.cpp
+++ b/tests/http/broken_response_test.cpp
@@ -235,6 +235,7 @@
     CPPUNIT_TEST_SUITE(BrokenResponseTest);
     CPPUNIT_TEST(testStatus);
     CPPUNIT_TEST(testFields);
+    CPPUNIT_TEST(testFraming);
     CPPUNIT_TEST(testBodies);
     CPPUNIT_TEST(testEarlyResponses);
     CPPUNIT_TEST_SUITE_END();
@@ -250,6 +251,11 @@
         checkAreNoAnswers(kSmallRequests, testing::responsesWithBrokenFields(kFields));
     }
 
+    void testFraming()
+    {
+        checkAreNoAnswers(kSmallRequests, testing::responsesWithBrokenFraming(kFields));
+    }
+
     void testBodies()
     {
         checkAreNoAnswers({kSmallRequests[0], kSmallRequests[2]}, testing::responsesWithBrokenBody(kFields));
--- a/tests/sidecar/broken_response_test.cpp
+++ b/tests/sidecar/broken_response_test.cpp
@@ -157,6 +157,7 @@
     CPPUNIT_TEST_SUITE(BrokenTargetResponseTest);
     CPPUNIT_TEST(testStatus);
     CPPUNIT_TEST(testFields);
+    CPPUNIT_TEST(testFraming);
     CPPUNIT_TEST(testBodies);
     CPPUNIT_TEST_SUITE_END();
 
@@ -175,6 +176,13 @@
         });
     }
 
+    void testFraming()
+    {
+        withNode([](NodeWithTarget &node) {
+            node.checkAreRefused(kSmallRequests, testing::responsesWithBrokenFraming(NodeWithTarget::kSigned));
+        });
+    }
+
     void testBodies()
     {
         withNode([](NodeWithTarget &node) {
--- a/tests/standins/broken_responses.h
+++ b/tests/standins/broken_responses.h
@@ -92,6 +92,39 @@
     return responses;
 }
 
+/// Returns responses whose fields do not say where the body ends, or say that its bytes are not the content.
+inline auto responsesWithBrokenFraming(const std::string &fields) -> std::vector<BrokenResponse>
+{
+    const std::string chunks = "4\r\nbody\r\n0\r\n\r\n";
+    std::vector<BrokenResponse> responses;
+    const auto add = [&](const std::string &framing, const std::string &body, const std::string &version = "1.1") {
+        responses.push_back(
+            {"framing '" + framing + "' of HTTP/" + version, {"HTTP/" + version + " 200 OK\r\n" + fields + framing + "\r\n\r\n" + body, AfterResponse::Close}});
+    };
+    add("Transfer-Encoding: gzip", "body");
+    add("Transfer-Encoding: gzip, chunked", chunks);
+    add("Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked", chunks);
+    add("Transfer-Encoding: chunked, gzip", chunks);
+    add("Transfer-Encoding: chunked, chunked", chunks);
+    add("Transfer-Encoding: chunked\r\nTransfer-Encoding: chunked", chunks);
+    add("Transfer-Encoding: identity", "body");
+    add("Transfer-Encoding: xchunked", chunks);
+    add("Transfer-Encoding:", chunks);
+    add("Transfer-Encoding: chunked\r\nContent-Length: 4", chunks);
+    add("Content-Length: 4\r\nTransfer-Encoding: chunked", chunks);
+    add("Transfer-Encoding: gzip\r\nContent-Length: 4", "body");
+    add("Transfer-Encoding: chunked", chunks, "1.0");
+    add("Content-Length: 4\r\nContent-Length: 2", "body");
+    add("Content-Length: 4, 2", "body");
+    add("Content-Length: -4", "body");
+    add("Content-Length: +4", "body");
+    add("Content-Length: 4x", "body");
+    add("Content-Length: 0x4", "body");
+    add("Content-Length:", "body");
+    add("Content-Length: 99999999999999999999", "body");
+    return responses;
+}
+
 /// Returns responses whose body does not arrive whole, or is damaged.
 inline auto responsesWithBrokenBody(const std::string &fields) -> std::vector<BrokenResponse>
 {
