Do not take a response that a reset has cut for a whole one

Callers saw: a backend answered a long upload at once with a 200 without a length, sent part of its body and reset the connection while the upload was still being written. The client got that part as a complete answer.

Cause: the kernel reports a reset to one operation only. While a request is being sent, that is often the write; the read then sees an orderly end, which completes a response without a length. The call pool and the streaming client write and read at the same time and did not tell the read. Lengths and chunks are not concerned, they show what is missing.

Change: ClientSocket, the socket of both clients, keeps the error of a write and returns it to reads in place of the end. It makes its writes itself when the socket is ready: asio would report a failed write only when its handler runs, and a read in between would miss it. If the server had ended its side before the reset, Linux reports broken_pipe instead, and the response is whole. The blocking transport reads only after its writes, so its reads are told.

--- a/http/call_pool.cpp
+++ b/http/call_pool.cpp
@@ -1,6 +1,7 @@
 #include "http/call_pool.h"
 
 #include "core/response_head.h"
+#include "http/client_socket.h"
 #include "http/http_fields.h"
 #include "http/tcp_options.h"
 #include "net/await.h"
@@ -47,10 +48,10 @@
     void close()
     {
         boost::system::error_code ignored;
-        socket.close(ignored);
+        socket.tcp().close(ignored);
     }
 
-    asio::ip::tcp::socket socket;
+    ClientSocket socket;
     boost::beast::flat_buffer buffer;
     TimePoint usableUntil;
     TimePoint deadline;
@@ -79,7 +80,7 @@
 {
     char byte = 0;
     boost::system::error_code error;
-    connection.socket.receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
+    connection.socket.tcp().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
     return error == asio::error::would_block;
 }
 
@@ -190,7 +191,7 @@
     const IoResult result = awaitIoFor(
         runtime.context(), timeout,
         [&](auto done) {
-            connection->socket.async_connect({address, server.port}, done);
+            connection->socket.tcp().async_connect({address, server.port}, done);
         },
         [connection] {
             connection->close();
@@ -200,9 +201,9 @@
         detail = "connect to " + toString(server) + ": " + result.error.message();
         return nullptr;
     }
-    setTcpOptions(connection->socket, options.deadPeerTimeout);
+    setTcpOptions(connection->socket.tcp(), options.deadPeerTimeout);
     boost::system::error_code ignored;
-    connection->socket.non_blocking(true, ignored);
+    connection->socket.tcp().non_blocking(true, ignored);
     return connection;
 }
 
@@ -307,13 +308,13 @@
     const size_t room = std::min(received.size(), buffer.max_size() - buffer.size());
     while (true) {
         boost::system::error_code error;
-        const size_t bytes = connection.socket.read_some(asio::buffer(received.data(), room), error);
+        const size_t bytes = connection.socket.readSome(asio::buffer(received.data(), room), error);
         if (error != asio::error::would_block) {
             buffer.commit(asio::buffer_copy(buffer.prepare(bytes), asio::buffer(received.data(), bytes)));
             return error;
         }
         const IoResult ready = awaitIo([&](auto done) {
-            connection.socket.async_wait(asio::ip::tcp::socket::wait_read, done);
+            connection.socket.tcp().async_wait(asio::ip::tcp::socket::wait_read, done);
         });
         if (ready.error) {
             return ready.error;
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -1,6 +1,7 @@
 #include "http/http_client.h"
 
 #include "core/response_head.h"
+#include "http/client_socket.h"
 #include "http/http_fields.h"
 #include "http/http_server.h"
 #include "net/await.h"
@@ -44,12 +45,12 @@
     void close()
     {
         boost::system::error_code ignored;
-        socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
-        socket.close(ignored);
+        socket.tcp().shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+        socket.tcp().close(ignored);
         idleTimer.cancel();
     }
 
-    asio::ip::tcp::socket socket;
+    ClientSocket socket;
     asio::steady_timer idleTimer;
     boost::beast::flat_buffer buffer{kMaxBufferedBytes};
     bool idle = false;
@@ -284,7 +285,7 @@
             connection->idle = false;
             connection->idleTimer.cancel();
             boost::system::error_code ignored;
-            connection->socket.cancel(ignored);
+            connection->socket.tcp().cancel(ignored);
             return connection;
         }
         if (openCount < options.maxConnections) {
@@ -311,11 +312,11 @@
     const IoResult result = awaitIoFor(
         runtime.context(), timeout,
         [&](auto handler) {
-            connection->socket.async_connect({address, options.server.port}, handler);
+            connection->socket.tcp().async_connect({address, options.server.port}, handler);
         },
         [connection] {
             boost::system::error_code ignored;
-            connection->socket.close(ignored);
+            connection->socket.tcp().close(ignored);
         });
     if (result.error) {
         --openCount;
@@ -323,13 +324,14 @@
         return failure(ErrorCode::Unavailable, "connect to " + toString(options.server) + ": " + result.error.message());
     }
     boost::system::error_code ignored;
-    connection->socket.set_option(asio::ip::tcp::no_delay(true), ignored);
+    connection->socket.tcp().set_option(asio::ip::tcp::no_delay(true), ignored);
+    connection->socket.tcp().non_blocking(true, ignored);
     return connection;
 }
 
 void HttpClient::State::release(const ConnectionPtr &connection, bool reusable)
 {
-    if (!reusable || closed || connection->buffer.size() > 0 || !connection->socket.is_open()) {
+    if (!reusable || closed || connection->buffer.size() > 0 || !connection->socket.tcp().is_open()) {
         connection->close();
         --openCount;
         wakeNext();
@@ -351,7 +353,7 @@
             state->dropIdle(connection);
         }
     };
-    connection->socket.async_wait(asio::ip::tcp::socket::wait_read, [drop](const boost::system::error_code &error) {
+    connection->socket.tcp().async_wait(asio::ip::tcp::socket::wait_read, [drop](const boost::system::error_code &error) {
         if (!error) {
             drop();
         }
--- a/tests/http/broken_response_test.cpp
+++ b/tests/http/broken_response_test.cpp
@@ -237,6 +237,7 @@
     CPPUNIT_TEST(testFields);
     CPPUNIT_TEST(testFraming);
     CPPUNIT_TEST(testBodies);
+    CPPUNIT_TEST(testResetDuringUpload);
     CPPUNIT_TEST(testEarlyResponses);
     CPPUNIT_TEST_SUITE_END();
 
@@ -261,6 +262,11 @@
         checkAreNoAnswers({kSmallRequests[0], kSmallRequests[2]}, testing::responsesWithBrokenBody(kFields));
     }
 
+    void testResetDuringUpload()
+    {
+        checkAreNoAnswers({kUpload}, testing::resetsDuringUpload(kFields));
+    }
+
     /// Guards against a rule for resets that also refuses whole responses.
     void testEarlyResponses()
     {
@@ -268,6 +274,7 @@
         const std::vector<BrokenResponse> responses = {
             {"no length, closed in order", {head + "\r\nwhole", AfterResponse::Close, true}},
             {"no length, closed in order later", {head + "\r\nwhole", AfterResponse::Close, true, milliseconds(20)}},
+            {"no length, closed in order and reset", {head + "\r\nwhole", AfterResponse::CloseThenReset, true}},
             {"a length", {head + "Content-Length: 5\r\n\r\nwhole", AfterResponse::Keep, true}},
             {"a length, then a reset", {head + "Content-Length: 5\r\n\r\nwhole", AfterResponse::Reset, true, milliseconds(20)}},
             {"chunks", {head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n", AfterResponse::Keep, true}},
--- a/tests/sidecar/broken_response_test.cpp
+++ b/tests/sidecar/broken_response_test.cpp
@@ -92,6 +92,8 @@
             response = broken.response;
             const size_t before = requestsAtTarget;
             const std::string received = send(request);
+            int status = 0;
+            CPPUNIT_ASSERT_MESSAGE("the node has ended", waitpid(process.pid(), &status, WNOHANG) == 0);
             CPPUNIT_ASSERT_MESSAGE("the request did not reach the target: " + received, requestsAtTarget > before);
             CPPUNIT_ASSERT_MESSAGE(received, received.rfind("HTTP/1.1 502 ", 0) == 0);
             CPPUNIT_ASSERT_MESSAGE(received, received.find("signed-by-target") == std::string::npos);
@@ -159,6 +161,7 @@
     CPPUNIT_TEST(testFields);
     CPPUNIT_TEST(testFraming);
     CPPUNIT_TEST(testBodies);
+    CPPUNIT_TEST(testResetDuringUpload);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -190,6 +193,13 @@
             node.checkAreRefused({kSmallRequests[0], kSmallRequests[2]}, testing::responsesWithBrokenBody(NodeWithTarget::kSigned));
         });
     }
+
+    void testResetDuringUpload()
+    {
+        withNode([](NodeWithTarget &node) {
+            node.checkAreRefused({kUpload}, testing::resetsDuringUpload(NodeWithTarget::kSigned));
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(BrokenTargetResponseTest);
--- a/tests/standins/broken_responses.h
+++ b/tests/standins/broken_responses.h
@@ -156,4 +156,21 @@
     return responses;
 }
 
+/// Returns responses to a long upload that come before it has been read, have no length, and are cut by a reset while the upload is
+/// still being sent.
+inline auto resetsDuringUpload(const std::string &fields) -> std::vector<BrokenResponse>
+{
+    const std::string head = "HTTP/1.1 200 OK\r\n" + fields;
+    std::vector<BrokenResponse> responses;
+    for (const int pauseMs : {0, 1, 5, 50}) {
+        const std::string how = " reset after " + std::to_string(pauseMs) + " ms";
+        responses.push_back({"no length," + how, {head + "\r\npart", AfterResponse::Reset, true, milliseconds(pauseMs)}});
+        responses.push_back({"no length and no body," + how, {head + "\r\n", AfterResponse::Reset, true, milliseconds(pauseMs)}});
+        responses.push_back({"HTTP/1.0," + how, {"HTTP/1.0 200 OK\r\n" + fields + "\r\npart", AfterResponse::Reset, true, milliseconds(pauseMs)}});
+        responses.push_back({"a length," + how, {head + "Content-Length: 9\r\n\r\npart", AfterResponse::Reset, true, milliseconds(pauseMs)}});
+        responses.push_back({"chunks," + how, {head + "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n", AfterResponse::Reset, true, milliseconds(pauseMs)}});
+    }
+    return responses;
+}
+
 } // namespace snipestream::testing
--- a/tests/standins/scripted_server.h
+++ b/tests/standins/scripted_server.h
@@ -26,6 +26,8 @@
     Keep,
     /// Ends its side of the connection in order, and reads what still arrives.
     Close,
+    /// Ends its side of the connection in order and then resets it.
+    CloseThenReset,
     /// Resets the connection.
     Reset,
 };
@@ -147,6 +149,9 @@
             while (discard(socket, 1)) { }
             socket.close(ignored);
             return false;
+        case AfterResponse::CloseThenReset:
+            socket.shutdown(Tcp::socket::shutdown_send, ignored);
+            [[fallthrough]];
         case AfterResponse::Reset:
             socket.set_option(boost::asio::socket_base::linger(true, 0), ignored);
             socket.close(ignored);
