Survive trailers of responses with a field of 64 KiB

Cause: the HTTP library throws std::length_error for a field of 64 KiB or more. Heads are limited to 16 KiB, but a trailer may be as long as what a client keeps unparsed: 80 KiB, without a limit in the blocking transport, and without one on the kept connections of the streaming client, whose buffer was replaced by an unlimited one.

Change: one limit of 48 KiB for the unparsed bytes of a response in all clients, on new and kept connections. Longer trailers and heads of chunks are an error of that response.

Evidence: BrokenTargetResponseTest::testBodies failed with the program of ("GET, trailer with a field of 70,000 bytes", the connection ended without a response), BrokenResponseTest::testBodies with "field value too large" (uncaught), and, with only the first two limits changed, on the kept connections of the streaming client; both pass now.

--- a/http/call_pool.cpp
+++ b/http/call_pool.cpp
@@ -32,16 +32,12 @@
 constexpr Duration kSweepInterval = milliseconds(20);
 /// Number of sweeps between two searches for idle connections that can no longer be used, which makes one search per second.
 constexpr int kSweepsPerIdleCheck = 50;
-/// Received bytes that may wait to be parsed, in addition to the longest head. Bodies are parsed as they arrive, but the head
-/// of a chunk only when it is complete.
-constexpr size_t kReadAheadBytes = size_t{64} * 1024;
 /// Number of bytes that one system call reads at most.
 constexpr size_t kReadBytes = size_t{8} * 1024;
 
 struct Connection {
-    Connection(asio::io_context &context, size_t maxBufferedBytes)
+    explicit Connection(asio::io_context &context)
         : socket(context)
-        , buffer(maxBufferedBytes)
     {
     }
 
@@ -52,7 +48,7 @@
     }
 
     ClientSocket socket;
-    boost::beast::flat_buffer buffer;
+    boost::beast::flat_buffer buffer{kMaxUnparsedResponseBytes};
     TimePoint usableUntil;
     TimePoint deadline;
     bool timedOut = false;
@@ -183,7 +179,7 @@
         return nullptr;
     }
     ++openedCount;
-    auto connection = std::make_shared<Connection>(runtime.context(), options.maxHeaderBytes + kReadAheadBytes);
+    auto connection = std::make_shared<Connection>(runtime.context());
     cancel.onCancel([connection] {
         connection->close();
     });
--- a/http/call_pool.h
+++ b/http/call_pool.h
@@ -53,7 +53,7 @@
     double idleTimeoutFraction = 0.6;
     /// See setTcpOptions.
     Duration deadPeerTimeout{};
-    /// Maximum size of the head of a response, in bytes, and its maximum number of fields.
+    /// Maximum size of the head of a response, in bytes, below kMaxUnparsedResponseBytes, and its maximum number of fields.
     uint32_t maxHeaderBytes = 16 * 1024;
     size_t maxFields = 200;
     /// Maximum number of interim responses (1xx) before a response.
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -31,10 +31,6 @@
 constexpr size_t kMaxFields = 200;
 /// Maximum number of interim responses (1xx) before a response.
 constexpr int kMaxInterimResponses = 8;
-/// Received bytes that may wait to be parsed: the longest head and some more. The head of a chunk is parsed only when it is
-/// complete.
-constexpr size_t kMaxBufferedBytes = kMaxHeadBytes + size_t{64} * 1024;
-
 struct Connection {
     explicit Connection(asio::io_context &context)
         : socket(context)
@@ -52,7 +48,7 @@
 
     ClientSocket socket;
     asio::steady_timer idleTimer;
-    boost::beast::flat_buffer buffer{kMaxBufferedBytes};
+    boost::beast::flat_buffer buffer{kMaxUnparsedResponseBytes};
     bool idle = false;
 };
 
@@ -337,7 +333,7 @@
         wakeNext();
         return;
     }
-    connection->buffer = boost::beast::flat_buffer();
+    connection->buffer = boost::beast::flat_buffer(kMaxUnparsedResponseBytes);
     connection->idle = true;
     idle.push_back(connection);
     watchIdle(connection);
--- a/tests/standins/broken_responses.h
+++ b/tests/standins/broken_responses.h
@@ -153,6 +153,8 @@
     for (const std::string trailer : {"X Field: 1\r\n", "X-Field : 1\r\n", "no colon\r\n", "Content-Length: 4\r\n", "X\x01: 1\r\n"}) {
         responses.push_back({"trailer '" + trailer + "'", {chunked + "4\r\nbody\r\n0\r\n" + trailer + "\r\n", AfterResponse::Close}});
     }
+    responses.push_back(
+        {"trailer with a field of 70,000 bytes", {chunked + "4\r\nbody\r\n0\r\nX: " + std::string(70000, 'x') + "\r\n\r\n", AfterResponse::Close}});
     return responses;
 }
 
