Do not report a broken response as a request that was not sent

Found while asking of each broken answer whether the work may have begun: fetch(), with which nodes call the log, returned Unavailable for a malformed, cut or missing response. HttpTransport promises that the request was not sent then. No caller relied on it (AppendResult::Failed and Lost are treated alike, refusals look at mayHaveBeenSent), so nobody was told a wrong "not run".

Cause: the streaming client converted errors of responses like those of connecting.

Change: errors of a response become Timeout, Cancelled, ProtocolViolation or Closed. A malformed answer of a target is now refused with bad-answer instead of connection-lost, both 502.

Evidence: BrokenResponseTest::testStatus, testFields, testFraming and testBodies failed with "fetch > GET, ..." at outcome.mayHaveRun, after fetch was added to the clients of the test; all of test_http passes now (44 ok).

--- a/core/response_head.cpp
+++ b/core/response_head.cpp
@@ -43,4 +43,10 @@
     return {};
 }
 
+auto isProtocolError(const boost::system::error_code &error) -> bool
+{
+    return error.category() == http::make_error_code(http::error::bad_status).category() && error != http::error::end_of_stream
+        && error != http::error::partial_message;
+}
+
 } // namespace snipestream
--- a/core/response_head.h
+++ b/core/response_head.h
@@ -17,4 +17,7 @@
 /// this system never asks for, and the content must not have a transfer coding that this system cannot undo (RFC 9112, section 6.1).
 auto checkResponseHead(const boost::beast::http::response_header<> &head) -> boost::system::error_code;
 
+/// Returns whether a response could not be read because of its bytes, and not because it ended early.
+auto isProtocolError(const boost::system::error_code &error) -> bool;
+
 } // namespace snipestream
--- a/http/call_pool.cpp
+++ b/http/call_pool.cpp
@@ -65,9 +65,7 @@
     if (connection.exceedsMemory || error == http::error::header_limit || error == http::error::body_limit || error == http::error::buffer_overflow) {
         return CallStatus::TooLarge;
     }
-    const bool isProtocolError = error.category() == http::make_error_code(http::error::bad_method).category() && error != http::error::end_of_stream
-        && error != http::error::partial_message;
-    return isProtocolError ? CallStatus::Malformed : CallStatus::Broken;
+    return isProtocolError(error) ? CallStatus::Malformed : CallStatus::Broken;
 }
 
 /// Returns whether an idle connection is open and has no unread bytes. Unread bytes do not belong to any request, so they
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -54,6 +54,18 @@
 
 using ConnectionPtr = std::shared_ptr<Connection>;
 
+/// Converts the error of a response. It is never Unavailable, which would say that the request was not sent.
+auto responseError(const boost::system::error_code &error, const char *what) -> Error
+{
+    Error converted = ioError(error, what);
+    if (isProtocolError(error)) {
+        converted.code = ErrorCode::ProtocolViolation;
+    } else if (converted.code == ErrorCode::Unavailable) {
+        converted.code = ErrorCode::Closed;
+    }
+    return converted;
+}
+
 /// State of a fiber that waits for a free connection.
 struct ConnectionWait {
     FiberEvent event;
@@ -118,7 +130,7 @@
     {
         const bool deadlinePassed = timedOut;
         end(false);
-        return deadlinePassed ? Error{ErrorCode::Timeout, std::string(what) + ": the deadline passed"} : ioError(error, what);
+        return deadlinePassed ? Error{ErrorCode::Timeout, std::string(what) + ": the deadline passed"} : responseError(error, what);
     }
 
     auto write(const std::string &bytes, bool last) -> Result<void>
--- a/tests/http/broken_response_test.cpp
+++ b/tests/http/broken_response_test.cpp
@@ -135,6 +135,19 @@
     };
 }
 
+/// Sends the whole request before it reads, as nodes call the log.
+auto makeFetchCall(Fixture &fixture) -> Call
+{
+    const auto client = std::make_shared<HttpClient>(fixture.runtime, HttpClientOptions{fixture.server.endpoint(), 2});
+    return [client](const ClientRequest &request) {
+        RequestHead head = makeRequest(request.method, "/stock/7");
+        head.timeLeft = kTimeout;
+        const auto response = fetch(*client, head, std::string(request.bodyBytes, 'u'));
+        return Outcome{response.has_value(), response ? response.value().status : 0, response ? response.value().body : "",
+                       response || response.error().code != ErrorCode::Unavailable};
+    };
+}
+
 /// Calls on a thread of its own, because the call blocks.
 auto makeBlockingCall(Fixture &fixture) -> Call
 {
@@ -161,13 +174,15 @@
 struct Client {
     std::string name;
     MakeCall makeCall;
+    bool readsWhileSending = true;
     bool keepsConnections = true;
     bool sendsHead = true;
 };
 
 const std::vector<Client> kClients = {{"call pool", makePoolCall},
                                       {"streaming client", makeStreamingCall},
-                                      {"blocking transport", makeBlockingCall, false, false}};
+                                      {"fetch", makeFetchCall, false},
+                                      {"blocking transport", makeBlockingCall, false, false, false}};
 
 void withClients(const std::function<void(Fixture &, const Client &, const Call &)> &body)
 {
@@ -281,8 +296,7 @@
         };
         withClients([&](Fixture &fixture, const Client &client, const Call &call) {
             for (const BrokenResponse &whole : responses) {
-                // The blocking transport reads only after it has sent the request.
-                if (client.keepsConnections) {
+                if (client.readsWhileSending) {
                     section(whole.what + ", before the end of an upload", [&] {
                         fixture.response = whole.response;
                         const Outcome outcome = call(kUpload);
