--- a/tests/sidecar/broken_response_test.cpp
+++ b/tests/sidecar/broken_response_test.cpp
@@ -134,21 +134,7 @@
 
 void withNode(const std::function<void(NodeWithTarget &)> &body)
 {
-    std::exception_ptr failed;
-    FiberRuntime runtime;
-    runtime.runToEnd([&] {
-        try {
-            NodeWithTarget node(runtime);
-            body(node);
-        } catch (...) {
-            failed = std::current_exception();
-        }
-        // Fibers of the stand-ins end after their connections.
-        runtime.sleepFor(milliseconds(2500));
-    });
-    if (failed) {
-        std::rethrow_exception(failed);
-    }
+    testing::runWithNode<NodeWithTarget>(body);
 }
 
 } // namespace
--- a/tests/sidecar/sidecar_process.h
+++ b/tests/sidecar/sidecar_process.h
@@ -7,8 +7,10 @@
 
 #include <cstdint>
 #include <cstdlib>
+#include <exception>
 #include <filesystem>
 #include <fstream>
+#include <functional>
 #include <string>
 
 #include <cppunit/TestAssert.h>
@@ -81,4 +83,25 @@
     pid_t pid_ = 0;
 };
 
+/// Runs the body with a node of the type, which has its stand-ins as members, and ends it afterwards, also if a check fails.
+template<typename Node>
+void runWithNode(const std::function<void(Node &)> &body)
+{
+    std::exception_ptr failed;
+    FiberRuntime runtime;
+    runtime.runToEnd([&] {
+        try {
+            Node node(runtime);
+            body(node);
+        } catch (...) {
+            failed = std::current_exception();
+        }
+        // Fibers of the stand-ins end after their connections.
+        runtime.sleepFor(milliseconds(2500));
+    });
+    if (failed) {
+        std::rethrow_exception(failed);
+    }
+}
+
 } // namespace snipestream::testing
--- a/tests/sidecar/unbounded_clients_test.cpp
+++ b/tests/sidecar/unbounded_clients_test.cpp
@@ -130,21 +130,7 @@
 
 void withNode(const std::function<void(NodeUnderTest &)> &body)
 {
-    std::exception_ptr failed;
-    FiberRuntime runtime;
-    runtime.runToEnd([&] {
-        try {
-            NodeUnderTest node(runtime);
-            body(node);
-        } catch (...) {
-            failed = std::current_exception();
-        }
-        // Fibers of the stand-ins end after their connections.
-        runtime.sleepFor(milliseconds(2500));
-    });
-    if (failed) {
-        std::rethrow_exception(failed);
-    }
+    testing::runWithNode<NodeUnderTest>(body);
 }
 
 /// Runs the crowds until their bytes have arrived or been refused for a while, and `calm` after them. Checks that the node bears it.
