Do not send a request on a connection with unread bytes

Found while looking at kept connections: a target or log that sends a response nobody asked for gets the next request on that connection, and its caller the unasked response, if the node's thread was busy between the two. The streaming client learned of bytes on an idle connection from a handler only, which had not run then.

Change: the client looks at the socket before it uses an idle connection, as the call pool does; both use ClientSocket::isIdle.

Evidence: BrokenResponseTest::testUnaskedResponses failed with "streaming client > request 2: Expected whole, Actual stale" and passes now. The call pool passed before.

--- a/http/call_pool.cpp
+++ b/http/call_pool.cpp
@@ -68,16 +68,6 @@
     return isProtocolError(error) ? CallStatus::Malformed : CallStatus::Broken;
 }
 
-/// Returns whether an idle connection is open and has no unread bytes. Unread bytes do not belong to any request, so they
-/// make the connection unusable.
-auto isUsable(Connection &connection)
-{
-    char byte = 0;
-    boost::system::error_code error;
-    connection.socket.tcp().receive(asio::buffer(&byte, 1), asio::socket_base::message_peek, error);
-    return error == asio::error::would_block;
-}
-
 /// Returns the `timeout` parameter of a Keep-Alive field.
 auto readIdleTimeout(std::string_view field) -> std::optional<Duration>
 {
@@ -160,7 +150,7 @@
     while (!connections.empty()) {
         ConnectionPtr connection = connections.back();
         connections.pop_back();
-        if (connection->usableUntil > now && isUsable(*connection)) {
+        if (connection->usableUntil > now && connection->socket.isIdle()) {
             return connection;
         }
         connection->close();
@@ -371,7 +361,7 @@
         auto &connections = server->second;
         connections.erase(std::remove_if(connections.begin(), connections.end(),
                                          [now](const ConnectionPtr &connection) {
-                                             return connection->usableUntil <= now || !isUsable(*connection);
+                                             return connection->usableUntil <= now || !connection->socket.isIdle();
                                          }),
                           connections.end());
         server = connections.empty() ? idle.erase(server) : std::next(server);
--- a/http/client_socket.h
+++ b/http/client_socket.h
@@ -3,6 +3,7 @@
 #include <cstddef>
 #include <utility>
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/compose.hpp>
 #include <boost/asio/error.hpp>
 #include <boost/asio/io_context.hpp>
@@ -34,6 +35,16 @@
         return socket_;
     }
 
+    /// Returns whether the connection is open and has no unread bytes. Before a request is sent, unread bytes belong to no request, and
+    /// a response that they contain would be taken for the one to it.
+    [[nodiscard]] auto isIdle() -> bool
+    {
+        char byte = 0;
+        Error error;
+        socket_.receive(boost::asio::buffer(&byte, 1), boost::asio::socket_base::message_peek, error);
+        return error == boost::asio::error::would_block;
+    }
+
     /// Reads what has arrived. Sets the error to would_block if nothing has.
     template<typename Buffers>
     auto readSome(const Buffers &buffers, Error &error) -> size_t
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -31,6 +31,7 @@
 constexpr size_t kMaxFields = 200;
 /// Maximum number of interim responses (1xx) before a response.
 constexpr int kMaxInterimResponses = 8;
+
 struct Connection {
     explicit Connection(asio::io_context &context)
         : socket(context)
@@ -288,7 +289,12 @@
     const TimePoint end = BootClock::now() + timeout;
     while (true) {
         if (!idle.empty()) {
-            ConnectionPtr connection = idle.back();
+            const ConnectionPtr connection = idle.back();
+            if (!connection->socket.isIdle()) {
+                // The handler that drops it has not run yet.
+                dropIdle(connection);
+                continue;
+            }
             idle.pop_back();
             connection->idle = false;
             connection->idleTimer.cancel();
--- a/tests/http/broken_response_test.cpp
+++ b/tests/http/broken_response_test.cpp
@@ -56,9 +56,11 @@
 struct Fixture {
     explicit Fixture(FiberRuntime &fiberRuntime)
         : runtime(fiberRuntime)
-        , server(fiberRuntime, {"127.0.0.1", 0}, [this](const std::string &head) {
-            return respondsWhole ? testing::wholeResponse(head, kFields) : response;
-        })
+        , server(fiberRuntime, {"127.0.0.1", 0},
+                 [this](const std::string &head) {
+                     return respondsWhole ? testing::wholeResponse(head, kFields) : response;
+                 })
+        , endpoint(server.endpoint())
     {
     }
 
@@ -74,6 +76,51 @@
     bool respondsWhole = false;
     ScriptedResponse response;
     ScriptedServer server;
+    /// Server that is called.
+    Endpoint endpoint;
+};
+
+/// A server on a thread of its own, which goes on while the client's thread is busy.
+class ServerThread
+{
+public:
+    explicit ServerThread(const ScriptedServer::Script &script)
+        : thread_([this, script] {
+            FiberRuntime runtime;
+            runtime.runToEnd([&] {
+                ScriptedServer server(runtime, {"127.0.0.1", 0}, script);
+                port_ = server.endpoint().port;
+                while (!isEnding_) {
+                    runtime.sleepFor(milliseconds(1));
+                }
+                server.stop();
+                runtime.sleepFor(milliseconds(50));
+            });
+        })
+    {
+        while (port_ == 0) {
+            std::this_thread::sleep_for(milliseconds(1));
+        }
+    }
+
+    ~ServerThread()
+    {
+        isEnding_ = true;
+        thread_.join();
+    }
+
+    ServerThread(const ServerThread &) = delete;
+    auto operator=(const ServerThread &) -> ServerThread & = delete;
+
+    [[nodiscard]] auto endpoint() const -> Endpoint
+    {
+        return {"127.0.0.1", port_};
+    }
+
+private:
+    std::atomic<uint16_t> port_{0};
+    std::atomic<bool> isEnding_{false};
+    std::thread thread_;
 };
 
 /// Makes the calls of one kind of client.
@@ -88,7 +135,7 @@
         message.target = "/stock/7";
         message.body = std::string(request.bodyBytes, 'u');
         CancelSignal cancel;
-        const CallResult result = pool->call(fixture.server.endpoint(), message, cancel, BootClock::now() + kTimeout);
+        const CallResult result = pool->call(fixture.endpoint, message, cancel, BootClock::now() + kTimeout);
         return Outcome{result.status == CallStatus::Answered, result.response.status, result.response.body, result.status != CallStatus::NotSent};
     };
 }
@@ -96,7 +143,7 @@
 /// Sends the body in a fiber of its own, as a node does that passes on an upload.
 auto makeStreamingCall(Fixture &fixture) -> Call
 {
-    const auto client = std::make_shared<HttpClient>(fixture.runtime, HttpClientOptions{fixture.server.endpoint(), 2});
+    const auto client = std::make_shared<HttpClient>(fixture.runtime, HttpClientOptions{fixture.endpoint, 2});
     return [client, &fixture](const ClientRequest &request) {
         RequestHead head = makeRequest(request.method, "/stock/7");
         head.bodyLength = request.bodyBytes;
@@ -138,7 +185,7 @@
 /// Sends the whole request before it reads, as nodes call the log.
 auto makeFetchCall(Fixture &fixture) -> Call
 {
-    const auto client = std::make_shared<HttpClient>(fixture.runtime, HttpClientOptions{fixture.server.endpoint(), 2});
+    const auto client = std::make_shared<HttpClient>(fixture.runtime, HttpClientOptions{fixture.endpoint, 2});
     return [client](const ClientRequest &request) {
         RequestHead head = makeRequest(request.method, "/stock/7");
         head.timeLeft = kTimeout;
@@ -155,7 +202,7 @@
         std::atomic<bool> hasEnded{false};
         Outcome outcome;
         std::thread thread([&] {
-            const auto response = makeBlockingTransport(fixture.server.endpoint())(request.method, "/stock/7", std::string(request.bodyBytes, 'u'), kTimeout);
+            const auto response = makeBlockingTransport(fixture.endpoint)(request.method, "/stock/7", std::string(request.bodyBytes, 'u'), kTimeout);
             outcome.isAnswered = response.has_value();
             outcome.status = response ? response.value().status : 0;
             outcome.body = response ? response.value().body : "";
@@ -253,6 +300,7 @@
     CPPUNIT_TEST(testFraming);
     CPPUNIT_TEST(testBodies);
     CPPUNIT_TEST(testResetDuringUpload);
+    CPPUNIT_TEST(testUnaskedResponses);
     CPPUNIT_TEST(testEarlyResponses);
     CPPUNIT_TEST_SUITE_END();
 
@@ -282,6 +330,31 @@
         checkAreNoAnswers({kUpload}, testing::resetsDuringUpload(kFields));
     }
 
+    /// Guards against a response that arrives on an idle connection and is taken for the one to the next request.
+    void testUnaskedResponses()
+    {
+        constexpr Duration kPause = milliseconds(20);
+        withClients([&](Fixture &fixture, const Client &client, const Call &) {
+            const ServerThread server([&](const std::string &head) {
+                ScriptedResponse response = testing::wholeResponse(head, kFields);
+                response.pause = kPause;
+                response.unasked = "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstale";
+                return response;
+            });
+            fixture.endpoint = server.endpoint();
+            const Call call = client.makeCall(fixture);
+            for (int i = 0; i < 3; ++i) {
+                section("request " + std::to_string(i + 1), [&] {
+                    const Outcome outcome = call(kSmallRequests[0]);
+                    CPPUNIT_ASSERT(outcome.isAnswered);
+                    CPPUNIT_ASSERT_EQUAL(std::string("whole"), outcome.body);
+                });
+                // The thread is busy with other work, so no handler sees the bytes arrive.
+                std::this_thread::sleep_for(kPause * 5);
+            }
+        });
+    }
+
     /// Guards against a rule for resets that also refuses whole responses.
     void testEarlyResponses()
     {
--- a/tests/standins/scripted_server.h
+++ b/tests/standins/scripted_server.h
@@ -42,6 +42,8 @@
     Duration pause{};
     /// Time before the response.
     Duration delay{};
+    /// Bytes that follow after the pause, without a request for them.
+    std::string unasked{};
 };
 
 /// A server whose responses are bytes that an HTTP library would not send. It reads every request's head and, unless the response is
@@ -140,6 +142,11 @@
         if (response.pause > Duration::zero()) {
             runtime_.sleepFor(response.pause);
         }
+        if (!response.unasked.empty()) {
+            awaitIo([&](auto done) {
+                boost::asio::async_write(socket, boost::asio::buffer(response.unasked), done);
+            });
+        }
         boost::system::error_code ignored;
         switch (response.after) {
         case AfterResponse::Keep:
