--- a/core/response_head.h
+++ b/core/response_head.h
@@ -12,6 +12,9 @@
 /// are complete. It must be below 64 KiB, because the HTTP library throws for a field of that size.
 inline constexpr size_t kMaxUnparsedResponseBytes = size_t{48} * 1024;
 
+/// Maximum number of interim responses (1xx) before a response.
+inline constexpr int kMaxInterimResponses = 8;
+
 /// Returns why the head of a response must not be passed on although it could be parsed, or no error. Checks what the HTTP library
 /// leaves to its users: the status must be one that HTTP defines (RFC 9110, section 15), without a switch to another protocol, which
 /// this system never asks for, and the content must not have a transfer coding that this system cannot undo (RFC 9112, section 6.1).
--- a/http/call_pool.cpp
+++ b/http/call_pool.cpp
@@ -240,7 +240,7 @@
 auto CallPool::State::readResponse(const ConnectionPtr &connection, bool withoutBody, MemoryHold &held, std::optional<ResponseParser> &parser)
     -> boost::system::error_code
 {
-    for (int i = 0; i <= options.maxInterimResponses; ++i) {
+    for (int i = 0; i <= kMaxInterimResponses; ++i) {
         parser.emplace();
         parser->eager(true);
         parser->header_limit(options.maxHeaderBytes);
--- a/http/call_pool.h
+++ b/http/call_pool.h
@@ -56,8 +56,6 @@
     /// Maximum size of the head of a response, in bytes, below kMaxUnparsedResponseBytes, and its maximum number of fields.
     uint32_t maxHeaderBytes = 16 * 1024;
     size_t maxFields = 200;
-    /// Maximum number of interim responses (1xx) before a response.
-    int maxInterimResponses = 8;
     /// Maximum size of the body of a response, in bytes.
     uint64_t maxResponseBytes = 64ULL * 1024 * 1024;
     /// Shared with other pools of the process. If it is empty, the pool has a memory limit of its own.
--- a/http/http_client.cpp
+++ b/http/http_client.cpp
@@ -29,8 +29,6 @@
 /// Maximum size of the head of a response, in bytes, and its maximum number of fields.
 constexpr uint32_t kMaxHeadBytes = 16 * 1024;
 constexpr size_t kMaxFields = 200;
-/// Maximum number of interim responses (1xx) before a response.
-constexpr int kMaxInterimResponses = 8;
 
 struct Connection {
     explicit Connection(asio::io_context &context)
--- a/tests/http/broken_response_test.cpp
+++ b/tests/http/broken_response_test.cpp
@@ -301,6 +301,7 @@
     CPPUNIT_TEST(testBodies);
     CPPUNIT_TEST(testResetDuringUpload);
     CPPUNIT_TEST(testUnaskedResponses);
+    CPPUNIT_TEST(testInterimResponses);
     CPPUNIT_TEST(testEarlyResponses);
     CPPUNIT_TEST_SUITE_END();
 
@@ -355,6 +356,23 @@
         });
     }
 
+    /// Guards against an interim response that is taken for the final one.
+    void testInterimResponses()
+    {
+        withClients([&](Fixture &fixture, const Client &client, const Call &call) {
+            const std::string whole = testing::wholeResponse("GET ", kFields).bytes;
+            for (const std::string interim : {"HTTP/1.1 100 Continue\r\n\r\n", "HTTP/1.1 103 Early Hints\r\nLink: <a>\r\n\r\n"}) {
+                section("'" + interim + "'", [&] {
+                    fixture.response = {interim + whole, AfterResponse::Keep};
+                    const Outcome outcome = call(kSmallRequests[0]);
+                    CPPUNIT_ASSERT(outcome.isAnswered);
+                    CPPUNIT_ASSERT_EQUAL(200, outcome.status);
+                    CPPUNIT_ASSERT_EQUAL(std::string("whole"), outcome.body);
+                });
+            }
+        });
+    }
+
     /// Guards against a rule for resets that also refuses whole responses.
     void testEarlyResponses()
     {
