End the node before its stand-ins in the tests that run it as a process

Cause: a handler of the target stand-in runs for 5 s there and used the stand-in after it had been destroyed.

Change: runWithNode ends the process and waits for the other fibers before it destroys the stand-ins. No check changed.

--- a/tests/sidecar/sidecar_process.h
+++ b/tests/sidecar/sidecar_process.h
@@ -11,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <functional>
+#include <memory>
 #include <string>
 
 #include <cppunit/TestAssert.h>
@@ -73,6 +74,12 @@
     SidecarProcess(const SidecarProcess &) = delete;
     auto operator=(const SidecarProcess &) -> SidecarProcess & = delete;
 
+    /// Ends the process without a planned stop.
+    void kill()
+    {
+        killProcess(pid_);
+    }
+
     [[nodiscard]] auto pid() const -> pid_t
     {
         return pid_;
@@ -83,21 +90,31 @@
     pid_t pid_ = 0;
 };
 
-/// Runs the body with a node of the type, which has its stand-ins as members, and ends it afterwards, also if a check fails.
+/// Runs the body with a node of the type, which has its process and its stand-ins as members, and ends it afterwards, also if a check
+/// fails.
 template<typename Node>
 void runWithNode(const std::function<void(Node &)> &body)
 {
+    /// Longer than any handler of a stand-in runs.
+    constexpr Duration kMaxEndTime = seconds(15);
     std::exception_ptr failed;
     FiberRuntime runtime;
     runtime.runToEnd([&] {
+        std::unique_ptr<Node> node;
         try {
-            Node node(runtime);
-            body(node);
+            node = std::make_unique<Node>(runtime);
+            body(*node);
         } catch (...) {
             failed = std::current_exception();
         }
-        // Fibers of the stand-ins end after their connections.
-        runtime.sleepFor(milliseconds(2500));
+        if (node) {
+            node->process.kill();
+        }
+        // Handlers that still run use the stand-ins. This fiber is the last one.
+        const TimePoint end = BootClock::now() + kMaxEndTime;
+        while (runtime.fiberCount() > 1 && BootClock::now() < end) {
+            runtime.sleepFor(milliseconds(20));
+        }
     });
     if (failed) {
         std::rethrow_exception(failed);
