Bound the classes of requests where they are made, not only where they are read (CONFIG)

Cause: there are two classes for each pair of a team's and a route's priority. The decoder of subscriptions and reports rejects more than 64, but the sender did not know that limit. The homes rejected all subscriptions of the entry node and sent it no reports, and a service without reports admits nothing. Evidence: "datagram-invalid ... d is not a list of slots by class" in the logs of the homes, from the first request of an important class on.

importanceLevels() now makes at most 32 levels, whose two classes each fill the limit of the decoder; both use one constant. Neighbouring importances of a priority share a level if there are more, and priorities do so only if there are more than 32. A request of another version of the policy gets the nearest class instead of one above all.

AdmissionControlTest::testManyImportances failed before ("d is not a list of slots by class", 33 importances and more).

--- a/mesh/admission_control.cpp
+++ b/mesh/admission_control.cpp
@@ -72,6 +72,56 @@
     return shedFractions;
 }
 
+/// Returns the number of levels per priority that keeps all of them within `kMaxImportanceLevels`, and at least one.
+/// `counts` has the number of importances of each priority.
+auto maxLevelsPerPriority(const std::vector<size_t> &counts) -> size_t
+{
+    const auto total = [&counts](size_t max) {
+        return std::accumulate(counts.begin(), counts.end(), size_t{0}, [max](size_t sum, size_t count) {
+            return sum + std::min(count, max);
+        });
+    };
+    const size_t largest = counts.empty() ? 1 : *std::max_element(counts.begin(), counts.end());
+    size_t max = 1;
+    while (max < largest && total(max + 1) <= kMaxImportanceLevels) {
+        ++max;
+    }
+    return max;
+}
+
+/// Returns the first element of each of `groups` parts of nearly equal size, or all elements if there are fewer.
+auto firstOfGroups(const std::vector<Importance> &values, size_t groups) -> std::vector<Importance>
+{
+    groups = std::min(groups, values.size());
+    std::vector<Importance> firsts;
+    for (size_t group = 0; group < groups; ++group) {
+        firsts.push_back(values[group * values.size() / groups]);
+    }
+    return firsts;
+}
+
+/// Merges levels, the least important first, so that at most `kMaxImportanceLevels` remain.
+auto mergeLevels(const std::vector<Importance> &levels) -> std::vector<Importance>
+{
+    std::vector<std::vector<Importance>> byPriority;
+    std::vector<size_t> counts;
+    for (const auto &level : levels) {
+        if (byPriority.empty() || byPriority.back().front().priority != level.priority) {
+            byPriority.emplace_back();
+            counts.push_back(0);
+        }
+        byPriority.back().push_back(level);
+        ++counts.back();
+    }
+    const size_t maxLevels = maxLevelsPerPriority(counts);
+    std::vector<Importance> merged;
+    for (const auto &priority : byPriority) {
+        const auto firsts = firstOfGroups(priority, maxLevels);
+        merged.insert(merged.end(), firsts.begin(), firsts.end());
+    }
+    return firstOfGroups(merged, kMaxImportanceLevels);
+}
+
 } // namespace
 
 auto importanceLevels(const Policy &policy) -> std::vector<Importance>
@@ -89,7 +139,7 @@
             }
         }
     }
-    return {levels.rbegin(), levels.rend()};
+    return mergeLevels({levels.rbegin(), levels.rend()});
 }
 
 auto importanceOf(const RoutePolicy &route, const TeamPolicy *team) -> Importance
@@ -99,8 +149,11 @@
 
 auto shedClass(const std::vector<Importance> &classes, const Importance &importance, bool isRetry) -> size_t
 {
-    const auto found = std::find(classes.begin(), classes.end(), importance);
-    const auto level = static_cast<size_t>(found - classes.begin());
+    const auto moreImportant = std::partition_point(classes.begin(), classes.end(), [&importance](const Importance &level) {
+        return !(level < importance);
+    });
+    const auto notMoreImportant = static_cast<size_t>(moreImportant - classes.begin());
+    const size_t level = notMoreImportant > 0 ? notMoreImportant - 1 : 0;
     return level * 2 + (isRetry ? 1 : 0);
 }
 
--- a/mesh/admission_control.h
+++ b/mesh/admission_control.h
@@ -91,15 +91,24 @@
     }
 };
 
-/// Returns each importance that a caller's request can have under the policy, the least important first.
+/// Maximum number of classes in the messages between nodes. Each class takes 5 bytes of a message, and a node sends over 100
+/// messages a second.
+inline constexpr size_t kMaxSheddingClasses = 64;
+/// Each importance level has one class for first attempts and one for retries.
+inline constexpr size_t kMaxImportanceLevels = kMaxSheddingClasses / 2;
+
+/// Returns the levels of importance that callers' requests have under the policy, the least important first. Each level is
+/// named by the least important request in it. Every importance has its own level unless that needs more than
+/// `kMaxImportanceLevels`; then neighbouring importances of a priority share one. Neighbouring priorities do so only if there
+/// are more priorities than levels.
 auto importanceLevels(const Policy &policy) -> std::vector<Importance>;
 
 /// Returns the importance of a request. `team` is nullptr if the request has no team.
 auto importanceOf(const RoutePolicy &route, const TeamPolicy *team) -> Importance;
 
-/// Returns the class of a request. `classes` is the result of `importanceLevels`; each importance has one class for
-/// first attempts and one for retries. Retries are shed after first attempts, because their callers were asked to retry
-/// and have already waited.
+/// Returns the class of a request, below `kMaxSheddingClasses`. `classes` is the result of `importanceLevels`, possibly for
+/// another version of the policy than that of the request. Retries are shed after first attempts, because their callers were
+/// asked to retry and have already waited.
 auto shedClass(const std::vector<Importance> &classes, const Importance &importance, bool isRetry) -> size_t;
 
 /// Returns the capacity of the service according to the reports of its nodes. Only targets whose nodes are alive count in
--- a/mesh/report_codec.cpp
+++ b/mesh/report_codec.cpp
@@ -2,6 +2,7 @@
 
 #include "core/cbor_item.h"
 #include "core/json_fields.h"
+#include "mesh/admission_control.h"
 
 #include <algorithm>
 #include <limits>
@@ -91,10 +92,8 @@
 /// Reads the slots by class.
 auto readSlots(const json &object, const char *name, JsonFields &fields) -> std::vector<double>
 {
-    /// Maximum number of classes: two for each importance, of which policies have a handful.
-    constexpr size_t kMaxClasses = 64;
     const auto slots = object.find(name);
-    if (slots == object.end() || !slots->is_array() || slots->size() > kMaxClasses || !std::all_of(slots->begin(), slots->end(), isAmount)) {
+    if (slots == object.end() || !slots->is_array() || slots->size() > kMaxSheddingClasses || !std::all_of(slots->begin(), slots->end(), isAmount)) {
         fields.reject(std::string(name) + " is not a list of slots by class");
         return {};
     }
--- a/tests/mesh/admission_control_test.cpp
+++ b/tests/mesh/admission_control_test.cpp
@@ -1,6 +1,7 @@
 #include "mesh/admission_control.h"
 
 #include "mesh/offered_load.h"
+#include "mesh/report_codec.h"
 #include "mesh/subscriptions.h"
 #include "tests/support/section.h"
 
@@ -21,6 +22,11 @@
 constexpr double kSlotSeconds = 0.060;
 const ServiceName kDeepService("diary");
 
+auto viewOf(const std::vector<uint8_t> &bytes) -> std::string_view
+{
+    return {reinterpret_cast<const char *>(bytes.data()), bytes.size()};
+}
+
 /// Simulates callers, an entry node and a deep service whose slots are the bottleneck. A request reaches the deep
 /// service only after the calls in between, and the entry node gets the load of the service from reports.
 struct OverloadSimulation {
@@ -138,6 +144,7 @@
     CPPUNIT_TEST(testUnavailableService);
     CPPUNIT_TEST(testSheddingOrder);
     CPPUNIT_TEST(testImportance);
+    CPPUNIT_TEST(testManyImportances);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -278,6 +285,75 @@
             CPPUNIT_ASSERT(expected == importanceLevels(policy));
         });
     }
+
+    /// Guards against a configuration whose demand no home can decode: with more than 32 pairs of a team's and a route's
+    /// priority, the homes rejected all subscriptions and the requests of the service were shed for good.
+    void testManyImportances()
+    {
+        const auto policyWith = [](int teams, int routes) {
+            Policy policy;
+            policy.teams.resize(static_cast<size_t>(teams));
+            for (int i = 0; i < teams; ++i) {
+                policy.teams[static_cast<size_t>(i)].priority = i;
+            }
+            policy.routes.resize(static_cast<size_t>(routes));
+            for (int i = 0; i < routes; ++i) {
+                policy.routes[static_cast<size_t>(i)].priority = i;
+            }
+            return policy;
+        };
+        const std::vector<std::pair<int, int>> sizes = {{0, 33}, {1, 33}, {8, 5}, {33, 1}, {40, 40}, {300, 5}, {1001, 7}};
+        for (const auto &[teams, routes] : sizes) {
+            const Policy policy = policyWith(teams, routes);
+            const auto classes = importanceLevels(policy);
+            const TimePoint now = TimePoint() + seconds(1);
+            AdmissionControl control;
+            section("demand of all " + std::to_string(teams) + " x " + std::to_string(routes) + " importances reaches the homes and comes back", [&] {
+                for (const auto &route : policy.routes) {
+                    for (const auto &team : policy.teams) {
+                        countArrival(control, shedClass(classes, importanceOf(route, &team), true), 1, now);
+                    }
+                    countArrival(control, shedClass(classes, importanceOf(route, nullptr), true), 1, now);
+                }
+                Subscription subscription;
+                subscription.address = "10.0.0.1";
+                subscription.service = ServiceName("diary");
+                subscription.demand = arrivingWork(control, now);
+                const auto received = decodeSubscription(viewOf(encodeSubscription(subscription)));
+                CPPUNIT_ASSERT_MESSAGE(received ? "changed" : received.error().message, received && received.value() == subscription);
+                NodeReport report;
+                report.address = "10.0.0.2";
+                report.target.service = subscription.service;
+                report.load.limit = 1;
+                report.demand = subscription.demand;
+                const auto decoded = decodeReport(viewOf(encodeReport(report)));
+                CPPUNIT_ASSERT_MESSAGE(decoded ? "changed" : decoded.error().message, decoded && decoded.value() == report);
+            });
+            section("a less important request is never in a more important class", [&] {
+                std::vector<Importance> all;
+                for (int team = 0; team < std::max(teams, 1); ++team) {
+                    for (int route = 0; route < routes; ++route) {
+                        all.push_back({teams == 0 ? route : team, route});
+                    }
+                }
+                for (size_t i = 1; i < all.size(); ++i) {
+                    CPPUNIT_ASSERT(shedClass(classes, all[i], false) <= shedClass(classes, all[i - 1], false));
+                }
+            });
+        }
+        section("teams of different priorities share no class if there are levels for all of them", [&] {
+            const auto classes = importanceLevels(policyWith(8, 5));
+            for (int team = 1; team < 8; ++team) {
+                CPPUNIT_ASSERT(shedClass(classes, {team, 0}, true) < shedClass(classes, {team - 1, 4}, false));
+            }
+        });
+        section("a request of another version of the policy gets the nearest class", [&] {
+            const auto classes = importanceLevels(policyWith(2, 2));
+            CPPUNIT_ASSERT_EQUAL(size_t{0}, shedClass(classes, {7, 7}, false));
+            CPPUNIT_ASSERT_EQUAL(size_t{3}, shedClass(classes, {1, -1}, true));
+            CPPUNIT_ASSERT_EQUAL(size_t{1}, shedClass({}, {1, 1}, true));
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(AdmissionControlTest);
