--- a/mesh/member.cpp
+++ b/mesh/member.cpp
@@ -1,5 +1,6 @@
 #include "mesh/member.h"
 
+#include "core/hash.h"
 #include "core/json_fields.h"
 
 #include <limits>
@@ -10,6 +11,30 @@
 namespace snipestream
 {
 
+namespace
+{
+
+/// Separates the address from the rest of the key of a departure.
+constexpr char kDepartureSeparator = '/';
+
+auto toJson(const DepartedTarget &departed) -> nlohmann::json
+{
+    return {{"instance", departed.instance}, {"start", departed.startedAtMs}};
+}
+
+/// Reads a departure and notes errors in `errors`.
+auto readDeparture(const nlohmann::json &object, JsonFields &errors) -> DepartedTarget
+{
+    JsonFields fields(object);
+    DepartedTarget departed{fields.shortText("instance"), fields.integer("start", 0, std::numeric_limits<int64_t>::max())};
+    if (fields.failed()) {
+        errors.reject(fields.error().message);
+    }
+    return departed;
+}
+
+} // namespace
+
 auto isMemberAddress(const std::string &key) -> bool
 {
     boost::system::error_code error;
@@ -20,9 +45,6 @@
 {
     const Member &member = record.member;
     nlohmann::json object{{"node", member.node.value}, {"domain", member.domain.value}, {"service", member.service.value}};
-    for (const auto &departed : record.departures) {
-        object["departed"].push_back({{"instance", departed.instance}, {"start", departed.startedAtMs}});
-    }
     if (record.hasLeft) {
         object["left"] = true;
     }
@@ -45,11 +67,7 @@
     record.hasLeft = object.contains("left") && fields.flag("left");
     if (object.contains("departed")) {
         for (const auto &row : fields.array("departed")) {
-            JsonFields rowFields(row);
-            record.departures.push_back({rowFields.shortText("instance"), rowFields.integer("start", 0, std::numeric_limits<int64_t>::max())});
-            if (rowFields.failed()) {
-                fields.reject(rowFields.error().message);
-            }
+            record.departures.push_back(readDeparture(row, fields));
         }
     }
     if (fields.failed()) {
@@ -58,4 +76,41 @@
     return record;
 }
 
+auto departureKey(const std::string &address, const DepartedTarget &departed) -> std::string
+{
+    // An instance may be as long as a whole key.
+    const uint64_t hash = stableHash(departed.instance, static_cast<uint64_t>(departed.startedAtMs));
+    return address + kDepartureSeparator + std::to_string(hash);
+}
+
+auto addressOfDeparture(const std::string &key) -> std::optional<std::string>
+{
+    const auto separator = key.find(kDepartureSeparator);
+    if (separator == std::string::npos) {
+        return std::nullopt;
+    }
+    std::string address = key.substr(0, separator);
+    return isMemberAddress(address) ? std::make_optional(std::move(address)) : std::nullopt;
+}
+
+auto encodeDeparture(const DepartedTarget &departed) -> std::string
+{
+    return toJson(departed).dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
+}
+
+auto decodeDeparture(const std::string &key, std::string_view value) -> Result<DepartedTarget>
+{
+    const auto object = nlohmann::json::parse(value, nullptr, false);
+    JsonFields fields(object);
+    DepartedTarget departed = readDeparture(object, fields);
+    const auto address = addressOfDeparture(key);
+    if (!fields.failed() && (!address || departureKey(*address, departed) != key)) {
+        fields.reject("it is the record of another departure");
+    }
+    if (fields.failed()) {
+        return failure(ErrorCode::InvalidInput, "the departure " + key + ": " + fields.error().message);
+    }
+    return departed;
+}
+
 } // namespace snipestream
--- a/mesh/target_state.cpp
+++ b/mesh/target_state.cpp
@@ -9,9 +9,6 @@
 namespace
 {
 
-/// Number of departures that are kept. A delayed announcement is seconds late, and a VM gets no more new targets in that time.
-constexpr size_t kMaxDepartures = 4;
-
 auto hasDeparted(const TargetState &state, const std::string &instance, int64_t startedAtMs) -> bool
 {
     return std::any_of(state.departures.begin(), state.departures.end(), [&](const DepartedTarget &departed) {
--- a/mesh/target_state.h
+++ b/mesh/target_state.h
@@ -30,6 +30,10 @@
     }
 };
 
+/// Number of departures of a VM that are kept. A delayed announcement is seconds late, and a VM gets no more new targets in that
+/// time.
+inline constexpr size_t kMaxDepartures = 4;
+
 /// Announcement that a target sends to the node on its VM.
 struct TargetAnnouncement {
     /// Unique among targets. A target may keep it when it restarts.
--- a/sidecar/distribution.h
+++ b/sidecar/distribution.h
@@ -21,7 +21,8 @@
 struct StoreView {
     /// The operator's document of the policy in force.
     std::shared_ptr<const std::string> policyDocument;
-    /// Newest records of the members by address, including removed ones, and the offset up to which they are known.
+    /// Newest records by key, and the offset up to which they are known: those of the members by address, including removed
+    /// ones, and the newest departures of each VM (see departureKey()).
     std::map<std::string, KeyedRecord> memberRecords;
     uint64_t membersOffset = 0;
     /// When the members were last confirmed by the store or a reader.
--- a/sidecar/membership.cpp
+++ b/sidecar/membership.cpp
@@ -112,13 +112,58 @@
     }
 }
 
+/// Drops the oldest departures of a VM above the number that its own node keeps.
+void dropOldDepartures(StoreView &view, const std::string &address)
+{
+    std::vector<std::pair<uint64_t, std::string>> departures;
+    for (auto record = view.memberRecords.upper_bound(address); record != view.memberRecords.end(); ++record) {
+        if (addressOfDeparture(record->first) != address) {
+            break;
+        }
+        departures.emplace_back(record->second.offset, record->first);
+    }
+    std::sort(departures.begin(), departures.end());
+    for (size_t i = 0; i + kMaxDepartures < departures.size(); ++i) {
+        view.memberRecords.erase(departures[i].second);
+    }
+}
+
+/// Applies the record of a departure, which has an address as the owner. One of this node is added to `own`.
+void applyDepartureRecord(SidecarState &state, const KeyedRecord &record, const std::string &owner, std::map<uint64_t, StoredDeparture> &own)
+{
+    auto &records = state.storeView.memberRecords;
+    const auto known = records.find(record.key);
+    if (known != records.end() && known->second.offset >= record.offset) {
+        return;
+    }
+    const auto departed = decodeDeparture(record.key, record.value);
+    if (record.value.empty()) {
+        records.erase(record.key);
+    } else {
+        // The node at that address writes the record again when it learns that it is unreadable.
+        records[record.key] = {record.key, departed ? record.value : kUnreadableRecord, record.offset};
+        dropOldDepartures(state.storeView, owner);
+    }
+    if (!departed && !record.value.empty()) {
+        logEvent(EventId::MemberRecordInvalid, {{"address", owner}, {"error", departed.error().message}});
+    }
+    if (owner == state.settings.address) {
+        own[record.offset] = {record.key, departed ? std::make_optional(departed.value()) : std::nullopt};
+    }
+}
+
 } // namespace
 
 void applyMemberRecords(SidecarState &state, const std::vector<KeyedRecord> &records, uint64_t offset)
 {
     auto &view = state.storeView;
     const uint64_t revision = state.peers.revision;
+    std::map<uint64_t, StoredDeparture> ownDepartures;
     for (const auto &record : records) {
+        if (const auto owner = addressOfDeparture(record.key)) {
+            applyDepartureRecord(state, record, *owner, ownDepartures);
+            continue;
+        }
         if (!isMemberAddress(record.key)) {
             logEvent(EventId::MemberRecordInvalid, {{"key-bytes", std::to_string(record.key.size())}, {"error", "the key is not an address"}});
             continue;
@@ -145,6 +190,13 @@
         logReplacement(state, decoded.value().member);
         applyMember(state, decoded.value());
     }
+    if (!ownDepartures.empty()) {
+        std::vector<StoredDeparture> oldestFirst;
+        for (auto &[recordOffset, departure] : ownDepartures) {
+            oldestFirst.push_back(std::move(departure));
+        }
+        applyOwnDepartures(state, oldestFirst);
+    }
     view.membersOffset = std::max(view.membersOffset, offset);
     view.membersConfirmedAt = BootClock::now();
     const bool isFirst = !state.isMembershipRead;
--- a/tests/sidecar/departure_test.cpp
+++ b/tests/sidecar/departure_test.cpp
@@ -1,8 +1,11 @@
 #include "tests/sidecar/fleet.h"
 #include "tests/support/section.h"
 
+#include <algorithm>
 #include <map>
 #include <memory>
+#include <string>
+#include <vector>
 
 namespace snipestream
 {
@@ -46,6 +49,8 @@
 {
     CPPUNIT_TEST_SUITE(DepartureTest);
     CPPUNIT_TEST(testDepartures);
+    CPPUNIT_TEST(testLateWrites);
+    CPPUNIT_TEST(testRecordsOfDepartures);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -141,6 +146,113 @@
             fleet->end();
         });
     }
+
+    /// Guards against a write that the store carries out seconds later, after the process that sent it has ended, and that takes
+    /// back a recorded departure.
+    void testLateWrites()
+    {
+        testing::withFleet([](Fleet &fleet) {
+            const auto endNode = [&fleet] {
+                fleet.nodes[1]->end();
+                fleet.runtime.sleepFor(milliseconds(200));
+            };
+            section("the write of a node's start takes effect after its target's departure, and the node starts again", [&] {
+                endNode();
+                fleet.store.put("keyed.nodes", "127.0.0.3", R"({"node":"other","domain":"east","service":"catalogue"})");
+                fleet.store.delayAppends({"127.0.0.3", 1, milliseconds(2500)});
+                fleet.restartNode(1, 3, "catalogue");
+                fleet.runtime.sleepFor(milliseconds(700));
+                startFirstTarget(fleet);
+                CPPUNIT_ASSERT_EQUAL(200, fleet.firstTarget.deregister(kFirstNode));
+                endNode();
+                fleet.runtime.sleepFor(milliseconds(2500));
+                fleet.restartNode(1, 3, "catalogue");
+                fleet.runtime.sleepFor(milliseconds(700));
+                CPPUNIT_ASSERT_EQUAL(200, fleet.firstTarget.announceLate(kFirstNode, "catalogue", "ready", 190));
+                checkIsUnused(fleet);
+            });
+            section("the departure that one process wrote takes effect after that which the next one wrote", [&] {
+                startFirstTarget(fleet);
+                fleet.store.delayAppends({"127.0.0.3", 1000, milliseconds(2500)});
+                CPPUNIT_ASSERT_EQUAL(503, fleet.firstTarget.deregister(kFirstNode));
+                endNode();
+                fleet.store.delayAppends({});
+                fleet.restartNode(1, 3, "catalogue");
+                fleet.runtime.sleepFor(milliseconds(300));
+                startFirstTarget(fleet);
+                CPPUNIT_ASSERT_EQUAL(200, fleet.firstTarget.deregister(kFirstNode));
+                endNode();
+                fleet.runtime.sleepFor(milliseconds(2500));
+                fleet.restartNode(1, 3, "catalogue");
+                fleet.runtime.sleepFor(milliseconds(700));
+                CPPUNIT_ASSERT_EQUAL(200, fleet.firstTarget.announceLate(kFirstNode, "catalogue", "ready", 290));
+                checkIsUnused(fleet);
+            });
+        });
+    }
+
+    /// Guards against departures that pile up in the store, and against those of an older version that get lost.
+    void testRecordsOfDepartures()
+    {
+        testing::withFleet([](Fleet &fleet) {
+            const auto departures = [&fleet] {
+                std::vector<std::string> values;
+                for (const auto &[key, value] : fleet.store.newestValues("keyed.nodes")) {
+                    if (key.rfind("127.0.0.3/", 0) == 0) {
+                        values.push_back(value);
+                    }
+                }
+                return values;
+            };
+            section("the store keeps the last four departures of a VM", [&] {
+                for (int i = 0; i < 7; ++i) {
+                    fleet.firstTarget.instance = "i-1-" + std::to_string(i);
+                    CPPUNIT_ASSERT_EQUAL(200, fleet.firstTarget.announce(kFirstNode, "catalogue", "ready"));
+                    CPPUNIT_ASSERT_EQUAL(200, fleet.firstTarget.deregister(kFirstNode));
+                }
+                fleet.waitUntil([&] {
+                    return departures().size() == 4;
+                });
+                for (int i = 3; i < 7; ++i) {
+                    const std::string value = R"({"instance":"i-1-)" + std::to_string(i) + R"(","start":1000})";
+                    const auto values = departures();
+                    CPPUNIT_ASSERT_MESSAGE(value, std::count(values.begin(), values.end(), value) == 1);
+                }
+            });
+            section("a departure in a member's record of an older version holds and gets a record of its own", [&] {
+                fleet.nodes[1]->end();
+                fleet.runtime.sleepFor(milliseconds(200));
+                fleet.store.put("keyed.nodes", "127.0.0.3",
+                                R"({"node":"node3","domain":"east","service":"catalogue","departed":[{"instance":"i-old","start":2000}]})");
+                fleet.restartNode(1, 3, "catalogue");
+                fleet.runtime.sleepFor(milliseconds(700));
+                fleet.firstTarget.instance = "i-old";
+                fleet.firstTarget.startedAtMs = 2000;
+                CPPUNIT_ASSERT_EQUAL(200, fleet.firstTarget.announce(kFirstNode, "catalogue", "ready"));
+                checkIsUnused(fleet);
+                const auto values = departures();
+                CPPUNIT_ASSERT(std::count(values.begin(), values.end(), R"({"instance":"i-old","start":2000})") == 1);
+                const auto member = fleet.store.newestValues("keyed.nodes").at("127.0.0.3");
+                CPPUNIT_ASSERT_EQUAL(std::string::npos, member.find("departed"));
+            });
+            section("an unreadable record of a departure is ignored, and written again if the departure holds", [&] {
+                const auto key = [&fleet] {
+                    for (const auto &[each, value] : fleet.store.newestValues("keyed.nodes")) {
+                        if (value.find("i-old") != std::string::npos) {
+                            return each;
+                        }
+                    }
+                    return std::string();
+                }();
+                fleet.store.put("keyed.nodes", key, "unreadable");
+                fleet.store.put("keyed.nodes", "127.0.0.3/other", R"({"instance":"i-2","start":99})");
+                fleet.waitUntil([&] {
+                    return fleet.store.newestValues("keyed.nodes").at(key) == R"({"instance":"i-old","start":2000})";
+                });
+                checkIsUnused(fleet);
+            });
+        });
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(DepartureTest);
--- a/tests/sidecar/platform_standin.cpp
+++ b/tests/sidecar/platform_standin.cpp
@@ -92,6 +92,27 @@
     topics_[topic].push_back({key, value});
 }
 
+void StoreStandin::delayAppends(const LateAppends &appends)
+{
+    lateAppends_ = appends;
+}
+
+auto StoreStandin::newestValues(const std::string &topic) const -> std::map<std::string, std::string>
+{
+    std::map<std::string, std::string> values;
+    const auto records = topics_.find(topic);
+    if (records == topics_.end()) {
+        return values;
+    }
+    for (const auto &record : records->second) {
+        values[record.key] = record.value;
+    }
+    for (auto item = values.begin(); item != values.end();) {
+        item = item->second.empty() ? values.erase(item) : std::next(item);
+    }
+    return values;
+}
+
 void StoreStandin::failWith(std::optional<int> status)
 {
     failureStatus_ = status;
@@ -113,7 +134,17 @@
                        cancel);
     }
     const auto keyLength = static_cast<unsigned char>(request.body[4]);
-    put(topic, request.body.substr(5, keyLength), request.body.substr(5 + keyLength));
+    const std::string key = request.body.substr(5, keyLength);
+    const std::string value = request.body.substr(5 + keyLength);
+    if (lateAppends_.count > 0 && key.rfind(lateAppends_.keyPrefix, 0) == 0) {
+        --lateAppends_.count;
+        runtime_.spawn([this, topic, key, value, delay = lateAppends_.delay] {
+            runtime_.sleepFor(delay);
+            put(topic, key, value);
+        });
+        return std::nullopt;
+    }
+    put(topic, key, value);
     return withBody(R"({"Offset":0,"EndOffset":1})");
 }
 
--- a/tests/sidecar/platform_standin.h
+++ b/tests/sidecar/platform_standin.h
@@ -23,6 +23,18 @@
     /// Makes every call fail with this status, like a store that refuses a machine; an empty value ends that.
     void failWith(std::optional<int> status);
 
+    /// Appends that the store does not answer and carries out later.
+    struct LateAppends {
+        /// Start of the keys that are concerned.
+        std::string keyPrefix;
+        int count = 0;
+        /// Time after which the append takes effect.
+        Duration delay{};
+    };
+    void delayAppends(const LateAppends &appends);
+    /// Returns the newest value of each key; removed keys are left out.
+    [[nodiscard]] auto newestValues(const std::string &topic) const -> std::map<std::string, std::string>;
+
     /// How the store treats the calls that arrive at one of its endpoints.
     struct Access {
         /// Status of every response, if it is not empty.
@@ -48,6 +60,7 @@
     FiberRuntime &runtime_;
     std::map<std::string, std::vector<Record>> topics_;
     std::optional<int> failureStatus_;
+    LateAppends lateAppends_;
     /// By port.
     std::map<uint16_t, Access> access_;
     std::vector<std::unique_ptr<MessageServer>> servers_;
