Choose no service with weight 0, and start a changed split within its cycle (CONFIG)

Cause: the service with the most credit got the request, whatever its weight, and a changed split gave the last service a credit of up to 1, which differs between nodes so that they do not all begin with the same service. Evidence: chooseService() returns the service without weight for every phase above 0.5.

Services without weight are no longer candidates. The differing start is a position in the cycle of choices, so the first requests of many nodes are divided by the weights; with 90 to 10, three of five nodes began with the smaller one before. If all weights are 0, the request is refused with 503.

LoadBalancingTest::testSplitWithoutWeight and testSplitAtManyNodes failed before (phase 0.501 and 0.601).

--- a/mesh/split.h
+++ b/mesh/split.h
@@ -17,13 +17,13 @@
         std::vector<double> credit;
     };
     std::unordered_map<RouteName, Row> rows;
-    /// Offset of the first choice, between 0 and 1, so that nodes that start together do not all begin with the same
-    /// service.
+    /// Part of a cycle of choices, between 0 and 1, that is skipped at the start and after each change of the weights. It
+    /// differs between nodes, since the first requests of many nodes would otherwise all go to the same service.
     double phase = 0;
 };
 
-/// Returns the service for the next request of the route. Over any sequence of requests, each service gets its share to
-/// within one request. At least one service of the route must have a weight above 0.
-auto chooseService(SplitTable &table, const RoutePolicy &route) -> const ServiceName &;
+/// Returns the service for the next request of the route, or nullptr if all weights are 0. Over any sequence of requests, each
+/// service gets its share to within one request.
+auto chooseService(SplitTable &table, const RoutePolicy &route) -> const ServiceName *;
 
 } // namespace snipestream
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -127,6 +127,8 @@
     constexpr Duration kNoPolicyRetryAfter = milliseconds(300);
     /// A node that got no processor time for a while has read the store again after a few round trips.
     constexpr Duration kUnconfirmedRetryAfter = milliseconds(100);
+    /// A route without a service gets one by a change of the configuration, which is in force within about this time.
+    constexpr Duration kNoServiceRetryAfter = seconds(1);
     const TimePoint now = call.startedAt;
     if (call.caller.requestId.empty()) {
         return refuse(state, call, 400, "no-request-id", {});
@@ -165,7 +167,11 @@
     if (refusesForMemory(state, RequestSender::Caller)) {
         return refuse(state, call, 503, "memory-short", kNoPolicyRetryAfter);
     }
-    call.service = chooseService(state.splits, *call.route);
+    const ServiceName *const service = chooseService(state.splits, *call.route);
+    if (service == nullptr) {
+        return refuse(state, call, 503, "all-weights-zero", kNoServiceRetryAfter);
+    }
+    call.service = *service;
     if (auto refusal = acquireToken(state, call, cancel)) {
         return refusal;
     }
--- a/tests/mesh/load_balancing_test.cpp
+++ b/tests/mesh/load_balancing_test.cpp
@@ -66,6 +66,8 @@
     CPPUNIT_TEST(testBadTargets);
     CPPUNIT_TEST(testReports);
     CPPUNIT_TEST(testSplit);
+    CPPUNIT_TEST(testSplitWithoutWeight);
+    CPPUNIT_TEST(testSplitAtManyNodes);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -181,7 +183,7 @@
         table.phase = 0.3;
         std::map<std::string, int> counts;
         for (int i = 0; i < 1000; ++i) {
-            ++counts[chooseService(table, route).value];
+            ++counts[chooseService(table, route)->value];
         }
         section("each weighted service gets its share of the requests", [&] {
             CPPUNIT_ASSERT(counts["old"] >= 898 && counts["old"] <= 902);
@@ -191,11 +193,106 @@
             route.weightedServices[1].weight = 90;
             counts.clear();
             for (int i = 0; i < 100; ++i) {
-                ++counts[chooseService(table, route).value];
+                ++counts[chooseService(table, route)->value];
             }
             CPPUNIT_ASSERT(counts["old"] >= 9 && counts["old"] <= 12);
         });
     }
+
+    /// Guards against requests at a service whose weight was set to 0: the first request after the change went there at half
+    /// of the nodes.
+    void testSplitWithoutWeight()
+    {
+        const auto weightsOf = [](const std::vector<uint32_t> &weights) {
+            RoutePolicy route;
+            route.name = RouteName("stock");
+            for (size_t i = 0; i < weights.size(); ++i) {
+                route.weightedServices.push_back({ServiceName("s" + std::to_string(i)), weights[i]});
+            }
+            return route;
+        };
+        const std::vector<std::vector<uint32_t>> splits = {{100, 0}, {0, 100}, {0, 50, 50}, {50, 0, 50}, {50, 50, 0}, {0, 1, 0}, {1, 0, 0}, {0, 0, 1}};
+        for (int phase = 0; phase < 1000; ++phase) {
+            SplitTable table;
+            table.phase = phase / 1000.0;
+            for (const auto &weights : splits) {
+                section("a service with weight 0 gets no request at the start, phase " + std::to_string(table.phase), [&] {
+                    table.rows.clear();
+                    assertNoneWithoutWeight(table, weightsOf(weights));
+                });
+                section("nor after a change that takes its weight away, phase " + std::to_string(table.phase), [&] {
+                    table.rows.clear();
+                    const RoutePolicy before = weightsOf(std::vector<uint32_t>(weights.size(), 10));
+                    for (int request = 0; request < phase % 7; ++request) {
+                        CPPUNIT_ASSERT(chooseService(table, before) != nullptr);
+                    }
+                    assertNoneWithoutWeight(table, weightsOf(weights));
+                });
+                section("it gets its share again when its weight comes back, phase " + std::to_string(table.phase), [&] {
+                    const RoutePolicy after = weightsOf(std::vector<uint32_t>(weights.size(), 10));
+                    std::map<std::string, int> counts;
+                    for (size_t request = 0; request < 10 * weights.size(); ++request) {
+                        ++counts[chooseService(table, after)->value];
+                    }
+                    for (const auto &[service, count] : counts) {
+                        CPPUNIT_ASSERT(count >= 9 && count <= 11);
+                    }
+                });
+            }
+        }
+        section("no service is chosen if all weights are 0", [&] {
+            SplitTable table;
+            CPPUNIT_ASSERT(chooseService(table, weightsOf({0})) == nullptr);
+            CPPUNIT_ASSERT(chooseService(table, weightsOf({0, 0})) == nullptr);
+        });
+    }
+
+    /// Guards against nodes that begin with the same service after a change, and against a start that gives a service more of
+    /// the first requests than its weight.
+    void testSplitAtManyNodes()
+    {
+        RoutePolicy route;
+        route.name = RouteName("stock");
+        const std::vector<std::vector<double>> shares = {{0.9, 0.1}, {0.1, 0.9}, {0.5, 0.5}, {0.6, 0.3, 0.1}, {0, 0.75, 0.25}};
+        for (const auto &share : shares) {
+            route.weightedServices.clear();
+            for (size_t i = 0; i < share.size(); ++i) {
+                route.weightedServices.push_back({ServiceName("s" + std::to_string(i)), static_cast<uint32_t>(std::lround(share[i] * 1000))});
+            }
+            std::map<std::string, int> first;
+            for (int phase = 0; phase < 1000; ++phase) {
+                SplitTable table;
+                table.phase = phase / 1000.0;
+                std::map<std::string, int> counts;
+                ++first[chooseService(table, route)->value];
+                section("the share holds to within one request at any length of the sequence, phase " + std::to_string(table.phase), [&] {
+                    table.rows.clear();
+                    for (int length = 1; length <= 30; ++length) {
+                        ++counts[chooseService(table, route)->value];
+                        for (size_t i = 0; i < share.size(); ++i) {
+                            CPPUNIT_ASSERT_DOUBLES_EQUAL(share[i] * length, counts["s" + std::to_string(i)], 1 + 1e-9);
+                        }
+                    }
+                });
+            }
+            section("the first requests of many nodes are divided by the weights", [&] {
+                for (size_t i = 0; i < share.size(); ++i) {
+                    CPPUNIT_ASSERT_DOUBLES_EQUAL(share[i] * 1000, first["s" + std::to_string(i)], 10);
+                }
+            });
+        }
+    }
+
+private:
+    static void assertNoneWithoutWeight(SplitTable &table, const RoutePolicy &route)
+    {
+        for (int request = 0; request < 20; ++request) {
+            const ServiceName *const chosen = chooseService(table, route);
+            for (const auto &weighted : route.weightedServices) {
+                CPPUNIT_ASSERT(chosen != nullptr && (weighted.weight > 0 || *chosen != weighted.service));
+            }
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(LoadBalancingTest);
