Refund the tokens of refused requests to their holder instead of using them twice (QUOTA)

Cause: a request that was refused after it had spent a token gave it back to the entry node, which used it for another request, while the holder had been told that it was spent and minted another one in its place.

A token goes back into its grant as long as the holder counts it as outstanding. Once it was reported as spent, the entry reports it as refunded and no longer uses it. The holder credits a refund as far as its bucket has had room since the token was spent, so a team never has more than if the refused requests had spent nothing.

--- a/quota/accounts.cpp
+++ b/quota/accounts.cpp
@@ -28,6 +28,16 @@
     }
 }
 
+/// Adds refunded tokens to the level as far as the bucket had room for them.
+void creditRefund(TeamBucket &team, MicroTokens refunded)
+{
+    auto &deficit = team.deficit;
+    const MicroTokens credit = std::min({refunded, deficit.previous, deficit.current});
+    team.level += credit;
+    deficit.previous -= credit;
+    deficit.current -= credit;
+}
+
 } // namespace
 
 void mint(TeamBucket &team, const TeamQuota &rule, const Share &share, TimePoint now)
@@ -55,6 +65,16 @@
     }
 }
 
+void observeDeficit(TeamBucket &team, MicroTokens capacity, Duration span, TimePoint now)
+{
+    auto &deficit = team.deficit;
+    const MicroTokens missing = std::max<MicroTokens>(0, capacity - team.level - team.outstanding);
+    if (now - deficit.since >= span) {
+        deficit = {deficit.current, missing, now};
+    }
+    deficit.current = std::min(deficit.current, missing);
+}
+
 auto availableTokens(const TeamBucket &team, TimePoint now) -> MicroTokens
 {
     MicroTokens sum = team.level;
@@ -113,7 +133,9 @@
             loan->second.mustReport = true;
         }
     };
-    consumeParts(grant, std::max<MicroTokens>(0, report.spent - grant.spent), [&](uint64_t number, MicroTokens taken) {
+    // Refunded tokens have been spent, whether or not that report has arrived.
+    const MicroTokens spent = std::max(report.spent, report.refunded);
+    consumeParts(grant, std::max<MicroTokens>(0, spent - grant.spent), [&](uint64_t number, MicroTokens taken) {
         if (number == 0) {
             team.outstanding -= taken;
         } else {
@@ -132,14 +154,11 @@
             });
         }
     });
-    grant.spent = std::max(grant.spent, report.spent);
+    creditRefund(team, std::max<MicroTokens>(0, report.refunded - grant.refunded));
+    // A grant that is used up is kept until it expires, because tokens may still be refunded.
+    grant.spent = std::max(grant.spent, spent);
     grant.returned = std::max(grant.returned, report.returned);
-    const bool isSettled = std::all_of(grant.parts.begin(), grant.parts.end(), [](const GrantPart &part) {
-        return part.outstanding == 0;
-    });
-    if (isSettled) {
-        table.grants.erase(found);
-    }
+    grant.refunded = std::max(grant.refunded, report.refunded);
 }
 
 void expireGrants(HolderTable &table, TimePoint now)
@@ -206,7 +225,7 @@
         returnRequest.from = table.self;
         returnRequest.number = table.nextNumber++;
         returnRequest.mayBorrow = false;
-        returnRequest.reports.push_back(SpentReport{response.grantNumber, 0, response.amount});
+        returnRequest.reports.push_back(SpentReport{response.grantNumber, 0, response.amount, 0});
         out.peerRequests.emplace_back(response.from, std::move(returnRequest));
         return;
     }
@@ -241,7 +260,7 @@
             }
             if (loan.mustReport) {
                 loan.mustReport = false;
-                messages[loan.lender].reports.push_back(SpentReport{loan.number, loan.spent, loan.returned});
+                messages[loan.lender].reports.push_back(SpentReport{loan.number, loan.spent, loan.returned, 0});
             }
         }
         for (auto &[lender, message] : messages) {
--- a/quota/accounts.h
+++ b/quota/accounts.h
@@ -9,6 +9,9 @@
 /// outstanding tokens.
 void mint(TeamBucket &team, const TeamQuota &rule, const Share &share, TimePoint now);
 
+/// Notes how far the bucket is below its capacity now. `span` is the time for which grants are kept.
+void observeDeficit(TeamBucket &team, MicroTokens capacity, Duration span, TimePoint now);
+
 /// Returns the tokens that can be granted to an entry node now: the own level plus the unexpired loans.
 auto availableTokens(const TeamBucket &team, TimePoint now) -> MicroTokens;
 
@@ -18,7 +21,9 @@
 auto issueGrant(HolderTable &table, const QuotaParams &params, const TeamName &name, MicroTokens amount, bool fromLoans, TimePoint now)
     -> std::pair<uint64_t, Duration>;
 
-/// Applies a report from the receiver of a grant. Unknown and expired grants are ignored.
+/// Applies a report from the receiver of a grant. Unknown and expired grants are ignored. Refunded tokens go into the own level as
+/// far as the bucket has had room for them ever since they were spent. If they had not been spent, the bucket would have been
+/// full otherwise and minted fewer tokens.
 void applyReport(HolderTable &table, const SpentReport &report);
 
 /// Removes expired grants and loans. Their unreported tokens count as spent, since the receiver may have spent them.
--- a/quota/entry.cpp
+++ b/quota/entry.cpp
@@ -3,6 +3,7 @@
 #include "core/hash.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace snipestream
 {
@@ -31,16 +32,16 @@
 /// Notes that the holder has to be told what happened to the grant's tokens.
 void markUnreported(CachedGrant &grant, TimePoint now)
 {
-    if (!grant.holder.empty()) {
-        grant.unreportedSince = grant.unreportedSince.value_or(now);
-    }
+    grant.unreportedSince = grant.unreportedSince.value_or(now);
 }
 
-/// Spends one token from grants that have not expired, those that expire first before the others.
-auto spendToken(EntryTeam &team, TimePoint now) -> bool
+/// Spends one token from grants that have not expired, those that expire first before the others. Returns its parts, which are
+/// none if there are too few tokens.
+auto spendToken(EntryTeam &team, TimePoint now) -> std::vector<TokenPart>
 {
+    std::vector<TokenPart> token;
     if (cachedTokens(team, now) < kOneToken) {
-        return false;
+        return token;
     }
     std::sort(team.grants.begin(), team.grants.end(), [](const CachedGrant &a, const CachedGrant &b) {
         return a.expiresAt < b.expiresAt;
@@ -53,8 +54,26 @@
             grant.spent += taken;
             markUnreported(grant, now);
             due -= taken;
+            token.push_back({grant.holder, grant.number, taken});
         }
     }
+    return token;
+}
+
+/// Reverses the spending of a part if the grant can still be used and the holder has not been told of it.
+auto unspend(EntryTeam &team, const TokenPart &part, TimePoint now) -> bool
+{
+    const auto grant = std::find_if(team.grants.begin(), team.grants.end(), [&part](const CachedGrant &cached) {
+        return cached.holder == part.holder && cached.number == part.grantNumber;
+    });
+    if (grant == team.grants.end() || now >= grant->expiresAt) {
+        return false;
+    }
+    if (grant->spent - grant->reportedSpent < part.amount) {
+        return false;
+    }
+    grant->spent -= part.amount;
+    grant->remaining += part.amount;
     return true;
 }
 
@@ -67,6 +86,15 @@
     return static_cast<int64_t>(team.requestTimes.size());
 }
 
+auto admission(uint64_t tokenRequestId, std::vector<TokenPart> token) -> TokenDecision
+{
+    TokenDecision decision;
+    decision.tokenRequestId = tokenRequestId;
+    decision.state = TokenState::Admitted;
+    decision.token = std::move(token);
+    return decision;
+}
+
 auto refusal(uint64_t tokenRequestId, RefusalReason reason, Duration retryAfter) -> TokenDecision
 {
     return TokenDecision{tokenRequestId, TokenState::Refused, reason, std::max<Duration>(retryAfter, milliseconds(1))};
@@ -105,7 +133,7 @@
         returnRequest.team = response.team;
         returnRequest.from = table.self;
         returnRequest.number = table.nextNumber++;
-        returnRequest.reports.push_back(SpentReport{response.grantNumber, 0, response.amount});
+        returnRequest.reports.push_back(SpentReport{response.grantNumber, 0, response.amount, 0});
         out.requests.emplace_back(response.from, std::move(returnRequest));
         return;
     }
@@ -145,10 +173,17 @@
 {
     for (auto &grant : team.grants) {
         if (grant.holder == holder && grant.unreportedSince) {
-            request.reports.push_back(SpentReport{grant.number, grant.spent, grant.returned});
+            request.reports.push_back(SpentReport{grant.number, grant.spent, grant.returned, 0});
+            grant.reportedSpent = grant.spent;
             grant.unreportedSince.reset();
         }
     }
+    for (auto &[id, refund] : team.refunds) {
+        if (id.first == holder && refund.unreportedSince) {
+            request.reports.push_back(SpentReport{id.second, 0, 0, refund.amount});
+            refund.unreportedSince.reset();
+        }
+    }
     removeUsedGrants(team);
 }
 
@@ -164,6 +199,11 @@
             holders.push_back(grant.holder);
         }
     }
+    for (const auto &[id, refund] : team.refunds) {
+        if (refund.unreportedSince && now - *refund.unreportedSince >= delay) {
+            holders.push_back(id.first);
+        }
+    }
     std::sort(holders.begin(), holders.end());
     holders.erase(std::unique(holders.begin(), holders.end()), holders.end());
     for (const auto &holder : holders) {
@@ -264,9 +304,12 @@
     drop(table.holderBackoffUntil);
     drop(table.seenGrants);
     for (auto item = table.teams.begin(); item != table.teams.end();) {
-        const auto &team = item->second;
-        const bool idle =
-            team.grants.empty() && team.queue.empty() && !team.pending && team.requestTimes.empty() && now >= team.nextTokenAt && now >= team.nextRequestAt;
+        auto &team = item->second;
+        for (auto refund = team.refunds.begin(); refund != team.refunds.end();) {
+            refund = now >= refund->second.expiresAt ? team.refunds.erase(refund) : std::next(refund);
+        }
+        const bool idle = team.grants.empty() && team.refunds.empty() && team.queue.empty() && !team.pending && team.requestTimes.empty()
+            && now >= team.nextTokenAt && now >= team.nextRequestAt;
         item = idle ? table.teams.erase(item) : std::next(item);
     }
 }
@@ -287,8 +330,11 @@
     auto &entry = table.teams[team];
     entry.requestTimes.push_back(now);
     recentDemand(entry, params, now);
-    if (entry.queue.empty() && spendToken(entry, now)) {
-        return TokenDecision{tokenRequestId, TokenState::Admitted};
+    if (entry.queue.empty()) {
+        auto token = spendToken(entry, now);
+        if (!token.empty()) {
+            return admission(tokenRequestId, std::move(token));
+        }
     }
     const Duration wait = entry.nextTokenAt - now + entry.tokenInterval * static_cast<int64_t>(entry.queue.size());
     if (entry.nextTokenAt > now && (wait > params.mintTimeout || now + wait > deadline)) {
@@ -298,13 +344,28 @@
     return TokenDecision{tokenRequestId, TokenState::Queued};
 }
 
-void returnToken(EntryTable &table, const QuotaParams &params, const TeamName &team, TimePoint now)
+void returnToken(EntryTable &table, const QuotaParams &params, const TeamName &team, const std::vector<TokenPart> &token, TimePoint now)
 {
-    CachedGrant grant;
-    grant.remaining = kOneToken;
-    grant.receivedAt = now;
-    grant.expiresAt = now + params.grantLifetime;
-    table.teams[team].grants.push_back(std::move(grant));
+    auto &entry = table.teams[team];
+    for (const auto &part : token) {
+        if (unspend(entry, part, now)) {
+            continue;
+        }
+        if (params.reuseSpentTokens) {
+            CachedGrant reused;
+            reused.holder = part.holder;
+            reused.number = part.grantNumber;
+            reused.remaining = part.amount;
+            reused.receivedAt = now;
+            reused.expiresAt = now + params.grantLifetime;
+            entry.grants.push_back(std::move(reused));
+            continue;
+        }
+        auto &refund = entry.refunds[{part.holder, part.grantNumber}];
+        refund.amount += part.amount;
+        refund.expiresAt = now + params.outstandingLifetime;
+        refund.unreportedSince = refund.unreportedSince.value_or(now);
+    }
 }
 
 void cancelRequest(EntryTable &table, const TeamName &team, uint64_t tokenRequestId)
@@ -329,8 +390,12 @@
         applyResponse(table, params, response, now, out);
     }
     for (auto &[name, team] : table.teams) {
-        while (!team.queue.empty() && now < team.queue.front().deadline && spendToken(team, now)) {
-            out.decisions.push_back(TokenDecision{team.queue.front().tokenRequestId, TokenState::Admitted});
+        while (!team.queue.empty() && now < team.queue.front().deadline) {
+            auto token = spendToken(team, now);
+            if (token.empty()) {
+                break;
+            }
+            out.decisions.push_back(admission(team.queue.front().tokenRequestId, std::move(token)));
             team.queue.pop_front();
         }
         abandonOverdueRequest(table, params, team, now);
--- a/quota/entry.h
+++ b/quota/entry.h
@@ -14,13 +14,14 @@
 namespace snipestream
 {
 
-/// The tokens of one grant that an entry node received, or of a request that was refused after it had spent a token.
+/// The tokens of one grant that an entry node received.
 struct CachedGrant {
-    /// Empty for the token of a refused request. Its grant has been reported as spent, so it is not reported again.
     NodeName holder;
     uint64_t number = 0;
     MicroTokens remaining = 0;
     MicroTokens spent = 0;
+    /// Part of `spent` that the holder has been sent. It counts these tokens as used up and mints new ones for them.
+    MicroTokens reportedSpent = 0;
     MicroTokens returned = 0;
     TimePoint receivedAt{};
     TimePoint expiresAt{};
@@ -28,6 +29,27 @@
     std::optional<TimePoint> unreportedSince;
 };
 
+/// Spent tokens of one grant whose requests were refused, so that the holder gets them back.
+struct RefundedGrant {
+    MicroTokens amount = 0;
+    /// When the holder has forgotten the grant.
+    TimePoint expiresAt{};
+    /// Since when `amount` contains tokens that the holder has not been sent.
+    std::optional<TimePoint> unreportedSince;
+};
+
+/// The part of a token that comes from one grant.
+struct TokenPart {
+    NodeName holder;
+    uint64_t grantNumber = 0;
+    MicroTokens amount = 0;
+
+    friend auto operator==(const TokenPart &a, const TokenPart &b) -> bool
+    {
+        return a.holder == b.holder && a.grantNumber == b.grantNumber && a.amount == b.amount;
+    }
+};
+
 /// A request that is queued until a token is available.
 struct QueuedTokenRequest {
     uint64_t tokenRequestId = 0;
@@ -45,6 +67,8 @@
 /// The tokens and queued token requests of one team at an entry node.
 struct EntryTeam {
     std::vector<CachedGrant> grants;
+    /// By holder and grant number.
+    std::map<std::pair<NodeName, uint64_t>, RefundedGrant> refunds;
     std::deque<QueuedTokenRequest> queue;
     std::optional<PendingQuotaRequest> pending;
     /// Requests without a response since the last response.
@@ -89,6 +113,8 @@
     RefusalReason reason = RefusalReason::RateExceeded;
     /// For refusals: the time until enough tokens are expected to have been minted.
     Duration retryAfter{};
+    /// For admitted requests: the token that was spent.
+    std::vector<TokenPart> token{};
 };
 
 struct EntryInputs {
@@ -112,9 +138,10 @@
 auto requestToken(EntryTable &table, const QuotaParams &params, const TeamName &team, uint64_t tokenRequestId, TimePoint now, TimePoint deadline)
     -> TokenDecision;
 
-/// Takes back the token of a request that was refused after its token had been spent. The team's next request at this node
-/// can use it for as long as a grant.
-void returnToken(EntryTable &table, const QuotaParams &params, const TeamName &team, TimePoint now);
+/// Takes back the token of a request that was refused after its token had been spent. The team's next request at this node can
+/// use it as long as its grant, unless the holder has been told that it is spent. Then it goes back to the holder, which may
+/// have minted another token in its place and discards what exceeds the burst.
+void returnToken(EntryTable &table, const QuotaParams &params, const TeamName &team, const std::vector<TokenPart> &token, TimePoint now);
 
 /// Removes a queued token request whose caller has left.
 void cancelRequest(EntryTable &table, const TeamName &team, uint64_t tokenRequestId);
--- a/quota/holder.cpp
+++ b/quota/holder.cpp
@@ -88,6 +88,7 @@
         found->second.mintedAt = held.validFrom + tick.params.takeoverDelay;
     }
     mint(found->second, rule->second, held.share.current, tick.now);
+    observeDeficit(found->second, shareOf(rule->second.burst, held.share.current), tick.params.outstandingLifetime, tick.now);
     return &found->second;
 }
 
--- a/quota/holder.h
+++ b/quota/holder.h
@@ -31,6 +31,7 @@
     TeamName team;
     MicroTokens spent = 0;
     MicroTokens returned = 0;
+    MicroTokens refunded = 0;
     std::vector<GrantPart> parts;
     TimePoint expiresAt{};
 };
@@ -69,6 +70,15 @@
     MicroTokens requestedAmount = 0;
 };
 
+/// Lowest number of tokens by which a bucket was below its capacity, outstanding ones included, over a span that ends now and
+/// begins before the oldest grant that has not expired.
+struct RecentDeficit {
+    MicroTokens previous = 0;
+    MicroTokens current = 0;
+    /// Start of `current`; `previous` is the span before.
+    TimePoint since{};
+};
+
 /// Token bucket of one team at a holder.
 struct TeamBucket {
     uint32_t range = 0;
@@ -77,6 +87,7 @@
     MicroTokens outstanding = 0;
     /// Time up to which tokens have been minted.
     TimePoint mintedAt{};
+    RecentDeficit deficit;
     /// Keyed by a number that this holder assigned.
     std::map<uint64_t, Loan> loans;
     std::deque<QueuedQuotaRequest> queue;
--- a/quota/messages.cpp
+++ b/quota/messages.cpp
@@ -39,7 +39,11 @@
 {
     nlohmann::json reports = nlohmann::json::array();
     for (const auto &report : request.reports) {
-        reports.push_back({{"grant", report.grantNumber}, {"spent", report.spent}, {"returned", report.returned}});
+        nlohmann::json row{{"grant", report.grantNumber}, {"spent", report.spent}, {"returned", report.returned}};
+        if (report.refunded > 0) {
+            row["refunded"] = report.refunded;
+        }
+        reports.push_back(std::move(row));
     }
     return {
         {"team", request.team.value},        {"from", request.from.value},     {"number", request.number},      {"minimum", request.minAmount},
@@ -85,7 +89,8 @@
     request.mayBorrow = fields.flag("mayBorrow");
     for (const auto &item : fields.array("reports")) {
         JsonFields report(item);
-        request.reports.push_back(SpentReport{readNumber(report, "grant"), report.count("spent"), report.count("returned")});
+        const MicroTokens refunded = item.contains("refunded") ? report.count("refunded") : 0;
+        request.reports.push_back(SpentReport{readNumber(report, "grant"), report.count("spent"), report.count("returned"), refunded});
         if (report.failed()) {
             fields.reject("a report is malformed: " + report.error().message);
             break;
--- a/quota/messages.h
+++ b/quota/messages.h
@@ -12,13 +12,15 @@
 namespace snipestream
 {
 
-/// What the receiver of a grant or loan has done with it. Both amounts are running totals, so that duplicate and
-/// reordered reports are harmless.
+/// What the receiver of a grant or loan has done with it. All amounts are running totals, so that duplicate and reordered
+/// reports are harmless.
 struct SpentReport {
     uint64_t grantNumber = 0;
     MicroTokens spent = 0;
     /// Returned to the issuer; the receiver will not use these tokens.
     MicroTokens returned = 0;
+    /// Part of `spent` whose requests were refused later and have not run. The receiver will not use these tokens either.
+    MicroTokens refunded = 0;
 };
 
 /// A request for tokens from an entry node to a holder, or from a holder to the holder of another domain (both method
--- a/quota/params.h
+++ b/quota/params.h
@@ -23,6 +23,8 @@
     bool lifetimeFromReceipt = false;
     /// Fault for tests: adds the tokens of a duplicate response again.
     bool countDuplicates = false;
+    /// Fault for tests: an entry uses the token of a refused request again although the holder has been told that it is spent.
+    bool reuseSpentTokens = false;
     /// Fault for tests: uses a raised domain weight before the other domains have confirmed theirs.
     bool raiseWithoutConfirmation = false;
 
--- a/sidecar/entry.cpp
+++ b/sidecar/entry.cpp
@@ -40,7 +40,8 @@
     TimePoint deadline;
     /// Deadline that the caller and the route give the request, without regard to a stop of the node.
     TimePoint callerDeadline;
-    bool tokenTaken = false;
+    /// Token of the team's rate that the request has spent, if the team has a rate.
+    std::vector<TokenPart> token;
     /// What a refusal was based on, for the log.
     std::string detail;
 };
@@ -55,9 +56,8 @@
 
 auto refuse(SidecarState &state, EntryCall &call, int status, const char *reason, Duration retryAfter) -> ResponseMessage
 {
-    if (call.tokenTaken) {
-        giveBackToken(state, *call.team);
-        call.tokenTaken = false;
+    if (call.team != nullptr) {
+        giveBackToken(state, *call.team, std::exchange(call.token, {}));
     }
     logRefusal(state, {call.caller.requestId, call.route, call.team, call.service, call.policy ? call.policy->version : 0, call.detail}, status, reason,
                retryAfter, BootClock::now() - call.startedAt);
@@ -95,9 +95,9 @@
     if (call.team == nullptr) {
         return std::nullopt;
     }
-    const TokenDecision decision = takeToken(state, *call.team, call.deadline, cancel);
+    TokenDecision decision = takeToken(state, *call.team, call.deadline, cancel);
     if (decision.state == TokenState::Admitted) {
-        call.tokenTaken = true;
+        call.token = std::move(decision.token);
         return std::nullopt;
     }
     call.detail = describeHolder(state, call.team->name, BootClock::now());
--- a/sidecar/token_service.cpp
+++ b/sidecar/token_service.cpp
@@ -241,10 +241,10 @@
     return wait.decision;
 }
 
-void giveBackToken(SidecarState &state, const TeamPolicy &team)
+void giveBackToken(SidecarState &state, const TeamPolicy &team, const std::vector<TokenPart> &token)
 {
-    if (team.ratePerSecond > 0) {
-        returnToken(state.tokens.quota.node.entry, state.tokens.quota.node.params, team.name, BootClock::now());
+    if (!token.empty()) {
+        returnToken(state.tokens.quota.node.entry, state.tokens.quota.node.params, team.name, token, BootClock::now());
     }
 }
 
--- a/sidecar/token_service.h
+++ b/sidecar/token_service.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <string>
 #include <unordered_map>
+#include <vector>
 
 namespace snipestream
 {
@@ -38,8 +39,8 @@
 /// tokens left, no holder can be reached or the caller left.
 auto takeToken(SidecarState &state, const TeamPolicy &team, TimePoint deadline, CancelSignal &cancel) -> TokenDecision;
 
-/// Gives back the token of a request that is refused and has not run.
-void giveBackToken(SidecarState &state, const TeamPolicy &team);
+/// Gives back the token of a request that is refused and has not run. `token` is that of the decision.
+void giveBackToken(SidecarState &state, const TeamPolicy &team, const std::vector<TokenPart> &token);
 
 /// Returns which holder decided about the team's latest token request and how long ago, for the log.
 auto describeHolder(const SidecarState &state, const TeamName &team, TimePoint now) -> std::string;
--- a/tests/quota/quota_fuzz_test.cpp
+++ b/tests/quota/quota_fuzz_test.cpp
@@ -26,6 +26,8 @@
         LapseLease,
         ChangeRate,
         ChangeWeights,
+        /// Requests are refused after they have spent a token, at once or later, until `length` has passed.
+        Refuse,
         KindCount,
     };
     int kind = Burst;
@@ -206,6 +208,10 @@
                 each.weights.push_back(weights);
             });
             break;
+        case QuotaCommand::Refuse:
+            world_.refuseUntil = until;
+            world_.maxRefusalDelay = milliseconds(b % 3 == 0 ? 0 : 25 * b);
+            break;
         default:
             break;
         }
@@ -347,6 +353,7 @@
 
 /// Late responses only cause a violation while the levels of the holders are full, so these runs have no other fault.
 const std::vector<int> kSlowNetworkKinds = {QuotaCommand::Delay, QuotaCommand::Burst};
+const std::vector<int> kRefusalKinds = {QuotaCommand::Refuse, QuotaCommand::Burst};
 const std::vector<int> kWeightChangeKinds = {QuotaCommand::ChangeWeights, QuotaCommand::CutDomain, QuotaCommand::MoveLease};
 
 /// Returns the number of runs up to the first violation, or -1 if there is none. If `kinds` is not empty, only these
@@ -380,6 +387,7 @@
     CPPUNIT_TEST(testCatchesMintingAtTakeover);
     CPPUNIT_TEST(testCatchesLifetimeFromReceipt);
     CPPUNIT_TEST(testCatchesRaiseWithoutConfirmation);
+    CPPUNIT_TEST(testCatchesReusedToken);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -400,6 +408,7 @@
         CPPUNIT_ASSERT_EQUAL(-1, runsUntilViolation(longTimeoutParams()));
         CPPUNIT_ASSERT_EQUAL(-1, runsUntilViolation(longTimeoutParams(), kSlowNetworkKinds));
         CPPUNIT_ASSERT_EQUAL(-1, runsUntilViolation(longTimeoutParams(), kWeightChangeKinds));
+        CPPUNIT_ASSERT_EQUAL(-1, runsUntilViolation(longTimeoutParams(), kRefusalKinds));
     }
 
     void testCatchesDoubleCountedGrant()
@@ -430,6 +439,14 @@
         expectCaught("a raised weight is used before it is confirmed", params, kWeightChangeKinds);
     }
 
+    /// A token that a refused request gave back was used again although the holder had minted another one for it.
+    void testCatchesReusedToken()
+    {
+        auto params = longTimeoutParams();
+        params.reuseSpentTokens = true;
+        expectCaught("a refused request's token is used again after it was reported as spent", params, kRefusalKinds);
+    }
+
 private:
     static void expectCaught(const std::string &fault, const QuotaParams &params, const std::vector<int> &kinds = {})
     {
--- a/tests/quota/quota_world.h
+++ b/tests/quota/quota_world.h
@@ -48,6 +48,13 @@
         bool valid = false;
     };
     using DecisionHandler = std::function<void(const TeamName &team, const TokenDecision &decision)>;
+    /// Request that has spent a token and will be refused without a run.
+    struct RefusedRequest {
+        size_t node = 0;
+        uint64_t incarnation = 0;
+        TeamName team;
+        std::vector<TokenPart> token;
+    };
 
     QuotaWorld(uint64_t seed, size_t domains, size_t nodes, const QuotaParams &params)
         : params(params)
@@ -110,7 +117,7 @@
         }
         const uint64_t tokenRequestId = ++lastTokenRequestId;
         teamOfRequest[tokenRequestId] = team;
-        finishRequest(requestToken(machine.entry, params, team, tokenRequestId, localTime(), localTime() + seconds(1)));
+        finishRequest(index, requestToken(machine.entry, params, team, tokenRequestId, localTime(), localTime() + seconds(1)));
         machine.hasInput = true;
     }
 
@@ -132,6 +139,9 @@
     /// Until this time the domain exchanges no messages with the other domains.
     std::vector<Duration> domainCutUntil;
     Duration duplicateUntil{};
+    /// Until this time, requests are refused after they have spent a token, up to `maxRefusalDelay` later.
+    Duration refuseUntil{};
+    Duration maxRefusalDelay{};
     Duration fixedDelay = microseconds(500);
     /// If false, holders know no holders of other domains and entry nodes no holders but that of their own domain.
     bool loansEnabled = true;
@@ -148,18 +158,40 @@
         Payload payload;
     };
 
-    void finishRequest(const TokenDecision &decision)
+    void finishRequest(size_t index, const TokenDecision &decision)
     {
         if (decision.state == TokenState::Queued) {
             return;
         }
         const auto found = teamOfRequest.find(decision.tokenRequestId);
-        if (onDecision) {
+        const bool isRefused = decision.state == TokenState::Admitted && refuseUntil > now;
+        if (isRefused) {
+            const Duration delay = Duration(drawBelow(random, static_cast<uint64_t>(maxRefusalDelay.count()) + 1));
+            refused_.emplace(now + delay, RefusedRequest{index, machines[index].incarnation, found->second, decision.token});
+        } else if (onDecision) {
             onDecision(found->second, decision);
         }
         teamOfRequest.erase(found);
     }
 
+    /// Gives back the tokens of the requests that are refused now. A process that was started again knows nothing of them.
+    void returnTokens()
+    {
+        while (!refused_.empty() && refused_.begin()->first <= now) {
+            const auto item = refused_.extract(refused_.begin());
+            const RefusedRequest &request = item.mapped();
+            auto &machine = machines[request.node];
+            if (machine.down || machine.incarnation != request.incarnation) {
+                continue;
+            }
+            if (machine.pausedUntil > now) {
+                refused_.emplace(machine.pausedUntil, request);
+                continue;
+            }
+            returnToken(machine.entry, params, request.team, request.token, localTime());
+        }
+    }
+
     void send(size_t from, const NodeName &target, bool toEntry, const Payload &payload)
     {
         ++messageCount;
@@ -197,6 +229,7 @@
 
     void step()
     {
+        returnTokens();
         while (!packets_.empty() && packets_.begin()->first <= now) {
             const auto packet = packets_.extract(packets_.begin());
             const auto &machine = machines[packet.mapped().to];
@@ -277,7 +310,7 @@
         };
         auto out = tickEntry(machine.entry, params, localTime(), inputs);
         for (const auto &decision : out.decisions) {
-            finishRequest(decision);
+            finishRequest(index, decision);
         }
         for (const auto &[to, request] : out.requests) {
             send(index, to, false, request);
@@ -285,6 +318,7 @@
     }
 
     std::multimap<Duration, Packet> packets_;
+    std::multimap<Duration, RefusedRequest> refused_;
     /// Whether a request came from an entry side; its response is delivered to the same side.
     std::map<std::pair<NodeName, uint64_t>, bool> entryRequests_;
 };
--- a/tests/quota/voted_world.cpp
+++ b/tests/quota/voted_world.cpp
@@ -143,7 +143,12 @@
     auto &ideal = ideals_[found->second];
     ideal.level = std::min(ideal.burst, ideal.level + ideal.rate * toSeconds(now_ - ideal.updatedAt));
     ideal.updatedAt = now_;
-    if (decision.state == TokenState::Admitted) {
+    const bool isRefused = refusedFraction > 0 && static_cast<double>(drawBelow(random_, 1000000)) < refusedFraction * 1000000;
+    if (decision.state == TokenState::Admitted && isRefused) {
+        ++tally.refusedLater;
+        const auto delay = Duration(drawBelow(random_, static_cast<uint64_t>(maxRefusalDelay.count()) + 1));
+        refused_.emplace(now_ + delay, RefusedRequest{node, machines_[node].incarnation, found->second, decision.token});
+    } else if (decision.state == TokenState::Admitted) {
         ++tally.admitted;
         tally.admittedAt.push_back(now_);
         ideal.level -= 1;
@@ -229,6 +234,18 @@
     apply(node, tickVotedQuota(machine.quota, localTime()));
 }
 
+void VotedWorld::returnTokens()
+{
+    while (!refused_.empty() && refused_.begin()->first <= now_) {
+        const auto item = refused_.extract(refused_.begin());
+        const RefusedRequest &request = item.mapped();
+        auto &machine = machines_[request.node];
+        if (machine.incarnation == request.incarnation && isRunning(machine)) {
+            returnToken(machine.quota.node.entry, machine.quota.node.params, request.team, request.token, localTime());
+        }
+    }
+}
+
 void VotedWorld::run(Duration length)
 {
     const Duration end = now_ + length;
@@ -250,6 +267,7 @@
                 tick(i);
             }
         }
+        returnTokens();
         submitLoad();
     }
 }
--- a/tests/quota/voted_world.h
+++ b/tests/quota/voted_world.h
@@ -29,6 +29,8 @@
 struct TeamTally {
     uint64_t requests = 0;
     uint64_t admitted = 0;
+    /// Spent a token and were refused later.
+    uint64_t refusedLater = 0;
     /// Refused although the ideal bucket had a token.
     uint64_t refusedInRate = 0;
     /// Decided without waiting for a holder.
@@ -75,6 +77,9 @@
     /// Fraction of the messages that are lost or doubled.
     double lossFraction = 0;
     double duplicateFraction = 0;
+    /// Fraction of the requests that are refused without a run after they have spent a token, and how much later at most.
+    double refusedFraction = 0;
+    Duration maxRefusalDelay{};
     /// Delay of messages within a failure domain and between domains.
     Duration localDelay = microseconds(200);
     Duration remoteDelay = microseconds(1400);
@@ -94,6 +99,12 @@
             return a.due != b.due ? a.due > b.due : a.order > b.order;
         }
     };
+    struct RefusedRequest {
+        size_t node = 0;
+        uint64_t incarnation = 0;
+        TeamName team;
+        std::vector<TokenPart> token;
+    };
     struct Machine {
         NodeName name;
         size_t domain = 0;
@@ -114,6 +125,7 @@
     void deliver(size_t node, const Payload &payload);
     void decide(size_t node, const TokenDecision &decision);
     void tick(size_t node);
+    void returnTokens();
     void submitLoad();
     [[nodiscard]] auto isRunning(const Machine &machine) const -> bool;
     [[nodiscard]] auto localTime() const -> TimePoint;
@@ -131,6 +143,7 @@
     std::map<TeamName, double> loads_;
     std::map<TeamName, Duration> nextArrivals_;
     std::map<uint64_t, TeamName> teamOfRequest_;
+    std::multimap<Duration, RefusedRequest> refused_;
     uint64_t lastRequest_ = 0;
     uint64_t lastPacket_ = 0;
 };
