Bound the interval of reports by what messages can carry

A home with more than 7,200 subscribers, as of a service that a fleet of 10,000 nodes uses, spread its reports over more than 60 s and said so in them.

Cause: the interval grows with the number of subscribers, and only the decoder knew its limit. Both use one constant now; above it, the home sends more messages than it aims at. SubscriptionsTest::testManySubscribers failed before ("field 'n' is not an integer from 1 to 60000").

--- a/mesh/report_codec.cpp
+++ b/mesh/report_codec.cpp
@@ -18,8 +18,7 @@
 
 using nlohmann::json;
 
-/// Maximum interval between two reports or subscriptions.
-constexpr int64_t kMaxIntervalMs = 60000;
+constexpr int64_t kMaxIntervalMs = duration_cast<milliseconds>(kMaxReportInterval).count();
 /// Maximum of the slots, running and queued requests in a report.
 constexpr int64_t kMaxSlots = 1000000;
 
--- a/mesh/subscriptions.cpp
+++ b/mesh/subscriptions.cpp
@@ -24,11 +24,11 @@
     return std::accumulate(values.begin(), values.end(), 0.0);
 }
 
-/// Returns the interval that keeps this many messages within the settings.
+/// Returns the interval that keeps this many messages within the settings, as far as messages can carry it.
 auto scaledInterval(Duration interval, size_t messages, const SubscriptionSettings &settings) -> Duration
 {
     const double minSeconds = static_cast<double>(messages) / settings.maxMessagesPerSecond;
-    return std::max(interval, duration_cast<Duration>(std::chrono::duration<double>(minSeconds)));
+    return std::min(std::max(interval, duration_cast<Duration>(std::chrono::duration<double>(minSeconds))), kMaxReportInterval);
 }
 
 /// Returns whether a demand differs so much from the one that was sent that it is sent again at once.
--- a/mesh/subscriptions.h
+++ b/mesh/subscriptions.h
@@ -40,6 +40,9 @@
     }
 };
 
+/// Maximum interval of reports and subscriptions in messages between nodes.
+inline constexpr Duration kMaxReportInterval = seconds(60);
+
 /// Settings of the subscriptions, which bound the messages of a node whatever the size of the fleet.
 struct SubscriptionSettings {
     /// Maximum number of homes of one service in the node's own failure domain and in all others.
@@ -52,7 +55,8 @@
     /// Intervals of reports within a failure domain, and from and to other domains, where traffic costs more.
     Duration localInterval = milliseconds(300);
     Duration remoteInterval = milliseconds(800);
-    /// Maximum number of reports, and of subscriptions, that a node sends per second. Intervals grow to stay within it.
+    /// Number of reports, and of subscriptions, that a node sends per second at most. Intervals grow to stay within it, up to
+    /// `kMaxReportInterval`.
     double maxMessagesPerSecond = 120;
 };
 
--- a/tests/mesh/subscriptions_test.cpp
+++ b/tests/mesh/subscriptions_test.cpp
@@ -154,6 +154,7 @@
     CPPUNIT_TEST(testSilentHomes);
     CPPUNIT_TEST(testPartition);
     CPPUNIT_TEST(testMessages);
+    CPPUNIT_TEST(testManySubscribers);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -317,6 +318,32 @@
             CPPUNIT_ASSERT(table.rows.at("10.0.0.1").latest == current);
         });
     }
+
+    /// Guards against a home of a service that the whole fleet uses, whose reports all subscribers reject: with more than 7,200
+    /// subscribers, the interval between two reports was longer than messages may say.
+    void testManySubscribers()
+    {
+        constexpr int kNodes = 10000;
+        SubscriberTable table;
+        const TimePoint now = TimePoint() + seconds(1);
+        for (int i = 0; i < kNodes; ++i) {
+            const std::string address = SubscriptionFleet::addressOf(static_cast<size_t>(i));
+            applySubscription(table, kService, {address, kService, 1, 1, {0.5}, milliseconds(800), false}, now);
+        }
+        NodeReport report;
+        report.address = "10.1.0.1";
+        report.target.service = kService;
+        report.load.limit = 1;
+        report.demand = totalDemand(table);
+        const auto due = dueReports(table, true, now);
+        CPPUNIT_ASSERT_EQUAL(size_t{kNodes}, due.size());
+        for (const auto &[address, interval, withKinds] : due) {
+            report.interval = interval;
+            const auto bytes = encodeReport(report);
+            const auto decoded = decodeReport({reinterpret_cast<const char *>(bytes.data()), bytes.size()});
+            CPPUNIT_ASSERT_MESSAGE(decoded ? "changed" : decoded.error().message, decoded && decoded.value() == report);
+        }
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(SubscriptionsTest);
