Limit rates and bursts of teams to a billion

A team whose RatePerS or Burst is written as a huge number, as for one without a limit, would be refused for good: its tokens in millionths do not fit into 64 bits, become negative, and messages with negative amounts are rejected.

Cause: the configuration of the users' platform had no maximum, unlike the project's own rules, which have this one. Found by reading, not seen in a run.

--- a/tests/platform/wire_test.cpp
+++ b/tests/platform/wire_test.cpp
@@ -100,6 +100,16 @@
     /// Guards against an invalid configuration that is partially applied.
     void testInvalidPolicy()
     {
+        // Guards against a team that is refused for good, because its tokens, in millionths, are more than a 64-bit number holds.
+        section("a rate or burst above a billion, as for a team without a limit, counts as a billion", [] {
+            std::string document = kDocument;
+            const std::string quota = R"("RatePerS":300,"Burst":30)";
+            document.replace(document.find(quota), quota.size(), R"("RatePerS":1e15,"Burst":18446744073709551615)");
+            const auto decodedQuota = decodePolicy(document);
+            CPPUNIT_ASSERT(decodedQuota.has_value());
+            CPPUNIT_ASSERT_EQUAL(1e9, decodedQuota.value().teams.at(0).ratePerSecond);
+            CPPUNIT_ASSERT_EQUAL(1e9, decodedQuota.value().teams.at(0).burst);
+        });
         section("a truncated document is rejected as a whole", [] {
             for (size_t length = 0; length < kDocument.size(); length += 7) {
                 CPPUNIT_ASSERT(!decodePolicy(kDocument.substr(0, length)).has_value());
