Test broken responses behind another node and to uploads that expect 100-continue (MIXED)

The two kinds that other systems passed on, status 000 and a 200 without a length that is reset during an upload, are refused here since the incident of the broken responses: BrokenTargetResponseTest::testStatus and testResetDuringUpload hold that with the real process, BrokenResponseTest::testStatus and testResetDuringUpload for each client, on new and kept connections. Two variants had no test: a caller that waits for an interim response before it sends its upload, and a second node between the caller and the node beside the target.

--- a/tests/sidecar/broken_response_test.cpp
+++ b/tests/sidecar/broken_response_test.cpp
@@ -21,7 +21,11 @@
 {
 
 const std::string kNode = "127.0.0.2";
+/// Address of a node without a target, which passes requests on to the node beside the target.
+const std::string kEntryNode = "127.0.0.3";
 constexpr Duration kStartTime = seconds(30);
+/// Time for which a caller waits for an interim response before it sends the body.
+constexpr Duration kContinueDelay = milliseconds(20);
 /// Longer than any request of these tests takes, also on a busy machine, so that none ends with 504.
 constexpr int kRouteTimeoutMs = 20000;
 /// More than the kernel keeps for a connection, so that sending is still in progress when the target responds.
@@ -35,10 +39,13 @@
     std::string method;
     std::string path;
     size_t bodyBytes = 0;
+    /// The caller asks for an interim response before it sends the body.
+    bool expectsContinue = false;
 };
 
 const std::vector<CallerRequest> kSmallRequests = {{"GET", "/stock/1"}, {"HEAD", "/stock/1"}, {"POST", "/deposit/1", 2000}};
 const CallerRequest kUpload = {"POST", "/deposit/1", kUploadBytes};
+const CallerRequest kExpectingUpload = {"POST", "/deposit/1", kUploadBytes, true};
 
 /// A node in a process of its own beside a target that sends the bytes that the test sets.
 struct NodeWithTarget {
@@ -68,14 +75,21 @@
         return store;
     }
 
-    /// Sends a request on a connection of its own and returns all bytes that the node sends.
+    /// Sends a request on a connection of its own and returns all bytes of the final response.
     auto send(const CallerRequest &request) -> std::string
     {
-        RawClient client(runtime, testing::kCallerPort, 0, kNode);
+        RawClient client(runtime, testing::kCallerPort, 0, callersNode);
         client.send(request.method + " " + request.path + " HTTP/1.1\r\nHost: studio.example\r\nApi-Key: k1\r\nConnection: close\r\n"
-                    + "X-Snipestream-Request-Id: request-" + std::to_string(++requests) + "\r\nContent-Length: " + std::to_string(request.bodyBytes)
-                    + "\r\n\r\n" + std::string(request.bodyBytes, 'u'));
-        return client.readAll();
+                    + (request.expectsContinue ? "Expect: 100-continue\r\n" : "") + "X-Snipestream-Request-Id: request-" + std::to_string(++requests)
+                    + "\r\nContent-Length: " + std::to_string(request.bodyBytes) + "\r\n\r\n");
+        if (request.expectsContinue) {
+            runtime.sleepFor(kContinueDelay);
+        }
+        client.send(std::string(request.bodyBytes, 'u'));
+        const std::string received = client.readAll();
+        const bool isInterim = received.rfind("HTTP/1.1 100 ", 0) == 0;
+        CPPUNIT_ASSERT_EQUAL(request.expectsContinue, isInterim);
+        return isInterim ? received.substr(received.find("\r\n\r\n") + 4) : received;
     }
 
     /// Sends a request to which the target responds with a whole response. Returns whether the caller got it.
@@ -124,6 +138,8 @@
     static inline const std::string kSigned = "X-Snipestream-Response-Signature: signed-by-target\r\n";
 
     FiberRuntime &runtime;
+    /// Node that callers send their requests to.
+    std::string callersNode = kNode;
     bool respondsWhole = true;
     ScriptedResponse response;
     size_t requestsAtTarget = 0;
@@ -134,6 +150,23 @@
     testing::TargetStandin announcer;
 };
 
+/// The same with a second node between the callers and the node beside the target.
+struct NodesWithTarget : NodeWithTarget {
+    explicit NodesWithTarget(FiberRuntime &fiberRuntime)
+        : NodeWithTarget(fiberRuntime)
+        , entry({kEntryNode, store->endpoint(), 260, 4100, "node3"})
+    {
+        callersNode = kEntryNode;
+        const TimePoint end = BootClock::now() + kStartTime;
+        while (!sendWhole(kSmallRequests[0])) {
+            CPPUNIT_ASSERT_MESSAGE("the entry node does not serve", BootClock::now() < end);
+            runtime.sleepFor(milliseconds(50));
+        }
+    }
+
+    testing::SidecarProcess entry;
+};
+
 void withNode(const std::function<void(NodeWithTarget &)> &body)
 {
     testing::runWithNode<NodeWithTarget>(body);
@@ -150,6 +183,7 @@
     CPPUNIT_TEST(testFraming);
     CPPUNIT_TEST(testBodies);
     CPPUNIT_TEST(testResetDuringUpload);
+    CPPUNIT_TEST(testBehindAnotherNode);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -185,7 +219,18 @@
     void testResetDuringUpload()
     {
         withNode([](NodeWithTarget &node) {
-            node.checkAreRefused({kUpload}, testing::resetsDuringUpload(NodeWithTarget::kSigned));
+            node.checkAreRefused({kUpload, kExpectingUpload}, testing::resetsDuringUpload(NodeWithTarget::kSigned));
+        });
+    }
+
+    /// Guards against a broken response that one node refuses and the next one passes on to the caller.
+    void testBehindAnotherNode()
+    {
+        testing::runWithNode<NodesWithTarget>([](NodesWithTarget &nodes) {
+            nodes.checkAreRefused({kUpload, kExpectingUpload}, testing::resetsDuringUpload(NodeWithTarget::kSigned));
+            auto broken = testing::responsesWithBrokenStatus(NodeWithTarget::kSigned);
+            broken.resize(4);
+            nodes.checkAreRefused(kSmallRequests, broken);
         });
     }
 };
--- a/tests/sidecar/sidecar_process.h
+++ b/tests/sidecar/sidecar_process.h
@@ -27,6 +27,7 @@
     Endpoint store;
     uint64_t memoryMb = 260;
     uint64_t maxDescriptors = 4100;
+    std::string node = "node2";
 };
 
 /// A node of the service `catalogue` in a process of its own.
@@ -42,7 +43,7 @@
             return options.address + ":" + std::to_string(port);
         };
         std::ofstream(directory_ + "/settings.json") << nlohmann::json{
-            {"node", "node2"},
+            {"node", options.node},
             {"domain", "east"},
             {"address", options.address},
             {"service", "catalogue"},
